--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test lint unit faults bench format clean
+
+$(VENV)/installed: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt -e '.[dev]'
+	touch $@
+
+demo: $(VENV)/installed
+	$(BIN)/wisteriawood demo
+
+test: $(VENV)/installed
+	$(BIN)/python -m wisteriawood.tests
+
+lint: $(VENV)/installed
+	$(BIN)/black --check -q wisteriawood
+	$(BIN)/flake8 wisteriawood
+
+unit: $(VENV)/installed
+	$(BIN)/python -m unittest discover -s wisteriawood/tests \
+	    -t . -p '*_tests.py'
+
+faults: $(VENV)/installed
+	$(BIN)/python -m wisteriawood.tests.faults
+
+bench: $(VENV)/installed
+	$(BIN)/python -m wisteriawood.bench
+
+format: $(VENV)/installed
+	$(BIN)/black -q wisteriawood
+
+clean:
+	rm -rf $(VENV) build run *.egg-info
--- /dev/null
+++ b/wisteriawood/errors.py
@@ -0,0 +1,137 @@
+"""Exceptions raised by wisteriawood, in one tree."""
+
+
+class WisteriawoodError(Exception):
+    """Base of all errors that this package raises.
+
+    Attributes:
+        exit_code: Exit status of a command that ends with this error.
+        http_status: Status with which a daemon answers it over HTTP.
+    """
+
+    exit_code = 1
+    http_status = 500
+
+
+class UsageError(WisteriawoodError):
+    """The caller's input is wrong; the message says how to mend it."""
+
+    exit_code = 2
+    http_status = 400
+
+
+class SettingsError(UsageError):
+    """A settings or answers file has an error.
+
+    Args:
+        file: Name of the file.
+        path: JSON path of the value inside the file.
+        found: What stands there.
+        remedy: What to write instead.
+    """
+
+    def __init__(self, *, file: str, path: str, found: str, remedy: str):
+        self.file = file
+        self.path = path
+        self.found = found
+        self.remedy = remedy
+        super().__init__(f"{file}: {path}: found {found}; {remedy}")
+
+
+class ConfigurationConflictError(WisteriawoodError):
+    """Another operator's change was committed first."""
+
+    exit_code = 3
+    http_status = 409
+
+
+class NotFoundError(WisteriawoodError):
+    """There is no such team, task, host or version."""
+
+    exit_code = 4
+    http_status = 404
+
+
+class PlatformError(WisteriawoodError):
+    """Base of errors of the platform's services."""
+
+    exit_code = 5
+    http_status = 503
+
+
+class PlatformUnavailableError(PlatformError):
+    """The platform refused or never received the call."""
+
+
+class TransactionUnknownError(PlatformError):
+    """A transaction was sent and its outcome is not known."""
+
+
+class TransactionConflictError(PlatformError):
+    """A condition of the transaction did not hold; nothing was written."""
+
+    http_status = 409
+
+
+class LinkError(WisteriawoodError):
+    """Base of errors of a link to another process."""
+
+    http_status = 502
+
+
+class LinkClosedError(LinkError):
+    """The peer closed the link, or it broke."""
+
+
+class LinkRefusedError(LinkError):
+    """The peer's machine refused the connection: nobody listens."""
+
+
+class MessageError(LinkError):
+    """A message could not be decoded."""
+
+    http_status = 400
+
+
+class RequestError(WisteriawoodError):
+    """Base of errors that end one request of a caller."""
+
+
+class RequestNotRunError(RequestError):
+    """The request was not run by any target.
+
+    Args:
+        reason: Why, for the caller.
+        status: HTTP status of the answer.
+        retry_after_s: Seconds after which a retry may succeed.
+    """
+
+    def __init__(
+        self, *, reason: str, status: int = 503, retry_after_s: float = 1.0
+    ):
+        self.reason = reason
+        self.http_status = status
+        self.retry_after_s = retry_after_s
+        super().__init__(reason)
+
+
+class RequestUnknownError(RequestError):
+    """The request may have run; its answer is not known.
+
+    Args:
+        reason: Why, for the caller.
+        status: HTTP status of the answer.
+    """
+
+    def __init__(self, *, reason: str, status: int = 504):
+        self.reason = reason
+        self.http_status = status
+        super().__init__(reason)
+
+
+class AuthorityError(WisteriawoodError):
+    """The holder's term has ended, so it may not gain or move anything."""
+
+
+class PlacementError(WisteriawoodError):
+    """A task can't be placed; the message says why."""
