Add one path from end to end, with stand-ins

Caller to target under a slot grant; operator to worker under a lease. Each part is a process of its own over real sockets; the same objects run in virtual time over links in memory (standins/worlds.py). Known to be thin: no cancellation, no queue policy, no recovery of slots.

--- /dev/null
+++ b/wisteriawood/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds."""
--- /dev/null
+++ b/wisteriawood/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the client and the daemons, one module each."""
--- /dev/null
+++ b/wisteriawood/commands/standins.py
@@ -0,0 +1,115 @@
+"""Commands that run the stand-ins of the platform, workers and targets."""
+
+import functools
+
+import anyio
+from cleo import helpers
+
+from wisteriawood.commands import base
+from wisteriawood.contracts import resources
+from wisteriawood.standins import daemons
+
+_ADDRESS = helpers.option(
+    "address", "a", "Where it listens, as HOST:PORT.", flag=False
+)
+_NAME = helpers.option("name", "m", "Name of the host.", flag=False)
+
+
+@base.COMMANDS.register("standin platform")
+class PlatformStandinCommand(base.BaseCommand):
+    """Runs the stand-in of the platform."""
+
+    name = "standin platform"
+    description = "Runs a small stand-in of the platform (demo, tests)."
+    options = [_ADDRESS]
+
+    def execute_command(self) -> int | None:
+        """Run it until SIGTERM."""
+        anyio.run(
+            functools.partial(
+                daemons.run_platform, address=self.require("address")
+            )
+        )
+        return 0
+
+
+@base.COMMANDS.register("standin target")
+class TargetStandinCommand(base.BaseCommand):
+    """Runs the stand-in of a target."""
+
+    name = "standin target"
+    description = "Runs a small stand-in of a target (demo, tests)."
+    options = [
+        _ADDRESS,
+        _NAME,
+        helpers.option("slots", None, "Slots.", flag=False, default="8"),
+        helpers.option(
+            "service-s",
+            None,
+            "Seconds that each request takes.",
+            flag=False,
+            default="0.01",
+        ),
+    ]
+
+    def execute_command(self) -> int | None:
+        """Run it until SIGTERM."""
+        anyio.run(
+            functools.partial(
+                daemons.run_target,
+                name=self.require("name"),
+                address=self.require("address"),
+                slots=self.number("slots", int),
+                service_s=self.number("service-s", float),
+            )
+        )
+        return 0
+
+
+@base.COMMANDS.register("standin worker")
+class WorkerStandinCommand(base.BaseCommand):
+    """Runs the stand-in of a worker."""
+
+    name = "standin worker"
+    description = "Runs a small stand-in of a worker (demo, tests)."
+    options = [
+        _ADDRESS,
+        _NAME,
+        base.PLATFORM_OPTION,
+        helpers.option("cores", None, "Cores.", flag=False, default="64"),
+        helpers.option(
+            "memory-bytes",
+            None,
+            "Memory in bytes.",
+            flag=False,
+            default="250000000000",
+        ),
+        helpers.option(
+            "accelerators", None, "Accelerators.", flag=False, default="0"
+        ),
+        helpers.option(
+            "first-target-port",
+            None,
+            "First port for the targets of its services.",
+            flag=False,
+            default="20000",
+        ),
+    ]
+
+    def execute_command(self) -> int | None:
+        """Run it until SIGTERM."""
+        anyio.run(
+            functools.partial(
+                daemons.run_worker,
+                name=self.require("name"),
+                address=self.require("address"),
+                platform_url=self.require("platform"),
+                capacity=resources.Resources(
+                    cores=self.number("cores", float),
+                    memory_bytes=self.number("memory-bytes", int),
+                    accelerators=self.number("accelerators", int),
+                ),
+                first_target_port=self.number("first-target-port", int),
+            )
+        )
+        return 0
--- /dev/null
+++ b/wisteriawood/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform, a worker and a target."""
--- /dev/null
+++ b/wisteriawood/standins/workers.py
@@ -0,0 +1,395 @@
+"""A small stand-in of a worker, with failure switches."""
+
+import dataclasses
+import typing
+
+import anyio
+from anyio import abc
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from wisteriawood.contracts import resources
+from wisteriawood.contracts import tasks
+from wisteriawood import errors
+from wisteriawood.links.codecs import rows
+from wisteriawood.links import workers
+
+ENDED_KEPT = 1000
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class WorkerFaults:
+    """Failure switches of the stand-in.
+
+    Attributes:
+        frozen: Whether calls are not answered.
+        fails_everything: Whether each attempt fails as soon as it starts.
+        slow_s: Delay before each call in seconds.
+        usage_lag_s: Seconds by which usage reports lag.
+    """
+
+    frozen: bool = False
+    fails_everything: bool = False
+    slow_s: float = 0.0
+    usage_lag_s: float = 2.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RunRecord:
+    """One attempt, as the worker itself records it.
+
+    Attributes:
+        task: Id of the task.
+        attempt: Number of the attempt.
+        started_s: Monotonic time of its start.
+        stopped_s: Monotonic time of its end; 0 while it runs.
+        resumed_from: Checkpoint that it resumed from.
+        end: How it ended.
+    """
+
+    task: str
+    attempt: int
+    started_s: float
+    stopped_s: float = 0.0
+    resumed_from: str = ""
+    end: str = ""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Attempt:
+    """An attempt on the worker.
+
+    Attributes:
+        spec: The task.
+        number: Number of the attempt.
+        state: Its state.
+        lease_ends_s: Monotonic time at which it is stopped.
+        done_s: Seconds of work done so far.
+        run_s: Seconds of work in all; 0 if it has no end.
+        share: Share of its resources that it may use.
+        address: Address of the target that it serves.
+        record: Its record.
+        stop: Stops what serves the target.
+        reason: Why it failed.
+    """
+
+    spec: tasks.TaskSpec
+    number: int
+    state: workers.AttemptState = workers.AttemptState.RUNNING
+    lease_ends_s: float = 0.0
+    done_s: float = 0.0
+    run_s: float = 0.0
+    share: float = 1.0
+    address: str = ""
+    record: RunRecord
+    stop: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    reason: str = ""
+
+
+ServeTarget = typing.Callable[[Attempt], typing.Awaitable[None]]
+
+
+class StandinWorker:
+    """Runs tasks in time only; it guards nothing.
+
+    Args:
+        name: Name of the worker.
+        capacity: What it offers.
+        objects: Store of checkpoints, with put_object and get_object.
+        serve_target: Serves the target of a service attempt, if any.
+    """
+
+    __slots__ = (
+        "_objects",
+        "_serve_target",
+        "attempts",
+        "capacity",
+        "faults",
+        "group",
+        "name",
+        "records",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        capacity: resources.Resources,
+        objects: typing.Any,
+        serve_target: ServeTarget | None = None,
+    ):
+        self.name = name
+        self.capacity = capacity
+        self.faults = WorkerFaults()
+        self.attempts: dict[tuple[str, int], Attempt] = {}
+        self.records: list[RunRecord] = []
+        self.group: abc.TaskGroup | None = None
+        self._objects = objects
+        self._serve_target = serve_target
+
+    async def _enter(self) -> None:
+        if self.faults.slow_s:
+            await anyio.sleep(self.faults.slow_s)
+        if self.faults.frozen:
+            await anyio.sleep(workers.CALL_TIMEOUT_S)
+            raise errors.LinkClosedError("frozen")
+
+    async def run(self) -> None:
+        """Run attempts until cancelled."""
+        async with anyio.create_task_group() as group:
+            self.group = group
+            await anyio.sleep_forever()
+
+    async def start(self, command: workers.StartCommand) -> bool:
+        """Start an attempt; False if its latest time has passed."""
+        await self._enter()
+        now_s = anyio.current_time()
+        key = (command.spec.id, command.attempt)
+        if now_s > command.not_after_s or key in self.attempts:
+            return key in self.attempts
+        attempt = Attempt(
+            spec=command.spec,
+            number=command.attempt,
+            lease_ends_s=now_s + command.lease_s,
+            run_s=float(
+                command.spec.arguments.get("run_s", command.spec.run_s)
+            ),
+            record=RunRecord(
+                task=command.spec.id,
+                attempt=command.attempt,
+                started_s=now_s,
+                resumed_from=command.checkpoint,
+            ),
+        )
+        if command.checkpoint:
+            data = await self._objects.get_object(command.checkpoint)
+            attempt.done_s = float(data or b"0")
+        self.attempts[key] = attempt
+        self.records.append(attempt.record)
+        self._forget_ended()
+        self.group.start_soon(self._run_attempt, attempt)
+        return True
+
+    def _forget_ended(self) -> None:
+        ended = [
+            key
+            for key, attempt in self.attempts.items()
+            if attempt.state != workers.AttemptState.RUNNING
+        ]
+        for key in ended[:-ENDED_KEPT]:
+            del self.attempts[key]
+
+    async def _run_attempt(self, attempt: Attempt) -> None:
+        if self.faults.fails_everything or attempt.spec.arguments.get("fails"):
+            attempt.reason = "failed as told"
+            self._end(attempt, workers.AttemptState.FAILED)
+            return
+        is_service = attempt.spec.kind == tasks.TaskKind.SERVICE
+        if is_service and self._serve_target is not None:
+            self.group.start_soon(self._serve_target, attempt)
+        last_s = anyio.current_time()
+        while attempt.state == workers.AttemptState.RUNNING:
+            if attempt.run_s and attempt.done_s >= attempt.run_s - 1e-9:
+                self._end(attempt, workers.AttemptState.FINISHED)
+                return
+            left_s = attempt.lease_ends_s - anyio.current_time()
+            if left_s <= 0:
+                self._end(attempt, workers.AttemptState.STOPPED)
+                return
+            if attempt.run_s:
+                speed = max(attempt.share, 0.01)
+                left_s = min(left_s, (attempt.run_s - attempt.done_s) / speed)
+            await anyio.sleep(min(left_s, 0.1))
+            now_s = anyio.current_time()
+            attempt.done_s += attempt.share * (now_s - last_s)
+            last_s = now_s
+
+    def _end(self, attempt: Attempt, state: workers.AttemptState) -> None:
+        attempt.state = state
+        attempt.record.stopped_s = anyio.current_time()
+        attempt.record.end = state
+        attempt.stop.set()
+
+    async def renew(self, command: workers.RenewCommand) -> None:
+        """Renew the leases of attempts."""
+        await self._enter()
+        now_s = anyio.current_time()
+        if now_s > command.not_after_s:
+            return
+        for task, number in command.attempts.items():
+            attempt = self.attempts.get((task, number))
+            if attempt is not None:
+                attempt.lease_ends_s = now_s + command.lease_s
+
+    async def checkpoint(self, task: str, attempt: int) -> str:
+        """Write a checkpoint and return its object key."""
+        await self._enter()
+        found = self.attempts[task, attempt]
+        key = f"checkpoint/{task}/{attempt}"
+        await self._objects.put_object(key, repr(found.done_s).encode())
+        return key
+
+    async def throttle(self, task: str, attempt: int, share: float) -> None:
+        """Limit an attempt to a share of its resources, 0 to 1."""
+        await self._enter()
+        self.attempts[task, attempt].share = share
+
+    async def stop(self, task: str, attempt: int) -> None:
+        """Stop an attempt and return once it is stopped."""
+        await self._enter()
+        found = self.attempts.get((task, attempt))
+        if found and found.state == workers.AttemptState.RUNNING:
+            self._end(found, workers.AttemptState.STOPPED)
+
+    async def inventory(self) -> workers.Inventory:
+        """Return all attempts that the worker knows of."""
+        await self._enter()
+        return workers.Inventory(
+            worker=self.name,
+            clock_s=anyio.current_time(),
+            capacity=self.capacity,
+            attempts=[
+                workers.AttemptReport(
+                    task=attempt.spec.id,
+                    attempt=attempt.number,
+                    state=attempt.state,
+                    address=attempt.address,
+                    reason=attempt.reason,
+                    progress=(
+                        min(1.0, attempt.done_s / attempt.run_s)
+                        if attempt.run_s
+                        else 0.0
+                    ),
+                    throttle=attempt.share,
+                    spec=attempt.spec,
+                )
+                for attempt in self.attempts.values()
+            ],
+        )
+
+    async def usage(self) -> list[workers.UsageReport]:
+        """Return usage reports as they were before the lag."""
+        await self._enter()
+        measured_s = anyio.current_time() - self.faults.usage_lag_s
+        return [
+            workers.UsageReport(
+                task=attempt.spec.id,
+                attempt=attempt.number,
+                used=attempt.spec.needs,
+                speed=attempt.share,
+                measured_s=measured_s,
+            )
+            for attempt in self.attempts.values()
+            if attempt.state == workers.AttemptState.RUNNING
+            and attempt.record.started_s <= measured_s
+        ]
+
+    async def aclose(self) -> None:
+        """Do nothing; the worker goes on."""
+
+
+class WorkerApp:
+    """The stand-in over HTTP.
+
+    Args:
+        worker: The worker.
+    """
+
+    __slots__ = ("worker",)
+
+    def __init__(self, *, worker: StandinWorker):
+        self.worker = worker
+
+    async def start(self, request: requests.Request) -> responses.Response:
+        """Answer POST /start."""
+        command = rows.from_json(await request.body(), workers.StartCommand)
+        started = await self.worker.start(command)
+        return responses.PlainTextResponse("\n", 200 if started else 409)
+
+    async def renew(self, request: requests.Request) -> responses.Response:
+        """Answer POST /renew."""
+        command = rows.from_json(await request.body(), workers.RenewCommand)
+        await self.worker.renew(command)
+        return responses.PlainTextResponse("\n")
+
+    async def checkpoint(
+        self, request: requests.Request
+    ) -> responses.Response:
+        """Answer POST /checkpoint."""
+        body = await request.json()
+        try:
+            key = await self.worker.checkpoint(body["task"], body["attempt"])
+        except KeyError:
+            return responses.PlainTextResponse("no such attempt\n", 404)
+        return responses.JSONResponse({"checkpoint": key})
+
+    async def throttle(self, request: requests.Request) -> responses.Response:
+        """Answer POST /throttle."""
+        body = await request.json()
+        try:
+            await self.worker.throttle(
+                body["task"], body["attempt"], body["share"]
+            )
+        except KeyError:
+            return responses.PlainTextResponse("no such attempt\n", 404)
+        return responses.PlainTextResponse("\n")
+
+    async def stop(self, request: requests.Request) -> responses.Response:
+        """Answer POST /stop."""
+        body = await request.json()
+        await self.worker.stop(body["task"], body["attempt"])
+        return responses.PlainTextResponse("\n")
+
+    async def inventory(
+        self, _request: requests.Request
+    ) -> responses.Response:
+        """Answer GET /inventory."""
+        return responses.Response(
+            rows.to_json(await self.worker.inventory()),
+            media_type="application/json",
+        )
+
+    async def usage(self, _request: requests.Request) -> responses.Response:
+        """Answer GET /usage."""
+        return responses.Response(
+            rows.to_json(await self.worker.usage()),
+            media_type="application/json",
+        )
+
+    async def records(self, _request: requests.Request) -> responses.Response:
+        """Answer GET /standin/records: what ran when."""
+        return responses.Response(
+            rows.to_json(self.worker.records), media_type="application/json"
+        )
+
+    async def faults(self, request: requests.Request) -> responses.Response:
+        """Answer PUT /standin/faults: set the failure switches."""
+        self.worker.faults = rows.from_json(await request.body(), WorkerFaults)
+        return responses.PlainTextResponse("set\n")
+
+    def make_app(self) -> applications.Starlette:
+        """Return the application."""
+
+        async def _refuse(_request, exc):
+            return responses.PlainTextResponse(str(exc) + "\n", 503)
+
+        post = ["POST"]
+        return applications.Starlette(
+            routes=[
+                routing.Route("/start", self.start, methods=post),
+                routing.Route("/renew", self.renew, methods=post),
+                routing.Route("/checkpoint", self.checkpoint, methods=post),
+                routing.Route("/throttle", self.throttle, methods=post),
+                routing.Route("/stop", self.stop, methods=post),
+                routing.Route("/inventory", self.inventory),
+                routing.Route("/usage", self.usage),
+                routing.Route("/standin/records", self.records),
+                routing.Route("/standin/faults", self.faults, methods=["PUT"]),
+            ],
+            exception_handlers={
+                errors.LinkError: _refuse,
+                errors.PlatformError: _refuse,
+            },
+        )
--- /dev/null
+++ b/wisteriawood/tests/builders.py
@@ -0,0 +1,104 @@
+"""Builders of test data."""
+
+import functools
+
+import anyio
+import trio.testing
+
+from wisteriawood.contracts import holdings
+from wisteriawood.contracts import requests
+from wisteriawood.contracts import resources
+from wisteriawood.contracts import tasks
+from wisteriawood.links import platforms
+from wisteriawood.standins import worlds
+
+GIB = 1024**3
+
+
+def run_virtual(function, *args, **kwargs):
+    """Run an async function in virtual time and return its result."""
+    return anyio.run(
+        functools.partial(function, *args, **kwargs),
+        backend="trio",
+        backend_options={
+            "clock": trio.testing.MockClock(autojump_threshold=0)
+        },
+    )
+
+
+def run_world(function, *, seed=1):
+    """Run an async function on a new world in virtual time."""
+
+    async def _main():
+        async with anyio.create_task_group() as group:
+            world = worlds.World(group=group, seed=seed)
+            await function(world)
+            group.cancel_scope.cancel()
+
+    run_virtual(_main)
+
+
+def make_resources(*, cores=1.0, memory_bytes=GIB, accelerators=0):
+    """Return resources."""
+    return resources.Resources(
+        cores=cores, memory_bytes=memory_bytes, accelerators=accelerators
+    )
+
+
+def make_spec(*, id="task-1", kind=tasks.TaskKind.BATCH, **fields):
+    """Return what an operator submits."""
+    values = {"team": "vitrinenklima", "needs": make_resources()}
+    if kind == tasks.TaskKind.BATCH:
+        values["run_s"] = 10.0
+    if kind == tasks.TaskKind.SERVICE:
+        values["service"] = "humidity"
+        values["slots"] = 8
+    values.update(fields)
+    return tasks.TaskSpec(id=id, kind=kind, **values)
+
+
+def make_member(*, name="linz-a-1", role=holdings.Role.SCHEDULER, **fields):
+    """Return a member row."""
+    values = {
+        "zone": "linz-a",
+        "region": "at-ost",
+        "incarnation": f"{role}-{name}-1",
+        "peer_address": f"{role}-{name}:1",
+    }
+    values.update(fields)
+    return holdings.MemberRow(name=name, role=role, **values)
+
+
+def make_worker_host(*, name="worker-1", **fields):
+    """Return a worker's entry in the host list."""
+    values = {
+        "zone": "linz-a",
+        "rack": "rack-1",
+        "address": f"{name}:1",
+        "capacity": make_resources(cores=64.0, memory_bytes=250 * GIB),
+    }
+    values.update(fields)
+    return platforms.Host(name=name, **values)
+
+
+def make_target_host(*, name="target-1", **fields):
+    """Return a target's entry in the host list."""
+    values = {
+        "zone": "linz-a",
+        "rack": "rack-1",
+        "address": f"{name}:1",
+        "team": "vitrinenklima",
+        "service": "humidity",
+        "slots": 8,
+    }
+    values.update(fields)
+    return platforms.Host(name=name, kind=platforms.HostKind.TARGET, **values)
+
+
+def make_request(*, id="request-1", deadline_s=None, **fields):
+    """Return a caller's request, due 5 s from now."""
+    if deadline_s is None:
+        deadline_s = anyio.current_time() + 5.0
+    values = {"team": "vitrinenklima", "service": "humidity"}
+    values.update(fields)
+    return requests.Request(id=id, deadline_s=deadline_s, **values)
