--- a/wisteriawood/policies/registry.py
+++ b/wisteriawood/policies/registry.py
@@ -61,4 +61,6 @@
         package: The package whose modules hold the variants.
     """
     for module in pkgutil.iter_modules(package.__path__):
+        if module.name == "__main__":
+            continue
         importlib.import_module(f"{package.__name__}.{module.name}")
--- /dev/null
+++ b/wisteriawood/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""The fault matrix: each fault at each step."""
--- /dev/null
+++ b/wisteriawood/tests/faults/__main__.py
@@ -0,0 +1,21 @@
+"""Runs the fault matrix alone and prints each cell."""
+
+import pathlib
+import sys
+import unittest
+
+
+def main() -> int:
+    """Run the matrix and return the exit status."""
+    here = pathlib.Path(__file__).parent
+    suite = unittest.defaultTestLoader.discover(
+        str(here), pattern="*_tests.py", top_level_dir=str(here.parents[2])
+    )
+    result = unittest.TextTestRunner(verbosity=2).run(suite)
+    failed = len(result.failures) + len(result.errors)
+    print(f"{result.testsRun - failed} passed, {failed} failed")
+    return 0 if result.wasSuccessful() and result.testsRun else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
