--- a/wisteriawood/commands/standins.py
+++ b/wisteriawood/commands/standins.py
@@ -7,6 +7,7 @@
 
 from wisteriawood.commands import base
 from wisteriawood.contracts import resources
+from wisteriawood import errors
 from wisteriawood.standins import daemons
 
 _ADDRESS = helpers.option(
@@ -88,11 +89,11 @@
             "accelerators", None, "Accelerators.", flag=False, default="0"
         ),
         helpers.option(
-            "first-target-port",
+            "target-ports",
             None,
-            "First port for the targets of its services.",
+            "Ports for the targets of its services, with commas.",
             flag=False,
-            default="20000",
+            default="",
         ),
     ]
 
@@ -109,7 +110,15 @@
                     memory_bytes=self.number("memory-bytes", int),
                     accelerators=self.number("accelerators", int),
                 ),
-                first_target_port=self.number("first-target-port", int),
+                target_ports=self._target_ports(),
             )
         )
         return 0
+
+    def _target_ports(self) -> list[int]:
+        parts = self.option("target-ports").split(",")
+        if not all(part.isdigit() for part in parts if part):
+            raise errors.UsageError(
+                "--target-ports takes port numbers with commas between them"
+            )
+        return [int(part) for part in parts if part]
--- a/wisteriawood/standins/daemons.py
+++ b/wisteriawood/standins/daemons.py
@@ -62,7 +62,7 @@
     address: str,
     platform_url: str,
     capacity: resources.Resources,
-    first_target_port: int,
+    target_ports: list[int],
 ) -> None:
     """Run the stand-in of a worker.
 
@@ -71,10 +71,11 @@
         address: Where it listens, as host:port.
         platform_url: Base address of the platform, for checkpoints.
         capacity: What it offers.
-        first_target_port: First port for the targets that it serves.
+        target_ports: Ports for the targets that it serves.
     """
     host = address.rsplit(":", 1)[0]
-    ports = iter(range(first_target_port, 65536))
+    free_ports = list(target_ports)
+    served: list[targets.StandinTarget] = []
 
     async def _serve_target(attempt: workers.Attempt) -> None:
         target = targets.StandinTarget(
@@ -82,11 +83,14 @@
             slots=attempt.spec.slots,
             service_s=float(attempt.spec.arguments.get("service_s", 0.01)),
         )
-        target_address = f"{host}:{next(ports)}"
+        served.append(target)
+        port = free_ports.pop(0)
+        target_address = f"{host}:{port}"
         attempt.address = target_address
         await https.serve_until(
             target.make_app(), target_address, attempt.stop
         )
+        free_ports.append(port)
 
     worker = workers.StandinWorker(
         name=name,
@@ -96,6 +100,6 @@
     )
     async with anyio.create_task_group() as group:
         group.start_soon(worker.run)
-        app = workers.WorkerApp(worker=worker).make_app()
+        app = workers.WorkerApp(worker=worker, served=served).make_app()
         await _serve_until_told(app, address)
         group.cancel_scope.cancel()
--- /dev/null
+++ b/wisteriawood/standins/demos.py
@@ -0,0 +1,291 @@
+"""The demo: a small cluster under load, with failures in between."""
+
+import functools
+import pathlib
+import random
+import typing
+
+import anyio
+import msgspec
+
+from wisteriawood.contracts import resources
+from wisteriawood.contracts import tasks
+from wisteriawood.links import jobs
+from wisteriawood.standins import checks
+from wisteriawood.standins import clusters
+from wisteriawood.standins import loads
+from wisteriawood.standins import targets
+from wisteriawood.standins import workers
+
+LOAD_S = 26.0
+KILL_AFTER_S = 6.0
+OUTAGE_AFTER_S = 12.0
+OUTAGE_S = 5.0
+JOBS_TIMEOUT_S = 15.0
+CALLERS = 12
+JOBS_PER_ZONE = 8
+SERVICES_PER_ZONE = 2
+GIB = 1024**3
+
+Say = typing.Callable[[str], None]
+
+
+class Demo:
+    """Runs the demo once.
+
+    Args:
+        team: Team whose zones and service are shown.
+        zones: Its availability zones.
+        service: Its service.
+        say: Prints one line.
+        folder: Folder for settings, logs and traces.
+        seed: Seed of the load.
+    """
+
+    __slots__ = (
+        "_cluster",
+        "_load",
+        "_say",
+        "_seed",
+        "_service",
+        "_specs",
+        "_started_s",
+        "_team",
+        "_zones",
+    )
+
+    def __init__(
+        self,
+        *,
+        team: str,
+        zones: list[str],
+        service: str,
+        say: Say,
+        folder: pathlib.Path,
+        seed: int = 1,
+    ):
+        self._team = team
+        self._zones = zones
+        self._service = service
+        self._say = say
+        self._seed = seed
+        self._cluster = clusters.LocalCluster(folder=folder, zones=zones)
+        self._load: loads.Load | None = None
+        self._specs: dict[str, tasks.TaskSpec] = {}
+        self._started_s = 0.0
+
+    def _progress(self, text: str) -> None:
+        elapsed_s = anyio.current_time() - self._started_s
+        self._say(f"{elapsed_s:5.1f} s  {text}")
+
+    async def run(self) -> list[checks.Verdict]:
+        """Run the demo and return what was checked."""
+        self._started_s = anyio.current_time()
+        try:
+            return await self._run()
+        finally:
+            if self._load is not None:
+                await self._load.aclose()
+            await self._cluster.stop()
+
+    async def _run(self) -> list[checks.Verdict]:
+        self._progress("starting the platform, workers and entry hosts")
+        await self._cluster.start()
+        for zone in self._zones:
+            await self._submit(zone, self._make_services(zone))
+        for name in self._cluster.pairs:
+            await self._cluster.wait_until_ready(name)
+        self._progress(f"{len(self._cluster.pairs)} entry hosts are ready")
+        for zone in self._zones:
+            await self._submit(zone, self._make_jobs(zone))
+        self._progress(f"submitted {len(self._specs)} tasks")
+        self._load = loads.Load(
+            addresses=[
+                pair.caller_address for pair in self._cluster.pairs.values()
+            ],
+            path=f"/{self._team}/{self._service}/check",
+            rng=random.Random(self._seed),
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._send)
+            group.start_soon(self._break_things)
+        return await self._finish()
+
+    async def _send(self) -> None:
+        await self._load.run(callers_at_once=CALLERS, seconds=LOAD_S)
+
+    async def _break_things(self) -> None:
+        await anyio.sleep(KILL_AFTER_S)
+        name = next(iter(self._cluster.pairs))
+        self._cluster.kill(f"entry/{name}")
+        self._cluster.kill(f"scheduler/{name}")
+        self._progress(f"killed entry host {name}")
+        # The balancer notices a little later.
+        await anyio.sleep(1.0)
+        self._load.drop(self._cluster.pairs[name].caller_address)
+        await anyio.sleep(OUTAGE_AFTER_S - KILL_AFTER_S - 1.0)
+        await self._cluster.set_platform_faults(down=True)
+        self._progress("the platform is down")
+        await anyio.sleep(OUTAGE_S)
+        await self._cluster.set_platform_faults()
+        self._progress("the platform is back")
+
+    async def _finish(self) -> list[checks.Verdict]:
+        self._progress(f"sent {len(self._load.seen)} requests")
+        batch = await self._wait_for_jobs()
+        self._progress("stopping the entry hosts while requests are sent")
+        verdicts = await self._check(batch)
+        self._print(batch, verdicts)
+        return verdicts
+
+    async def _wait_for_jobs(self) -> list[tasks.Task]:
+        ids = [
+            spec.id
+            for spec in self._specs.values()
+            if spec.kind == tasks.TaskKind.BATCH
+        ]
+        platform = self._cluster.platform()
+        ends_at_s = anyio.current_time() + JOBS_TIMEOUT_S
+        while True:
+            found = [await jobs.find(platform, task) for task in ids]
+            left = [t for t in found if t.state not in tasks.ENDED_STATES]
+            if not left or anyio.current_time() > ends_at_s:
+                await platform.aclose()
+                return found
+            await anyio.sleep(0.5)
+
+    async def _check(self, batch: list[tasks.Task]) -> list[checks.Verdict]:
+        cluster = self._cluster
+        alive = [name for name in cluster.pairs][1:]
+        unclean: list[str] = []
+
+        async def _stop() -> None:
+            stopped = await cluster.stop_ours()
+            unclean.extend(n for n in stopped if n.split("/")[1] in alive)
+
+        before = len(self._load.seen)
+        async with anyio.create_task_group() as group:
+            group.start_soon(
+                functools.partial(
+                    self._load.run, callers_at_once=CALLERS, seconds=0.5
+                )
+            )
+            group.start_soon(_stop)
+        cut = [s for s in self._load.seen[before:] if s.outcome == loads.LOST]
+        self._progress(
+            f"{len(self._load.seen) - before} more requests, {len(cut)} cut"
+        )
+        counts: list[targets.TargetCounts] = []
+        records: dict[str, list[workers.RunRecord]] = {}
+        for name, address in cluster.worker_addresses.items():
+            base = f"http://{address}/standin"
+            counts += msgspec.convert(
+                await cluster.get(f"{base}/counts"),
+                list[targets.TargetCounts],
+            )
+            records[name] = msgspec.convert(
+                await cluster.get(f"{base}/records"),
+                list[workers.RunRecord],
+            )
+        seen = self._load.seen
+        capacity = resources.Resources(
+            cores=clusters.WORKER_CORES,
+            memory_bytes=clusters.WORKER_MEMORY_BYTES,
+        )
+        return [
+            checks.check_capacity(records, self._specs, capacity),
+            checks.check_single_run(sum(records.values(), [])),
+            checks.check_answers(seen),
+            checks.check_not_run(seen, counts),
+            checks.check_run_once(seen, counts),
+            checks.check_slots(counts),
+            checks.check_finished(batch),
+            checks.check_shutdown(unclean, 2 * len(alive)),
+        ]
+
+    def _print(
+        self, batch: list[tasks.Task], verdicts: list[checks.Verdict]
+    ) -> None:
+        p50_ms, p99_ms = self._load.quantiles_ms(0.5, 0.99)
+        evictions = sum(max(0, task.attempt - 1) for task in batch)
+        done = sum(t.state == tasks.TaskState.FINISHED for t in batch)
+        self._say("")
+        for outcome, number in sorted(self._load.outcomes().items()):
+            self._say(f"{'requests: ' + outcome:<56}{number:>8}")
+        self._say(f"{'latency of those that ran, p50':<56}{p50_ms:>5.1f} ms")
+        self._say(f"{'latency of those that ran, p99':<56}{p99_ms:>5.1f} ms")
+        self._say(f"{'batch jobs finished':<56}{done:>5} of {len(batch)}")
+        self._say(f"{'further attempts of batch jobs':<56}{evictions:>8}")
+        self._say("")
+        for verdict in verdicts:
+            text = "holds" if verdict.holds() else "BROKEN"
+            self._say(f"{verdict.name:<56}{text:>8} ({verdict.checked})")
+            for breach in verdict.breaches[:3]:
+                self._say(f"    {breach}")
+
+    async def _submit(self, zone: str, specs: list[tasks.TaskSpec]) -> None:
+        platform = self._cluster.platform()
+        await jobs.submit(platform, specs, zone=zone)
+        await platform.aclose()
+        self._specs |= {spec.id: spec for spec in specs}
+
+    def _make_services(self, zone: str) -> list[tasks.TaskSpec]:
+        return [
+            tasks.TaskSpec(
+                id=f"{self._service}-{zone}-{number}",
+                team=self._team,
+                kind=tasks.TaskKind.SERVICE,
+                service=self._service,
+                slots=8,
+                needs=resources.Resources(cores=4.0, memory_bytes=8 * GIB),
+            )
+            for number in range(SERVICES_PER_ZONE)
+        ]
+
+    def _make_jobs(self, zone: str) -> list[tasks.TaskSpec]:
+        rng = random.Random(f"{self._seed}/{zone}")
+        watcher = tasks.TaskSpec(
+            id=f"watcher-{zone}",
+            team=self._team,
+            kind=tasks.TaskKind.WATCHER,
+            needs=resources.Resources(cores=1.0, memory_bytes=GIB),
+        )
+        batch = [
+            tasks.TaskSpec(
+                id=f"batch-{zone}-{number}",
+                team=self._team,
+                kind=tasks.TaskKind.BATCH,
+                run_s=rng.uniform(1.0, 6.0),
+                needs=resources.Resources(
+                    cores=float(rng.choice([4, 8, 16])),
+                    memory_bytes=16 * GIB,
+                ),
+            )
+            for number in range(JOBS_PER_ZONE)
+        ]
+        return [watcher, *batch]
+
+
+TEAMS = {
+    "vitrinenklima": (["linz-a", "wien-b", "graz-c"], "humidity"),
+    "kroupa": (["brno-a", "brno-b", "zlin-c"], "shop"),
+}
+
+
+async def run(*, team: str, say: Say, folder: pathlib.Path) -> bool:
+    """Run the demo for a team.
+
+    Args:
+        team: Name of the team.
+        say: Prints one line.
+        folder: Folder for settings, logs and traces.
+
+    Returns:
+        Whether every invariant held.
+    """
+    zones, service = TEAMS[team]
+    demo = Demo(
+        team=team, zones=zones, service=service, say=say, folder=folder
+    )
+    verdicts = await demo.run()
+    return all(verdict.holds() for verdict in verdicts)
--- a/wisteriawood/standins/targets.py
+++ b/wisteriawood/standins/targets.py
@@ -39,6 +39,7 @@
         most_at_once: Most requests at the same time.
         breaches: Requests that found all slots taken.
         keys: Runs of each idempotency key.
+        requests: Runs of each request id.
     """
 
     started: int = 0
@@ -46,6 +47,7 @@
     most_at_once: int = 0
     breaches: int = 0
     keys: dict[str, int] = dataclasses.field(default_factory=dict)
+    requests: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -98,6 +100,7 @@
         counts.most_at_once = max(counts.most_at_once, self._at_once)
         if key:
             counts.keys[key] = counts.keys.get(key, 0) + 1
+        counts.requests[request_id] = counts.requests.get(request_id, 0) + 1
         try:
             if self.faults.frozen:
                 await anyio.sleep_forever()
--- a/wisteriawood/standins/workers.py
+++ b/wisteriawood/standins/workers.py
@@ -15,6 +15,7 @@
 from wisteriawood import errors
 from wisteriawood.links.codecs import rows
 from wisteriawood.links import workers
+from wisteriawood.standins import targets
 
 ENDED_KEPT = 1000
 
@@ -295,12 +296,19 @@
 
     Args:
         worker: The worker.
+        served: The targets that it serves and has served.
     """
 
-    __slots__ = ("worker",)
+    __slots__ = ("served", "worker")
 
-    def __init__(self, *, worker: StandinWorker):
+    def __init__(
+        self,
+        *,
+        worker: StandinWorker,
+        served: list[targets.StandinTarget],
+    ):
         self.worker = worker
+        self.served = served
 
     async def start(self, request: requests.Request) -> responses.Response:
         """Answer POST /start."""
@@ -364,6 +372,13 @@
             rows.to_json(self.worker.records), media_type="application/json"
         )
 
+    async def counts(self, _request: requests.Request) -> responses.Response:
+        """Answer GET /standin/counts: what its targets saw."""
+        return responses.Response(
+            rows.to_json([target.counts for target in self.served]),
+            media_type="application/json",
+        )
+
     async def faults(self, request: requests.Request) -> responses.Response:
         """Answer PUT /standin/faults: set the failure switches."""
         self.worker.faults = rows.from_json(await request.body(), WorkerFaults)
@@ -386,6 +401,7 @@
                 routing.Route("/inventory", self.inventory),
                 routing.Route("/usage", self.usage),
                 routing.Route("/standin/records", self.records),
+                routing.Route("/standin/counts", self.counts),
                 routing.Route("/standin/faults", self.faults, methods=["PUT"]),
             ],
             exception_handlers={
