Move the dispatch of requests out of the entry host

The way of a request to a target gets a module of its own, so that retries and admission can grow without the entry host.

--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -1,6 +1,5 @@
 """The entry host: takes callers' requests and routes them to targets."""
 
-import math
 import random
 import typing
 
@@ -15,6 +14,7 @@
 from wisteriawood.links import peers
 from wisteriawood.links import platforms
 from wisteriawood.links import targets as target_links
+from wisteriawood.machines import dispatchers
 from wisteriawood.machines import services
 from wisteriawood.machines import targets
 from wisteriawood.policies import registry
@@ -48,6 +48,7 @@
     __slots__ = (
         "_dial_peer",
         "_dial_target",
+        "_dispatcher",
         "_followed",
         "_group",
         "_policy",
@@ -85,6 +86,9 @@
         self.stopped = anyio.Event()
         self._dial_peer = dial_peer
         self._dial_target = dial_target
+        self._dispatcher = dispatchers.Dispatcher(
+            services=self.services, tracer=tracer
+        )
         self._followed: set[str] = set()
         self._group: abc.TaskGroup | None = None
         self._policy = policy
@@ -214,7 +218,7 @@
                 "entry", traceparent=request.traceparent, id=request.id
             ) as traceparent:
                 request.traceparent = traceparent
-                answer = await self._route(request)
+                answer = await self._dispatcher.dispatch(request)
         except errors.RequestError as exc:
             outcome = (
                 requests.Outcome.NOT_RUN
@@ -237,31 +241,6 @@
         label = team if known else "unknown"
         self.counters.requests.labels(label, outcome).inc()
 
-    async def _route(self, request: requests.Request) -> requests.Answer:
-        service = self.services.get((request.team, request.service))
-        if service is None:
-            raise errors.RequestNotRunError(
-                reason=f"team {request.team!r} has no service "
-                f"{request.service!r} here",
-                status=404,
-            )
-        target = await service.acquire(request)
-        sent_s = anyio.current_time()
-        latency_s = math.nan
-        try:
-            with self.tracer.span(
-                "target", traceparent=request.traceparent, target=target.id
-            ) as traceparent:
-                request.traceparent = traceparent
-                answer = await target.link.send(
-                    request, timeout_s=max(0.001, request.deadline_s - sent_s)
-                )
-            latency_s = anyio.current_time() - sent_s
-        finally:
-            service.release(target, latency_s=latency_s)
-        answer.target = target.id
-        return answer
-
     def status(self) -> dict[str, typing.Any]:
         """Return what operators see of this entry host."""
         return {
