Give slots back with the outcome, and quarantine unknown ones

A slot whose request has no known end was free at once, so that the next request could find the target full. Target.take and Target.give_back say whether the target is done; where that is unknown, the slot stays taken until the deadline of its request.

--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -27,6 +27,7 @@
 
 REPORT_PERIOD_S = 0.5
 REDIAL_PERIOD_S = 0.5
+QUARANTINE_PERIOD_S = 0.1
 
 _LOG = events.Logger(name=__name__)
 
@@ -104,12 +105,22 @@
             self._group = group
             group.start_soon(self.membership.run)
             group.start_soon(self._follow_members)
+            group.start_soon(self._end_quarantines)
             await self.stopping.wait()
             while any(target.in_flight for target in self.targets.values()):
                 await anyio.sleep(REDIAL_PERIOD_S / 10)
             group.cancel_scope.cancel()
         self.stopped.set()
 
+    async def _end_quarantines(self) -> None:
+        while True:
+            await anyio.sleep(QUARANTINE_PERIOD_S)
+            now_s = anyio.current_time()
+            for target in self.targets.values():
+                if target.end_quarantines(now_s=now_s):
+                    grant = target.grant
+                    self._service(grant.team, grant.service).wake()
+
     async def _follow_members(self) -> None:
         own = self.membership.own
         while True:
@@ -248,6 +259,7 @@
         target = await service.acquire(request)
         sent_s = anyio.current_time()
         latency_s = math.nan
+        is_done = False
         try:
             with self.tracer.span(
                 "target", traceparent=request.traceparent, target=target.id
@@ -257,8 +269,17 @@
                     request, timeout_s=max(0.001, request.deadline_s - sent_s)
                 )
             latency_s = anyio.current_time() - sent_s
+            is_done = True
+        except errors.RequestNotRunError:
+            is_done = True
+            raise
         finally:
-            service.release(target, latency_s=latency_s)
+            service.release(
+                target,
+                latency_s=latency_s,
+                is_done=is_done,
+                until_s=request.deadline_s,
+            )
         answer.target = target.id
         return answer
 
--- a/wisteriawood/machines/services.py
+++ b/wisteriawood/machines/services.py
@@ -62,21 +62,30 @@
                 free = [t for t in self.targets.values() if t.has_free_slot()]
                 if free:
                     target = self.policy.choose(free)
-                    target.in_flight += 1
+                    target.take()
                     return target
                 await self._freed.wait()
         raise errors.RequestNotRunError(
             reason="no slot was free before the deadline"
         )
 
-    def release(self, target: targets.Target, *, latency_s: float) -> None:
+    def release(
+        self,
+        target: targets.Target,
+        *,
+        latency_s: float,
+        is_done: bool,
+        until_s: float,
+    ) -> None:
         """Give a slot back.
 
         Args:
             target: Target whose slot it is.
             latency_s: Time that the request took; NaN if not known.
+            is_done: Whether the target surely works on it no more.
+            until_s: Monotonic deadline of the request.
         """
-        target.in_flight -= 1
+        target.give_back(is_done=is_done, until_s=until_s)
         if not math.isnan(latency_s):
             self.policy.observe(target, latency_s=latency_s)
         self.wake()
--- a/wisteriawood/machines/targets.py
+++ b/wisteriawood/machines/targets.py
@@ -1,6 +1,7 @@
 """Targets, as entry hosts and as schedulers see them."""
 
 import dataclasses
+import heapq
 
 from wisteriawood.contracts import grants
 from wisteriawood.links import targets
@@ -16,6 +17,7 @@
     """
 
     __slots__ = (
+        "_quarantined_until_s",
         "address",
         "grant",
         "grantor",
@@ -39,11 +41,48 @@
         self.link = link
         self.in_flight = 0
         self.latency_s = 0.0
+        self._quarantined_until_s: list[float] = []
 
     def has_free_slot(self) -> bool:
         """Tell whether one more request may be sent to it."""
         return not self.grant.leaving and self.in_flight < self.grant.slots
 
+    def take(self) -> None:
+        """Take a slot for one request that is about to be sent."""
+        self.in_flight += 1
+
+    def give_back(self, *, is_done: bool, until_s: float) -> None:
+        """Give a slot back, at once or when its request must have ended.
+
+        Args:
+            is_done: Whether the target surely does not work on the request
+                any more; False where its outcome is unknown.
+            until_s: Monotonic time at which the slot is free at the
+                latest: the deadline of the request.
+        """
+        if is_done:
+            self.in_flight -= 1
+            return
+        heapq.heappush(self._quarantined_until_s, until_s)
+
+    def end_quarantines(self, *, now_s: float) -> int:
+        """Free the slots whose requests must have ended.
+
+        Args:
+            now_s: Monotonic time in seconds.
+
+        Returns:
+            The number of slots freed.
+        """
+        freed = 0
+        while self._quarantined_until_s:
+            if self._quarantined_until_s[0] > now_s:
+                break
+            heapq.heappop(self._quarantined_until_s)
+            freed += 1
+        self.in_flight -= freed
+        return freed
+
     def holding(self, *, wanted: int = 0) -> grants.SlotHolding:
         """Return what this entry host says of its share.
 
