--- a/wisteriawood/machines/dispatchers.py
+++ b/wisteriawood/machines/dispatchers.py
@@ -59,6 +59,7 @@
         target = await service.acquire(request)
         sent_s = anyio.current_time()
         latency_s = math.nan
+        is_done = False
         try:
             with self._tracer.span(
                 "target", traceparent=request.traceparent, target=target.id
@@ -69,7 +70,16 @@
                     timeout_s=max(MIN_TIMEOUT_S, request.deadline_s - sent_s),
                 )
             latency_s = anyio.current_time() - sent_s
+            is_done = True
+        except errors.RequestNotRunError:
+            is_done = True
+            raise
         finally:
-            service.release(target, latency_s=latency_s)
+            service.release(
+                target,
+                latency_s=latency_s,
+                is_done=is_done,
+                until_s=request.deadline_s,
+            )
         answer.target = target.id
         return answer
--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -27,6 +27,7 @@
 
 REPORT_PERIOD_S = 0.5
 REDIAL_PERIOD_S = 0.5
+QUARANTINE_PERIOD_S = 0.1
 
 _LOG = events.Logger(name=__name__)
 
@@ -108,12 +109,22 @@
             self._group = group
             group.start_soon(self.membership.run)
             group.start_soon(self._follow_members)
+            group.start_soon(self._end_quarantines)
             await self.stopping.wait()
             while any(target.in_flight for target in self.targets.values()):
                 await anyio.sleep(REDIAL_PERIOD_S / 10)
             group.cancel_scope.cancel()
         self.stopped.set()
 
+    async def _end_quarantines(self) -> None:
+        while True:
+            await anyio.sleep(QUARANTINE_PERIOD_S)
+            now_s = anyio.current_time()
+            for target in self.targets.values():
+                if target.end_quarantines(now_s=now_s):
+                    grant = target.grant
+                    self._service(grant.team, grant.service).wake()
+
     async def _follow_members(self) -> None:
         own = self.membership.own
         while True:
