Record orders to evict and throttle on the worker

The policies need to order an eviction or a throttle without holding the worker's link. The orders are kept on the placement; the task that serves the worker carries them out. Usage reports are read in the same round and kept on the worker.

--- a/wisteriawood/machines/attempts.py
+++ b/wisteriawood/machines/attempts.py
@@ -55,6 +55,9 @@
         (report.task, report.attempt): report for report in inventory.attempts
     }
     await _renew(scheduler, worker, to_worker_s)
+    worker.usage = {
+        report.task: report for report in await worker.link.usage()
+    }
     for placement in list(worker.placements.values()):
         if not placement.is_committed:
             continue
--- a/wisteriawood/machines/workers.py
+++ b/wisteriawood/machines/workers.py
@@ -19,6 +19,9 @@
         counted: Resources that it counts with.
         is_committed: Whether the assignment is in the table.
         lease_ends_s: Monotonic time at which its newest lease lapses.
+        eviction: Why it is to be evicted; empty if it is not.
+        is_cancelled: Whether an operator asked to stop it.
+        throttle: Share of its resources that it may use, 0 to 1.
     """
 
     task: tasks.Task
@@ -26,6 +29,9 @@
     counted: resources.Resources
     is_committed: bool = False
     lease_ends_s: float = 0.0
+    eviction: str = ""
+    is_cancelled: bool = False
+    throttle: float = 1.0
 
 
 class Worker:
@@ -49,6 +55,7 @@
         "name",
         "placements",
         "rack",
+        "usage",
         "wakeup",
     )
 
@@ -70,6 +77,7 @@
         self.is_known = False
         self.leaving = False
         self.placements: dict[str, Placement] = {}
+        self.usage: dict[str, workers.UsageReport] = {}
         self.wakeup = anyio.Event()
 
     def add(self, placement: Placement) -> None:
@@ -91,6 +99,45 @@
             self.free = self.free + placement.counted
         return placement
 
+    def order_eviction(self, task: str, reason: str) -> bool:
+        """Let the worker's task evict a task from here.
+
+        It writes a checkpoint, stops the attempt and, once the stop is
+        proved, puts the task back into the queue.
+
+        Args:
+            task: Id of the task.
+            reason: Why, for the operator.
+
+        Returns:
+            Whether the task is here; its order may stand already.
+        """
+        placement = self.placements.get(task)
+        if placement is None:
+            return False
+        if not placement.eviction:
+            placement.eviction = reason
+            self.wake()
+        return True
+
+    def order_throttle(self, task: str, share: float) -> bool:
+        """Let the worker's task limit a task; sent until it is in force.
+
+        Args:
+            task: Id of the task.
+            share: Share of its resources that it may use, 0 to 1.
+
+        Returns:
+            Whether the task is here.
+        """
+        placement = self.placements.get(task)
+        if placement is None:
+            return False
+        if placement.throttle != share:
+            placement.throttle = share
+            self.wake()
+        return True
+
     def wake(self) -> None:
         """Let the worker's task act at once."""
         self.wakeup.set()
