Move the reading and placing of the queue into a placer

The scheduler keeps the commit of an assignment; what starts where is decided in machines/placers.py, so that the two grow apart.

--- a/wisteriawood/machines/schedulers.py
+++ b/wisteriawood/machines/schedulers.py
@@ -18,17 +18,15 @@
 from wisteriawood.links import platforms
 from wisteriawood.links import workers as worker_links
 from wisteriawood.machines import attempts
+from wisteriawood.machines import placers
 from wisteriawood.machines import racks
 from wisteriawood.machines import workers
-from wisteriawood.policies import placement as placement_policies
 from wisteriawood.policies.placement import base
-from wisteriawood.policies import registry
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import metrics
 from wisteriawood.zones import claims
 from wisteriawood.zones import membership
 
-QUEUE_PERIOD_S = 0.5
 RACK_PERIOD_S = 1.0
 WORKER_PERIOD_S = 1.0
 
@@ -50,12 +48,10 @@
     __slots__ = (
         "_dial_worker",
         "_group",
-        "_queue_changed",
-        "_policy",
         "commits",
         "counters",
         "membership",
-        "pending",
+        "placer",
         "platform",
         "racks",
         "stopped",
@@ -72,7 +68,6 @@
         dial_worker=worker_links.HttpWorker,
         policy: str = base.DEFAULT,
     ):
-        registry.load_modules(placement_policies)
         self.platform = platform
         self.counters = counters
         self.membership = membership.Membership(platform=platform, own=member)
@@ -80,12 +75,10 @@
             platform=platform, counters=counters
         )
         self.racks: dict[str, racks.Rack] = {}
-        self.pending: dict[str, tuple[tasks.Task, int]] = {}
+        self.placer = placers.Placer(scheduler=self, rng=rng, policy=policy)
         self.stopping = anyio.Event()
         self.stopped = anyio.Event()
         self._dial_worker = dial_worker
-        self._policy = base.PLACEMENT.get(policy)(rng=rng)
-        self._queue_changed = anyio.Event()
         self._group: abc.TaskGroup | None = None
 
     @property
@@ -108,8 +101,7 @@
             group.start_soon(self.membership.run)
             group.start_soon(self.commits.run)
             group.start_soon(self._follow_racks)
-            group.start_soon(self._follow_queue)
-            group.start_soon(self._place_forever)
+            group.start_soon(self.placer.run)
             await self.stopping.wait()
             self.membership.own.state = holdings.HostState.GONE
             await self._release_racks()
@@ -244,55 +236,15 @@
                 await wakeup.wait()
         await worker.link.aclose()
 
-    async def _follow_queue(self) -> None:
-        while True:
-            if self.membership.is_confirmed():
-                try:
-                    await self._read_queue()
-                except errors.PlatformError:
-                    pass
-            await anyio.sleep(QUEUE_PERIOD_S)
-
-    async def _read_queue(self) -> None:
-        found = await platforms.scan_all(
-            self.platform, keys.pendings(self.zone)
-        )
-        self.pending = {}
-        for row in found:
-            task = rows.from_value(row.value, tasks.Task)
-            if claims.is_preferred(self.membership, task.spec.id):
-                self.pending[task.spec.id] = (task, row.version)
-        self._queue_changed.set()
-
-    async def _place_forever(self) -> None:
-        while True:
-            await self._queue_changed.wait()
-            self._queue_changed = anyio.Event()
-            for task, version in list(self.pending.values()):
-                worker = self._policy.choose(task.spec, self._candidates())
-                if worker is None:
-                    continue
-                self.pending.pop(task.spec.id, None)
-                placement = workers.Placement(
-                    task=task, version=version, counted=task.spec.needs
-                )
-                worker.add(placement)
-                self._group.start_soon(self._assign, worker, placement)
-
-    def _candidates(self) -> list[workers.Worker]:
-        if not self.membership.is_confirmed():
-            return []
-        return [
-            worker
-            for rack in self.racks.values()
-            for worker in rack.workers.values()
-            if worker.is_known and not worker.leaving
-        ]
-
-    async def _assign(
+    async def assign(
         self, worker: workers.Worker, placement: workers.Placement
     ) -> None:
-        """Commit the assignment; the worker's task sends the start."""
+        """Commit an assignment; the worker's task sends the start.
+
+        Args:
+            worker: The worker, with the placement counted.
+            placement: The placement of the waiting task.
+        """
         rack = self.racks[worker.rack]
         task = placement.task
         old_key = keys.pending(self.zone, task.spec.id)
@@ -363,7 +315,7 @@
         return {
             "member": self.membership.own,
             "ready": self.not_ready() or "ready",
-            "pending": len(self.pending),
+            "pending": len(self.placer.pending),
             "racks": [
                 {
                     "rack": rack.holding.rack,
