Pass a waiting task on to the next scheduler that holds racks

Cause: rendezvous hashing gave tasks to any live scheduler of the zone, and one without a rack kept its share waiting for ever. Ruled out: a lost submission (the pending rows were there) and placement itself (the other scheduler's tasks ran). Now the order counts only schedulers that hold racks, and each place further down waits 0.4 s more.

--- a/wisteriawood/machines/placers.py
+++ b/wisteriawood/machines/placers.py
@@ -20,6 +20,8 @@
     from wisteriawood.machines import schedulers
 
 QUEUE_PERIOD_S = 0.5
+# Time after which the next scheduler of the zone tries to place a task.
+PASS_ON_S = 0.4
 
 
 class Placer:
@@ -32,6 +34,7 @@
     """
 
     __slots__ = (
+        "_first_seen_s",
         "_group",
         "_policy",
         "_queue_changed",
@@ -48,6 +51,7 @@
     ):
         registry.load_modules(placement_policies)
         self.pending: dict[str, tuple[tasks.Task, int]] = {}
+        self._first_seen_s: dict[str, float] = {}
         self._group: typing.Any = None
         self._policy = base.PLACEMENT.get(policy)(rng=rng)
         self._queue_changed = anyio.Event()
@@ -75,12 +79,23 @@
             scheduler.platform, keys.pendings(scheduler.zone)
         )
         self.pending = {}
+        first_seen_s = {}
+        now_s = anyio.current_time()
         for row in found:
+            first_seen_s[row.key] = self._first_seen_s.get(row.key, now_s)
+            waited_s = now_s - first_seen_s[row.key]
             task = rows.from_value(row.value, tasks.Task)
-            if claims.is_preferred(scheduler.membership, task.spec.id):
+            if waited_s >= PASS_ON_S * self._rank(task.spec.id):
                 self.pending[task.spec.id] = (task, row.version)
+        self._first_seen_s = first_seen_s
         self._queue_changed.set()
 
+    def _rank(self, task_id: str) -> int:
+        """Return how many schedulers with racks come before this one."""
+        scheduler = self._scheduler
+        own = scheduler.membership.own.name
+        return claims.rank(scheduler.rack_holders | {own}, own, task_id)
+
     async def _place_forever(self) -> None:
         while True:
             await self._queue_changed.wait()
--- a/wisteriawood/machines/schedulers.py
+++ b/wisteriawood/machines/schedulers.py
@@ -53,6 +53,7 @@
         "membership",
         "placer",
         "platform",
+        "rack_holders",
         "racks",
         "stopped",
         "stopping",
@@ -75,6 +76,7 @@
             platform=platform, counters=counters
         )
         self.racks: dict[str, racks.Rack] = {}
+        self.rack_holders: set[str] = set()
         self.placer = placers.Placer(scheduler=self, rng=rng, policy=policy)
         self.stopping = anyio.Event()
         self.stopped = anyio.Event()
@@ -149,6 +151,10 @@
                 self.platform, keys.racks(self.zone)
             )
         }
+        self.rack_holders = {
+            rows.from_value(row.value, holdings.RackHolding).holder
+            for row in found.values()
+        } - {""}
         for name in sorted(names):
             row = found.get(keys.rack(self.zone, name))
             if name in self.racks:
--- a/wisteriawood/tests/path_tests.py
+++ b/wisteriawood/tests/path_tests.py
@@ -68,3 +68,19 @@
             self.assertEqual(0, target.counts.breaches)
 
         builders.run_world(_check)
+
+    def test_scheduler_without_rack_leaves_tasks_to_the_other(self):
+        async def _check(world):
+            world.add_worker(builders.make_worker_host())
+            for name in ("linz-a-1", "linz-a-2"):
+                world.add_scheduler(builders.make_member(name=name))
+            specs = [
+                builders.make_spec(id=f"task-{number}") for number in range(8)
+            ]
+            await jobs.submit(world.platform, specs, zone="linz-a")
+            await anyio.sleep(30)
+            for spec in specs:
+                task = await jobs.find(world.platform, spec.id)
+                self.assertEqual(tasks.TaskState.FINISHED, task.state)
+
+        builders.run_world(_check)
--- a/wisteriawood/zones/claims.py
+++ b/wisteriawood/zones/claims.py
@@ -33,6 +33,18 @@
     return own.name == max(names, key=lambda name: _weight(name, item))
 
 
+def rank(names: set[str], own: str, item: str) -> int:
+    """Return the place of a member in the order of an item, from 0.
+
+    Args:
+        names: Names of all members that could take the item.
+        own: Name of the member whose place is asked for.
+        item: Name of the item.
+    """
+    weight = _weight(own, item)
+    return sum(1 for name in names if _weight(name, item) > weight)
+
+
 def may_claim(
     watcher: membership.Membership, name: str, row: platforms.Row | None
 ) -> bool:
