--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint unit faults bench format clean
+.PHONY: demo test lint unit faults bench capacity events format clean
 
 $(VENV)/installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -29,6 +29,9 @@
 bench: $(VENV)/installed
 	$(BIN)/python -m wisteriawood.bench
 
+events: $(VENV)/installed
+	$(BIN)/python -m wisteriawood.telemetry.catalogue > docs/events.md
+
 format: $(VENV)/installed
 	$(BIN)/black -q wisteriawood
 
