Refuse bad requests with the reason and pass good ones on as they are

Cause: paths were forwarded decoded, so an escaped slash or question mark reached the target as another path, and a path of two slashes lost its first part in the client library; unmatched paths and methods were answered without an outcome; answers were decompressed on the way. Ruled out: a request to another host (the base address stood). Now the raw path goes on, each refusal names its reason and outcome, and encodings are left alone.

--- a/wisteriawood/links/callers.py
+++ b/wisteriawood/links/callers.py
@@ -87,14 +87,21 @@
     return requests.RequestClass(text), key
 
 
+def _read_path(incoming: http_requests.Request) -> str:
+    # The path goes on as it came: decoded, an escaped slash would change
+    # its meaning.
+    raw = incoming.scope["raw_path"].split(b"?")[0].decode("ascii")
+    path = "/" + "".join(raw.split("/", 3)[3:])
+    query = incoming.scope["query_string"].decode("ascii")
+    return f"{path}?{query}" if query else path
+
+
 async def _to_request(
     incoming: http_requests.Request, request_id: str
 ) -> requests.Request:
     request_class, key = _read_class(incoming)
     deadline_s = anyio.current_time() + _read_deadline_s(incoming)
-    path = "/" + incoming.path_params["path"]
-    if incoming.url.query:
-        path += "?" + incoming.url.query
+    path = _read_path(incoming)
     headers = [
         (name, value)
         for name, value in incoming.headers.items()
@@ -116,6 +123,13 @@
     )
 
 
+def _bad_path() -> errors.RequestNotRunError:
+    return errors.RequestNotRunError(
+        reason="write the path and the query in percent-encoded ASCII",
+        status=400,
+    )
+
+
 def refusal(request_id: str, exc: errors.RequestError) -> requests.Answer:
     """Return the answer that tells a caller of an error.
 
@@ -175,15 +189,33 @@
         request_id = uuid.uuid4().hex
         try:
             request = await _to_request(incoming, request_id)
+        except UnicodeDecodeError:
+            return _to_response(refusal(request_id, _bad_path()))
+        except errors.RequestError as exc:
+            return _to_response(refusal(request_id, exc))
+        try:
             answer = await serve(request)
         except errors.RequestError as exc:
             answer = refusal(request_id, exc)
         return _to_response(answer)
 
-    return applications.Starlette(
+    async def _refuse(
+        _incoming: http_requests.Request, exc: Exception
+    ) -> responses.Response:
+        status = getattr(exc, "status_code", 400)
+        refused = errors.RequestNotRunError(
+            reason="send a request to /TEAM/SERVICE/PATH with one of "
+            f"{', '.join(METHODS)}",
+            status=status,
+        )
+        return _to_response(refusal(uuid.uuid4().hex, refused))
+
+    app = applications.Starlette(
         routes=[
-            routing.Route(
-                "/{team}/{service}/{path:path}", _handle, methods=METHODS
-            ),
-        ]
+            routing.Route(path, _handle, methods=METHODS)
+            for path in ("/{team}/{service}", "/{team}/{service}/{path:path}")
+        ],
+        exception_handlers={404: _refuse, 405: _refuse},
     )
+    app.router.redirect_slashes = False
+    return app
--- a/wisteriawood/links/targets.py
+++ b/wisteriawood/links/targets.py
@@ -22,6 +22,7 @@
         "upgrade",
     }
 )
+DEFAULT_HEADERS = ("accept", "accept-encoding", "connection", "user-agent")
 
 
 class TargetLink(typing.Protocol):
@@ -53,17 +54,20 @@
         connections: Most connections to the target.
     """
 
-    __slots__ = ("_client",)
+    __slots__ = ("_client", "_url")
 
     def __init__(self, *, address: str, connections: int):
+        self._url = httpx.URL(f"http://{address}")
         self._client = httpx.AsyncClient(
-            base_url=f"http://{address}",
             limits=httpx.Limits(
                 max_connections=connections,
                 max_keepalive_connections=connections,
             ),
             trust_env=False,
         )
+        for name in DEFAULT_HEADERS:
+            # Only the caller says what it accepts.
+            del self._client.headers[name]
 
     async def send(
         self, request: requests.Request, *, timeout_s: float
@@ -76,13 +80,16 @@
             ("traceparent", request.traceparent),
         ]
         try:
-            response = await self._client.request(
+            async with self._client.stream(
                 request.method,
-                request.path,
+                self._url.copy_with(raw_path=request.path.encode("ascii")),
                 headers=headers,
                 content=request.body,
                 timeout=timeout_s,
-            )
+            ) as response:
+                body = b"".join(
+                    [chunk async for chunk in response.aiter_raw()]
+                )
         except (
             httpx.ConnectError,
             httpx.ConnectTimeout,
@@ -99,10 +106,13 @@
             raise errors.RequestUnknownError(
                 reason=f"the target did not answer: {type(exc).__name__}"
             ) from exc
-        return self._to_answer(request, response)
+        return self._to_answer(request, response, body)
 
     def _to_answer(
-        self, request: requests.Request, response: httpx.Response
+        self,
+        request: requests.Request,
+        response: httpx.Response,
+        body: bytes,
     ) -> requests.Answer:
         answered_id = response.headers.get(REQUEST_ID_HEADER, request.id)
         if answered_id != request.id:
@@ -112,14 +122,13 @@
         headers = [
             (name, value)
             for name, value in response.headers.multi_items()
-            if name not in HOP_HEADERS
-            and name not in (REQUEST_ID_HEADER, "content-encoding")
+            if name not in HOP_HEADERS and name != REQUEST_ID_HEADER
         ]
         return requests.Answer(
             request_id=request.id,
             status=response.status_code,
             headers=headers,
-            body=response.content,
+            body=body,
         )
 
     async def aclose(self) -> None:
