--- a/wisteriawood/links/configurations.py
+++ b/wisteriawood/links/configurations.py
@@ -193,6 +193,18 @@
         note=note,
         applied_unix_s=time.time(),
     )
+    if not await _commit(platform, change, document, row_version=row_version):
+        raise await _conflict(platform, base)
+    return change.version
+
+
+async def _commit(
+    platform: platforms.Platform,
+    change: configurations.ConfigChange,
+    document: configuration.Document,
+    *,
+    row_version: int,
+) -> bool:
     transaction = platforms.Transaction(
         conditions=[
             platforms.Condition(key=keys.CONFIG_HEAD, version=row_version)
@@ -200,9 +212,7 @@
         writes=_writes(change, document),
     )
     result = await platforms.commit_settled(platform, transaction)
-    if not result.committed:
-        raise await _conflict(platform, base)
-    return change.version
+    return result.committed
 
 
 async def _conflict(
