--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -23,6 +23,7 @@
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import metrics
 from wisteriawood.telemetry import spans
+from wisteriawood.zones import followers
 from wisteriawood.zones import membership
 from wisteriawood.zones import peering
 
@@ -56,6 +57,7 @@
         "_group",
         "_policy",
         "_rng",
+        "configuration",
         "counters",
         "is_draining",
         "membership",
@@ -88,6 +90,9 @@
             dial_peer=dial_peer,
             addresses=peer_addresses,
         )
+        self.configuration = followers.Follower(
+            platform=platform, links=self.peering
+        )
         self.counters = counters
         self.tracer = tracer
         self.services: dict[tuple[str, str], services.Service] = {}
@@ -109,6 +114,8 @@
         """Return why the entry host is not ready; empty if it is."""
         if self.is_draining:
             return "draining"
+        if self.configuration.not_ready():
+            return self.configuration.not_ready()
         if not self.targets:
             return "no target has granted slots yet"
         return ""
@@ -119,6 +126,7 @@
             self._group = group
             group.start_soon(self.membership.run)
             group.start_soon(self.peering.run)
+            group.start_soon(self.configuration.run)
             group.start_soon(self._follow_members)
             group.start_soon(self._end_quarantines)
             await self.stopping.wait()
@@ -240,6 +248,7 @@
                 "entry", traceparent=request.traceparent, id=request.id
             ) as traceparent:
                 request.traceparent = traceparent
+                self.configuration.check_team(request.team)
                 answer = await self._dispatcher.dispatch(request)
         except errors.RequestError as exc:
             outcome = (
@@ -268,5 +277,6 @@
         return {
             "member": self.membership.own,
             "ready": self.not_ready() or "ready",
+            "config_version": self.configuration.version,
             "targets": [target.holding() for target in self.targets.values()],
         }
--- a/wisteriawood/machines/schedulers.py
+++ b/wisteriawood/machines/schedulers.py
@@ -15,6 +15,7 @@
 from wisteriawood.links.codecs import rows
 from wisteriawood.links import commits
 from wisteriawood.links import messages
+from wisteriawood.links import peers
 from wisteriawood.links import platforms
 from wisteriawood.links import workers as worker_links
 from wisteriawood.machines import attempts
@@ -25,7 +26,9 @@
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import metrics
 from wisteriawood.zones import claims
+from wisteriawood.zones import followers
 from wisteriawood.zones import membership
+from wisteriawood.zones import peering
 
 RACK_PERIOD_S = 1.0
 WORKER_PERIOD_S = 1.0
@@ -42,6 +45,7 @@
         counters: Metrics of the daemon.
         rng: Source of random numbers.
         dial_worker: Opens the link to the worker at an address.
+        dial_peer: Opens the channel to the peer at an address.
         policy: Name of the placement policy.
     """
 
@@ -49,8 +53,10 @@
         "_dial_worker",
         "_group",
         "commits",
+        "configuration",
         "counters",
         "membership",
+        "peering",
         "placer",
         "platform",
         "rack_holders",
@@ -67,11 +73,18 @@
         counters: metrics.SchedulerMetrics,
         rng: random.Random,
         dial_worker=worker_links.HttpWorker,
+        dial_peer=peers.connect,
         policy: str = base.DEFAULT,
     ):
         self.platform = platform
         self.counters = counters
         self.membership = membership.Membership(platform=platform, own=member)
+        self.peering = peering.Peering(
+            members=self.membership, machine=self, dial_peer=dial_peer
+        )
+        self.configuration = followers.Follower(
+            platform=platform, links=self.peering
+        )
         self.commits = commits.GroupCommit(
             platform=platform, counters=counters
         )
@@ -92,6 +105,8 @@
         """Return why the scheduler is not ready; empty if it is."""
         if self.stopping.is_set():
             return "draining"
+        if self.configuration.not_ready():
+            return self.configuration.not_ready()
         if not self.membership.is_confirmed():
             return "the term is not held: the platform has not confirmed it"
         return ""
@@ -101,6 +116,8 @@
         async with anyio.create_task_group() as group:
             self._group = group
             group.start_soon(self.membership.run)
+            group.start_soon(self.peering.run)
+            group.start_soon(self.configuration.run)
             group.start_soon(self.commits.run)
             group.start_soon(self._follow_racks)
             group.start_soon(self.placer.run)
@@ -296,6 +313,8 @@
             LinkError: The link broke.
         """
         hello = await channel.receive()
+        if hello.topic == messages.Topic.PEER:
+            return await self.peering.welcome(hello, channel)
         entry = hello.member.name
         _LOG.log(events.PEER_CONNECTED, peer=entry)
         await channel.send(messages.Hello(member=self.membership.own))
@@ -321,6 +340,7 @@
         return {
             "member": self.membership.own,
             "ready": self.not_ready() or "ready",
+            "config_version": self.configuration.version,
             "pending": len(self.placer.pending),
             "racks": [
                 {
--- a/wisteriawood/tests/callers_tests.py
+++ b/wisteriawood/tests/callers_tests.py
@@ -24,7 +24,11 @@
 
 def _call(method="POST", path=PATH, *, serve=_echo, **options):
     async def _main():
-        transport = httpx.ASGITransport(app=callers.make_app(serve=serve))
+        transport = httpx.ASGITransport(app=
+            app=callers.make_app(
+                serve=serve, find_service=lambda team, service: None
+            )
+        )
         async with httpx.AsyncClient(
             transport=transport, base_url="http://entry"
         ) as client:
