Decide placement by an index, a fair queue and learned harm

The queue went over all workers for each task, in the order of the table, and counted declared sizes. Now an allocator holds the queue (urgent first, then teams by dominant share), an index of workers in buckets of like free resources, sizes and pair slowdowns learned from usage reports, and plans of evictions; a monitor throttles and evicts where services are slowed. Placement, throttling and eviction are registries with plain baselines beside the defaults.

--- /dev/null
+++ b/wisteriawood/contracts/quotas.py
@@ -0,0 +1,56 @@
+"""Quotas of teams, and what a team weighs most."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Quota:
+    """What a team may use, and how it weighs harm.
+
+    Attributes:
+        team: Name of the team.
+        weight: Share of the resources, relative to the other teams.
+        limit_share: Greatest dominant share of all resources, 0 to 1.
+        tail_latency_weight: Weight of a slowed service or watcher.
+        throughput_weight: Weight of a slowed batch job.
+        eviction_weight: Weight of an eviction.
+    """
+
+    team: str
+    weight: float = 1.0
+    limit_share: float = 1.0
+    tail_latency_weight: float = 1.0
+    throughput_weight: float = 1.0
+    eviction_weight: float = 1.0
+
+
+class Quotas:
+    """The quotas of all teams; a team without one gets the default.
+
+    Args:
+        quotas: Quotas by name of the team.
+    """
+
+    __slots__ = ("_quotas",)
+
+    def __init__(self, *, quotas: dict[str, Quota] | None = None):
+        self._quotas = dict(quotas or {})
+
+    def of(self, team: str) -> Quota:
+        """Return the quota of a team.
+
+        Args:
+            team: Name of the team.
+        """
+        quota = self._quotas.get(team)
+        if quota is None:
+            quota = self._quotas[team] = Quota(team=team)
+        return quota
+
+    def replace(self, quotas: dict[str, Quota]) -> None:
+        """Take over other quotas, as a new configuration has them.
+
+        Args:
+            quotas: Quotas by name of the team.
+        """
+        self._quotas = dict(quotas)
--- /dev/null
+++ b/wisteriawood/machines/evictions.py
@@ -0,0 +1,244 @@
+"""Evictions: which tasks go, so that another finds room."""
+
+import dataclasses
+import typing
+
+from wisteriawood.contracts import resources
+from wisteriawood.contracts import tasks
+from wisteriawood.machines import indexes
+from wisteriawood.policies.eviction import base
+from wisteriawood.telemetry import events
+
+# Workers that are looked at for one plan.
+SAMPLE = 24
+# An eviction that has no effect for this long is ordered again.
+ORDER_AGAIN_S = 20.0
+# Cost of the eviction of a job whose team uses more than its share.
+OVER_SHARE_FACTOR = 0.25
+
+_LOG = events.Logger(name=__name__)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Plan:
+    """Tasks to evict from one worker.
+
+    Attributes:
+        entry: The worker's entry.
+        victims: The tasks.
+        cost: What the policy says that they cost together.
+    """
+
+    entry: indexes.Entry
+    victims: list[base.Victim]
+    cost: float
+
+
+class Evictions:
+    """Plans and orders evictions.
+
+    Args:
+        index: The workers.
+        policy: Says what an eviction costs.
+    """
+
+    __slots__ = ("_index", "_ordered_s", "_policy", "_started_s")
+
+    def __init__(
+        self, *, index: indexes.WorkerIndex, policy: base.EvictionPolicy
+    ):
+        self._index = index
+        self._policy = policy
+        self._ordered_s: dict[str, float] = {}
+        self._started_s: dict[str, float] = {}
+
+    def note_start(self, task: str, *, now_s: float) -> None:
+        """Record when a task was placed.
+
+        Args:
+            task: Id of the task.
+            now_s: Monotonic time in seconds.
+        """
+        self._started_s[task] = now_s
+
+    def keep_only(self, placed: set[str]) -> None:
+        """Forget the tasks that have left.
+
+        Args:
+            placed: Ids of the tasks that are on workers.
+        """
+        for known in (self._started_s, self._ordered_s):
+            for task in known.keys() - placed:
+                del known[task]
+
+    def settle(self, *, now_s: float) -> None:
+        """Forget orders that had no effect, so that they are given again.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        self._ordered_s = {
+            task: at_s
+            for task, at_s in self._ordered_s.items()
+            if now_s - at_s < ORDER_AGAIN_S
+        }
+
+    def is_ordered(self, task: str) -> bool:
+        """Tell whether a task is being evicted.
+
+        Args:
+            task: Id of the task.
+        """
+        return task in self._ordered_s
+
+    def victims(
+        self, entry: indexes.Entry, *, now_s: float
+    ) -> list[base.Victim]:
+        """Return the batch jobs of a worker, the cheapest first.
+
+        Args:
+            entry: The worker's entry.
+            now_s: Monotonic time in seconds.
+        """
+        found = []
+        for task_id, placement in entry.worker.placements.items():
+            spec = placement.task.spec
+            if spec.kind != tasks.TaskKind.BATCH or spec.urgent:
+                continue
+            if task_id in self._ordered_s:
+                continue
+            started_s = self._started_s.setdefault(task_id, now_s)
+            found.append(
+                base.Victim(
+                    spec=spec,
+                    worker=entry.worker.name,
+                    counted=placement.counted,
+                    elapsed_s=now_s - started_s,
+                )
+            )
+        return base.in_order(self._policy, found)
+
+    def plan(
+        self,
+        *,
+        needs: resources.Resources,
+        now_s: float,
+        over_share: typing.Callable[[str], bool],
+        only_over_share: bool,
+        avoid: typing.AbstractSet[str] = frozenset(),
+    ) -> Plan | None:
+        """Return the cheapest evictions that make room, or None.
+
+        Args:
+            needs: The room.
+            now_s: Monotonic time in seconds.
+            over_share: Tells whether a team uses more than its share.
+            only_over_share: Whether only jobs of such teams may go.
+            avoid: Workers on which the task failed.
+        """
+        best = None
+        for entry in self._index.any_workers(SAMPLE):
+            if entry.worker.name in avoid:
+                continue
+            if not needs.fits(entry.worker.capacity):
+                continue
+            victims = [
+                victim
+                for victim in self.victims(entry, now_s=now_s)
+                if not only_over_share or over_share(victim.spec.team)
+            ]
+            plan = self._cheapest(entry, victims, needs, over_share)
+            if plan and (best is None or plan.cost < best.cost):
+                best = plan
+        return best
+
+    def _cheapest(
+        self,
+        entry: indexes.Entry,
+        victims: list[base.Victim],
+        needs: resources.Resources,
+        over_share: typing.Callable[[str], bool],
+    ) -> Plan | None:
+        free = entry.worker.free
+        taken: list[base.Victim] = []
+        for victim in victims:
+            if needs.fits(free):
+                break
+            taken.append(victim)
+            free = free + victim.counted
+        if not needs.fits(free):
+            return None
+        # What was taken first may not be needed beside what came later.
+        for victim in list(taken):
+            if needs.fits(free - victim.counted):
+                taken.remove(victim)
+                free = free - victim.counted
+        cost = 0.0
+        for victim in taken:
+            factor = OVER_SHARE_FACTOR if over_share(victim.spec.team) else 1
+            cost += factor * self._policy.cost(victim)
+        return Plan(entry=entry, victims=taken, cost=cost)
+
+    def order(self, plan: Plan, *, reason: str, now_s: float) -> None:
+        """Order the evictions of a plan.
+
+        Args:
+            plan: The plan.
+            reason: Why, for the operator.
+            now_s: Monotonic time in seconds.
+        """
+        for victim in plan.victims:
+            self._ordered_s[victim.spec.id] = now_s
+            plan.entry.worker.order_eviction(victim.spec.id, reason)
+            _LOG.log(events.ROOM_MADE, task=victim.spec.id, reason=reason)
+
+    def evict_one(
+        self,
+        entry: indexes.Entry,
+        *,
+        harms: dict[str, float],
+        reason: str,
+        now_s: float,
+    ) -> bool:
+        """Order the eviction that frees services of most harm per cost.
+
+        Args:
+            entry: The worker's entry.
+            harms: Predicted harm by id of the task.
+            reason: Why, for the operator.
+            now_s: Monotonic time in seconds.
+
+        Returns:
+            Whether there was a job to evict.
+        """
+        victims = self.victims(entry, now_s=now_s)
+        if not victims:
+            return False
+        worst = max(
+            victims,
+            key=lambda victim: (
+                harms.get(victim.spec.id, 0.0) / self._policy.cost(victim)
+            ),
+        )
+        plan = Plan(entry=entry, victims=[worst], cost=0.0)
+        self.order(plan, reason=reason, now_s=now_s)
+        return True
+
+    def soonest(self, needs: resources.Resources) -> indexes.Entry | None:
+        """Return a worker that will have room once its batch jobs end.
+
+        Args:
+            needs: The room.
+        """
+        best, most = None, -1.0
+        for entry in self._index.any_workers(SAMPLE):
+            worker = entry.worker
+            free = worker.free
+            for placement in worker.placements.values():
+                if placement.task.spec.kind == tasks.TaskKind.BATCH:
+                    free = free + placement.counted
+            if not needs.fits(free):
+                continue
+            if worker.free.cores > most:
+                best, most = entry, worker.free.cores
+        return best
--- /dev/null
+++ b/wisteriawood/machines/indexes.py
@@ -0,0 +1,346 @@
+"""The index of workers by what they have free."""
+
+import bisect
+import dataclasses
+import math
+import random
+import typing
+
+from wisteriawood.contracts import resources
+from wisteriawood.contracts import tasks
+from wisteriawood.machines import workers
+from wisteriawood.policies import interference
+
+# Two levels of free cores and one of free memory to each doubling.
+CORE_LEVELS = 2.0
+MEMORY_UNIT_BYTES = 2**28
+# Workers looked at whose level is the one that the need itself falls in.
+EDGE_TRIES = 48
+
+Level = tuple[int, int, int]
+
+
+def class_of(spec: tasks.TaskSpec) -> str:
+    """Return the class under which a task's behaviour is learned."""
+    name = spec.task_class or spec.service or spec.kind.value
+    return f"{spec.team}/{name}"
+
+
+def group_of(spec: tasks.TaskSpec) -> str:
+    """Return the group that is spread over racks; empty for batch."""
+    if spec.kind == tasks.TaskKind.BATCH:
+        return ""
+    return f"{spec.kind.value}/{class_of(spec)}"
+
+
+def share_of(used: resources.Resources, total: resources.Resources) -> float:
+    """Return the dominant share that an amount is of a total."""
+    return max(
+        used.cores / total.cores if total.cores else 0.0,
+        used.memory_bytes / total.memory_bytes if total.memory_bytes else 0.0,
+        used.accelerators / total.accelerators if total.accelerators else 0.0,
+    )
+
+
+def load_of(placement: workers.Placement, worker: workers.Worker) -> float:
+    """Return the cores that a task may use, as a share of the worker's."""
+    cores = placement.counted.cores * placement.throttle
+    return cores / max(worker.capacity.cores, 1.0)
+
+
+def _levels(amount: resources.Resources, rounding: typing.Callable) -> Level:
+    cores = max(amount.cores, 0.125)
+    memory = max(amount.memory_bytes / MEMORY_UNIT_BYTES, 1.0)
+    return (
+        rounding(CORE_LEVELS * math.log2(cores)),
+        rounding(math.log2(memory)),
+        min(max(amount.accelerators, 0), 8),
+    )
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Entry:
+    """A worker in the index.
+
+    Attributes:
+        worker: The worker.
+        free: What it had free when it was last looked at.
+        level: Key of its bucket; None while it is in no bucket.
+        place: Its place in the bucket.
+        reserved: Task that it is kept for; empty if for none.
+        used: What each team uses of it.
+        groups: Instances of each group on it.
+        neighbours: Classes on it and their loads.
+        pressures: Predicted logarithm of the slowdown of each class on it.
+        changed_s: Monotonic time at which its tasks last changed.
+        is_blocked: Whether it takes no tasks, as on probation.
+        is_hot: Whether services on it are slowed, so no batch is added.
+    """
+
+    worker: workers.Worker
+    free: resources.Resources | None = None
+    level: Level | None = None
+    place: int = 0
+    reserved: str = ""
+    used: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    groups: dict[str, int] = dataclasses.field(default_factory=dict)
+    neighbours: dict[str, interference.Neighbour] = dataclasses.field(
+        default_factory=dict
+    )
+    pressures: dict[str, float] = dataclasses.field(default_factory=dict)
+    changed_s: float = 0.0
+    is_blocked: bool = False
+    is_hot: bool = False
+
+
+def _add_neighbour(entry: Entry, placement: workers.Placement) -> None:
+    spec = placement.task.spec
+    name = class_of(spec)
+    load = load_of(placement, entry.worker)
+    old = entry.neighbours.get(name)
+    entry.neighbours[name] = interference.Neighbour(
+        name=name,
+        team=spec.team,
+        kind=spec.kind,
+        count=1 + (old.count if old else 0),
+        load=load + (old.load if old else 0.0),
+    )
+
+
+class WorkerIndex:
+    """Workers in buckets of like free resources.
+
+    The number of buckets depends on the sizes of workers alone, so a
+    decision costs about the same for 25 workers as for 20,000.
+
+    Args:
+        rng: Source of random numbers.
+    """
+
+    __slots__ = (
+        "_buckets",
+        "_rng",
+        "capacity",
+        "entries",
+        "rack_groups",
+        "team_used",
+    )
+
+    def __init__(self, *, rng: random.Random):
+        self._buckets: dict[Level, list[Entry]] = {}
+        self._rng = rng
+        self.entries: dict[str, Entry] = {}
+        self.capacity = resources.NOTHING
+        self.rack_groups: dict[tuple[str, str], int] = {}
+        self.team_used: dict[str, resources.Resources] = {}
+
+    def refresh(
+        self, found: typing.Iterable[workers.Worker], *, now_s: float = 0.0
+    ) -> None:
+        """Take over which workers there are and what they have free.
+
+        Args:
+            found: All workers that may hold tasks.
+            now_s: Monotonic time in seconds.
+        """
+        names = set()
+        for worker in found:
+            names.add(worker.name)
+            self.update(worker, now_s=now_s)
+        for name in self.entries.keys() - names:
+            self.remove(name)
+
+    def update(self, worker: workers.Worker, *, now_s: float = 0.0) -> Entry:
+        """Take over what one worker has free.
+
+        Args:
+            worker: The worker; a new one is added.
+            now_s: Monotonic time in seconds.
+
+        Returns:
+            Its entry.
+        """
+        entry = self.entries.get(worker.name)
+        if entry is not None and entry.worker is not worker:
+            self.remove(worker.name)
+            entry = None
+        if entry is None:
+            entry = self.entries[worker.name] = Entry(worker=worker)
+            self.capacity = self.capacity + worker.capacity
+        if entry.free is not worker.free:
+            entry.free = worker.free
+            entry.changed_s = now_s
+            self._count(entry)
+        self._file(entry)
+        return entry
+
+    def remove(self, name: str) -> None:
+        """Forget a worker.
+
+        Args:
+            name: Name of the worker.
+        """
+        entry = self.entries.pop(name, None)
+        if entry is None:
+            return
+        self._unfile(entry)
+        self._uncount(entry)
+        self.capacity = self.capacity - entry.worker.capacity
+
+    def _file(self, entry: Entry) -> None:
+        worker = entry.worker
+        takes = worker.is_known and not worker.leaving
+        takes = takes and not entry.reserved and not entry.is_blocked
+        level = _levels(entry.free, math.floor) if takes else None
+        if level == entry.level:
+            return
+        self._unfile(entry)
+        if level is not None:
+            bucket = self._buckets.setdefault(level, [])
+            entry.level, entry.place = level, len(bucket)
+            bucket.append(entry)
+
+    def _unfile(self, entry: Entry) -> None:
+        if entry.level is None:
+            return
+        bucket = self._buckets[entry.level]
+        last = bucket.pop()
+        if last is not entry:
+            bucket[entry.place] = last
+            last.place = entry.place
+        if not bucket:
+            del self._buckets[entry.level]
+        entry.level = None
+
+    def _count(self, entry: Entry) -> None:
+        self._uncount(entry)
+        rack = entry.worker.rack
+        for placement in entry.worker.placements.values():
+            spec = placement.task.spec
+            used = entry.used.get(spec.team, resources.NOTHING)
+            entry.used[spec.team] = used + placement.counted
+            _add_neighbour(entry, placement)
+            if spec.kind != tasks.TaskKind.BATCH:
+                group = group_of(spec)
+                entry.groups[group] = entry.groups.get(group, 0) + 1
+        for team, used in entry.used.items():
+            total = self.team_used.get(team, resources.NOTHING)
+            self.team_used[team] = total + used
+        for group, count in entry.groups.items():
+            key = (rack, group)
+            self.rack_groups[key] = self.rack_groups.get(key, 0) + count
+
+    def _uncount(self, entry: Entry) -> None:
+        for team, used in entry.used.items():
+            self.team_used[team] = self.team_used[team] - used
+        for group, count in entry.groups.items():
+            key = (entry.worker.rack, group)
+            self.rack_groups[key] -= count
+            if not self.rack_groups[key]:
+                del self.rack_groups[key]
+        entry.used = {}
+        entry.groups = {}
+        entry.neighbours = {}
+        entry.pressures = {}
+
+    def reserve(self, name: str, task: str) -> None:
+        """Keep a worker for one task; no other is placed there.
+
+        Args:
+            name: Name of the worker.
+            task: Id of the task; empty to end the reservation.
+        """
+        entry = self.entries.get(name)
+        if entry is not None:
+            entry.reserved = task
+            self._file(entry)
+
+    def recount(self, entry: Entry) -> None:
+        """Take over that the tasks of a worker were throttled.
+
+        Args:
+            entry: The worker's entry.
+        """
+        self._count(entry)
+
+    def share(self, team: str) -> float:
+        """Return the dominant share that a team uses.
+
+        Args:
+            team: Name of the team.
+        """
+        used = self.team_used.get(team, resources.NOTHING)
+        return share_of(used, self.capacity)
+
+    def sample(self, needs: resources.Resources, count: int) -> list[Entry]:
+        """Return random workers that can hold an amount.
+
+        Args:
+            needs: The amount.
+            count: Most workers to return.
+        """
+        wanted = _levels(needs, math.ceil)
+        edge = _levels(needs, math.floor)
+        sure: list[list[Entry]] = []
+        near: list[list[Entry]] = []
+        for level, bucket in self._buckets.items():
+            if level[2] < wanted[2]:
+                continue
+            if level[0] >= wanted[0] and level[1] >= wanted[1]:
+                sure.append(bucket)
+            elif level[0] >= edge[0] and level[1] >= edge[1]:
+                near.append(bucket)
+        found = self._draw(sure, needs, count)
+        if len(found) < count:
+            tried = self._draw(near, needs, EDGE_TRIES)
+            found += tried[: count - len(found)]
+        return found
+
+    def _draw(
+        self,
+        buckets: list[list[Entry]],
+        needs: resources.Resources,
+        count: int,
+    ) -> list[Entry]:
+        ends: list[int] = []
+        total = 0
+        for bucket in buckets:
+            total += len(bucket)
+            ends.append(total)
+        if total <= count:
+            drawn = [entry for bucket in buckets for entry in bucket]
+        else:
+            drawn = []
+            for number in self._rng.sample(range(total), count):
+                place = bisect.bisect_right(ends, number)
+                start = ends[place - 1] if place else 0
+                drawn.append(buckets[place][number - start])
+        # A worker may hold more by now than when it was filed.
+        return [entry for entry in drawn if needs.fits(entry.worker.free)]
+
+    def any_workers(self, count: int) -> list[Entry]:
+        """Return random workers that take tasks, full or not.
+
+        Args:
+            count: Most workers to return.
+        """
+        return self._draw(list(self._buckets.values()), _NO_BOUND, count)
+
+    def fitting(self, needs: resources.Resources) -> list[Entry]:
+        """Return all workers that can hold an amount, by a scan.
+
+        Args:
+            needs: The amount.
+        """
+        return [
+            entry
+            for entry in self.entries.values()
+            if entry.level is not None and needs.fits(entry.worker.free)
+        ]
+
+
+_NO_BOUND = resources.Resources(
+    cores=-math.inf, memory_bytes=-(2**62), accelerators=-(2**30)
+)
--- /dev/null
+++ b/wisteriawood/machines/monitors.py
@@ -0,0 +1,332 @@
+"""The monitor: learns from usage reports and keeps services calm."""
+
+import dataclasses
+import math
+
+from wisteriawood.contracts import resources
+from wisteriawood.contracts import tasks
+from wisteriawood.links import workers as worker_links
+from wisteriawood.machines import allocators
+from wisteriawood.machines import indexes
+from wisteriawood.machines import workers
+from wisteriawood.policies import interference
+from wisteriawood.policies.placement import least_harm
+from wisteriawood.policies import registry
+from wisteriawood.policies import throttling as throttling_policies
+from wisteriawood.policies.throttling import base
+from wisteriawood.telemetry import events
+
+_LOG = events.Logger(name=__name__)
+
+# Usage reports of a worker whose tasks changed more lately than this are
+# not learned from: they lag, and tell of other neighbours.
+LEARN_AFTER_S = 5.0
+LATENCY_VALID_S = 5.0
+SMOOTHING = 0.4
+# A task that runs is counted with its use and this margin.
+USE_MARGIN = 1.1
+# Changes smaller than this share of the worker are not taken over.
+RECOUNT_SHARE = 0.01
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Track:
+    """What was seen of one attempt.
+
+    Attributes:
+        reports: Reports so far.
+        peak: Greatest use in each resource.
+        slowdown: Smoothed slowdown; 0 if not known.
+        latency_slowdown: Slowdown as entry hosts saw it.
+        latency_s: Monotonic time at which they did.
+        measured_s: Time of the newest report on the worker's clock.
+    """
+
+    reports: int = 0
+    peak: resources.Resources = resources.NOTHING
+    slowdown: float = 0.0
+    latency_slowdown: float = 0.0
+    latency_s: float = -1e9
+    measured_s: float = -1.0
+
+
+class Monitor:
+    """Joins usage reports with request latencies and acts on both.
+
+    Args:
+        allocator: Whose workers it watches and whose estimates it feeds.
+        throttling: Name of the throttling policy.
+    """
+
+    __slots__ = ("_allocator", "_throttling", "_tracks")
+
+    def __init__(
+        self,
+        *,
+        allocator: allocators.Allocator,
+        throttling: str = base.DEFAULT,
+    ):
+        registry.load_modules(throttling_policies)
+        self._allocator = allocator
+        self._throttling = base.THROTTLING.get(throttling)()
+        self._tracks: dict[str, Track] = {}
+
+    def __len__(self) -> int:
+        return len(self._tracks)
+
+    def observe_latency(
+        self, task: str, *, slowdown: float, now_s: float
+    ) -> None:
+        """Take over how much slower a service instance answers.
+
+        Args:
+            task: Id of the service instance.
+            slowdown: Its latency against its peers under equal load.
+            now_s: Monotonic time in seconds.
+        """
+        track = self._tracks.setdefault(task, Track())
+        track.latency_slowdown = slowdown
+        track.latency_s = now_s
+
+    def keep_only(self, placed: set[str]) -> None:
+        """Forget the tasks that have left.
+
+        Args:
+            placed: Ids of the tasks that are on workers.
+        """
+        for task in self._tracks.keys() - placed:
+            del self._tracks[task]
+        self._allocator.evictions.keep_only(placed)
+
+    def observe(
+        self,
+        worker: workers.Worker,
+        reports: list[worker_links.UsageReport],
+        *,
+        now_s: float,
+    ) -> None:
+        """Learn from the newest reports of a worker, then act.
+
+        Args:
+            worker: The worker.
+            reports: Its newest usage reports.
+            now_s: Monotonic time in seconds.
+        """
+        index = self._allocator.index
+        entry = index.update(worker, now_s=now_s)
+        is_settled = now_s - entry.changed_s >= LEARN_AFTER_S
+        for report in reports:
+            placement = worker.placements.get(report.task)
+            if placement is None:
+                continue
+            track = self._tracks.setdefault(report.task, Track())
+            if report.measured_s == track.measured_s:
+                continue
+            track.measured_s = report.measured_s
+            self._learn_size(placement, track, report)
+            self._learn_slowdown(
+                entry, placement, track, report, is_settled, now_s
+            )
+        self._recount(entry, now_s)
+        entry.pressures.clear()
+        self._control(entry, now_s)
+
+    def _learn_size(
+        self,
+        placement: workers.Placement,
+        track: Track,
+        report: worker_links.UsageReport,
+    ) -> None:
+        if placement.throttle < 1.0:
+            return
+        used, peak = report.used, track.peak
+        track.peak = resources.Resources(
+            cores=max(used.cores, peak.cores),
+            memory_bytes=max(used.memory_bytes, peak.memory_bytes),
+            accelerators=placement.counted.accelerators,
+        )
+        track.reports += 1
+        # Long runs teach less and less: at 2, 4, 8, ... reports.
+        if track.reports > 1 and track.reports & (track.reports - 1) == 0:
+            spec = placement.task.spec
+            self._allocator.sizes.observe(
+                indexes.class_of(spec), declared=spec.needs, used=track.peak
+            )
+
+    def _learn_slowdown(
+        self,
+        entry: indexes.Entry,
+        placement: workers.Placement,
+        track: Track,
+        report: worker_links.UsageReport,
+        is_settled: bool,
+        now_s: float,
+    ) -> None:
+        slowdown = 0.0
+        if report.speed > 0:
+            slowdown = max(1.0, placement.throttle / report.speed)
+        if now_s - track.latency_s < LATENCY_VALID_S:
+            slowdown = track.latency_slowdown
+        if not slowdown:
+            return
+        old = track.slowdown or slowdown
+        track.slowdown = old + SMOOTHING * (slowdown - old)
+        if is_settled:
+            name = indexes.class_of(placement.task.spec)
+            self._allocator.estimates.observe(
+                name,
+                others_than(entry, placement),
+                slowdown=slowdown,
+                now_s=now_s,
+            )
+
+    def _recount(self, entry: indexes.Entry, now_s: float) -> None:
+        """Count tasks with what they use, where that is known better."""
+        worker = entry.worker
+        least = RECOUNT_SHARE * worker.capacity.cores
+        for task_id, placement in list(worker.placements.items()):
+            track = self._tracks.get(task_id)
+            if track is None or track.reports < 2:
+                continue
+            learned = self._allocator.needs_of(placement.task.spec)
+            counted = resources.Resources(
+                cores=track.peak.cores * USE_MARGIN,
+                memory_bytes=max(
+                    learned.memory_bytes,
+                    int(track.peak.memory_bytes * USE_MARGIN),
+                ),
+                accelerators=placement.counted.accelerators,
+            )
+            old = placement.counted
+            if (
+                abs(counted.cores - old.cores) < least
+                and counted.memory_bytes <= old.memory_bytes
+                and counted.memory_bytes > 0.8 * old.memory_bytes
+            ):
+                continue
+            worker.remove(task_id)
+            placement.counted = counted
+            worker.add(placement)
+        changed_s = entry.changed_s
+        self._allocator.index.update(worker, now_s=now_s)
+        entry.changed_s = changed_s
+        if worker.free.memory_bytes < 0:
+            self._free_memory(entry, now_s)
+
+    def _free_memory(self, entry: indexes.Entry, now_s: float) -> None:
+        short_bytes = -entry.worker.free.memory_bytes
+        evictions = self._allocator.evictions
+        for task_id, placement in entry.worker.placements.items():
+            if evictions.is_ordered(task_id):
+                short_bytes -= placement.counted.memory_bytes
+        for victim in evictions.victims(entry, now_s=now_s):
+            if short_bytes <= 0:
+                return
+            evictions.evict_one(
+                entry,
+                harms={victim.spec.id: 1.0},
+                reason="the worker's memory would not suffice",
+                now_s=now_s,
+            )
+            short_bytes -= victim.counted.memory_bytes
+
+    def _control(self, entry: indexes.Entry, now_s: float) -> None:
+        sufferers = self._sufferers(entry)
+        if not sufferers:
+            entry.is_hot = False
+            return
+        excess = max(sufferers.values())
+        culprits = self._culprits(entry, sufferers, now_s)
+        verdict = self._throttling.decide(
+            base.WorkerView(
+                worker=entry.worker.name,
+                excess=excess,
+                culprits=culprits,
+                now_s=now_s,
+            )
+        )
+        for order in verdict.throttles:
+            entry.worker.order_throttle(order.task, order.share)
+            _LOG.log(events.TASK_THROTTLED, task=order.task, share=order.share)
+        if verdict.throttles:
+            self._allocator.index.recount(entry)
+        if verdict.evict:
+            self._allocator.evictions.evict_one(
+                entry,
+                harms={found.task: found.harm for found in culprits},
+                reason="slows services, though throttled",
+                now_s=now_s,
+            )
+        entry.is_hot = excess > 1.0 or any(
+            found.share < 1.0 for found in culprits
+        )
+
+    def _sufferers(self, entry: indexes.Entry) -> dict[str, float]:
+        """Return the excess of each service on a worker, by task."""
+        found = {}
+        for task_id, placement in entry.worker.placements.items():
+            spec = placement.task.spec
+            track = self._tracks.get(task_id)
+            if spec.kind == tasks.TaskKind.BATCH or track is None:
+                continue
+            if not track.slowdown:
+                continue
+            quota = self._allocator.quotas.of(spec.team)
+            found[task_id] = track.slowdown / math.exp(
+                least_harm.ceiling(quota)
+            )
+        return found
+
+    def _culprits(
+        self,
+        entry: indexes.Entry,
+        sufferers: dict[str, float],
+        now_s: float,
+    ) -> list[base.Culprit]:
+        worker = entry.worker
+        names = {
+            indexes.class_of(worker.placements[task].task.spec)
+            for task in sufferers
+        }
+        culprits = []
+        for task_id, placement in worker.placements.items():
+            spec = placement.task.spec
+            if spec.kind != tasks.TaskKind.BATCH:
+                continue
+            if self._allocator.evictions.is_ordered(task_id):
+                continue
+            name = indexes.class_of(spec)
+            load = placement.counted.cores / worker.capacity.cores
+            harm = max(
+                self._allocator.estimates.harm(victim, name, now_s)
+                for victim in names
+            )
+            culprits.append(
+                base.Culprit(
+                    task=task_id,
+                    harm=harm * load,
+                    share=placement.throttle,
+                )
+            )
+        return culprits
+
+
+def others_than(
+    entry: indexes.Entry, placement: workers.Placement
+) -> list[interference.Neighbour]:
+    """Return the classes beside a task on its worker.
+
+    Args:
+        entry: The worker's entry.
+        placement: The task's placement.
+    """
+    name = indexes.class_of(placement.task.spec)
+    own = indexes.load_of(placement, entry.worker)
+    found = []
+    for other in entry.neighbours.values():
+        if other.name == name:
+            if other.count == 1:
+                continue
+            other = dataclasses.replace(other, load=other.load - own)
+        found.append(other)
+    return found
--- a/wisteriawood/machines/placers.py
+++ b/wisteriawood/machines/placers.py
@@ -1,27 +1,40 @@
 """The placer: the part of a scheduler that decides what starts where."""
 
 import random
+import time
 import typing
 
 import anyio
+from anyio import abc
 
 from wisteriawood.contracts import keys
+from wisteriawood.contracts import resources
 from wisteriawood.contracts import tasks
 from wisteriawood import errors
 from wisteriawood.links.codecs import rows
 from wisteriawood.links import platforms
-from wisteriawood.machines import workers
-from wisteriawood.policies import placement as placement_policies
+from wisteriawood.machines import allocators
+from wisteriawood.machines import monitors
+from wisteriawood.machines import queues
 from wisteriawood.policies.placement import base
-from wisteriawood.policies import registry
+from wisteriawood.telemetry import events
 from wisteriawood.zones import claims
 
 if typing.TYPE_CHECKING:
     from wisteriawood.machines import schedulers
 
 QUEUE_PERIOD_S = 0.5
+# Time between rounds while a task waits for room that is being made.
+ROOM_PERIOD_S = 0.1
+USAGE_PERIOD_S = 1.0
 # Time after which the next scheduler of the zone tries to place a task.
 PASS_ON_S = 0.4
+# Time for which all workers must have been too small for a task before it
+# counts as impossible, since the host list lags.
+IMPOSSIBLE_AFTER_S = 5.0
+CAPACITY_KEPT_S = 600.0
+
+_LOG = events.Logger(name=__name__)
 
 
 class Placer:
@@ -34,12 +47,13 @@
     """
 
     __slots__ = (
-        "_first_seen_s",
+        "_assigning",
+        "_capacities",
         "_group",
-        "_policy",
         "_queue_changed",
         "_scheduler",
-        "pending",
+        "allocator",
+        "monitor",
     )
 
     def __init__(
@@ -49,20 +63,85 @@
         rng: random.Random,
         policy: str = base.DEFAULT,
     ):
-        registry.load_modules(placement_policies)
-        self.pending: dict[str, tuple[tasks.Task, int]] = {}
-        self._first_seen_s: dict[str, float] = {}
-        self._group: typing.Any = None
-        self._policy = base.PLACEMENT.get(policy)(rng=rng)
+        self.allocator = allocators.Allocator(rng=rng, placement=policy)
+        self.monitor = monitors.Monitor(allocator=self.allocator)
+        self._assigning: dict[str, int] = {}
+        self._capacities: dict[resources.Resources, float] = {}
+        self._group: abc.TaskGroup | None = None
         self._queue_changed = anyio.Event()
         self._scheduler = scheduler
 
+    @property
+    def pending(self) -> dict[str, queues.Waiting]:
+        """Tasks that wait for a worker, by id."""
+        return self.allocator.queue.waiting
+
+    def explain(self, task: str) -> str:
+        """Return why a task waits; empty if it does not wait here.
+
+        Args:
+            task: Id of the task.
+        """
+        waiting = self.pending.get(task)
+        return waiting.reason if waiting is not None else ""
+
+    def see_hosts(self, hosts: list[platforms.Host]) -> None:
+        """Take over how large the workers of the zone are.
+
+        Args:
+            hosts: The platform's host list.
+        """
+        now_s = anyio.current_time()
+        for host in hosts:
+            is_worker = host.kind == platforms.HostKind.WORKER
+            if is_worker and host.zone == self._scheduler.zone:
+                self._capacities[host.capacity] = now_s
+
+    def observe_latency(self, target: str, slowdown: float) -> None:
+        """Take over how much slower a target answers than its peers.
+
+        Args:
+            target: Id of the target, as task.attempt.
+            slowdown: Its latency against theirs; 1 for none.
+        """
+        self.monitor.observe_latency(
+            target.rpartition(".")[0],
+            slowdown=slowdown,
+            now_s=anyio.current_time(),
+        )
+
+    def note_success(self, task: str, worker: str) -> None:
+        """Take over that an attempt finished.
+
+        Args:
+            task: Id of the task.
+            worker: Name of its worker.
+        """
+        self.allocator.probations.succeed(worker=worker, task=task)
+
+    def note_failure(self, task: str, worker: str) -> None:
+        """Take over that an attempt failed.
+
+        Args:
+            task: Id of the task.
+            worker: Name of its worker.
+        """
+        is_new = self.allocator.probations.fail(
+            worker=worker,
+            task=task,
+            now_s=anyio.current_time(),
+            worker_count=len(self.allocator.index.entries),
+        )
+        if is_new:
+            _LOG.log(events.WORKER_PROBATION, worker=worker)
+
     async def run(self) -> None:
         """Read the queue and place tasks until cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
             group.start_soon(self._follow_queue)
             group.start_soon(self._place_forever)
+            group.start_soon(self._follow_usage)
 
     async def _follow_queue(self) -> None:
         while True:
@@ -78,16 +157,23 @@
         found = await platforms.scan_all(
             scheduler.platform, keys.pendings(scheduler.zone)
         )
-        self.pending = {}
-        first_seen_s = {}
         now_s = anyio.current_time()
+        seen = set()
         for row in found:
-            first_seen_s[row.key] = self._first_seen_s.get(row.key, now_s)
-            waited_s = now_s - first_seen_s[row.key]
+            task_id = row.key.rpartition("/")[2]
+            seen.add(task_id)
+            old = self.pending.get(task_id)
+            if old is not None and old.version == row.version:
+                continue
+            if self._assigning.get(task_id) == row.version:
+                continue
             task = rows.from_value(row.value, tasks.Task)
-            if waited_s >= PASS_ON_S * self._rank(task.spec.id):
-                self.pending[task.spec.id] = (task, row.version)
-        self._first_seen_s = first_seen_s
+            self.allocator.queue.add(task, version=row.version, now_s=now_s)
+        for task_id in self.pending.keys() - seen:
+            self.allocator.withdraw(task_id)
+        for waiting in list(self.pending.values()):
+            waiting.turn_s = PASS_ON_S * self._rank(waiting.task.spec.id)
+            await self._check_possible(waiting, now_s)
         self._queue_changed.set()
 
     def _rank(self, task_id: str) -> int:
@@ -98,27 +184,94 @@
 
     async def _place_forever(self) -> None:
         while True:
-            await self._queue_changed.wait()
+            period_s = ROOM_PERIOD_S if self._awaits_room() else None
+            with anyio.move_on_after(period_s):
+                await self._queue_changed.wait()
             self._queue_changed = anyio.Event()
-            for task, version in list(self.pending.values()):
-                worker = self._policy.choose(task.spec, self._candidates())
-                if worker is None:
-                    continue
-                self.pending.pop(task.spec.id, None)
-                placement = workers.Placement(
-                    task=task, version=version, counted=task.spec.needs
-                )
-                worker.add(placement)
-                self._group.start_soon(
-                    self._scheduler.assign, worker, placement
-                )
-
-    def _candidates(self) -> list[workers.Worker]:
-        if not self._scheduler.membership.is_confirmed():
-            return []
-        return [
-            worker
-            for rack in self._scheduler.racks.values()
-            for worker in rack.workers.values()
-            if worker.is_known and not worker.leaving
-        ]
+            now_s = anyio.current_time()
+            if not self._scheduler.membership.is_confirmed():
+                continue
+            self.allocator.refresh(self._workers(), now_s=now_s)
+            for start in self.allocator.place(now_s=now_s):
+                self._group.start_soon(self._assign, start)
+
+    def _awaits_room(self) -> bool:
+        return any(
+            waiting.reserved and waiting.task.spec.urgent
+            for waiting in self.pending.values()
+        )
+
+    async def _assign(self, start: allocators.Start) -> None:
+        placement = start.placement
+        task_id = placement.task.spec.id
+        # A row read before the commit would be placed a second time.
+        self._assigning[task_id] = placement.version
+        await self._scheduler.assign(start.worker, placement)
+        if placement.is_committed:
+            await anyio.sleep(2 * QUEUE_PERIOD_S)
+        self._assigning.pop(task_id, None)
+
+    def _workers(self) -> typing.Iterator[typing.Any]:
+        for rack in self._scheduler.racks.values():
+            yield from rack.workers.values()
+
+    async def _check_possible(
+        self, waiting: queues.Waiting, now_s: float
+    ) -> None:
+        needs = waiting.task.spec.needs
+        if now_s - waiting.since_s < IMPOSSIBLE_AFTER_S + waiting.turn_s:
+            return
+        self._capacities = {
+            capacity: seen_s
+            for capacity, seen_s in self._capacities.items()
+            if now_s - seen_s < CAPACITY_KEPT_S
+        }
+        if not self._capacities:
+            waiting.reason = "the host list names no worker in this zone"
+            return
+        if any(needs.fits(capacity) for capacity in self._capacities):
+            return
+        await self._end_impossible(waiting)
+
+    async def _end_impossible(self, waiting: queues.Waiting) -> None:
+        task = waiting.task
+        needs = task.spec.needs
+        task.state = tasks.TaskState.IMPOSSIBLE
+        task.ended_unix_s = time.time()
+        task.reason = (
+            f"no worker in zone {self._scheduler.zone} is large enough for "
+            f"{needs.cores:g} cores, {needs.memory_bytes / 2**30:g} GiB and "
+            f"{needs.accelerators} accelerators; submit it with smaller "
+            "needs, or add a larger worker"
+        )
+        old_key = keys.pending(self._scheduler.zone, task.spec.id)
+        new_key = keys.ended(task.spec.id)
+        pointer = tasks.TaskPointer(key=new_key)
+        await self._scheduler.commits.commit(
+            conditions=[
+                platforms.Condition(key=old_key, version=waiting.version)
+            ],
+            writes=[
+                platforms.Write(key=old_key),
+                platforms.Write(key=new_key, value=rows.to_value(task)),
+                platforms.Write(
+                    key=keys.pointer(task.spec.id),
+                    value=rows.to_value(pointer),
+                ),
+            ],
+        )
+        self.allocator.withdraw(task.spec.id)
+        _LOG.log(events.TASK_IMPOSSIBLE, task=task.spec.id, needs=str(needs))
+
+    async def _follow_usage(self) -> None:
+        while True:
+            await anyio.sleep(USAGE_PERIOD_S)
+            now_s = anyio.current_time()
+            placed = set()
+            for worker in self._workers():
+                placed |= worker.placements.keys()
+                if worker.usage:
+                    self.monitor.observe(
+                        worker, list(worker.usage.values()), now_s=now_s
+                    )
+            self.monitor.keep_only(placed)
--- a/wisteriawood/machines/schedulers.py
+++ b/wisteriawood/machines/schedulers.py
@@ -137,6 +137,7 @@
             if self.membership.is_confirmed():
                 try:
                     hosts = await self.platform.hosts()
+                    self.placer.see_hosts(hosts)
                     await self._claim_racks(hosts)
                     self._adopt_hosts(hosts)
                 except errors.PlatformError:
--- /dev/null
+++ b/wisteriawood/policies/eviction/base.py
@@ -0,0 +1,77 @@
+"""What an eviction policy does, and the registry of them."""
+
+import dataclasses
+import random
+import typing
+
+from wisteriawood.contracts import quotas
+from wisteriawood.contracts import resources
+from wisteriawood.contracts import tasks
+from wisteriawood.policies import registry
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Victim:
+    """A task that could be evicted.
+
+    Attributes:
+        spec: The task.
+        worker: Name of its worker.
+        counted: Resources that it frees.
+        elapsed_s: Seconds since its attempt was placed.
+        harm: Predicted slowdown of services by it, as a logarithm.
+    """
+
+    spec: tasks.TaskSpec
+    worker: str
+    counted: resources.Resources
+    elapsed_s: float = 0.0
+    harm: float = 0.0
+
+
+class EvictionPolicy(typing.Protocol):
+    """Says what an eviction costs; the cheapest goes first."""
+
+    def cost(self, victim: Victim) -> float:
+        """Return the cost of an eviction, above 0.
+
+        Args:
+            victim: The task.
+        """
+
+
+class EvictionFactory(typing.Protocol):
+    """Makes an eviction policy."""
+
+    def __call__(
+        self, *, rng: random.Random, team_quotas: quotas.Quotas
+    ) -> EvictionPolicy:
+        """Return a new policy.
+
+        Args:
+            rng: Source of random numbers.
+            team_quotas: What teams weigh most.
+        """
+
+
+EVICTION: registry.Registry[EvictionFactory] = registry.Registry(
+    kind="eviction policy"
+)
+DEFAULT = "cheapest-resume"
+
+
+def in_order(policy: EvictionPolicy, victims: list[Victim]) -> list[Victim]:
+    """Return tasks in the order of eviction; batch before all others.
+
+    Args:
+        policy: Says what each costs.
+        victims: The tasks.
+    """
+    return sorted(
+        victims,
+        key=lambda victim: (
+            victim.spec.kind != tasks.TaskKind.BATCH,
+            policy.cost(victim),
+            victim.spec.id,
+        ),
+    )
--- a/wisteriawood/policies/placement/least_loaded.py
+++ b/wisteriawood/policies/placement/least_loaded.py
@@ -1,28 +1,31 @@
 """Placement on the worker with the most free cores."""
 
-import random
-
-from wisteriawood.contracts import tasks
-from wisteriawood.machines import workers
+from wisteriawood.machines import indexes
 from wisteriawood.policies.placement import base
 
 
 @base.PLACEMENT.register("least-loaded")
 class LeastLoaded:
-    """Chooses the worker with the most free cores.
+    """Chooses the worker with the most free cores, by a scan.
 
     Args:
-        rng: Not used; ties go to the first.
+        context: Not used; ties go to the first.
     """
 
     __slots__ = ()
 
-    def __init__(self, *, rng: random.Random):
+    def __init__(self, **context):
         pass
 
     def choose(
-        self, spec: tasks.TaskSpec, candidates: list[workers.Worker]
-    ) -> workers.Worker | None:
+        self, request: base.Request, index: indexes.WorkerIndex
+    ) -> indexes.Entry:
         """Return the worker with the most free cores that fits."""
-        fitting = [w for w in candidates if spec.needs.fits(w.free)]
-        return max(fitting, key=lambda w: w.free.cores, default=None)
+        fitting = [
+            entry
+            for entry in index.fitting(request.needs)
+            if entry.worker.name not in request.avoid
+        ]
+        if not fitting:
+            raise base.no_room(request.needs)
+        return max(fitting, key=lambda entry: entry.worker.free.cores)
--- /dev/null
+++ b/wisteriawood/policies/placement/random_fit.py
@@ -0,0 +1,34 @@
+"""Placement on a random worker that fits."""
+
+import random
+
+from wisteriawood.machines import indexes
+from wisteriawood.policies.placement import base
+
+
+@base.PLACEMENT.register("random")
+class RandomFit:
+    """Chooses a random worker that fits.
+
+    Args:
+        rng: Source of random numbers.
+        context: Not used.
+    """
+
+    __slots__ = ("_rng",)
+
+    def __init__(self, *, rng: random.Random, **context):
+        self._rng = rng
+
+    def choose(
+        self, request: base.Request, index: indexes.WorkerIndex
+    ) -> indexes.Entry:
+        """Return a random worker that fits."""
+        fitting = [
+            entry
+            for entry in index.sample(request.needs, 4)
+            if entry.worker.name not in request.avoid
+        ]
+        if not fitting:
+            raise base.no_room(request.needs)
+        return self._rng.choice(fitting)
--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -137,3 +137,13 @@
     "A peer sent a message of a type that this version does not know.",
     "Run the same version on all entry hosts.",
 )
+WORKER_PROBATION = define(
+    1510,
+    "worker-probation",
+    "A worker failed several jobs in a row and gets none for a while.",
+    "Check the worker; one job that finishes there ends the probation.",
+)
+TASK_THROTTLED = define(
+    1511, "task-throttled", "A job beside slowed services was limited."
+)
+ROOM_MADE = define(1512, "room-made", "A job was ordered to leave its worker.")
