Grant slots by books that survive deaths, cuts and takeovers

The scheduler forgot an entry host as soon as it was silent, a new holder granted slots that others still filled, and an entry host filled slots that nobody had renewed. Granting moves to machines/grantors.py with books of who holds what; the entry host's half is machines/slot_clients.py.

- Terms count from before the report left; the grantor takes back only when its own term was unbroken since its last word.
- A new holder claims each rack from every member of the zone and raises nothing until all have answered, are proved dead, or the horizon passed.
- An entry host keeps slots beyond the term only where the grantor is proved dead, or the table shows that it lost its term or the rack.
- A call goes on after its caller has left, so that the slot is free when the target says so; a request may not leave after its slot has lapsed.
- Slots follow demand, in parts that always sum to the whole.

Term.confirm takes the time of the confirmation: a renewal that left in time and was confirmed after the end counted as unbroken, though a successor may have claimed in between.

Reports carry changes only. Ruled out: whole reports each half second, which grow with the targets of the zone.

--- a/wisteriawood/contracts/grants.py
+++ b/wisteriawood/contracts/grants.py
@@ -13,6 +13,7 @@
         team: Team that owns the service.
         service: Service that the target runs.
         slots: Number of slots granted.
+        rack: Rack of the target.
         epoch: Epoch of the grantor's rack holding.
         leaving: Whether the target takes no new requests.
     """
@@ -22,6 +23,7 @@
     team: str
     service: str
     slots: int
+    rack: str = ""
     epoch: int = 0
     leaving: bool = False
 
@@ -34,12 +36,28 @@
         target: Id of the target.
         slots: Slots that it holds.
         in_flight: Requests of its own that may be at the target.
-        wanted: Slots that it could use now.
+        rack: Rack of the target.
         epoch: Epoch of the grant that it holds.
     """
 
     target: str
     slots: int
     in_flight: int = 0
-    wanted: int = 0
+    rack: str = ""
     epoch: int = 0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RackClaim:
+    """A rack holding, as told between a grantor and an entry host.
+
+    A grantor claims the slots of a rack's targets with it. An entry host
+    answers with the newest epoch that it knows.
+
+    Attributes:
+        rack: Name of the rack.
+        epoch: Epoch of the holding.
+    """
+
+    rack: str
+    epoch: int
--- a/wisteriawood/contracts/requests.py
+++ b/wisteriawood/contracts/requests.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 
 class RequestClass(enum.StrEnum):
@@ -35,6 +36,8 @@
         key: Idempotency key of a run-once request.
         urgent: Whether it goes before the others.
         deadline_s: Monotonic time by which the caller needs the answer.
+        send_by_s: Monotonic time after which it must not leave for the
+            target: the slot is another's by then.
         traceparent: W3C trace context of the newest hop.
     """
 
@@ -49,6 +52,7 @@
     key: str = ""
     urgent: bool = False
     deadline_s: float = 0.0
+    send_by_s: float = math.inf
     traceparent: str = ""
 
 
--- a/wisteriawood/contracts/terms.py
+++ b/wisteriawood/contracts/terms.py
@@ -24,15 +24,18 @@
         self._confirmed_at_s: float | None = None
         self._broken_at_s: float | None = None
 
-    def confirm(self, *, sent_at_s: float) -> None:
+    def confirm(self, *, sent_at_s: float, confirmed_at_s: float) -> None:
         """Record that a renewal sent at a time was confirmed.
 
         Args:
             sent_at_s: Monotonic time just before the renewal was sent.
+            confirmed_at_s: Monotonic time at which it was confirmed.
         """
         ended_at_s = self.ends_at_s()
-        if ended_at_s is None or sent_at_s > ended_at_s:
-            self._broken_at_s = sent_at_s
+        # Between the end and a late confirmation, a successor may have
+        # claimed, though the renewal had left in time.
+        if ended_at_s is None or confirmed_at_s >= ended_at_s:
+            self._broken_at_s = confirmed_at_s
         if self._confirmed_at_s is None or sent_at_s > self._confirmed_at_s:
             self._confirmed_at_s = sent_at_s
 
--- a/wisteriawood/links/messages.py
+++ b/wisteriawood/links/messages.py
@@ -65,31 +65,49 @@
 @message("slot-report")
 @dataclasses.dataclass(slots=True, kw_only=True)
 class SlotReport:
-    """An entry host's whole view of the slots that it holds here.
+    """What an entry host holds of the grantor's targets.
+
+    An entry host sends the next report only after the answer to the
+    last, so that a report always tells what came of the grants before.
 
     Attributes:
         sequence: Grows by one with each report on a link.
-        holdings: One entry for each target of this scheduler.
-        wanted: Further slots that it could use, by team/service.
+        answers: Claims answered; the holdings of these racks are whole.
+        holdings: Holdings that changed since the last report.
+        demand: Slots that it could fill, by team/service; those changed.
+        longest_s: No request of its own runs longer at a target.
+        is_draining: Whether it returns what it holds.
     """
 
     sequence: int
-    holdings: list[grants.SlotHolding]
-    wanted: dict[str, int] = dataclasses.field(default_factory=dict)
+    answers: list[grants.RackClaim] = dataclasses.field(default_factory=list)
+    holdings: list[grants.SlotHolding] = dataclasses.field(
+        default_factory=list
+    )
+    demand: dict[str, float] = dataclasses.field(default_factory=dict)
+    longest_s: float = 0.0
+    is_draining: bool = False
 
 
 @message("slot-update")
 @dataclasses.dataclass(slots=True, kw_only=True)
 class SlotUpdate:
-    """A scheduler's answer to a report: what the entry host may hold.
+    """A grantor's answer to a report; it renews what it has granted.
 
     Attributes:
         sequence: Sequence of the report that it answers.
-        grants: One entry for each target; a target left out is revoked.
+        horizon_s: Seconds for which the grants may be kept without any
+            further word.
+        claims: Racks newly held; the next report answers them.
+        withdrawn: Racks that the grantor holds no longer.
+        granted: Grants that differ from what the entry host holds.
     """
 
     sequence: int
-    grants: list[grants.SlotGrant]
+    horizon_s: float = 0.0
+    claims: list[grants.RackClaim] = dataclasses.field(default_factory=list)
+    withdrawn: list[str] = dataclasses.field(default_factory=list)
+    granted: list[grants.SlotGrant] = dataclasses.field(default_factory=list)
 
 
 @message("config-offer")
--- a/wisteriawood/links/targets.py
+++ b/wisteriawood/links/targets.py
@@ -2,6 +2,7 @@
 
 import typing
 
+import anyio
 import httpx
 
 from wisteriawood.contracts import requests
@@ -9,6 +10,8 @@
 
 REQUEST_ID_HEADER = "x-request-id"
 DEADLINE_HEADER = "x-deadline-ms"
+CONNECT_TIMEOUT_S = 2.0
+TOO_LATE = "the slot was taken back before the request could leave"
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -24,6 +27,16 @@
 )
 
 
+def _is_delimited(request: requests.Request, response: httpx.Response) -> bool:
+    """Tell whether a cut-off body would have been noticed."""
+    return (
+        "content-length" in response.headers
+        or "transfer-encoding" in response.headers
+        or request.method == "HEAD"
+        or response.status_code in (204, 304)
+    )
+
+
 class TargetLink(typing.Protocol):
     """What a target can be asked; the users' bench can stand in here."""
 
@@ -32,9 +45,12 @@
     ) -> requests.Answer:
         """Run a request and return its whole answer.
 
+        It may not leave for the target after the request's `send_by_s`.
+
         Args:
             request: The request.
-            timeout_s: Seconds until the answer is worth nothing.
+            timeout_s: Seconds after which no answer is waited for; may be
+                long after the request's deadline.
 
         Raises:
             RequestNotRunError: No byte can have reached the target.
@@ -69,19 +85,31 @@
         self, request: requests.Request, *, timeout_s: float
     ) -> requests.Answer:
         """Run a request and return its whole answer."""
+        left_s = max(0.001, request.deadline_s - anyio.current_time())
         headers = [
             *request.headers,
             (REQUEST_ID_HEADER, request.id),
-            (DEADLINE_HEADER, str(int(1000 * timeout_s))),
+            (DEADLINE_HEADER, str(int(1000 * left_s))),
             ("traceparent", request.traceparent),
         ]
+
+        async def _check_time(step: str, _info: typing.Any) -> None:
+            is_leaving = step == "http11.send_request_headers.started"
+            if is_leaving and anyio.current_time() >= request.send_by_s:
+                raise errors.RequestNotRunError(reason=TOO_LATE)
+
         try:
             response = await self._client.request(
                 request.method,
                 request.path,
                 headers=headers,
                 content=request.body,
-                timeout=timeout_s,
+                timeout=httpx.Timeout(
+                    timeout_s,
+                    connect=min(left_s, CONNECT_TIMEOUT_S),
+                    pool=left_s,
+                ),
+                extensions={"trace": _check_time},
             )
         except (
             httpx.ConnectError,
@@ -109,6 +137,11 @@
             raise errors.RequestUnknownError(
                 reason="the target answered another request", status=502
             )
+        if not _is_delimited(request, response):
+            raise errors.RequestUnknownError(
+                reason="the target's answer has no length; it may be cut off",
+                status=502,
+            )
         headers = [
             (name, value)
             for name, value in response.headers.multi_items()
--- a/wisteriawood/machines/attempts.py
+++ b/wisteriawood/machines/attempts.py
@@ -152,6 +152,7 @@
         team=task.spec.team,
         service=task.spec.service,
         slots=task.spec.slots,
+        since_epoch=task.epoch,
     )
     _LOG.log(events.TARGET_ADDED, target=target_id)
 
--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -4,19 +4,16 @@
 import typing
 
 import anyio
-from anyio import abc
 
-from wisteriawood.contracts import grants
 from wisteriawood.contracts import holdings
 from wisteriawood.contracts import requests
 from wisteriawood import errors
-from wisteriawood.links import messages
 from wisteriawood.links import peers
 from wisteriawood.links import platforms
 from wisteriawood.links import targets as target_links
 from wisteriawood.machines import dispatchers
 from wisteriawood.machines import services
-from wisteriawood.machines import targets
+from wisteriawood.machines import slot_clients
 from wisteriawood.policies import registry
 from wisteriawood.policies import routing
 from wisteriawood.policies.routing import base
@@ -26,9 +23,7 @@
 from wisteriawood.zones import membership
 from wisteriawood.zones import peering
 
-REPORT_PERIOD_S = 0.5
-REDIAL_PERIOD_S = 0.5
-QUARANTINE_PERIOD_S = 0.1
+GOODBYE_TIMEOUT_S = 3.0
 
 _LOG = events.Logger(name=__name__)
 
@@ -49,11 +44,7 @@
     """
 
     __slots__ = (
-        "_dial_peer",
-        "_dial_target",
         "_dispatcher",
-        "_followed",
-        "_group",
         "_policy",
         "_rng",
         "counters",
@@ -61,6 +52,7 @@
         "membership",
         "peering",
         "services",
+        "slot_client",
         "stopped",
         "stopping",
         "targets",
@@ -91,17 +83,21 @@
         self.counters = counters
         self.tracer = tracer
         self.services: dict[tuple[str, str], services.Service] = {}
-        self.targets: dict[str, targets.Target] = {}
+        self.slot_client = slot_clients.SlotClient(
+            platform=platform,
+            members=self.membership,
+            dial_peer=dial_peer,
+            dial_target=dial_target,
+            get_service=self.service,
+            on_late_answer=self._take_late_answer,
+        )
+        self.targets = self.slot_client.targets
         self.is_draining = False
         self.stopping = anyio.Event()
         self.stopped = anyio.Event()
-        self._dial_peer = dial_peer
-        self._dial_target = dial_target
         self._dispatcher = dispatchers.Dispatcher(
             services=self.services, tracer=tracer
         )
-        self._followed: set[str] = set()
-        self._group: abc.TaskGroup | None = None
         self._policy = policy
         self._rng = rng
 
@@ -116,104 +112,32 @@
     async def run(self) -> None:
         """Follow the schedulers of the zone until the daemon stops."""
         async with anyio.create_task_group() as group:
-            self._group = group
             group.start_soon(self.membership.run)
             group.start_soon(self.peering.run)
-            group.start_soon(self._follow_members)
-            group.start_soon(self._end_quarantines)
+            group.start_soon(self.slot_client.run)
             await self.stopping.wait()
-            while any(target.in_flight for target in self.targets.values()):
-                await anyio.sleep(REDIAL_PERIOD_S / 10)
+            is_released = await self.slot_client.release()
             group.cancel_scope.cancel()
+        if is_released:
+            await self._say_gone()
         self.stopped.set()
 
-    async def _end_quarantines(self) -> None:
-        while True:
-            await anyio.sleep(QUARANTINE_PERIOD_S)
-            now_s = anyio.current_time()
-            for target in self.targets.values():
-                if target.end_quarantines(now_s=now_s):
-                    grant = target.grant
-                    self._service(grant.team, grant.service).wake()
-
-    async def _follow_members(self) -> None:
-        own = self.membership.own
-        while True:
-            for member in self.membership.live(
-                holdings.Role.SCHEDULER, zone=own.zone
-            ):
-                if member.peer_address not in self._followed:
-                    self._followed.add(member.peer_address)
-                    self._group.start_soon(self._follow_scheduler, member)
-            await self.membership.changed.wait()
-
-    async def _follow_scheduler(self, member: holdings.MemberRow) -> None:
-        """Hold the link to one scheduler, straight down."""
-        try:
-            async with self._dial_peer(address=member.peer_address) as channel:
-                _LOG.log(events.PEER_CONNECTED, peer=member.name)
-                await self._exchange_slots(member, channel)
-        except errors.LinkError as exc:
-            _LOG.log(events.PEER_LOST, peer=member.name, reason=str(exc))
-            await anyio.sleep(REDIAL_PERIOD_S)
-        finally:
-            self._followed.discard(member.peer_address)
-
-    async def _exchange_slots(
-        self, member: holdings.MemberRow, channel
+    async def _say_gone(self) -> None:
+        """Tell the table that all slots have been returned."""
+        self.membership.own.state = holdings.HostState.GONE
+        with anyio.move_on_after(GOODBYE_TIMEOUT_S):
+            try:
+                await self.membership.renew()
+            except errors.PlatformError as exc:
+                _LOG.log(events.PLATFORM_LOST, reason=str(exc))
+
+    def _take_late_answer(
+        self, request: requests.Request, answer: requests.Answer
     ) -> None:
-        await channel.send(messages.Hello(member=self.membership.own))
-        await channel.receive()
-        sequence = 0
-        while True:
-            sequence += 1
-            own = [
-                target.holding()
-                for target in self.targets.values()
-                if target.grantor == member.name
-            ]
-            await channel.send(
-                messages.SlotReport(sequence=sequence, holdings=own)
-            )
-            update = await channel.receive()
-            await self._adopt(member.name, update.grants)
-            await anyio.sleep(REPORT_PERIOD_S)
-
-    async def _adopt(
-        self, grantor: str, granted: list[grants.SlotGrant]
-    ) -> None:
-        for grant in granted:
-            service = self._service(grant.team, grant.service)
-            target = self.targets.get(grant.target)
-            if target is None:
-                target = targets.Target(
-                    grant=grant,
-                    grantor=grantor,
-                    link=self._dial_target(
-                        address=grant.address, connections=grant.slots + 1
-                    ),
-                )
-                self.targets[grant.target] = target
-                service.targets[grant.target] = target
-            target.grant = grant
-            target.grantor = grantor
-            service.wake()
-        kept = {grant.target for grant in granted}
-        for target in list(self.targets.values()):
-            if target.grantor == grantor and target.id not in kept:
-                await self._drop(target)
-
-    async def _drop(self, target: targets.Target) -> None:
-        target.grant.slots = 0
-        if target.in_flight:
-            return
-        del self.targets[target.id]
-        service = self._service(target.grant.team, target.grant.service)
-        service.targets.pop(target.id, None)
-        await target.link.aclose()
-        _LOG.log(events.TARGET_LEFT, target=target.id)
+        """Take an answer whose caller has left."""
 
-    def _service(self, team: str, name: str) -> services.Service:
+    def service(self, team: str, name: str) -> services.Service:
+        """Return a service of a team, made at the first call."""
         service = self.services.get((team, name))
         if service is None:
             policy = base.ROUTING.get(self._policy)(rng=self._rng)
--- a/wisteriawood/machines/schedulers.py
+++ b/wisteriawood/machines/schedulers.py
@@ -14,10 +14,10 @@
 from wisteriawood.links import channels
 from wisteriawood.links.codecs import rows
 from wisteriawood.links import commits
-from wisteriawood.links import messages
 from wisteriawood.links import platforms
 from wisteriawood.links import workers as worker_links
 from wisteriawood.machines import attempts
+from wisteriawood.machines import grantors
 from wisteriawood.machines import placers
 from wisteriawood.machines import racks
 from wisteriawood.machines import workers
@@ -50,6 +50,7 @@
         "_group",
         "commits",
         "counters",
+        "grantor",
         "membership",
         "placer",
         "platform",
@@ -78,6 +79,9 @@
         self.placer = placers.Placer(scheduler=self, rng=rng, policy=policy)
         self.stopping = anyio.Event()
         self.stopped = anyio.Event()
+        self.grantor = grantors.Grantor(
+            members=self.membership, held=self.racks, stopping=self.stopping
+        )
         self._dial_worker = dial_worker
         self._group: abc.TaskGroup | None = None
 
@@ -100,6 +104,7 @@
             self._group = group
             group.start_soon(self.membership.run)
             group.start_soon(self.commits.run)
+            group.start_soon(self.grantor.run)
             group.start_soon(self._follow_racks)
             group.start_soon(self.placer.run)
             await self.stopping.wait()
@@ -289,26 +294,7 @@
         Raises:
             LinkError: The link broke.
         """
-        hello = await channel.receive()
-        entry = hello.member.name
-        _LOG.log(events.PEER_CONNECTED, peer=entry)
-        await channel.send(messages.Hello(member=self.membership.own))
-        while not self.stopping.is_set():
-            report = await channel.receive()
-            await channel.send(self._answer_report(entry, report))
-
-    def _answer_report(
-        self, entry: str, report: messages.SlotReport
-    ) -> messages.SlotUpdate:
-        held = {holding.target: holding for holding in report.holdings}
-        granted = []
-        for rack in self.racks.values():
-            for target in rack.targets.values():
-                target.report(entry=entry, holding=held.get(target.id))
-                granted.append(
-                    target.grant(entry=entry, epoch=rack.holding.epoch)
-                )
-        return messages.SlotUpdate(sequence=report.sequence, grants=granted)
+        await self.grantor.serve(await channel.receive(), channel)
 
     def status(self) -> dict[str, typing.Any]:
         """Return what operators see of this scheduler."""
--- /dev/null
+++ b/wisteriawood/machines/slot_clients.py
@@ -0,0 +1,385 @@
+"""Slot clients: the part of an entry host that holds granted slots."""
+
+import typing
+
+import anyio
+from anyio import abc
+
+from wisteriawood.contracts import grants
+from wisteriawood.contracts import holdings
+from wisteriawood.contracts import keys
+from wisteriawood.contracts import terms
+from wisteriawood import errors
+from wisteriawood.links.codecs import rows
+from wisteriawood.links import messages
+from wisteriawood.links import platforms
+from wisteriawood.machines import held_racks
+from wisteriawood.machines import services
+from wisteriawood.machines import slotted_links
+from wisteriawood.machines import targets
+from wisteriawood.telemetry import events
+from wisteriawood.zones import membership
+
+REPORT_PERIOD_S = 0.5
+ANSWER_TIMEOUT_S = 2.0
+REDIAL_PERIOD_S = 0.5
+REVIEW_PERIOD_S = 0.1
+# How long before the end of a term the table is asked for the grantor.
+ENQUIRY_S = 3.0
+# Part of the demand that is kept from one report to the next.
+DEMAND_KEPT = 0.8
+# Above the longest deadline that a caller may ask for.
+RELEASE_TIMEOUT_S = 65.0
+MAX_CONNECTIONS = 256
+
+_LOG = events.Logger(name=__name__)
+
+GetService = typing.Callable[[str, str], services.Service]
+
+
+class Session:
+    """What one link to a grantor has carried.
+
+    Args:
+        grantor: Member row of the scheduler at the other end.
+    """
+
+    __slots__ = ("answers", "demand", "grantor", "racks", "reported")
+
+    def __init__(self, *, grantor: holdings.MemberRow):
+        self.grantor = grantor
+        self.answers: list[grants.RackClaim] = []
+        self.demand: dict[str, float] = {}
+        self.racks: set[str] = set()
+        self.reported: dict[str, grants.SlotHolding] = {}
+
+
+class SlotClient:
+    """Holds the slots that the schedulers of the zone grant.
+
+    Args:
+        platform: Link to the platform.
+        members: Membership of the entry host.
+        dial_peer: Opens the channel to the peer at an address.
+        dial_target: Opens the link to the target at an address.
+        get_service: Returns the service of a team and a name.
+        on_late_answer: Takes an answer whose caller has left.
+    """
+
+    __slots__ = (
+        "_dead",
+        "_dial_peer",
+        "_dial_target",
+        "_enquiring",
+        "_followed",
+        "_get_service",
+        "_group",
+        "_members",
+        "_on_late_answer",
+        "_platform",
+        "is_draining",
+        "racks",
+        "targets",
+    )
+
+    def __init__(
+        self,
+        *,
+        platform: platforms.Platform,
+        members: membership.Membership,
+        dial_peer: typing.Callable,
+        dial_target: typing.Callable,
+        get_service: GetService,
+        on_late_answer: slotted_links.OnLateAnswer,
+    ):
+        self._platform = platform
+        self._members = members
+        self._dial_peer = dial_peer
+        self._dial_target = dial_target
+        self._get_service = get_service
+        self._on_late_answer = on_late_answer
+        self._dead: set[str] = set()
+        self._enquiring: set[str] = set()
+        self._followed: set[str] = set()
+        self._group: abc.TaskGroup | None = None
+        self.is_draining = False
+        self.racks: dict[str, held_racks.HeldRack] = {}
+        self.targets: dict[str, targets.Target] = {}
+
+    async def run(self) -> None:
+        """Follow the schedulers of the zone, for ever."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            group.start_soon(self._review_forever)
+            while True:
+                changed = self._members.changed
+                for name in self._schedulers():
+                    if name not in self._followed:
+                        self._followed.add(name)
+                        group.start_soon(self._follow, name)
+                await changed.wait()
+
+    async def release(self) -> bool:
+        """Return all slots, once the requests in flight are answered.
+
+        Returns:
+            Whether all were returned; False where a target still works on
+            a request whose caller has left.
+        """
+        self.is_draining = True
+        with anyio.move_on_after(RELEASE_TIMEOUT_S):
+            while any(target.in_flight for target in self.targets.values()):
+                await anyio.sleep(REVIEW_PERIOD_S)
+        for target in self.targets.values():
+            target.grant.slots = 0
+        # The next reports tell the grantors.
+        await anyio.sleep(2 * REPORT_PERIOD_S)
+        return not any(target.in_flight for target in self.targets.values())
+
+    def _schedulers(self) -> list[str]:
+        # A scheduler stays listed though its row is not renewed: the
+        # platform may be out of its reach, or of ours.
+        return [
+            name
+            for (role, name), sighting in self._members.sightings.items()
+            if role == holdings.Role.SCHEDULER
+            and sighting.member.zone == self._members.own.zone
+            and sighting.member.state != holdings.HostState.GONE
+        ]
+
+    async def _follow(self, name: str) -> None:
+        """Hold the link to one scheduler, straight down."""
+        while name in self._schedulers():
+            key = (holdings.Role.SCHEDULER, name)
+            member = self._members.sightings[key].member
+            try:
+                async with self._dial_peer(
+                    address=member.peer_address
+                ) as channel:
+                    await self._exchange(member, channel)
+            except errors.LinkRefusedError:
+                self._dead.add(member.incarnation)
+            except errors.LinkError as exc:
+                _LOG.log(events.PEER_LOST, peer=name, reason=str(exc))
+            await anyio.sleep(REDIAL_PERIOD_S)
+        self._followed.discard(name)
+
+    async def _exchange(
+        self, member: holdings.MemberRow, channel: typing.Any
+    ) -> None:
+        await channel.send(messages.Hello(member=self._members.own))
+        hello = await _receive(channel)
+        if hello.member.incarnation != member.incarnation:
+            # It listens at the port of the process that the row names.
+            self._dead.add(member.incarnation)
+        _LOG.log(events.PEER_CONNECTED, peer=member.name)
+        session = Session(grantor=hello.member)
+        sequence = 0
+        while True:
+            sequence += 1
+            sent_s = anyio.current_time()
+            await channel.send(self._report(session, sequence, sent_s))
+            update = await _receive(channel)
+            if update.sequence != sequence:
+                raise errors.MessageError("an update answers another report")
+            self._adopt(session, update, sent_s)
+            if not session.answers:
+                await anyio.sleep(REPORT_PERIOD_S)
+
+    def _report(
+        self, session: Session, sequence: int, now_s: float
+    ) -> messages.SlotReport:
+        report = messages.SlotReport(
+            sequence=sequence,
+            answers=session.answers,
+            is_draining=self.is_draining,
+        )
+        for answer in session.answers:
+            rack = self.racks[answer.rack]
+            if rack.epoch == answer.epoch:
+                # From here on the grantor counts this term.
+                rack.limit(until_s=now_s + terms.SLOT_TERM_S)
+        session.answers = []
+        for target in self.targets.values():
+            if target.rack.name not in session.racks:
+                continue
+            holding = target.holding()
+            before = session.reported.get(target.id)
+            if before is None or before.slots != holding.slots:
+                report.holdings.append(holding)
+                session.reported[target.id] = holding
+        report.demand = self._demand(session)
+        return report
+
+    def _demand(self, session: Session) -> dict[str, float]:
+        """Return the demands that changed, and remember all."""
+        found: dict[str, float] = {}
+        for target in self.targets.values():
+            name = f"{target.grant.team}/{target.grant.service}"
+            found[name] = found.get(name, 0.0) + target.in_flight
+        changed = {}
+        for name, in_flight in found.items():
+            service = self._get_service(*name.split("/", 1))
+            before = session.demand.get(name, 0.0)
+            demand = float(in_flight + service.waiting)
+            # A falling demand is told with delay, a rising one at once.
+            demand = max(demand, round(DEMAND_KEPT * before, 1))
+            if demand != before:
+                changed[name] = session.demand[name] = demand
+        return changed
+
+    def _adopt(
+        self, session: Session, update: messages.SlotUpdate, sent_s: float
+    ) -> None:
+        for name in update.withdrawn:
+            session.racks.discard(name)
+            rack = self.racks.get(name)
+            if rack is not None and rack.is_of(session.grantor):
+                rack.keep()
+        for name in session.racks:
+            rack = self.racks[name]
+            if rack.is_of(session.grantor):
+                rack.renew(sent_s=sent_s, horizon_s=update.horizon_s)
+        for claim in update.claims:
+            self._answer_claim(session, claim)
+        for grant in update.granted:
+            rack = self.racks.get(grant.rack)
+            if rack is None or not rack.is_of(session.grantor):
+                continue
+            if rack.epoch == grant.epoch:
+                self._take_grant(rack, grant)
+
+    def _answer_claim(self, session: Session, claim: grants.RackClaim) -> None:
+        rack = self.racks.get(claim.rack)
+        if rack is None:
+            rack = self.racks[claim.rack] = held_racks.HeldRack(
+                name=claim.rack
+            )
+        if rack.epoch <= claim.epoch:
+            rack.epoch = claim.epoch
+            rack.grantor = session.grantor
+            session.racks.add(claim.rack)
+            self._forget_reported(session, claim.rack)
+        session.answers.append(
+            grants.RackClaim(rack=claim.rack, epoch=rack.epoch)
+        )
+
+    def _forget_reported(self, session: Session, rack: str) -> None:
+        for target in self.targets.values():
+            if target.rack.name == rack:
+                session.reported.pop(target.id, None)
+
+    def _take_grant(
+        self, rack: held_racks.HeldRack, grant: grants.SlotGrant
+    ) -> None:
+        target = self.targets.get(grant.target)
+        service = self._get_service(grant.team, grant.service)
+        if target is None:
+            if grant.leaving:
+                return
+            target = self._add_target(rack, grant)
+            service.targets[grant.target] = target
+        target.grant = grant
+        service.wake()
+
+    def _add_target(
+        self, rack: held_racks.HeldRack, grant: grants.SlotGrant
+    ) -> targets.Target:
+        inner = self._dial_target(
+            address=grant.address, connections=MAX_CONNECTIONS
+        )
+        target = targets.Target(
+            grant=grant, grantor=rack.grantor.name, link=inner
+        )
+        target.rack = rack
+        target.link = slotted_links.SlottedLink(
+            inner=inner,
+            target=target,
+            group=self._group,
+            on_late_answer=self._on_late_answer,
+        )
+        self.targets[grant.target] = target
+        return target
+
+    async def _review_forever(self) -> None:
+        while True:
+            await anyio.sleep(REVIEW_PERIOD_S)
+            now_s = anyio.current_time()
+            for rack in self.racks.values():
+                self._review_rack(rack, now_s)
+            for target in list(self.targets.values()):
+                await self._review_target(target, now_s)
+
+    def _review_rack(self, rack: held_racks.HeldRack, now_s: float) -> None:
+        if rack.grantor is None or rack.is_kept:
+            return
+        if rack.usable_until_s - now_s > ENQUIRY_S:
+            return
+        if rack.grantor.incarnation in self._dead:
+            rack.keep()
+        elif self._is_term_ended(rack):
+            rack.keep()
+        elif rack.name not in self._enquiring and rack.is_usable(now_s=now_s):
+            self._enquiring.add(rack.name)
+            self._group.start_soon(self._enquire, rack)
+
+    def _is_term_ended(self, rack: held_racks.HeldRack) -> bool:
+        """Tell whether the table showed that the grantor's term ended.
+
+        It must have been read after the grantor's last word, or the
+        grantor may have held its term from then on without a break.
+        """
+        if not self._members.watched_since(rack.renewed_s):
+            return False
+        key = (holdings.Role.SCHEDULER, rack.grantor.name)
+        sighting = self._members.sightings.get(key)
+        if sighting is None:
+            return False
+        if sighting.member.incarnation != rack.grantor.incarnation:
+            # Another process at the same port proves that one dead.
+            address = rack.grantor.peer_address
+            return sighting.member.peer_address == address
+        if sighting.member.state == holdings.HostState.GONE:
+            return True
+        return sighting.is_lapsed(now_s=self._members.watched_at_s)
+
+    async def _enquire(self, rack: held_racks.HeldRack) -> None:
+        """Ask the table whether the grantor still holds the rack."""
+        grantor = rack.grantor
+        epoch = rack.epoch
+        key = keys.rack(self._members.own.zone, rack.name)
+        try:
+            row = await self._platform.read(key)
+            if row is not None:
+                found = rows.from_value(row.value, holdings.RackHolding)
+                is_same = found.incarnation == grantor.incarnation
+                is_ours = rack.epoch == epoch and rack.is_of(grantor)
+                if is_ours and not (is_same and found.epoch == epoch):
+                    rack.keep()
+        except errors.PlatformError:
+            pass
+        await anyio.sleep(REPORT_PERIOD_S)
+        self._enquiring.discard(rack.name)
+
+    async def _review_target(
+        self, target: targets.Target, now_s: float
+    ) -> None:
+        service = self._get_service(target.grant.team, target.grant.service)
+        if target.grant.slots and not target.rack.is_usable(now_s=now_s):
+            target.grant.slots = 0
+            _LOG.log(events.SLOTS_LET_GO, target=target.id)
+        if target.end_quarantines(now_s=now_s):
+            service.wake()
+        if target.grant.leaving and not target.in_flight:
+            del self.targets[target.id]
+            service.targets.pop(target.id, None)
+            await target.link.aclose()
+            _LOG.log(events.TARGET_LEFT, target=target.id)
+
+
+async def _receive(channel: typing.Any) -> typing.Any:
+    try:
+        with anyio.fail_after(ANSWER_TIMEOUT_S):
+            return await channel.receive()
+    except TimeoutError as exc:
+        raise errors.LinkClosedError("no answer in time") from exc
--- /dev/null
+++ b/wisteriawood/machines/slotted_links.py
@@ -0,0 +1,104 @@
+"""Links to targets that keep watch over requests whose caller has left."""
+
+import dataclasses
+import typing
+
+import anyio
+from anyio import abc
+
+from wisteriawood.contracts import requests
+from wisteriawood.contracts import terms
+from wisteriawood import errors
+from wisteriawood.links import targets as target_links
+from wisteriawood.machines import targets
+
+OnLateAnswer = typing.Callable[[requests.Request, requests.Answer], None]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Call:
+    """One request on its way.
+
+    Attributes:
+        request: The request.
+        answer: The target's answer, once it is here.
+        error: Why there is no answer.
+        is_left: Whether nobody waits for it any more.
+        done: Set once the call has an end.
+    """
+
+    request: requests.Request
+    answer: requests.Answer | None = None
+    error: errors.RequestError | None = None
+    is_left: bool = False
+    done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+
+class SlottedLink:
+    """A link that listens for the target's word beyond the deadline.
+
+    A target may go on with a request whose caller no longer waits. Its
+    slot is free once it answers, however late.
+
+    Args:
+        inner: The link that carries requests.
+        target: The target whose slots the requests fill.
+        group: Runs the calls.
+        on_late_answer: Takes an answer whose caller has left.
+    """
+
+    __slots__ = ("_group", "_inner", "_on_late_answer", "_target")
+
+    def __init__(
+        self,
+        *,
+        inner: target_links.TargetLink,
+        target: targets.Target,
+        group: abc.TaskGroup,
+        on_late_answer: OnLateAnswer,
+    ):
+        self._inner = inner
+        self._target = target
+        self._group = group
+        self._on_late_answer = on_late_answer
+
+    async def send(
+        self, request: requests.Request, *, timeout_s: float
+    ) -> requests.Answer:
+        """Run a request and return its whole answer."""
+        copy = dataclasses.replace(
+            request, send_by_s=self._target.usable_until_s()
+        )
+        call = Call(request=copy)
+        self._group.start_soon(self._run, call)
+        try:
+            with anyio.move_on_after(timeout_s):
+                await call.done.wait()
+        finally:
+            if not call.done.is_set():
+                call.is_left = True
+                self._target.late += 1
+        if call.answer is not None:
+            return call.answer
+        raise call.error or errors.RequestUnknownError(
+            reason="the target did not answer in time"
+        )
+
+    async def _run(self, call: Call) -> None:
+        try:
+            call.answer = await self._inner.send(
+                call.request, timeout_s=terms.HORIZON_S
+            )
+        except errors.RequestError as exc:
+            call.error = exc
+        call.done.set()
+        if not call.is_left:
+            return
+        is_done = not isinstance(call.error, errors.RequestUnknownError)
+        self._target.end_late(is_done=is_done)
+        if call.answer is not None:
+            self._on_late_answer(call.request, call.answer)
+
+    async def aclose(self) -> None:
+        """Close the link."""
+        await self._inner.aclose()
--- a/wisteriawood/machines/targets.py
+++ b/wisteriawood/machines/targets.py
@@ -1,10 +1,13 @@
 """Targets, as entry hosts and as schedulers see them."""
 
-import dataclasses
 import heapq
+import math
+
+import anyio
 
 from wisteriawood.contracts import grants
 from wisteriawood.links import targets
+from wisteriawood.machines import held_racks
 
 
 class Target:
@@ -18,13 +21,16 @@
 
     __slots__ = (
         "_quarantined_until_s",
+        "_settled",
         "address",
         "grant",
         "grantor",
         "id",
         "in_flight",
+        "late",
         "latency_s",
         "link",
+        "rack",
     )
 
     def __init__(
@@ -41,11 +47,20 @@
         self.link = link
         self.in_flight = 0
         self.latency_s = 0.0
+        self.late = 0
+        self.rack: held_racks.HeldRack | None = None
         self._quarantined_until_s: list[float] = []
+        self._settled = 0
+
+    def usable_until_s(self) -> float:
+        """Return the monotonic time until which slots may be filled."""
+        return math.inf if self.rack is None else self.rack.usable_until_s
 
     def has_free_slot(self) -> bool:
         """Tell whether one more request may be sent to it."""
-        return not self.grant.leaving and self.in_flight < self.grant.slots
+        if self.grant.leaving or self.in_flight >= self.grant.slots:
+            return False
+        return anyio.current_time() < self.usable_until_s()
 
     def take(self) -> None:
         """Take a slot for one request that is about to be sent."""
@@ -60,14 +75,33 @@
             until_s: Monotonic time at which the slot is free at the
                 latest: the deadline of the request.
         """
-        if is_done:
+        if is_done or self._settled:
+            self._settled -= not is_done
             self.in_flight -= 1
             return
         heapq.heappush(self._quarantined_until_s, until_s)
 
+    def end_late(self, *, is_done: bool) -> None:
+        """Record the end of a call whose caller had left.
+
+        Args:
+            is_done: Whether the target answered or refused it; else the
+                slot stays taken until the deadline.
+        """
+        self.late -= 1
+        if not is_done:
+            return
+        if not self._quarantined_until_s:
+            self._settled += 1
+            return
+        heapq.heappop(self._quarantined_until_s)
+        self.in_flight -= 1
+
     def end_quarantines(self, *, now_s: float) -> int:
         """Free the slots whose requests must have ended.
 
+        A target that still works on some gets no others in their place.
+
         Args:
             now_s: Monotonic time in seconds.
 
@@ -75,7 +109,7 @@
             The number of slots freed.
         """
         freed = 0
-        while self._quarantined_until_s:
+        while len(self._quarantined_until_s) > self.late:
             if self._quarantined_until_s[0] > now_s:
                 break
             heapq.heappop(self._quarantined_until_s)
@@ -83,38 +117,19 @@
         self.in_flight -= freed
         return freed
 
-    def holding(self, *, wanted: int = 0) -> grants.SlotHolding:
-        """Return what this entry host says of its share.
-
-        Args:
-            wanted: Slots that it could use now.
-        """
+    def holding(self) -> grants.SlotHolding:
+        """Return what this entry host says of its share."""
+        is_usable = anyio.current_time() < self.usable_until_s()
+        slots = self.grant.slots if is_usable else 0
         return grants.SlotHolding(
             target=self.id,
-            slots=max(self.grant.slots, self.in_flight),
+            slots=max(slots, self.in_flight),
             in_flight=self.in_flight,
-            wanted=wanted,
+            rack=self.grant.rack,
             epoch=self.grant.epoch,
         )
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Share:
-    """Slots of one target that one entry host holds.
-
-    Attributes:
-        granted: Slots in the newest grant.
-        held: Slots that the entry host last said it holds.
-    """
-
-    granted: int = 0
-    held: int = 0
-
-    def counted(self) -> int:
-        """Return the slots that count as taken."""
-        return max(self.granted, self.held)
-
-
 class TargetSlots:
     """A target as the scheduler that grants its slots sees it.
 
@@ -124,6 +139,8 @@
         team: Team that owns the service.
         service: Service that it runs.
         slots: Requests that it serves at once.
+        since_epoch: Epoch of the rack holding under which it was started;
+            0 if it may be older.
     """
 
     __slots__ = (
@@ -131,55 +148,25 @@
         "id",
         "leaving",
         "service",
-        "shares",
+        "since_epoch",
         "slots",
         "team",
     )
 
     def __init__(
-        self, *, id: str, address: str, team: str, service: str, slots: int
+        self,
+        *,
+        id: str,
+        address: str,
+        team: str,
+        service: str,
+        slots: int,
+        since_epoch: int = 0,
     ):
         self.id = id
         self.address = address
         self.team = team
         self.service = service
         self.slots = slots
+        self.since_epoch = since_epoch
         self.leaving = False
-        self.shares: dict[str, Share] = {}
-
-    def report(
-        self, *, entry: str, holding: grants.SlotHolding | None
-    ) -> None:
-        """Record what an entry host says that it holds.
-
-        Args:
-            entry: Name of the entry host.
-            holding: Its share; None if it knows of none.
-        """
-        share = self.shares.setdefault(entry, Share())
-        share.held = holding.slots if holding else 0
-
-    def grant(self, *, entry: str, epoch: int) -> grants.SlotGrant:
-        """Return the grant for an entry host, never above what is free.
-
-        Args:
-            entry: Name of the entry host.
-            epoch: Epoch of the rack holding.
-        """
-        share = self.shares.setdefault(entry, Share())
-        others = sum(
-            other.counted()
-            for name, other in self.shares.items()
-            if name != entry
-        )
-        fair = -(-self.slots // len(self.shares))
-        share.granted = max(0, min(fair, self.slots - others))
-        return grants.SlotGrant(
-            target=self.id,
-            address=self.address,
-            team=self.team,
-            service=self.service,
-            slots=share.granted,
-            epoch=epoch,
-            leaving=self.leaving,
-        )
--- a/wisteriawood/standins/worlds.py
+++ b/wisteriawood/standins/worlds.py
@@ -17,6 +17,7 @@
 from wisteriawood import errors
 from wisteriawood.links import channels
 from wisteriawood.links import platforms as platform_links
+from wisteriawood.links import targets as target_links
 from wisteriawood.machines import entry_hosts
 from wisteriawood.machines import schedulers
 from wisteriawood.standins import platforms
@@ -181,6 +182,8 @@
         self, request: requests.Request, *, timeout_s: float
     ) -> requests.Answer:
         """Run a request and return its whole answer."""
+        if anyio.current_time() >= request.send_by_s:
+            raise errors.RequestNotRunError(reason=target_links.TOO_LATE)
         replies: list[targets.Reply] = []
         done = anyio.Event()
 
--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -137,3 +137,15 @@
     "A peer sent a message of a type that this version does not know.",
     "Run the same version on all entry hosts.",
 )
+SLOTS_TAKEN_BACK = define(
+    1610,
+    "slots-taken-back",
+    "A scheduler took back the slots of a silent entry host.",
+    "Check the entry host and its link to the scheduler.",
+)
+SLOTS_LET_GO = define(
+    1611,
+    "slots-let-go",
+    "An entry host stopped filling slots that nobody renewed.",
+    "Check the zone's schedulers and the platform.",
+)
--- a/wisteriawood/zones/membership.py
+++ b/wisteriawood/zones/membership.py
@@ -1,6 +1,7 @@
 """Membership: own member row, and the rows of the other daemons."""
 
 import dataclasses
+import math
 import typing
 
 import anyio
@@ -59,6 +60,7 @@
         "sightings",
         "superseded",
         "term",
+        "watched_at_s",
     )
 
     def __init__(
@@ -70,6 +72,7 @@
         self.own = own
         self.term = terms.Term(duration_s=terms.PLACEMENT_TERM_S)
         self.sightings: dict[tuple[holdings.Role, str], Sighting] = {}
+        self.watched_at_s = -math.inf
         self.changed = anyio.Event()
         self.superseded = anyio.Event()
 
@@ -77,6 +80,14 @@
         """Tell whether the own term holds now."""
         return self.term.is_held(now_s=anyio.current_time())
 
+    def watched_since(self, time_s: float) -> bool:
+        """Tell whether a read of all members left after a time.
+
+        Args:
+            time_s: Monotonic time in seconds.
+        """
+        return self.watched_at_s > time_s
+
     def live(
         self, role: holdings.Role, *, zone: str = ""
     ) -> list[holdings.MemberRow]:
@@ -150,7 +161,9 @@
             _LOG.log(events.TERM_LOST, reason="superseded")
             return
         self._version = result.version
-        self.term.confirm(sent_at_s=sent_at_s)
+        self.term.confirm(
+            sent_at_s=sent_at_s, confirmed_at_s=anyio.current_time()
+        )
 
     async def watch(self) -> None:
         """Read the rows of all members once.
@@ -158,7 +171,9 @@
         Raises:
             PlatformError: They could not be read.
         """
+        sent_at_s = anyio.current_time()
         found = await platforms.scan_all(self._platform, keys.members())
+        self.watched_at_s = sent_at_s
         now_s = anyio.current_time()
         seen = set()
         for row in found:
