--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -168,3 +168,15 @@
     1511, "task-throttled", "A job beside slowed services was limited."
 )
 ROOM_MADE = define(1512, "room-made", "A job was ordered to leave its worker.")
+SLOTS_TAKEN_BACK = define(
+    1610,
+    "slots-taken-back",
+    "A scheduler took back the slots of a silent entry host.",
+    "Check the entry host and its link to the scheduler.",
+)
+SLOTS_LET_GO = define(
+    1611,
+    "slots-let-go",
+    "An entry host stopped filling slots that nobody renewed.",
+    "Check the zone's schedulers and the platform.",
+)
--- a/wisteriawood/tests/callers_tests.py
+++ b/wisteriawood/tests/callers_tests.py
@@ -24,7 +24,7 @@
 
 def _call(method="POST", path=PATH, *, serve=_echo, **options):
     async def _main():
-        transport = httpx.ASGITransport(app=
+        transport = httpx.ASGITransport(
             app=callers.make_app(
                 serve=serve, find_service=lambda team, service: None
             )
