--- a/wisteriawood/machines/attempts.py
+++ b/wisteriawood/machines/attempts.py
@@ -24,8 +24,6 @@
 # Time for which a service instance that is to leave may end its requests.
 SERVICE_DRAIN_S = 5.0
 MAX_REFUSALS = 3
-MAX_FAILURES = 6
-MAX_FAILED_WORKERS = 3
 
 _LOG = events.Logger(name=__name__)
 _RUNNING = worker_links.AttemptState.RUNNING
@@ -166,7 +164,9 @@
             # A start command may still be on its way.
             return
         reason = placement.eviction or "its worker no longer runs it"
-        vacate(self._scheduler, self._rack, self._worker, placement, reason)
+        transitions.vacate(
+            self._scheduler, self._rack, self._worker, placement, reason
+        )
 
     async def _start(self, placement: workers.Placement) -> None:
         term_ends_s = self._scheduler.membership.term.ends_at_s()
@@ -271,12 +271,12 @@
         if report.state == worker_links.AttemptState.FINISHED:
             transitions.end(*where, state=tasks.TaskState.FINISHED, reason="")
         elif report.state == worker_links.AttemptState.FAILED:
-            fail(*where, report.reason)
+            transitions.fail(*where, report.reason)
         else:
             reason = placement.task.reason
             if placement.task.state != tasks.TaskState.STOPPING:
                 reason = "its lease lapsed, or another stopped it"
-            vacate(*where, reason)
+            transitions.vacate(*where, reason)
 
 
 def _see_target(
@@ -297,70 +297,6 @@
     _LOG.log(events.TARGET_ADDED, target=target_id)
 
 
-def vacate(
-    scheduler: "schedulers.Scheduler",
-    rack: racks.Rack,
-    worker: workers.Worker,
-    placement: workers.Placement,
-    reason: str,
-) -> None:
-    """Take a task whose attempt is proved stopped from its worker.
-
-    Args:
-        scheduler: The scheduler that holds the rack.
-        rack: The rack.
-        worker: The worker.
-        placement: The task on it.
-        reason: Why, for the operator.
-    """
-    where = (scheduler, rack, worker, placement)
-    if placement.is_cancelled:
-        transitions.end(
-            *where, state=tasks.TaskState.CANCELLED, reason="cancelled"
-        )
-        return
-    transitions.requeue(*where, state=tasks.TaskState.EVICTED, reason=reason)
-
-
-def fail(
-    scheduler: "schedulers.Scheduler",
-    rack: racks.Rack,
-    worker: workers.Worker,
-    placement: workers.Placement,
-    reason: str,
-) -> None:
-    """Try a failed task elsewhere, or end it once it has failed enough.
-
-    Args:
-        scheduler: The scheduler that holds the rack.
-        rack: The rack.
-        worker: The worker.
-        placement: The task on it.
-        reason: Why the attempt failed.
-    """
-    where = (scheduler, rack, worker, placement)
-    failures = [*placement.task.failures, worker.name]
-    if placement.is_cancelled:
-        vacate(*where, reason)
-    elif (
-        len(failures) >= MAX_FAILURES
-        or len(set(failures)) >= MAX_FAILED_WORKERS
-    ):
-        transitions.end(
-            *where,
-            state=tasks.TaskState.FAILED,
-            failures=failures,
-            reason=f"failed on {', '.join(sorted(set(failures)))}: {reason}",
-        )
-    else:
-        transitions.requeue(
-            *where,
-            state=tasks.TaskState.PENDING,
-            failures=failures,
-            reason=f"failed on {worker.name}: {reason}",
-        )
-
-
 async def serve(
     scheduler: "schedulers.Scheduler",
     rack: racks.Rack,
@@ -418,4 +354,4 @@
             worker, placement
         ):
             reason = "its worker does not answer and its lease lapsed"
-            vacate(scheduler, rack, worker, placement, reason)
+            transitions.vacate(scheduler, rack, worker, placement, reason)
--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -1,6 +1,5 @@
 """The entry host: takes callers' requests and routes them to targets."""
 
-import math
 import random
 import typing
 
@@ -15,6 +14,7 @@
 from wisteriawood.links import peers
 from wisteriawood.links import platforms
 from wisteriawood.links import targets as target_links
+from wisteriawood.machines import dispatchers
 from wisteriawood.machines import services
 from wisteriawood.machines import targets
 from wisteriawood.policies import registry
@@ -24,9 +24,11 @@
 from wisteriawood.telemetry import metrics
 from wisteriawood.telemetry import spans
 from wisteriawood.zones import membership
+from wisteriawood.zones import peering
 
 REPORT_PERIOD_S = 0.5
 REDIAL_PERIOD_S = 0.5
+QUARANTINE_PERIOD_S = 0.1
 
 _LOG = events.Logger(name=__name__)
 
@@ -43,11 +45,13 @@
         dial_peer: Opens the channel to the peer at an address.
         dial_target: Opens the link to the target at an address.
         policy: Name of the routing policy.
+        peer_addresses: Further peers to dial, as host:port.
     """
 
     __slots__ = (
         "_dial_peer",
         "_dial_target",
+        "_dispatcher",
         "_followed",
         "_group",
         "_policy",
@@ -55,6 +59,7 @@
         "counters",
         "is_draining",
         "membership",
+        "peering",
         "services",
         "stopped",
         "stopping",
@@ -73,9 +78,16 @@
         dial_peer=peers.connect,
         dial_target=target_links.HttpTarget,
         policy: str = base.DEFAULT,
+        peer_addresses: typing.Sequence[str] = (),
     ):
         registry.load_modules(routing)
         self.membership = membership.Membership(platform=platform, own=member)
+        self.peering = peering.Peering(
+            members=self.membership,
+            machine=self,
+            dial_peer=dial_peer,
+            addresses=peer_addresses,
+        )
         self.counters = counters
         self.tracer = tracer
         self.services: dict[tuple[str, str], services.Service] = {}
@@ -85,6 +97,9 @@
         self.stopped = anyio.Event()
         self._dial_peer = dial_peer
         self._dial_target = dial_target
+        self._dispatcher = dispatchers.Dispatcher(
+            services=self.services, tracer=tracer
+        )
         self._followed: set[str] = set()
         self._group: abc.TaskGroup | None = None
         self._policy = policy
@@ -103,13 +118,24 @@
         async with anyio.create_task_group() as group:
             self._group = group
             group.start_soon(self.membership.run)
+            group.start_soon(self.peering.run)
             group.start_soon(self._follow_members)
+            group.start_soon(self._end_quarantines)
             await self.stopping.wait()
             while any(target.in_flight for target in self.targets.values()):
                 await anyio.sleep(REDIAL_PERIOD_S / 10)
             group.cancel_scope.cancel()
         self.stopped.set()
 
+    async def _end_quarantines(self) -> None:
+        while True:
+            await anyio.sleep(QUARANTINE_PERIOD_S)
+            now_s = anyio.current_time()
+            for target in self.targets.values():
+                if target.end_quarantines(now_s=now_s):
+                    grant = target.grant
+                    self._service(grant.team, grant.service).wake()
+
     async def _follow_members(self) -> None:
         own = self.membership.own
         while True:
@@ -214,7 +240,7 @@
                 "entry", traceparent=request.traceparent, id=request.id
             ) as traceparent:
                 request.traceparent = traceparent
-                answer = await self._route(request)
+                answer = await self._dispatcher.dispatch(request)
         except errors.RequestError as exc:
             outcome = (
                 requests.Outcome.NOT_RUN
@@ -237,31 +263,6 @@
         label = team if known else "unknown"
         self.counters.requests.labels(label, outcome).inc()
 
-    async def _route(self, request: requests.Request) -> requests.Answer:
-        service = self.services.get((request.team, request.service))
-        if service is None:
-            raise errors.RequestNotRunError(
-                reason=f"team {request.team!r} has no service "
-                f"{request.service!r} here",
-                status=404,
-            )
-        target = await service.acquire(request)
-        sent_s = anyio.current_time()
-        latency_s = math.nan
-        try:
-            with self.tracer.span(
-                "target", traceparent=request.traceparent, target=target.id
-            ) as traceparent:
-                request.traceparent = traceparent
-                answer = await target.link.send(
-                    request, timeout_s=max(0.001, request.deadline_s - sent_s)
-                )
-            latency_s = anyio.current_time() - sent_s
-        finally:
-            service.release(target, latency_s=latency_s)
-        answer.target = target.id
-        return answer
-
     def status(self) -> dict[str, typing.Any]:
         """Return what operators see of this entry host."""
         return {
--- a/wisteriawood/machines/leases.py
+++ b/wisteriawood/machines/leases.py
@@ -22,9 +22,9 @@
 ) -> None:
     """Renew leases in place, in one command.
 
-    With authority they get the short lease. Without, they are extended to
-    the horizon, counted from the end of the last term in which the rack
-    was surely held: no later, since a successor waits just as long.
+    With authority they get the short lease. Without, they get one up to
+    the horizon after the last term in which the rack was surely held: no
+    longer, since a successor waits just as long.
 
     Args:
         scheduler: The scheduler that holds the rack.
@@ -44,32 +44,41 @@
         lease_s = terms.LEASE_S
     if not running or lease_s <= 0:
         return
-    # Until it is answered, count with the longest that it may give.
-    before = (worker.unacked_not_after_s, worker.unacked_ends_s)
-    worker.unacked_not_after_s = max(before[0], not_after_s)
-    worker.unacked_ends_s = max(before[1], not_after_s + lease_s)
+    before = worker.count_unacked(not_after_s, not_after_s + lease_s)
     await worker.link.renew(
         worker_links.RenewCommand(
-            attempts={
-                placement.task.spec.id: placement.task.attempt
-                for placement in running
-            },
+            attempts={p.task.spec.id: p.task.attempt for p in running},
             lease_s=lease_s,
             not_after_s=not_after_s + worker.to_worker_s,
         )
     )
-    ends_s = anyio.current_time() + lease_s
     worker.unacked_not_after_s, worker.unacked_ends_s = before
+    _take_in(
+        rack,
+        worker,
+        running,
+        sent_at_s=sent_at_s,
+        ends_at_s=anyio.current_time() + lease_s,
+    )
+
+
+def _take_in(
+    rack: racks.Rack,
+    worker: workers.Worker,
+    running: list[workers.Placement],
+    *,
+    sent_at_s: float,
+    ends_at_s: float,
+) -> None:
     if sent_at_s > worker.unacked_not_after_s:
         # No earlier one is under way any more, and this one overrode it.
         worker.unacked_ends_s = 0.0
     for placement in running:
         if placement.is_adopted and sent_at_s <= rack.rival_until_s:
             # The former holder may renew it again after us.
-            ends_s_here = max(ends_s, placement.lease_ends_s)
+            placement.lease_ends_s = max(ends_at_s, placement.lease_ends_s)
         else:
-            ends_s_here = ends_s
-        placement.lease_ends_s = ends_s_here
+            placement.lease_ends_s = ends_at_s
 
 
 def is_lapsed(worker: workers.Worker, placement: workers.Placement) -> bool:
--- a/wisteriawood/machines/transitions.py
+++ b/wisteriawood/machines/transitions.py
@@ -20,6 +20,9 @@
 if typing.TYPE_CHECKING:
     from wisteriawood.machines import schedulers
 
+MAX_FAILURES = 6
+MAX_FAILED_WORKERS = 3
+
 _LOG = events.Logger(name=__name__)
 
 
@@ -187,6 +190,68 @@
     _submit(scheduler, rack, worker, placement, writes)
 
 
+def vacate(
+    scheduler: "schedulers.Scheduler",
+    rack: racks.Rack,
+    worker: workers.Worker,
+    placement: workers.Placement,
+    reason: str,
+) -> None:
+    """Take a task whose attempt is proved stopped from its worker.
+
+    Args:
+        scheduler: The scheduler that holds the rack.
+        rack: The rack.
+        worker: The worker.
+        placement: The task on it.
+        reason: Why, for the operator.
+    """
+    where = (scheduler, rack, worker, placement)
+    if placement.is_cancelled:
+        end(*where, state=tasks.TaskState.CANCELLED, reason="cancelled")
+        return
+    requeue(*where, state=tasks.TaskState.EVICTED, reason=reason)
+
+
+def fail(
+    scheduler: "schedulers.Scheduler",
+    rack: racks.Rack,
+    worker: workers.Worker,
+    placement: workers.Placement,
+    reason: str,
+) -> None:
+    """Try a failed task elsewhere, or end it once it has failed enough.
+
+    Args:
+        scheduler: The scheduler that holds the rack.
+        rack: The rack.
+        worker: The worker.
+        placement: The task on it.
+        reason: Why the attempt failed.
+    """
+    where = (scheduler, rack, worker, placement)
+    failures = [*placement.task.failures, worker.name]
+    if placement.is_cancelled:
+        vacate(*where, reason)
+    elif (
+        len(failures) >= MAX_FAILURES
+        or len(set(failures)) >= MAX_FAILED_WORKERS
+    ):
+        end(
+            *where,
+            state=tasks.TaskState.FAILED,
+            failures=failures,
+            reason=f"failed on {', '.join(sorted(set(failures)))}: {reason}",
+        )
+    else:
+        requeue(
+            *where,
+            state=tasks.TaskState.PENDING,
+            failures=failures,
+            reason=f"failed on {worker.name}: {reason}",
+        )
+
+
 async def settle(
     scheduler: "schedulers.Scheduler",
     rack: racks.Rack,
--- a/wisteriawood/machines/workers.py
+++ b/wisteriawood/machines/workers.py
@@ -128,6 +128,24 @@
         self.free = self.free - placement.counted
         return True
 
+    def count_unacked(
+        self, not_after_s: float, ends_s: float
+    ) -> tuple[float, float]:
+        """Count a renewal with the longest lease that it may give.
+
+        Args:
+            not_after_s: Monotonic time after which it has no effect.
+            ends_s: Monotonic time at which its lease ends at the latest.
+
+        Returns:
+            The two bounds as they were before, to be put back once the
+            renewal is answered.
+        """
+        before = (self.unacked_not_after_s, self.unacked_ends_s)
+        self.unacked_not_after_s = max(before[0], not_after_s)
+        self.unacked_ends_s = max(before[1], ends_s)
+        return before
+
     def is_moved(self, address: str) -> bool:
         """Tell whether the worker is elsewhere now, with nothing left here.
 
--- a/wisteriawood/standins/workers.py
+++ b/wisteriawood/standins/workers.py
@@ -15,6 +15,7 @@
 from wisteriawood import errors
 from wisteriawood.links.codecs import rows
 from wisteriawood.links import workers
+from wisteriawood.standins import targets
 
 ENDED_KEPT = 1000
 
@@ -47,6 +48,8 @@
         stopped_s: Monotonic time of its end; 0 while it runs.
         resumed_from: Checkpoint that it resumed from.
         end: How it ended.
+        needs: Resources that it was given.
+        is_told: Whether a command stopped it, not its lease.
     """
 
     task: str
@@ -55,6 +58,8 @@
     stopped_s: float = 0.0
     resumed_from: str = ""
     end: str = ""
+    needs: resources.Resources = resources.NOTHING
+    is_told: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -161,6 +166,7 @@
                 attempt=command.attempt,
                 started_s=now_s,
                 resumed_from=command.checkpoint,
+                needs=command.spec.needs,
             ),
         )
         if command.checkpoint:
@@ -245,8 +251,16 @@
         await self._enter()
         found = self.attempts.get((task, attempt))
         if found and found.state == workers.AttemptState.RUNNING:
+            found.record.is_told = True
             self._end(found, workers.AttemptState.STOPPED)
 
+    def lose_all(self) -> None:
+        """End all attempts and forget them, as a new start does."""
+        for attempt in self.attempts.values():
+            if attempt.state == workers.AttemptState.RUNNING:
+                self._end(attempt, workers.AttemptState.STOPPED)
+        self.attempts.clear()
+
     async def inventory(self) -> workers.Inventory:
         """Return all attempts that the worker knows of."""
         await self._enter()
@@ -299,12 +313,19 @@
 
     Args:
         worker: The worker.
+        served: The targets that it serves and has served.
     """
 
-    __slots__ = ("worker",)
+    __slots__ = ("served", "worker")
 
-    def __init__(self, *, worker: StandinWorker):
+    def __init__(
+        self,
+        *,
+        worker: StandinWorker,
+        served: list[targets.StandinTarget],
+    ):
         self.worker = worker
+        self.served = served
 
     async def start(self, request: requests.Request) -> responses.Response:
         """Answer POST /start."""
@@ -364,6 +385,13 @@
             rows.to_json(self.worker.records), media_type="application/json"
         )
 
+    async def counts(self, _request: requests.Request) -> responses.Response:
+        """Answer GET /standin/counts: what its targets saw."""
+        return responses.Response(
+            rows.to_json([target.counts for target in self.served]),
+            media_type="application/json",
+        )
+
     async def faults(self, request: requests.Request) -> responses.Response:
         """Answer PUT /standin/faults: set the failure switches."""
         self.worker.faults = rows.from_json(await request.body(), WorkerFaults)
@@ -386,6 +414,7 @@
                 routing.Route("/inventory", self.inventory),
                 routing.Route("/usage", self.usage),
                 routing.Route("/standin/records", self.records),
+                routing.Route("/standin/counts", self.counts),
                 routing.Route("/standin/faults", self.faults, methods=["PUT"]),
             ],
             exception_handlers={
--- a/wisteriawood/standins/worlds.py
+++ b/wisteriawood/standins/worlds.py
@@ -104,20 +104,64 @@
 
     async def _guard(self, call, *args, **kwargs) -> typing.Any:
         await self._process.thawed.wait()
-        if self._world.is_dead(self._peer):
+        world = self._world
+        name = self._process.name
+        world.calls.append((name, self._peer, call.__name__))
+        if world.is_dead(self._peer):
             raise self._unsent("refused")
-        await anyio.sleep(self._world.delay_s(self._process.name, self._peer))
-        if self._world.is_cut(self._process.name, self._peer):
+        if world.is_cut(name, self._peer):
             await anyio.sleep(CALL_TIMEOUT_S)
             raise self._unknown("no answer")
+        if world.delay_s(name, self._peer):
+            call = functools.partial(self._deliver, call)
         result = await call(*args, **kwargs)
-        await anyio.sleep(self._world.delay_s(self._peer, self._process.name))
-        if self._world.is_cut(self._peer, self._process.name):
+        await anyio.sleep(world.delay_s(self._peer, name))
+        if world.is_cut(self._peer, name):
             await anyio.sleep(CALL_TIMEOUT_S)
             raise self._unknown("no answer")
         await self._process.thawed.wait()
         return result
 
+    async def _deliver(self, call, *args, **kwargs) -> typing.Any:
+        """Let a call arrive after its delay, though its caller be dead."""
+        delivery = Delivery(delay_s=self._delay_s())
+        self._world.start_soon(delivery.run, call, args, kwargs)
+        with anyio.move_on_after(CALL_TIMEOUT_S):
+            await delivery.done.wait()
+        if not delivery.done.is_set():
+            raise self._unknown("no answer")
+        if delivery.error is not None:
+            raise delivery.error
+        return delivery.result
+
+    def _delay_s(self) -> float:
+        return self._world.delay_s(self._process.name, self._peer)
+
+
+class Delivery:
+    """One call on its way.
+
+    Args:
+        delay_s: Time that it takes in seconds.
+    """
+
+    __slots__ = ("_delay_s", "done", "error", "result")
+
+    def __init__(self, *, delay_s: float):
+        self._delay_s = delay_s
+        self.done = anyio.Event()
+        self.error: Exception | None = None
+        self.result: typing.Any = None
+
+    async def run(self, call, args, kwargs) -> None:
+        """Carry the call out after its delay."""
+        await anyio.sleep(self._delay_s)
+        try:
+            self.result = await call(*args, **kwargs)
+        except errors.WisteriawoodError as exc:
+            self.error = exc
+        self.done.set()
+
 
 class GuardedChannel:
     """One end of a peer link, as the network lets it.
@@ -229,6 +273,7 @@
     __slots__ = (
         "_group",
         "_handlers",
+        "calls",
         "cuts",
         "delays_s",
         "entries",
@@ -244,6 +289,7 @@
         self._group = group
         self._handlers: dict[str, tuple[Process, typing.Any]] = {}
         self.seed = seed
+        self.calls: list[tuple[str, str, str]] = []
         self.cuts: set[tuple[str, str]] = set()
         self.delays_s: dict[tuple[str, str], float] = {}
         self.platform = platforms.MemoryPlatform()
@@ -253,6 +299,10 @@
         self.workers: dict[str, workers.StandinWorker] = {}
         self.targets: dict[str, targets.StandinTarget] = {}
 
+    def start_soon(self, function, *args) -> None:
+        """Run something that outlives the processes."""
+        self._group.start_soon(function, *args)
+
     def is_cut(self, sender: str, receiver: str) -> bool:
         """Tell whether messages from one to the other are lost."""
         return (sender, receiver) in self.cuts
@@ -283,10 +333,16 @@
             serve_target=self._serve_target,
         )
         self.workers[host.address] = worker
+        self.processes[host.address] = Process(name=host.address)
         self.platform.put_host(host)
         self._group.start_soon(worker.run)
         return worker
 
+    def kill_worker(self, address: str) -> None:
+        """End a worker and all that it runs."""
+        self.processes[address].kill()
+        self.workers[address].lose_all()
+
     async def _serve_target(self, attempt: workers.Attempt) -> None:
         address = f"{attempt.spec.id}.{attempt.number}:1"
         self.targets[address] = targets.StandinTarget(
@@ -410,8 +466,13 @@
         self._group.start_soon(self._run, process, scheduler)
         return scheduler
 
-    def add_entry(self, member: holdings.MemberRow) -> entry_hosts.EntryHost:
-        """Start an entry host."""
+    def add_entry(
+        self,
+        member: holdings.MemberRow,
+        *,
+        peer_addresses: typing.Sequence[str] = (),
+    ) -> entry_hosts.EntryHost:
+        """Start an entry host, with further peers to dial if given."""
         process = Process(name=f"entry/{member.name}")
         self.processes[process.name] = process
         entry = entry_hosts.EntryHost(
@@ -422,7 +483,9 @@
             rng=random.Random(self.seed),
             dial_peer=functools.partial(self._dial_peer, process),
             dial_target=functools.partial(self._dial_target, process),
+            peer_addresses=peer_addresses,
         )
         self.entries[member.name] = entry
+        self._handlers[member.peer_address] = (process, entry.peering.serve)
         self._group.start_soon(self._run, process, entry)
         return entry
--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -166,3 +166,9 @@
     "A worker refused a start command.",
     "Check the worker and its clock.",
 )
+PEER_MESSAGE_IGNORED = define(
+    1810,
+    "peer-message-ignored",
+    "A peer sent a message of a type that this version does not know.",
+    "Run the same version on all entry hosts.",
+)
