--- a/wisteriawood/standins/daemons.py
+++ b/wisteriawood/standins/daemons.py
@@ -12,6 +12,8 @@
 from wisteriawood.standins import targets
 from wisteriawood.standins import workers
 
+PORT_PERIOD_S = 0.02
+
 
 async def _serve_until_told(app: typing.Any, address: str) -> None:
     stopping = anyio.Event()
@@ -102,4 +104,8 @@
         group.start_soon(worker.run)
         app = workers.WorkerApp(worker=worker, served=served).make_app()
         await _serve_until_told(app, address)
+        for attempt in worker.attempts.values():
+            attempt.stop.set()
+        while len(free_ports) < len(target_ports):
+            await anyio.sleep(PORT_PERIOD_S)
         group.cancel_scope.cancel()
--- a/wisteriawood/standins/demos.py
+++ b/wisteriawood/standins/demos.py
@@ -10,6 +10,7 @@
 
 from wisteriawood.contracts import resources
 from wisteriawood.contracts import tasks
+from wisteriawood.links import configurations
 from wisteriawood.links import jobs
 from wisteriawood.standins import checks
 from wisteriawood.standins import clusters
@@ -22,6 +23,7 @@
 OUTAGE_AFTER_S = 12.0
 OUTAGE_S = 5.0
 JOBS_TIMEOUT_S = 15.0
+PROGRESS_PERIOD_S = 4.0
 CALLERS = 12
 JOBS_PER_ZONE = 8
 SERVICES_PER_ZONE = 2
@@ -45,6 +47,7 @@
     __slots__ = (
         "_cluster",
         "_load",
+        "_reruns",
         "_say",
         "_seed",
         "_service",
@@ -72,6 +75,7 @@
         self._cluster = clusters.LocalCluster(folder=folder, zones=zones)
         self._load: loads.Load | None = None
         self._specs: dict[str, tasks.TaskSpec] = {}
+        self._reruns = 0
         self._started_s = 0.0
 
     def _progress(self, text: str) -> None:
@@ -91,6 +95,7 @@
     async def _run(self) -> list[checks.Verdict]:
         self._progress("starting the platform, workers and entry hosts")
         await self._cluster.start()
+        await self._configure()
         for zone in self._zones:
             await self._submit(zone, self._make_services(zone))
         for name in self._cluster.pairs:
@@ -111,8 +116,31 @@
             group.start_soon(self._break_things)
         return await self._finish()
 
+    async def _configure(self) -> None:
+        document = {
+            "teams": {
+                self._team: {
+                    "services": {self._service: {"deadline_ms": 5000}}
+                }
+            },
+        }
+        platform = self._cluster.platform()
+        await configurations.apply(platform, document, base=0, author="demo")
+        await platform.aclose()
+        self._progress("version 1 of the configuration is committed")
+
     async def _send(self) -> None:
-        await self._load.run(callers_at_once=CALLERS, seconds=LOAD_S)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._show_progress)
+            await self._load.run(callers_at_once=CALLERS, seconds=LOAD_S)
+            group.cancel_scope.cancel()
+
+    async def _show_progress(self) -> None:
+        while True:
+            await anyio.sleep(PROGRESS_PERIOD_S)
+            outcomes = self._load.outcomes()
+            parts = [f"{n} {name}" for name, n in sorted(outcomes.items())]
+            self._progress(f"requests: {', '.join(parts)}")
 
     async def _break_things(self) -> None:
         await anyio.sleep(KILL_AFTER_S)
@@ -187,6 +215,8 @@
                 await cluster.get(f"{base}/records"),
                 list[workers.RunRecord],
             )
+        attempts = sum(len(found) for found in records.values())
+        self._reruns = attempts - len(self._specs)
         seen = self._load.seen
         capacity = resources.Resources(
             cores=clusters.WORKER_CORES,
@@ -207,7 +237,6 @@
         self, batch: list[tasks.Task], verdicts: list[checks.Verdict]
     ) -> None:
         p50_ms, p99_ms = self._load.quantiles_ms(0.5, 0.99)
-        evictions = sum(max(0, task.attempt - 1) for task in batch)
         done = sum(t.state == tasks.TaskState.FINISHED for t in batch)
         self._say("")
         for outcome, number in sorted(self._load.outcomes().items()):
@@ -215,7 +244,7 @@
         self._say(f"{'latency of those that ran, p50':<56}{p50_ms:>5.1f} ms")
         self._say(f"{'latency of those that ran, p99':<56}{p99_ms:>5.1f} ms")
         self._say(f"{'batch jobs finished':<56}{done:>5} of {len(batch)}")
-        self._say(f"{'further attempts of batch jobs':<56}{evictions:>8}")
+        self._say(f"{'evictions and lapsed leases':<56}{self._reruns:>8}")
         self._say("")
         for verdict in verdicts:
             text = "holds" if verdict.holds() else "BROKEN"
