--- a/wisteriawood/standins/clusters.py
+++ b/wisteriawood/standins/clusters.py
@@ -46,7 +46,7 @@
 
     Args:
         name: Name of the process.
-        arguments: Arguments of the command line.
+        arguments: Arguments of the interpreter.
         log: File for what it prints.
     """
 
@@ -62,7 +62,7 @@
         """Start the process."""
         with self.log.open("ab") as output:
             self.process = await anyio.open_process(
-                [sys.executable, "-m", "wisteriawood", *self.arguments],
+                [sys.executable, *self.arguments],
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
@@ -189,12 +189,28 @@
     async def _start(self, name: str, arguments: list[str]) -> None:
         daemon = Daemon(
             name=name,
-            arguments=arguments,
+            arguments=["-m", "wisteriawood", *arguments],
             log=self.folder / f"{name.replace('/', '-')}.out",
         )
         self.daemons[name] = daemon
         await daemon.start()
 
+    async def start_python(self, name: str, code: str) -> Daemon:
+        """Start a process that runs a line of Python.
+
+        Args:
+            name: Name of the process.
+            code: The line.
+        """
+        daemon = Daemon(
+            name=name,
+            arguments=["-c", code],
+            log=self.folder / f"{name}.out",
+        )
+        self.daemons[name] = daemon
+        await daemon.start()
+        return daemon
+
     async def _start_worker(
         self, zone: str, number: int, ports: typing.Iterator[int]
     ) -> None:
