Run a run-once request at most once, by its key in the table

A request with an idempotency key was sent like any other, so that a caller's repeat at another entry host ran it again. Its key is now inserted conditionally before it is sent, by group commit; the whole answer is stored (a large body in the object store), and a repeat gets it or is told that the end is unknown. A claim that comes through after its caller was told not-run frees the key. A late answer is stored too. A key used for another request is refused with 422.

--- a/wisteriawood/contracts/keys.py
+++ b/wisteriawood/contracts/keys.py
@@ -68,6 +68,11 @@
     return f"once/{team}/{key}"
 
 
+def run_onces() -> str:
+    """Return the prefix of the records of run-once requests."""
+    return "once/"
+
+
 def config_version(version: int) -> str:
     """Return the key of the change that made a version."""
     return f"config/version/{version:012d}"
--- a/wisteriawood/contracts/runonce.py
+++ b/wisteriawood/contracts/runonce.py
@@ -1,6 +1,9 @@
 """Records of run-once requests."""
 
 import dataclasses
+import hashlib
+
+from wisteriawood.contracts import requests
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -11,18 +14,38 @@
         key: Idempotency key of the caller.
         request_id: Request that claimed the key.
         owner: Incarnation of the entry host that claimed it.
+        digest: Digest of what the key was first used for.
         status: HTTP status of the stored answer; 0 while unknown.
         headers: Header fields of the stored answer.
         body: Body of the stored answer, if small.
         body_object: Object key of the stored body, if large.
+        body_bytes: Length of the stored body.
+        until_unix_s: Wall time in seconds at which its deadline passes.
         expires_unix_s: Wall time in seconds after which it may go.
     """
 
     key: str
     request_id: str
     owner: str
+    digest: str = ""
     status: int = 0
     headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
     body: bytes = b""
     body_object: str = ""
+    body_bytes: int = 0
+    until_unix_s: float = 0.0
     expires_unix_s: float = 0.0
+
+
+def digest(request: requests.Request) -> str:
+    """Return the digest of what a request asks for.
+
+    Args:
+        request: The request.
+    """
+    parts = (request.service, request.method, request.path)
+    found = hashlib.blake2b(digest_size=16)
+    for part in (*(text.encode() for text in parts), request.body):
+        found.update(len(part).to_bytes(8, "big"))
+        found.update(part)
+    return found.hexdigest()
--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -12,6 +12,7 @@
 from wisteriawood.links import platforms
 from wisteriawood.links import targets as target_links
 from wisteriawood.machines import dispatchers
+from wisteriawood.machines import run_once
 from wisteriawood.machines import services
 from wisteriawood.machines import slot_clients
 from wisteriawood.policies import registry
@@ -46,6 +47,7 @@
     __slots__ = (
         "_dispatcher",
         "_policy",
+        "_run_once",
         "_rng",
         "counters",
         "is_draining",
@@ -92,6 +94,9 @@
             on_late_answer=self._take_late_answer,
         )
         self.targets = self.slot_client.targets
+        self._run_once = run_once.RunOnce(
+            platform=platform, members=self.membership
+        )
         self.is_draining = False
         self.stopping = anyio.Event()
         self.stopped = anyio.Event()
@@ -115,8 +120,10 @@
             group.start_soon(self.membership.run)
             group.start_soon(self.peering.run)
             group.start_soon(self.slot_client.run)
+            group.start_soon(self._run_once.run)
             await self.stopping.wait()
             is_released = await self.slot_client.release()
+            await self._run_once.settle()
             group.cancel_scope.cancel()
         if is_released:
             await self._say_gone()
@@ -135,6 +142,7 @@
         self, request: requests.Request, answer: requests.Answer
     ) -> None:
         """Take an answer whose caller has left."""
+        self._run_once.take_late_answer(request, answer)
 
     def service(self, team: str, name: str) -> services.Service:
         """Return a service of a team, made at the first call."""
@@ -164,7 +172,7 @@
                 "entry", traceparent=request.traceparent, id=request.id
             ) as traceparent:
                 request.traceparent = traceparent
-                answer = await self._dispatcher.dispatch(request)
+                answer = await self._run(request)
         except errors.RequestError as exc:
             outcome = (
                 requests.Outcome.NOT_RUN
@@ -182,6 +190,12 @@
         answer.headers.append(("traceparent", traceparent))
         return answer
 
+    async def _run(self, request: requests.Request) -> requests.Answer:
+        dispatch = self._dispatcher.dispatch
+        if request.request_class == requests.RequestClass.RUN_ONCE:
+            return await self._run_once.serve(request, dispatch)
+        return await dispatch(request)
+
     def _count(self, team: str, outcome: requests.Outcome) -> None:
         known = any(team == found for found, _name in self.services)
         label = team if known else "unknown"
--- /dev/null
+++ b/wisteriawood/machines/run_once.py
@@ -0,0 +1,360 @@
+"""Run-once requests: at most one run of each key, whoever dies."""
+
+import dataclasses
+import time
+import typing
+import uuid
+
+import anyio
+from anyio import abc
+
+from wisteriawood.contracts import holdings
+from wisteriawood.contracts import keys
+from wisteriawood.contracts import requests
+from wisteriawood.contracts import runonce
+from wisteriawood import errors
+from wisteriawood.links.codecs import rows
+from wisteriawood.links import commits
+from wisteriawood.links import platforms
+from wisteriawood.telemetry import events
+from wisteriawood.zones import membership
+
+RETENTION_S = 24 * 3600.0
+CLAIM_TIMEOUT_S = 2.0
+STORE_TIMEOUT_S = 1.0
+SETTLE_TIMEOUT_S = 10.0
+RETRY_AFTER_S = 2.0
+RETRY_PERIOD_S = 0.5
+REPEAT_PERIOD_S = 0.5
+REPEAT_MARGIN_S = 0.1
+SWEEP_PERIOD_S = 30.0
+SWEEP_ROWS = 100
+MAX_ROW_BODY_BYTES = 16 * 1024
+
+_LOG = events.Logger(name=__name__)
+
+Dispatch = typing.Callable[
+    [requests.Request], typing.Awaitable[requests.Answer]
+]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Claim:
+    """A key that this process claims for one request.
+
+    Attributes:
+        row_key: Key of the record's row.
+        record: The record.
+        version: Version of the row; 0 while it is not claimed.
+        error: Why it was not claimed.
+        is_left: Whether nobody waits for the claim any more.
+        done: Set once the claim has an end.
+    """
+
+    row_key: str
+    record: runonce.RunOnceRecord
+    version: int = 0
+    error: errors.PlatformError | None = None
+    is_left: bool = False
+    done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+
+class RunOnce:
+    """Claims keys in the table and keeps the answers.
+
+    Args:
+        platform: Link to the platform.
+        members: Membership of the entry host.
+        wall_clock: Returns the wall time in seconds.
+    """
+
+    __slots__ = (
+        "_commits",
+        "_group",
+        "_members",
+        "_open",
+        "_platform",
+        "_storing",
+        "_wall_clock",
+    )
+
+    def __init__(
+        self,
+        *,
+        platform: platforms.Platform,
+        members: membership.Membership,
+        wall_clock: typing.Callable[[], float] = time.time,
+    ):
+        self._platform = platform
+        self._members = members
+        self._wall_clock = wall_clock
+        self._commits = commits.GroupCommit(platform=platform)
+        self._group: abc.TaskGroup | None = None
+        self._open: dict[str, Claim] = {}
+        self._storing = 0
+
+    async def run(self) -> None:
+        """Commit claims and answers, and remove expired ones, for ever."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            group.start_soon(self._commits.run)
+            group.start_soon(self._sweep_forever)
+
+    async def settle(self) -> None:
+        """Wait a while until the answers that are known are stored."""
+        with anyio.move_on_after(SETTLE_TIMEOUT_S):
+            while self._storing:
+                await anyio.sleep(REPEAT_MARGIN_S)
+
+    async def serve(
+        self, request: requests.Request, dispatch: Dispatch
+    ) -> requests.Answer:
+        """Run a request unless its key has been claimed before.
+
+        Args:
+            request: The request.
+            dispatch: Has a target run it.
+
+        Returns:
+            The answer of the only run.
+
+        Raises:
+            RequestNotRunError: This attempt has not run.
+            RequestUnknownError: A request of this key may have run.
+        """
+        while True:
+            claim = await self._claim(request, condition=0)
+            while not claim.version:
+                row = await self._read_row(claim.row_key)
+                if row is None:
+                    break
+                found = rows.from_value(row.value, runonce.RunOnceRecord)
+                if found.expires_unix_s < self._wall_clock():
+                    claim = await self._claim(request, condition=row.version)
+                    continue
+                answer = await self._repeat(request, claim.record, found)
+                if answer is not None:
+                    return answer
+            if claim.version:
+                return await self._run(request, claim, dispatch)
+
+    async def _claim(
+        self, request: requests.Request, *, condition: int
+    ) -> Claim:
+        """Insert the record of a request before it is sent."""
+        if not self._members.is_reachable:
+            raise _not_checked()
+        now_unix_s = self._wall_clock()
+        left_s = request.deadline_s - anyio.current_time()
+        record = runonce.RunOnceRecord(
+            key=request.key,
+            request_id=request.id,
+            owner=self._members.own.incarnation,
+            digest=runonce.digest(request),
+            until_unix_s=now_unix_s + left_s,
+            expires_unix_s=now_unix_s + RETENTION_S,
+        )
+        claim = Claim(
+            row_key=keys.run_once(request.team, request.key), record=record
+        )
+        self._group.start_soon(self._insert, claim, condition)
+        try:
+            with anyio.move_on_after(min(left_s, CLAIM_TIMEOUT_S)):
+                await claim.done.wait()
+        finally:
+            claim.is_left = not claim.done.is_set()
+        if claim.is_left or claim.error is not None:
+            raise _not_checked()
+        return claim
+
+    async def _insert(self, claim: Claim, condition: int) -> None:
+        try:
+            claim.version = await self._write(
+                claim, condition, rows.to_value(claim.record)
+            )
+        except errors.TransactionConflictError:
+            pass
+        except errors.PlatformError as exc:
+            claim.error = exc
+        claim.done.set()
+        if claim.is_left and claim.version:
+            # The caller was told that it did not run; free the key.
+            await self._forget(claim)
+
+    async def _write(
+        self, claim: Claim, condition: int, value: typing.Any
+    ) -> int:
+        key = claim.row_key
+        return await self._commits.commit(
+            conditions=[platforms.Condition(key=key, version=condition)],
+            writes=[platforms.Write(key=key, value=value)],
+        )
+
+    async def _read_row(self, key: str) -> platforms.Row | None:
+        try:
+            return await self._platform.read(key)
+        except errors.PlatformError as exc:
+            raise errors.RequestUnknownError(
+                reason="the key was used before, and its answer can't be "
+                "read now; repeat the request later",
+                status=503,
+            ) from exc
+
+    async def _repeat(
+        self,
+        request: requests.Request,
+        own: runonce.RunOnceRecord,
+        found: runonce.RunOnceRecord,
+    ) -> requests.Answer | None:
+        """Return the stored answer; None if it pays to look again."""
+        if found.digest != own.digest:
+            raise errors.RequestNotRunError(
+                reason="the key was used for another request; "
+                "use a new key for each",
+                status=422,
+            )
+        if found.status:
+            return await self._stored(request, found)
+        left_s = request.deadline_s - anyio.current_time()
+        is_running = found.until_unix_s > self._wall_clock()
+        if not is_running or left_s <= REPEAT_PERIOD_S + REPEAT_MARGIN_S:
+            raise errors.RequestUnknownError(
+                reason="a request of this key was sent, and its end is not "
+                "known",
+                status=409,
+            )
+        await anyio.sleep(REPEAT_PERIOD_S)
+        return None
+
+    async def _stored(
+        self, request: requests.Request, found: runonce.RunOnceRecord
+    ) -> requests.Answer:
+        body: bytes | None = found.body
+        if found.body_object:
+            try:
+                body = await self._platform.get_object(found.body_object)
+            except errors.PlatformError:
+                body = None
+        if body is None or len(body) != found.body_bytes:
+            raise errors.RequestUnknownError(
+                reason="it ran, and its stored answer can't be read now; "
+                "repeat the request later",
+                status=503,
+            )
+        return requests.Answer(
+            request_id=request.id,
+            status=found.status,
+            headers=list(found.headers),
+            body=body,
+        )
+
+    async def _run(
+        self, request: requests.Request, claim: Claim, dispatch: Dispatch
+    ) -> requests.Answer:
+        self._open[request.id] = claim
+        try:
+            answer = await dispatch(request)
+        except errors.RequestNotRunError:
+            del self._open[request.id]
+            await self._start(self._forget, claim)
+            raise
+        self._open.pop(request.id, None)
+        await self._start(self._store, claim, answer)
+        return answer
+
+    async def _start(self, function: typing.Callable, *args) -> None:
+        """Run a write to its end, but wait only a while for it."""
+        done = anyio.Event()
+
+        async def _finish() -> None:
+            self._storing += 1
+            try:
+                await function(*args)
+            finally:
+                self._storing -= 1
+            done.set()
+
+        self._group.start_soon(_finish)
+        with anyio.move_on_after(STORE_TIMEOUT_S):
+            await done.wait()
+
+    def take_late_answer(
+        self, request: requests.Request, answer: requests.Answer
+    ) -> None:
+        """Store an answer whose caller has left.
+
+        Args:
+            request: The request.
+            answer: The target's answer to it.
+        """
+        claim = self._open.pop(request.id, None)
+        if claim is not None:
+            self._group.start_soon(self._start, self._store, claim, answer)
+
+    async def _forget(self, claim: Claim) -> None:
+        await self._write_until_done(claim, lambda: None)
+
+    async def _store(self, claim: Claim, answer: requests.Answer) -> None:
+        record = claim.record
+        record.status = answer.status
+        record.headers = list(answer.headers)
+        record.body_bytes = len(answer.body)
+        if len(answer.body) <= MAX_ROW_BODY_BYTES:
+            record.body = answer.body
+        else:
+            record.body_object = f"once/{uuid.uuid4().hex}"
+            await self._put_until_done(record.body_object, answer.body)
+        await self._write_until_done(claim, lambda: rows.to_value(record))
+
+    async def _put_until_done(self, key: str, body: bytes) -> None:
+        while True:
+            try:
+                await self._platform.put_object(key, body)
+                return
+            except errors.PlatformError:
+                await anyio.sleep(RETRY_PERIOD_S)
+
+    async def _write_until_done(
+        self, claim: Claim, value: typing.Callable[[], typing.Any]
+    ) -> None:
+        while True:
+            try:
+                await self._write(claim, claim.version, value())
+                return
+            except errors.TransactionConflictError:
+                _LOG.log(events.RUN_ONCE_CHANGED, key=claim.row_key)
+                return
+            except errors.PlatformError:
+                await anyio.sleep(RETRY_PERIOD_S)
+
+    async def _sweep_forever(self) -> None:
+        after = ""
+        while True:
+            await anyio.sleep(SWEEP_PERIOD_S)
+            try:
+                after = await self._sweep(after)
+            except errors.PlatformError:
+                continue
+
+    async def _sweep(self, after: str) -> str:
+        """Remove the expired records of one page; return where it ended."""
+        page = await self._platform.scan(
+            keys.run_onces(), after=after, limit=SWEEP_ROWS
+        )
+        for row in page:
+            record = rows.from_value(row.value, runonce.RunOnceRecord)
+            if record.expires_unix_s < self._wall_clock():
+                claim = Claim(
+                    row_key=row.key, record=record, version=row.version
+                )
+                await self._forget(claim)
+        return page[-1].key if len(page) == SWEEP_ROWS else ""
+
+
+def _not_checked() -> errors.RequestNotRunError:
+    return errors.RequestNotRunError(
+        reason="the platform's table can't be reached, so the key can't be "
+        "checked; this attempt was not run",
+        status=503,
+        retry_after_s=RETRY_AFTER_S,
+    )
--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -149,3 +149,9 @@
     "An entry host stopped filling slots that nobody renewed.",
     "Check the zone's schedulers and the platform.",
 )
+RUN_ONCE_CHANGED = define(
+    1620,
+    "run-once-changed",
+    "The record of a run-once request was changed by another.",
+    "Nothing, if it had expired; else report it as a fault.",
+)
--- a/wisteriawood/zones/membership.py
+++ b/wisteriawood/zones/membership.py
@@ -80,6 +80,11 @@
         """Tell whether the own term holds now."""
         return self.term.is_held(now_s=anyio.current_time())
 
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the newest call to the platform was answered."""
+        return self._reachable
+
     def watched_since(self, time_s: float) -> bool:
         """Tell whether a read of all members left after a time.
 
