--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -21,10 +21,12 @@
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import metrics
 from wisteriawood.telemetry import spans
+from wisteriawood.zones import followers
 from wisteriawood.zones import membership
 from wisteriawood.zones import peering
 
 GOODBYE_TIMEOUT_S = 3.0
+TEND_PERIOD_S = 0.1
 
 _LOG = events.Logger(name=__name__)
 
@@ -49,6 +51,7 @@
         "_policy",
         "_run_once",
         "_rng",
+        "configuration",
         "counters",
         "is_draining",
         "membership",
@@ -82,6 +85,9 @@
             dial_peer=dial_peer,
             addresses=peer_addresses,
         )
+        self.configuration = followers.Follower(
+            platform=platform, links=self.peering
+        )
         self.counters = counters
         self.tracer = tracer
         self.services: dict[tuple[str, str], services.Service] = {}
@@ -110,6 +116,8 @@
         """Return why the entry host is not ready; empty if it is."""
         if self.is_draining:
             return "draining"
+        if self.configuration.not_ready():
+            return self.configuration.not_ready()
         if not self.targets:
             return "no target has granted slots yet"
         return ""
@@ -121,6 +129,8 @@
             group.start_soon(self.peering.run)
             group.start_soon(self.slot_client.run)
             group.start_soon(self._run_once.run)
+            group.start_soon(self.configuration.run)
+            group.start_soon(self._tend_services)
             await self.stopping.wait()
             is_released = await self.slot_client.release()
             await self._run_once.settle()
@@ -138,6 +148,12 @@
             except errors.PlatformError as exc:
                 _LOG.log(events.PLATFORM_LOST, reason=str(exc))
 
+    async def _tend_services(self) -> None:
+        while True:
+            await anyio.sleep(TEND_PERIOD_S)
+            for service in self.services.values():
+                service.tend()
+
     def _take_late_answer(
         self, request: requests.Request, answer: requests.Answer
     ) -> None:
@@ -172,6 +188,7 @@
                 "entry", traceparent=request.traceparent, id=request.id
             ) as traceparent:
                 request.traceparent = traceparent
+                self.configuration.check_team(request.team)
                 answer = await self._run(request)
         except errors.RequestError as exc:
             outcome = (
@@ -206,5 +223,6 @@
         return {
             "member": self.membership.own,
             "ready": self.not_ready() or "ready",
+            "config_version": self.configuration.version,
             "targets": [target.holding() for target in self.targets.values()],
         }
--- a/wisteriawood/machines/schedulers.py
+++ b/wisteriawood/machines/schedulers.py
@@ -14,6 +14,8 @@
 from wisteriawood.links import channels
 from wisteriawood.links.codecs import rows
 from wisteriawood.links import commits
+from wisteriawood.links import messages
+from wisteriawood.links import peers
 from wisteriawood.links import platforms
 from wisteriawood.links import workers as worker_links
 from wisteriawood.machines import attempts
@@ -25,7 +27,9 @@
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import metrics
 from wisteriawood.zones import claims
+from wisteriawood.zones import followers
 from wisteriawood.zones import membership
+from wisteriawood.zones import peering
 
 RACK_PERIOD_S = 1.0
 WORKER_PERIOD_S = 1.0
@@ -42,6 +46,7 @@
         counters: Metrics of the daemon.
         rng: Source of random numbers.
         dial_worker: Opens the link to the worker at an address.
+        dial_peer: Opens the channel to the peer at an address.
         policy: Name of the placement policy.
     """
 
@@ -49,11 +54,14 @@
         "_dial_worker",
         "_group",
         "commits",
+        "configuration",
         "counters",
         "grantor",
         "membership",
+        "peering",
         "placer",
         "platform",
+        "rack_holders",
         "racks",
         "stopped",
         "stopping",
@@ -67,15 +75,23 @@
         counters: metrics.SchedulerMetrics,
         rng: random.Random,
         dial_worker=worker_links.HttpWorker,
+        dial_peer=peers.connect,
         policy: str = base.DEFAULT,
     ):
         self.platform = platform
         self.counters = counters
         self.membership = membership.Membership(platform=platform, own=member)
+        self.peering = peering.Peering(
+            members=self.membership, machine=self, dial_peer=dial_peer
+        )
+        self.configuration = followers.Follower(
+            platform=platform, links=self.peering
+        )
         self.commits = commits.GroupCommit(
             platform=platform, counters=counters
         )
         self.racks: dict[str, racks.Rack] = {}
+        self.rack_holders: set[str] = set()
         self.placer = placers.Placer(scheduler=self, rng=rng, policy=policy)
         self.stopping = anyio.Event()
         self.stopped = anyio.Event()
@@ -94,6 +110,8 @@
         """Return why the scheduler is not ready; empty if it is."""
         if self.stopping.is_set():
             return "draining"
+        if self.configuration.not_ready():
+            return self.configuration.not_ready()
         if not self.membership.is_confirmed():
             return "the term is not held: the platform has not confirmed it"
         return ""
@@ -103,6 +121,8 @@
         async with anyio.create_task_group() as group:
             self._group = group
             group.start_soon(self.membership.run)
+            group.start_soon(self.peering.run)
+            group.start_soon(self.configuration.run)
             group.start_soon(self.commits.run)
             group.start_soon(self.grantor.run)
             group.start_soon(self._follow_racks)
@@ -140,6 +160,7 @@
             if self.membership.is_confirmed():
                 try:
                     hosts = await self.platform.hosts()
+                    self.placer.see_hosts(hosts)
                     await self._claim_racks(hosts)
                     self._adopt_hosts(hosts)
                 except errors.PlatformError:
@@ -154,6 +175,10 @@
                 self.platform, keys.racks(self.zone)
             )
         }
+        self.rack_holders = {
+            rows.from_value(row.value, holdings.RackHolding).holder
+            for row in found.values()
+        } - {""}
         for name in sorted(names):
             row = found.get(keys.rack(self.zone, name))
             if name in self.racks:
@@ -294,13 +319,17 @@
         Raises:
             LinkError: The link broke.
         """
-        await self.grantor.serve(await channel.receive(), channel)
+        hello = await channel.receive()
+        if hello.topic == messages.Topic.PEER:
+            return await self.peering.welcome(hello, channel)
+        await self.grantor.serve(hello, channel)
 
     def status(self) -> dict[str, typing.Any]:
         """Return what operators see of this scheduler."""
         return {
             "member": self.membership.own,
             "ready": self.not_ready() or "ready",
+            "config_version": self.configuration.version,
             "pending": len(self.placer.pending),
             "racks": [
                 {
--- a/wisteriawood/zones/membership.py
+++ b/wisteriawood/zones/membership.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+import time
 import typing
 
 import anyio
@@ -153,6 +154,7 @@
             row = await self._platform.read(key)
             self._version = row.version if row else 0
         self.own.renewals += 1
+        self.own.renewed_unix_s = time.time()
         sent_at_s = anyio.current_time()
         transaction = platforms.Transaction(
             conditions=[platforms.Condition(key=key, version=self._version)],
