Prove each fault at each step of a change of the configuration

Eleven faults (platform down, slow, answers lost; peers cut; all hosts cut off; hosts replaced and frozen; a second operator; old messages replayed) at seven steps (proposed to restarted), with four entry hosts of which one is cut off from the platform. Watched all the time: a version never goes down on a host; at the end each host has the newest version and its content, and each operator was told the truth.

--- /dev/null
+++ b/wisteriawood/tests/faults/config_tests.py
@@ -0,0 +1,379 @@
+"""Faults x steps of a change of the configuration."""
+
+import itertools
+import unittest
+from unittest import mock
+
+import anyio
+
+from wisteriawood import errors
+from wisteriawood.links import configurations
+from wisteriawood.links import messages
+from wisteriawood.links import platforms
+from wisteriawood.policies import registry
+from wisteriawood.tests import builders
+from wisteriawood.zones import followers
+
+NAMES = ("linz-a-1", "linz-a-2", "wien-b-1", "wien-b-2")
+CUT = "linz-a-1"
+STEPS = (
+    "proposed",
+    "committed",
+    "acknowledged",
+    "polled",
+    "passed on",
+    "applied",
+    "restarted",
+)
+FAULT_S = 5.0
+SETTLE_S = 12.0
+LINK_DELAY_S = 0.05
+FAULTS = registry.Registry(kind="fault")
+
+
+class Scene:
+    """Four entry hosts, one cut off from the platform, and an operator."""
+
+    def __init__(self, *, world):
+        self.world = world
+        self.platform = world.platform
+        self.group = anyio.create_task_group()
+        self.entries = builders.add_entries(world, NAMES)
+        self.processes = {n: world.processes[f"entry/{n}"] for n in NAMES}
+        self.violations = []
+        self.reached = dict.fromkeys(STEPS, None)
+        self.highest = {}
+        self.accepted = {}
+        for pair in itertools.permutations(self.processes, 2):
+            ends = tuple(f"entry/{name}" for name in pair)
+            world.delays_s[ends] = LINK_DELAY_S
+        for step in STEPS:
+            self.reached[step] = anyio.Event()
+
+    async def start(self):
+        await configurations.apply(
+            self.platform, builders.make_configuration(), base=0
+        )
+        await anyio.sleep(4)
+        self.world.cut(f"entry/{CUT}", "platform")
+        await anyio.sleep(4.3)
+
+    async def restart(self, name):
+        """Replace a process; its host forgets all."""
+        self.processes[name].kill()
+        member = self.entries[name].membership.own
+        self.entries[name] = builders.add_entries(
+            self.world, [name], peer_addresses=self.addresses(name)
+        )[name]
+        assert member.name == name
+        self.processes[name] = self.world.processes[f"entry/{name}"]
+        self.highest.pop(name, None)
+
+    def addresses(self, name):
+        return [
+            entry.membership.own.peer_address
+            for other, entry in self.entries.items()
+            if other != name
+        ]
+
+    async def watch(self, name):
+        """Check a host's version whenever it changes; note the steps."""
+        while True:
+            follower = self.entries[name].configuration
+            changed = follower.changed
+            version = follower.version
+            if version < self.highest.get(name, -1):
+                self.violations.append(f"{name} went down to {version}")
+            self.highest[name] = version
+            if version >= 2:
+                self.note("applied" if name == CUT else "polled")
+            with anyio.move_on_after(1.0):
+                await changed.wait()
+
+    def note(self, step):
+        self.reached[step].set()
+
+    async def change(self, deadline_ms, base=1):
+        """Apply a change as an operator and note what he was told."""
+        document = builders.make_configuration(deadline_ms=deadline_ms)
+        platform = Steps(scene=self, inner=self.platform)
+        while True:
+            try:
+                version = await configurations.apply(
+                    platform, document, base=base
+                )
+            except errors.PlatformUnavailableError:
+                await anyio.sleep(0.2)
+                continue
+            except errors.ConfigurationConflictError:
+                break
+            if version in self.accepted:
+                self.violations.append(f"two were told of version {version}")
+            self.accepted[version] = deadline_ms
+            break
+        self.note("acknowledged")
+
+    async def inject(self, step, fault):
+        await self.reached["polled" if step == "passed on" else step].wait()
+        if step == "passed on":
+            await anyio.sleep(LINK_DELAY_S / 2)
+            self.note("passed on")
+        await FAULTS.get(fault)(self)
+
+    async def restart_when_applied(self):
+        await self.reached["applied"].wait()
+        await self.restart(CUT)
+        self.note("restarted")
+
+    async def run(self, step, fault):
+        await self.start()
+        async with self.group:
+            for name in NAMES:
+                self.group.start_soon(self.watch, name)
+            self.group.start_soon(self.inject, step, fault)
+            if step == "restarted":
+                self.group.start_soon(self.restart_when_applied)
+            await self.change(700)
+            for _second in range(60):
+                if self.reached[step].is_set():
+                    break
+                await anyio.sleep(1)
+            await anyio.sleep(FAULT_S + SETTLE_S)
+            self.group.cancel_scope.cancel()
+        if not self.reached[step].is_set():
+            self.violations.append(f"never {step}")
+        await self.check()
+
+    async def check(self):
+        newest = await configurations.read_newest(self.platform)
+        for version, deadline_ms in self.accepted.items():
+            kept = await configurations.read_version(self.platform, version)
+            found = kept.document["teams"]["kroupa"]["services"]["shop"]
+            if found["deadline_ms"] != deadline_ms:
+                self.violations.append(f"version {version} was overwritten")
+        if newest.version != max(self.accepted, default=1):
+            self.violations.append(
+                "a change is in force, its operator not told"
+            )
+        for name, entry in self.entries.items():
+            current = entry.configuration.current
+            if current.version != newest.version:
+                self.violations.append(f"{name} has {current.version}")
+            service = current.service("kroupa", "shop")
+            wanted = newest.document["teams"]["kroupa"]["services"]["shop"]
+            if service and service.deadline_ms != wanted["deadline_ms"]:
+                self.violations.append(f"{name} has another content")
+
+
+class Steps:
+    """The platform as the operator sees it; notes the steps."""
+
+    def __init__(self, *, scene, inner):
+        self.scene = scene
+        self.inner = inner
+
+    def __getattr__(self, name):
+        return getattr(self.inner, name)
+
+    async def commit(self, transaction):
+        self.scene.note("proposed")
+        await anyio.sleep(0.01)
+        try:
+            return await self.inner.commit(transaction)
+        finally:
+            if configurations.keys.CONFIG_HEAD in self.inner.table:
+                self.scene.note("committed")
+            await anyio.sleep(0.01)
+
+
+@FAULTS.register("platform down")
+async def take_platform_down(scene):
+    scene.platform.faults.down = True
+    await anyio.sleep(FAULT_S)
+    scene.platform.faults.down = False
+
+
+@FAULTS.register("platform slow")
+async def slow_platform(scene):
+    scene.platform.faults.slow_s = 1.5
+    await anyio.sleep(FAULT_S)
+    scene.platform.faults.slow_s = 0.0
+
+
+@FAULTS.register("answers lost")
+async def lose_answers(scene):
+    scene.platform.faults.answers_lost = 3
+
+
+@FAULTS.register("peers cut")
+async def cut_peers(scene):
+    pairs = [(f"entry/{CUT}", f"entry/{name}") for name in NAMES[1:]]
+    for pair in pairs:
+        scene.world.cut(*pair)
+    await anyio.sleep(FAULT_S)
+    for pair in pairs:
+        scene.world.mend(*pair)
+
+
+@FAULTS.register("all cut off from the platform")
+async def cut_all(scene):
+    pairs = [(f"entry/{name}", "platform") for name in NAMES[1:]]
+    for pair in pairs:
+        scene.world.cut(*pair)
+    await anyio.sleep(FAULT_S)
+    for pair in pairs:
+        scene.world.mend(*pair)
+
+
+@FAULTS.register("cut-off host replaced")
+async def replace_cut_off(scene):
+    await scene.restart(CUT)
+
+
+@FAULTS.register("other host replaced")
+async def replace_other(scene):
+    await scene.restart(NAMES[1])
+
+
+@FAULTS.register("cut-off host frozen")
+async def freeze_cut_off(scene):
+    scene.processes[CUT].freeze()
+    await anyio.sleep(FAULT_S)
+    scene.processes[CUT].wake()
+
+
+@FAULTS.register("other host frozen")
+async def freeze_other(scene):
+    scene.processes[NAMES[1]].freeze()
+    await anyio.sleep(FAULT_S)
+    scene.processes[NAMES[1]].wake()
+
+
+@FAULTS.register("another operator")
+async def race(scene):
+    newest = await configurations.read_newest(scene.platform)
+    await scene.change(900, base=newest.version)
+
+
+@FAULTS.register("old messages replayed")
+async def replay(scene):
+    snapshot = await configurations.read_version(scene.platform, 1)
+    offer = messages.ConfigOffer(snapshot=snapshot)
+    changes = messages.ConfigChanges(
+        changes=await configurations.read_changes(
+            scene.platform, after=0, limit=1
+        )
+    )
+    for _time in range(2):
+        for entry in scene.entries.values():
+            for peer in list(entry.peering.peers.values()):
+                peer.start(peer.send, changes)
+                peer.start(peer.send, offer)
+        await anyio.sleep(1)
+
+
+def run_cell(step, fault):
+    """Run one cell and return its violations."""
+    found = []
+
+    async def _check(world):
+        scene = Scene(world=world)
+        await scene.run(step, fault)
+        found.extend(scene.violations)
+
+    builders.run_world(_check)
+    return found
+
+
+class MatrixTests(unittest.TestCase):
+
+    def check_fault(self, fault):
+        for step in STEPS:
+            with self.subTest(fault=fault, step=step):
+                self.assertEqual([], run_cell(step, fault))
+
+
+def _add_cells(fault):
+    name = f"test_{fault.replace(' ', '_').replace('-', '_')}"
+    setattr(MatrixTests, name, lambda self: self.check_fault(fault))
+
+
+for _fault in FAULTS.names():
+    _add_cells(_fault)
+
+
+class ProofTests(unittest.TestCase):
+    """Each mechanism: the same cell fails without it, passes with it."""
+
+    def check_mechanism(self, step, fault, violation, **off):
+        with mock.patch.object(**off):
+            found = run_cell(step, fault)
+        self.assertIn(violation, found)
+        self.assertEqual([], run_cell(step, fault))
+
+    def test_passing_on_reaches_hosts_cut_off_from_the_platform(self):
+        self.check_mechanism(
+            "polled",
+            "answers lost",
+            f"{CUT} has 1",
+            target=followers.Follower,
+            attribute="take_changes",
+            new=_take_polled_changes_only,
+        )
+
+    def test_only_higher_versions_are_taken(self):
+        self.check_mechanism(
+            "applied",
+            "old messages replayed",
+            f"{CUT} went down to 1",
+            target=followers.Follower,
+            attribute="_take_snapshot",
+            new=_take_any_snapshot,
+        )
+
+    def test_commit_is_conditional_on_the_version_seen(self):
+        self.check_mechanism(
+            "proposed",
+            "another operator",
+            "two were told of version 2",
+            target=configurations.platforms,
+            attribute="commit_settled",
+            new=_commit_unconditionally,
+        )
+
+    def test_lost_acknowledgement_is_read_back(self):
+        self.check_mechanism(
+            "proposed",
+            "answers lost",
+            "a change is in force, its operator not told",
+            target=configurations.platforms,
+            attribute="commit_settled",
+            new=_commit_anew,
+        )
+
+
+_TAKE_CHANGES = followers.Follower.take_changes
+_TAKE_SNAPSHOT = followers.Follower._take_snapshot
+
+
+def _take_polled_changes_only(self, changes):
+    if not self._links.follows_peers:
+        _TAKE_CHANGES(self, changes)
+
+
+def _take_any_snapshot(self, snapshot):
+    self.current.version = -1
+    _TAKE_SNAPSHOT(self, snapshot)
+
+
+async def _commit_unconditionally(platform, transaction):
+    transaction.conditions = []
+    return await platform.commit(transaction)
+
+
+async def _commit_anew(platform, transaction):
+    while True:
+        try:
+            return await platform.commit(transaction)
+        except errors.TransactionUnknownError:
+            transaction.id = platforms.new_id()
