--- a/wisteriawood/machines/run_once.py
+++ b/wisteriawood/machines/run_once.py
@@ -8,7 +8,6 @@
 import anyio
 from anyio import abc
 
-from wisteriawood.contracts import holdings
 from wisteriawood.contracts import keys
 from wisteriawood.contracts import requests
 from wisteriawood.contracts import runonce
