Prove invariants with real processes killed, frozen and stopped

An entry host killed with its scheduler; a scheduler frozen past its term that wakes to a lost rack; a graceful stop under load. Each waits for a state, not for a time, and then reads what callers, targets and workers recorded.

--- /dev/null
+++ b/wisteriawood/tests/faults/process_tests.py
@@ -0,0 +1,204 @@
+"""Failures of real processes: SIGKILL, SIGSTOP and SIGTERM."""
+
+import functools
+import pathlib
+import random
+import tempfile
+import unittest
+
+import anyio
+import msgspec
+
+from wisteriawood.contracts import tasks
+from wisteriawood.links import configurations
+from wisteriawood.links import jobs
+from wisteriawood.standins import checks
+from wisteriawood.standins import clusters
+from wisteriawood.standins import loads
+from wisteriawood.standins import targets
+from wisteriawood.standins import workers
+from wisteriawood.tests import builders
+
+ZONE = "linz-a"
+WAIT_S = 150.0
+PERIOD_S = 0.2
+
+
+async def wait_for(check):
+    """Wait until an async check gives something true, and return it."""
+    with anyio.fail_after(WAIT_S):
+        while True:
+            found = await check()
+            if found:
+                return found
+            await anyio.sleep(PERIOD_S)
+
+
+class Bench:
+    """A cluster of one zone with a service, and its callers."""
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.platform = None
+        self.load = None
+
+    async def start(self):
+        await self.cluster.start()
+        self.platform = self.cluster.platform()
+        await configurations.apply(
+            self.platform, builders.make_configuration(), base=0
+        )
+        await self.submit(
+            *[
+                builders.make_spec(
+                    id=f"service-{number}", kind=tasks.TaskKind.SERVICE
+                )
+                for number in range(2)
+            ]
+        )
+        for name in self.cluster.pairs:
+            await self.cluster.wait_until_ready(name)
+        self.load = loads.Load(
+            addresses=[p.caller_address for p in self.cluster.pairs.values()],
+            path="/vitrinenklima/humidity/check",
+            rng=random.Random(1),
+        )
+
+    async def submit(self, *specs):
+        await jobs.submit(self.platform, list(specs), zone=ZONE)
+
+    async def find(self, task_id):
+        return await jobs.find(self.platform, task_id)
+
+    async def holder(self, rack):
+        row = await self.platform.read(f"rack/{ZONE}/{rack}")
+        return row.value["holder"] if row else ""
+
+    async def gather(self):
+        counts, records = [], []
+        for address in self.cluster.worker_addresses.values():
+            base = f"http://{address}/standin"
+            counts += msgspec.convert(
+                await self.cluster.get(f"{base}/counts"),
+                list[targets.TargetCounts],
+            )
+            records += msgspec.convert(
+                await self.cluster.get(f"{base}/records"),
+                list[workers.RunRecord],
+            )
+        return counts, records
+
+
+class ProcessTests(unittest.TestCase):
+
+    def run_bench(self, function):
+        async def _main():
+            with tempfile.TemporaryDirectory() as folder:
+                cluster = clusters.LocalCluster(
+                    folder=pathlib.Path(folder), zones=[ZONE]
+                )
+                bench = Bench(cluster)
+                try:
+                    await bench.start()
+                    await function(bench)
+                    await bench.platform.aclose()
+                finally:
+                    await cluster.stop()
+
+        anyio.run(_main)
+
+    async def check_all(self, bench):
+        counts, records = await bench.gather()
+        seen = bench.load.seen
+        for verdict in (
+            checks.check_slots(counts),
+            checks.check_answers(seen),
+            checks.check_not_run(seen, counts),
+            checks.check_run_once(seen, counts),
+            checks.check_single_run(records),
+        ):
+            with self.subTest(invariant=verdict.name):
+                self.assertEqual([], verdict.breaches)
+                self.assertGreater(verdict.checked, 0)
+
+    def test_killed_entry_host_costs_no_invariant_and_no_slots(self):
+        async def _check(bench):
+            cluster, load = bench.cluster, bench.load
+            dead, alive = list(cluster.pairs)
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    functools.partial(load.run, callers_at_once=8, seconds=4.0)
+                )
+                await anyio.sleep(1.0)
+                cluster.kill(f"entry/{dead}")
+                cluster.kill(f"scheduler/{dead}")
+                load.drop(cluster.pairs[dead].caller_address)
+
+            async def _has_all_slots():
+                operator = cluster.pairs[alive].entry_operator_address
+                status = await cluster.get(f"http://{operator}/status")
+                slots = sum(t["slots"] for t in status["targets"])
+                return slots == 16
+
+            await wait_for(_has_all_slots)
+            await load.run(callers_at_once=8, seconds=1.0)
+            await self.check_all(bench)
+
+        self.run_bench(_check)
+
+    def test_frozen_scheduler_wakes_to_a_lost_rack(self):
+        async def _check(bench):
+            cluster = bench.cluster
+            await bench.load.run(callers_at_once=4, seconds=0.5)
+            rack = f"{ZONE}-rack-1"
+            frozen = await bench.holder(rack)
+            await bench.submit(
+                *[
+                    builders.make_spec(id=f"batch-{number}", run_s=3.0)
+                    for number in range(6)
+                ]
+            )
+            cluster.freeze(f"scheduler/{frozen}")
+
+            async def _is_taken_over():
+                return await bench.holder(rack) not in ("", frozen)
+
+            await wait_for(_is_taken_over)
+            cluster.wake(f"scheduler/{frozen}")
+
+            async def _are_finished():
+                found = [await bench.find(f"batch-{n}") for n in range(6)]
+                return all(
+                    task.state == tasks.TaskState.FINISHED for task in found
+                )
+
+            await wait_for(_are_finished)
+            self.assertNotEqual(frozen, await bench.holder(rack))
+            await self.check_all(bench)
+
+        self.run_bench(_check)
+
+    def test_graceful_shutdown_cuts_no_request(self):
+        async def _check(bench):
+            cluster, load = bench.cluster, bench.load
+            leaving, _staying = list(cluster.pairs)
+            unclean = []
+
+            async def _stop():
+                # The balancer sees that it isn't ready, and drops it.
+                load.drop(cluster.pairs[leaving].caller_address)
+                if not await cluster.daemons[f"entry/{leaving}"].stop():
+                    unclean.append(leaving)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    functools.partial(load.run, callers_at_once=8, seconds=4.0)
+                )
+                await anyio.sleep(1.0)
+                group.start_soon(_stop)
+            self.assertEqual([], unclean)
+            lost = [s for s in load.seen if s.outcome == loads.LOST]
+            self.assertEqual([], lost)
+            await self.check_all(bench)
+
+        self.run_bench(_check)
