--- a/wisteriawood/machines/allocators.py
+++ b/wisteriawood/machines/allocators.py
@@ -30,6 +30,14 @@
 RECLAIM_AFTER_S = 10.0
 RECLAIMS_PER_ROUND = 4
 MEMO_SIZE = 16
+# Waiting time after which a job that would do harm anywhere starts
+# throttled, and the share that it starts with.
+THROTTLED_AFTER_S = 60.0
+THROTTLED_SHARE = 0.25
+# Tasks of a class not yet known that may run unmeasured, and the time after
+# which one counts as measured though no report came.
+MAX_PROBES = 8
+PROBE_S = 15.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -52,10 +60,25 @@
     Attributes:
         needs: The need; a larger one finds none either.
         reason: Why.
+        is_short: Whether room is what was missing.
     """
 
     needs: resources.Resources
     reason: str
+    is_short: bool = True
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Choice:
+    """Where a task can start.
+
+    Attributes:
+        entry: The worker.
+        share: Share of its resources that it starts with, 0 to 1.
+    """
+
+    entry: indexes.Entry
+    share: float
 
 
 class Allocator:
@@ -72,6 +95,7 @@
 
     __slots__ = (
         "_failures",
+        "_probes",
         "_reclaims",
         "estimates",
         "evictions",
@@ -95,9 +119,11 @@
     ):
         registry.load_modules(placement_policies)
         registry.load_modules(eviction_policies)
-        self.quotas = team_quotas or quotas.Quotas()
-        self.estimates = estimates or interference.PairEstimates()
-        self.sizes = learned or sizes.Sizes()
+        self.quotas = quotas.Quotas() if team_quotas is None else team_quotas
+        if estimates is None:
+            estimates = interference.PairEstimates()
+        self.estimates = estimates
+        self.sizes = sizes.Sizes() if learned is None else learned
         self.index = indexes.WorkerIndex(rng=rng)
         self.queue = queues.Queue()
         self.probations = probations.Probations()
@@ -111,6 +137,7 @@
             ),
         )
         self._failures: dict[str, list[Failure]] = {}
+        self._probes: dict[str, dict[str, float]] = {}
         self._reclaims = 0
 
     def refresh(
@@ -187,42 +214,96 @@
                     f"team {spec.team} is at its limit of "
                     f"{quota.limit_share:.0%} of the resources"
                 )
+                waiting.is_short = False
                 return False
-        entry = self._find(waiting, needs, now_s)
-        if entry is None:
+        if not self._may_probe(spec, now_s):
+            waiting.is_short = False
+            waiting.reason = "the first tasks of its class are being measured"
+            return False
+        choice = self._find(waiting, needs, now_s)
+        if choice is None:
             return False
-        self._start(waiting, entry, needs, starts, now_s)
+        self._start(waiting, choice, needs, starts, now_s)
         return True
 
+    def _may_probe(self, spec: tasks.TaskSpec, now_s: float) -> bool:
+        """Tell whether one more task of a class may start unmeasured."""
+        name = indexes.class_of(spec)
+        if spec.urgent or self.sizes.is_known(name):
+            return True
+        probes = self._probes.get(name)
+        if probes is None:
+            return True
+        for task, started_s in list(probes.items()):
+            if now_s - started_s > PROBE_S:
+                del probes[task]
+        return len(probes) < MAX_PROBES
+
+    def note_measured(self, spec: tasks.TaskSpec) -> None:
+        """Take over that a task's size was seen.
+
+        Args:
+            spec: The task.
+        """
+        probes = self._probes.get(indexes.class_of(spec))
+        if probes is not None:
+            probes.pop(spec.id, None)
+
     def _find(
         self, waiting: queues.Waiting, needs: resources.Resources, now_s: float
-    ) -> indexes.Entry | None:
+    ) -> Choice | None:
         spec = waiting.task.spec
+        waiting.is_short = False
         kept = self._reserved_entry(waiting, now_s)
-        if kept is not None:
+        if kept is None:
+            failure = self._known_failure(spec, needs)
+            if failure is not None:
+                waiting.reason = failure.reason
+                waiting.is_short = failure.is_short
+                return None
+        elif not needs.fits(kept.worker.free):
             waiting.reason = f"waits for room on worker {waiting.reserved}"
-            return kept if needs.fits(kept.worker.free) else None
-        failure = self._known_failure(spec, needs)
-        if failure is not None:
-            waiting.reason = failure.reason
             return None
         request = placement_base.Request(
             spec=spec,
             needs=needs,
-            avoid=self.probations.failed_on(spec.id)
-            | {*waiting.task.failures},
+            among=None if kept is None else [kept],
+            avoid=self._avoided(waiting),
             now_s=now_s,
+            waited_s=now_s - waiting.since_s,
         )
         try:
-            return self.placement.choose(request, self.index)
+            return self._choose(request)
         except placement_base.NoRoomError as exc:
-            self._remember("", needs, str(exc))
+            waiting.is_short = True
+            self._remember("", Failure(needs=needs, reason=str(exc)))
             waiting.reason = str(exc)
         except placement_base.HarmError as exc:
-            self._remember(indexes.class_of(spec), needs, str(exc))
+            failure = Failure(needs=needs, reason=str(exc), is_short=False)
+            self._remember(indexes.class_of(spec), failure)
             waiting.reason = str(exc)
+            self._release(waiting)
         return None
 
+    def _choose(self, request: placement_base.Request) -> Choice:
+        try:
+            entry = self.placement.choose(request, self.index)
+        except placement_base.HarmError:
+            if request.waited_s < THROTTLED_AFTER_S:
+                raise
+            request.share = THROTTLED_SHARE
+            entry = self.placement.choose(request, self.index)
+        return Choice(entry=entry, share=request.share)
+
+    def _avoided(self, waiting: queues.Waiting) -> set[str]:
+        task = waiting.task
+        avoided = self.probations.failed_on(task.spec.id)
+        avoided = avoided.union(task.failures)
+        if len(avoided) >= len(self.index.entries):
+            # It failed on every worker there is, so each may try again.
+            return set()
+        return avoided
+
     def _reserved_entry(
         self, waiting: queues.Waiting, now_s: float
     ) -> indexes.Entry | None:
@@ -256,17 +337,15 @@
                     return failure
         return None
 
-    def _remember(
-        self, key: str, needs: resources.Resources, reason: str
-    ) -> None:
+    def _remember(self, key: str, failure: Failure) -> None:
         failures = self._failures.setdefault(key, [])
         if len(failures) < MEMO_SIZE:
-            failures.append(Failure(needs=needs, reason=reason))
+            failures.append(failure)
 
     def _start(
         self,
         waiting: queues.Waiting,
-        entry: indexes.Entry,
+        choice: Choice,
         needs: resources.Resources,
         starts: list[Start],
         now_s: float,
@@ -274,12 +353,20 @@
         if waiting.reserved:
             self._release(waiting)
         self.queue.discard(waiting.task.spec.id)
+        entry = choice.entry
         placement = workers.Placement(
-            task=waiting.task, version=waiting.version, counted=needs
+            task=waiting.task,
+            version=waiting.version,
+            counted=needs,
+            throttle=choice.share,
         )
         if entry.worker.add(placement) is False:
             # Its last attempt still counts on this very worker.
             return
+        name = indexes.class_of(placement.task.spec)
+        if not self.sizes.is_known(name):
+            probes = self._probes.setdefault(name, {})
+            probes[waiting.task.spec.id] = now_s
         self.evictions.note_start(waiting.task.spec.id, now_s=now_s)
         self.index.update(entry.worker, now_s=now_s)
         starts.append(Start(worker=entry.worker, placement=placement))
@@ -289,7 +376,7 @@
         waited_s = now_s - waiting.since_s
         if waiting.reserved or waited_s < RECLAIM_AFTER_S:
             return
-        if waiting.reason.startswith("team "):
+        if not waiting.is_short:
             return
         if self._reclaims < RECLAIMS_PER_ROUND and self._is_owed(waiting):
             self._reclaims += 1
@@ -323,7 +410,7 @@
             now_s=now_s,
             over_share=self._is_over_share,
             only_over_share=not spec.urgent,
-            avoid=self.probations.failed_on(spec.id),
+            avoid=self._avoided(waiting),
         )
         if plan is None:
             return False
--- a/wisteriawood/machines/monitors.py
+++ b/wisteriawood/machines/monitors.py
@@ -152,6 +152,7 @@
             self._allocator.sizes.observe(
                 indexes.class_of(spec), declared=spec.needs, used=track.peak
             )
+            self._allocator.note_measured(spec)
 
     def _learn_slowdown(
         self,
@@ -234,6 +235,7 @@
         sufferers = self._sufferers(entry)
         if not sufferers:
             entry.is_hot = False
+            self._release_all(entry)
             return
         excess = max(sufferers.values())
         culprits = self._culprits(entry, sufferers, now_s)
@@ -261,6 +263,19 @@
             found.share < 1.0 for found in culprits
         )
 
+    def _release_all(self, entry: indexes.Entry) -> None:
+        """Lift the limits of jobs on a worker where no services are left."""
+        worker = entry.worker
+        throttled = [
+            task
+            for task, placement in worker.placements.items()
+            if placement.throttle < 1.0
+        ]
+        for task in throttled:
+            worker.order_throttle(task, 1.0)
+        if throttled:
+            self._allocator.index.recount(entry)
+
     def _sufferers(self, entry: indexes.Entry) -> dict[str, float]:
         """Return the excess of each service on a worker, by task."""
         found = {}
--- a/wisteriawood/machines/queues.py
+++ b/wisteriawood/machines/queues.py
@@ -26,6 +26,7 @@
         reason: Why it waits, for the operator.
         reserved: Worker that is kept for it; empty if none is.
         reserved_s: Monotonic time of the reservation.
+        is_short: Whether it waits for room, not for something else.
         turn_s: Waiting time after which this scheduler may place it.
     """
 
@@ -35,6 +36,7 @@
     reason: str = "not looked at yet"
     reserved: str = ""
     reserved_s: float = 0.0
+    is_short: bool = False
     turn_s: float = 0.0
 
     def order(self) -> tuple[float, str]:
--- a/wisteriawood/policies/placement/base.py
+++ b/wisteriawood/policies/placement/base.py
@@ -20,14 +20,59 @@
     Attributes:
         spec: The task.
         needs: What it is counted with.
+        among: Workers to choose from, if not from all.
         avoid: Workers on which it failed.
         now_s: Monotonic time in seconds.
+        share: Share of its resources that it starts with, 0 to 1.
+        waited_s: Seconds that it has waited.
     """
 
     spec: tasks.TaskSpec
     needs: resources.Resources
-    avoid: frozenset[str] | set[str] = frozenset()
+    among: list[indexes.Entry] | None = None
+    avoid: typing.AbstractSet[str] = frozenset()
     now_s: float = 0.0
+    share: float = 1.0
+    waited_s: float = 0.0
+
+    def sample(
+        self, index: indexes.WorkerIndex, count: int
+    ) -> list[indexes.Entry]:
+        """Return random workers that can hold the task, at least one.
+
+        Args:
+            index: The workers.
+            count: Most workers to return.
+
+        Raises:
+            NoRoomError: There is none.
+        """
+        drawn = self.among
+        if drawn is None:
+            drawn = index.sample(self.needs, count)
+        return self._allowed(drawn)
+
+    def scan(self, index: indexes.WorkerIndex) -> list[indexes.Entry]:
+        """Return all workers that can hold the task, at least one.
+
+        Args:
+            index: The workers.
+
+        Raises:
+            NoRoomError: There is none.
+        """
+        found = self.among
+        if found is None:
+            found = index.fitting(self.needs)
+        return self._allowed(found)
+
+    def _allowed(self, found: list[indexes.Entry]) -> list[indexes.Entry]:
+        allowed = [
+            entry for entry in found if entry.worker.name not in self.avoid
+        ]
+        if not allowed:
+            raise no_room(self.needs)
+        return allowed
 
 
 class NoRoomError(errors.PlacementError):
--- a/wisteriawood/policies/placement/first_fit.py
+++ b/wisteriawood/policies/placement/first_fit.py
@@ -21,7 +21,4 @@
         self, request: base.Request, index: indexes.WorkerIndex
     ) -> indexes.Entry:
         """Return the first worker that fits."""
-        for entry in index.fitting(request.needs):
-            if entry.worker.name not in request.avoid:
-                return entry
-        raise base.no_room(request.needs)
+        return request.scan(index)[0]
--- a/wisteriawood/policies/placement/least_harm.py
+++ b/wisteriawood/policies/placement/least_harm.py
@@ -14,9 +14,21 @@
 ALLOWED_SLOWDOWN = 1.08
 # Weight of a batch job that uses a whole worker, against one service.
 BATCH_WEIGHT = 4.0
-# Costs of a second instance of a group on one worker and in one rack.
-SAME_WORKER_COST = 0.1
-SAME_RACK_COST = 0.02
+# Cost of another instance of a group on one worker, by the square of those
+# there, and of one in the same rack.
+SAME_WORKER_COST = 0.02
+SAME_RACK_COST = 0.05
+# Cost of a first service on a worker: batch that is noisy can't go there.
+FIRST_SERVICE_COST = 0.15
+# Cost of a whole worker's load of batch where no services are, so that
+# quiet batch leaves that room to noisy batch.
+CALM_COST = 1.0
+# Cost of what goes beyond the slowdown that a team allows.
+OVER_COST = 20.0
+# A batch job waits where it would take more than this share of its own
+# speed from the batch jobs beside it; the share grows with the wait.
+LOSS_LIMIT = 0.7
+PATIENCE_S = 60.0
 # Cost of free cores that are left over, so that large holes remain.
 HOLE_COST = 0.01
 
@@ -28,7 +40,7 @@
         quota: Quota of the team.
     """
     weight = max(quota.tail_latency_weight, 0.1)
-    return math.log(ALLOWED_SLOWDOWN) / math.sqrt(weight)
+    return math.log(ALLOWED_SLOWDOWN) / weight**0.25
 
 
 @base.PLACEMENT.register("least-harm")
@@ -60,13 +72,7 @@
         self, request: base.Request, index: indexes.WorkerIndex
     ) -> indexes.Entry:
         """Return the worker with the least harm, of a sample."""
-        fitting = [
-            entry
-            for entry in index.sample(request.needs, SAMPLE)
-            if entry.worker.name not in request.avoid
-        ]
-        if not fitting:
-            raise base.no_room(request.needs)
+        fitting = request.sample(index, SAMPLE)
         best, least = None, math.inf
         for entry in fitting:
             cost = self._cost(request, entry, index)
@@ -75,7 +81,8 @@
         if best is None:
             raise base.HarmError(
                 f"{len(fitting)} workers have room, but services there "
-                "would be slowed by more than their team allows"
+                "would be slowed by more than their team allows, or batch "
+                "jobs by more than this one would get done"
             )
         return best
 
@@ -89,41 +96,84 @@
         is_batch = spec.kind == tasks.TaskKind.BATCH
         if is_batch and entry.is_hot and not spec.urgent:
             return math.inf
-        quota = self._quotas.of(spec.team)
+        if request.share < 1.0 and not entry.groups:
+            # Batch jobs beside it are spared by waiting, not by throttling.
+            return math.inf
         load = request.needs.cores / entry.worker.capacity.cores
+        load *= request.share
         name = indexes.class_of(spec)
         own = 0.0
+        batch_loss = 0.0
         cost = 0.0
         for other in entry.neighbours.values():
             own += self._harm(name, other.name, request) * other.load
             added = self._harm(other.name, name, request) * load
-            cost += self._cost_to(request, entry, other, added)
+            pressure = self._pressure(entry, other, request)
+            if other.kind == tasks.TaskKind.BATCH:
+                weight = self._quotas.of(other.team).throughput_weight
+                loss = other.load * math.exp(-pressure) * added
+                batch_loss += loss
+                cost += weight * BATCH_WEIGHT * loss
+            else:
+                cost += self._cost_to(request, other, pressure, added)
         if is_batch:
-            cost += quota.throughput_weight * BATCH_WEIGHT * load * own
+            cost += self._cost_of_batch(request, entry, load, own, batch_loss)
         else:
-            cost += quota.tail_latency_weight * own
-            cost += 20 * max(0.0, own - ceiling(quota))
-            cost += self._cost_of_group(spec, entry, index)
+            cost += self._cost_of_service(spec, entry, index, own)
         left = entry.worker.free.cores - request.needs.cores
         return cost + HOLE_COST * left / entry.worker.capacity.cores
 
     def _cost_to(
         self,
         request: base.Request,
-        entry: indexes.Entry,
         other: interference.Neighbour,
+        pressure: float,
         added: float,
     ) -> float:
         quota = self._quotas.of(other.team)
-        if other.kind == tasks.TaskKind.BATCH:
-            weight = quota.throughput_weight * BATCH_WEIGHT * other.load
-            return weight * added
-        over = self._pressure(entry, other, request) + added - ceiling(quota)
+        over = pressure + added - ceiling(quota)
         is_batch = request.spec.kind == tasks.TaskKind.BATCH
         if over > 0 and is_batch and not request.spec.urgent:
             return math.inf
         weight = quota.tail_latency_weight * other.count
-        return weight * (added + 20 * max(0.0, over))
+        return weight * (added + OVER_COST * max(0.0, over))
+
+    def _cost_of_batch(
+        self,
+        request: base.Request,
+        entry: indexes.Entry,
+        load: float,
+        own: float,
+        batch_loss: float,
+    ) -> float:
+        gain = load * math.exp(-own)
+        patience = 1.0 + request.waited_s / PATIENCE_S
+        if batch_loss > LOSS_LIMIT * patience * gain:
+            if not request.spec.urgent:
+                return math.inf
+        quota = self._quotas.of(request.spec.team)
+        cost = quota.throughput_weight * BATCH_WEIGHT * (load - gain)
+        return cost if entry.groups else cost + CALM_COST * load
+
+    def _cost_of_service(
+        self,
+        spec: tasks.TaskSpec,
+        entry: indexes.Entry,
+        index: indexes.WorkerIndex,
+        own: float,
+    ) -> float:
+        quota = self._quotas.of(spec.team)
+        over = max(0.0, own - ceiling(quota))
+        group = indexes.group_of(spec)
+        in_rack = index.rack_groups.get((entry.worker.rack, group), 0)
+        on_worker = entry.groups.get(group, 0)
+        first = 0.0 if entry.groups else FIRST_SERVICE_COST
+        return (
+            quota.tail_latency_weight * (own + OVER_COST * over)
+            + first
+            + SAME_WORKER_COST * on_worker**2
+            + SAME_RACK_COST * in_rack
+        )
 
     def _harm(self, victim: str, other: str, request: base.Request) -> float:
         return self._estimates.harm(victim, other, request.now_s)
@@ -144,14 +194,3 @@
                 found += self._harm(victim.name, other.name, request) * load
             entry.pressures[victim.name] = found
         return found
-
-    def _cost_of_group(
-        self,
-        spec: tasks.TaskSpec,
-        entry: indexes.Entry,
-        index: indexes.WorkerIndex,
-    ) -> float:
-        group = indexes.group_of(spec)
-        in_rack = index.rack_groups.get((entry.worker.rack, group), 0)
-        on_worker = entry.groups.get(group, 0)
-        return SAME_WORKER_COST * on_worker + SAME_RACK_COST * in_rack
--- a/wisteriawood/policies/placement/least_loaded.py
+++ b/wisteriawood/policies/placement/least_loaded.py
@@ -21,11 +21,6 @@
         self, request: base.Request, index: indexes.WorkerIndex
     ) -> indexes.Entry:
         """Return the worker with the most free cores that fits."""
-        fitting = [
-            entry
-            for entry in index.fitting(request.needs)
-            if entry.worker.name not in request.avoid
-        ]
-        if not fitting:
-            raise base.no_room(request.needs)
-        return max(fitting, key=lambda entry: entry.worker.free.cores)
+        return max(
+            request.scan(index), key=lambda entry: entry.worker.free.cores
+        )
--- a/wisteriawood/policies/placement/random_fit.py
+++ b/wisteriawood/policies/placement/random_fit.py
@@ -5,6 +5,8 @@
 from wisteriawood.machines import indexes
 from wisteriawood.policies.placement import base
 
+SAMPLE = 4
+
 
 @base.PLACEMENT.register("random")
 class RandomFit:
@@ -24,11 +26,4 @@
         self, request: base.Request, index: indexes.WorkerIndex
     ) -> indexes.Entry:
         """Return a random worker that fits."""
-        fitting = [
-            entry
-            for entry in index.sample(request.needs, 4)
-            if entry.worker.name not in request.avoid
-        ]
-        if not fitting:
-            raise base.no_room(request.needs)
-        return self._rng.choice(fitting)
+        return self._rng.choice(request.sample(index, SAMPLE))
--- a/wisteriawood/policies/sizes.py
+++ b/wisteriawood/policies/sizes.py
@@ -81,6 +81,15 @@
     def __len__(self) -> int:
         return len(self._classes)
 
+    def is_known(self, name: str) -> bool:
+        """Tell whether enough was seen of a class to predict its tasks.
+
+        Args:
+            name: The class.
+        """
+        found = self._classes.get(name)
+        return found is not None and found.count >= MIN_SAMPLES
+
     def observe(
         self,
         name: str,
--- a/wisteriawood/policies/throttling/step_down.py
+++ b/wisteriawood/policies/throttling/step_down.py
@@ -1,6 +1,7 @@
 """Throttling in steps, with hysteresis, and eviction as the last step."""
 
 import dataclasses
+import math
 
 from wisteriawood.policies.throttling import base
 
@@ -83,10 +84,7 @@
         ]
         if left:
             state.acted_s = view.now_s
-            worst = max(left, key=lambda found: found.harm * found.share)
-            share = max(LEAST_SHARE, worst.share * STEP)
-            order = base.Throttle(task=worst.task, share=share)
-            return base.Verdict(throttles=[order])
+            return base.Verdict(throttles=_steps(left, view.excess))
         if view.culprits and view.now_s - state.slow_s >= EVICT_AFTER_S:
             state.acted_s = view.now_s
             return base.Verdict(evict=True)
@@ -98,10 +96,29 @@
             state.hold_s = max(FIRST_CALM_S, state.hold_s / 2)
             state.calm_s = view.now_s
             return base.Verdict()
-        state.acted_s = state.released_s = view.now_s
-        state.calm_s = 0.0
         least = min(throttled, key=lambda found: found.harm * found.share)
         share = min(1.0, least.share / STEP)
+        added = least.harm * (share - least.share)
+        if math.log(max(view.excess, 0.01)) + added > 0:
+            # The services would be slowed again.
+            return base.Verdict()
+        state.acted_s = state.released_s = view.now_s
+        state.calm_s = 0.0
         return base.Verdict(
             throttles=[base.Throttle(task=least.task, share=share)]
         )
+
+
+def _steps(left: list[base.Culprit], excess: float) -> list[base.Throttle]:
+    """Return one step for each of the worst jobs, as many as it takes."""
+    wanted = math.log(excess)
+    steps = []
+    for culprit in sorted(
+        left, key=lambda found: found.harm * found.share, reverse=True
+    ):
+        if steps and wanted <= 0:
+            break
+        share = max(LEAST_SHARE, culprit.share * STEP)
+        wanted -= culprit.harm * (culprit.share - share)
+        steps.append(base.Throttle(task=culprit.task, share=share))
+    return steps
