--- a/wisteriawood/machines/monitors.py
+++ b/wisteriawood/machines/monitors.py
@@ -191,7 +191,7 @@
                 continue
             learned = self._allocator.needs_of(placement.task.spec)
             counted = resources.Resources(
-                cores=track.peak.cores * USE_MARGIN,
+                cores=track.peak.cores,
                 memory_bytes=max(
                     learned.memory_bytes,
                     int(track.peak.memory_bytes * USE_MARGIN),
--- a/wisteriawood/policies/placement/least_harm.py
+++ b/wisteriawood/policies/placement/least_harm.py
@@ -16,10 +16,10 @@
 BATCH_WEIGHT = 4.0
 # Cost of another instance of a group on one worker, by the square of those
 # there, and of one in the same rack.
-SAME_WORKER_COST = 0.02
+SAME_WORKER_COST = 0.04
 SAME_RACK_COST = 0.05
 # Cost of a first service on a worker: batch that is noisy can't go there.
-FIRST_SERVICE_COST = 0.15
+FIRST_SERVICE_COST = 0.3
 # Cost of a whole worker's load of batch where no services are, so that
 # quiet batch leaves that room to noisy batch.
 CALM_COST = 1.0
--- a/wisteriawood/policies/sizes.py
+++ b/wisteriawood/policies/sizes.py
@@ -6,8 +6,8 @@
 
 HISTORY = 32
 MIN_SAMPLES = 4
-CORES_QUANTILE = 0.8
-CORES_MARGIN = 1.1
+CORES_QUANTILE = 0.6
+CORES_MARGIN = 1.0
 MEMORY_MARGIN = 1.15
 MAX_CLASSES = 4096
 
