--- a/wisteriawood/contracts/quotas.py
+++ b/wisteriawood/contracts/quotas.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from wisteriawood.contracts import resources
+
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Quota:
@@ -10,18 +12,22 @@
     Attributes:
         team: Name of the team.
         weight: Share of the resources, relative to the other teams.
-        limit_share: Greatest dominant share of all resources, 0 to 1.
+        limit: Most that its tasks may use in one zone; None for no limit.
         tail_latency_weight: Weight of a slowed service or watcher.
         throughput_weight: Weight of a slowed batch job.
         eviction_weight: Weight of an eviction.
+        not_evicted: Task classes of batch jobs that are not evicted.
+        not_throttled: Task classes of batch jobs that are not throttled.
     """
 
     team: str
     weight: float = 1.0
-    limit_share: float = 1.0
+    limit: resources.Resources | None = None
     tail_latency_weight: float = 1.0
     throughput_weight: float = 1.0
     eviction_weight: float = 1.0
+    not_evicted: frozenset[str] = frozenset()
+    not_throttled: frozenset[str] = frozenset()
 
 
 class Quotas:
--- a/wisteriawood/machines/allocators.py
+++ b/wisteriawood/machines/allocators.py
@@ -105,6 +105,7 @@
         "queue",
         "quotas",
         "sizes",
+        "zone_capacity",
     )
 
     def __init__(
@@ -132,6 +133,7 @@
         )
         self.evictions = evictions.Evictions(
             index=self.index,
+            team_quotas=self.quotas,
             policy=eviction_base.EVICTION.get(eviction)(
                 rng=rng, team_quotas=self.quotas
             ),
@@ -139,6 +141,7 @@
         self._failures: dict[str, list[Failure]] = {}
         self._probes: dict[str, dict[str, float]] = {}
         self._reclaims = 0
+        self.zone_capacity = resources.NOTHING
 
     def refresh(
         self, found: typing.Iterable[workers.Worker], *, now_s: float
@@ -206,16 +209,10 @@
             waiting.reason = "another scheduler of the zone comes first"
             return False
         needs = self.needs_of(spec)
-        quota = self.quotas.of(spec.team)
-        if quota.limit_share < 1.0:
-            added = indexes.share_of(needs, self.index.capacity)
-            if self.index.share(spec.team) + added > quota.limit_share:
-                waiting.reason = (
-                    f"team {spec.team} is at its limit of "
-                    f"{quota.limit_share:.0%} of the resources"
-                )
-                waiting.is_short = False
-                return False
+        if not self._is_within_limit(spec.team, needs):
+            waiting.is_short = False
+            waiting.reason = f"team {spec.team} is at the limit of its quota"
+            return False
         if not self._may_probe(spec, now_s):
             waiting.is_short = False
             waiting.reason = "the first tasks of its class are being measured"
@@ -226,6 +223,27 @@
         self._start(waiting, choice, needs, starts, now_s)
         return True
 
+    def _is_within_limit(self, team: str, needs: resources.Resources) -> bool:
+        """Tell whether a team may use more, by this scheduler's slice.
+
+        The slice of a limit is as large as that of the zone's workers which
+        this scheduler holds, but a team may always have one task of its own.
+        """
+        limit = self.quotas.of(team).limit
+        if limit is None:
+            return True
+        if not needs.fits(limit):
+            return False
+        part = indexes.share_of(self.index.capacity, self.zone_capacity)
+        part = min(1.0, part or 1.0)
+        used = self.index.team_used.get(team, resources.NOTHING)
+        total = used + needs
+        return used.cores < 1e-6 or (
+            total.cores <= limit.cores * part
+            and total.memory_bytes <= limit.memory_bytes * part
+            and total.accelerators <= limit.accelerators * part
+        )
+
     def _may_probe(self, spec: tasks.TaskSpec, now_s: float) -> bool:
         """Tell whether one more task of a class may start unmeasured."""
         name = indexes.class_of(spec)
--- a/wisteriawood/machines/attempts.py
+++ b/wisteriawood/machines/attempts.py
@@ -269,6 +269,8 @@
     ) -> None:
         where = (self._scheduler, self._rack, self._worker, placement)
         if report.state == worker_links.AttemptState.FINISHED:
+            task = placement.task.spec.id
+            self._scheduler.placer.note_success(task, self._worker.name)
             transitions.end(*where, state=tasks.TaskState.FINISHED, reason="")
         elif report.state == worker_links.AttemptState.FAILED:
             transitions.fail(*where, report.reason)
--- a/wisteriawood/machines/evictions.py
+++ b/wisteriawood/machines/evictions.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing
 
+from wisteriawood.contracts import quotas
 from wisteriawood.contracts import resources
 from wisteriawood.contracts import tasks
 from wisteriawood.machines import indexes
@@ -40,13 +41,19 @@
     Args:
         index: The workers.
         policy: Says what an eviction costs.
+        team_quotas: Says which jobs are not evicted.
     """
 
-    __slots__ = ("_index", "_ordered_s", "_policy", "_started_s")
+    __slots__ = ("_index", "_ordered_s", "_policy", "_quotas", "_started_s")
 
     def __init__(
-        self, *, index: indexes.WorkerIndex, policy: base.EvictionPolicy
+        self,
+        *,
+        index: indexes.WorkerIndex,
+        policy: base.EvictionPolicy,
+        team_quotas: quotas.Quotas,
     ):
+        self._quotas = team_quotas
         self._index = index
         self._policy = policy
         self._ordered_s: dict[str, float] = {}
@@ -105,7 +112,9 @@
             spec = placement.task.spec
             if spec.kind != tasks.TaskKind.BATCH or spec.urgent:
                 continue
-            if task_id in self._ordered_s:
+            if task_id in self._ordered_s or placement.eviction:
+                continue
+            if spec.task_class in self._quotas.of(spec.team).not_evicted:
                 continue
             started_s = self._started_s.setdefault(task_id, now_s)
             found.append(
--- a/wisteriawood/machines/monitors.py
+++ b/wisteriawood/machines/monitors.py
@@ -310,6 +310,9 @@
                 continue
             if self._allocator.evictions.is_ordered(task_id):
                 continue
+            quota = self._allocator.quotas.of(spec.team)
+            if spec.task_class in quota.not_throttled:
+                continue
             name = indexes.class_of(spec)
             load = placement.counted.cores / worker.capacity.cores
             harm = max(
--- a/wisteriawood/machines/placers.py
+++ b/wisteriawood/machines/placers.py
@@ -7,7 +7,9 @@
 import anyio
 from anyio import abc
 
+from wisteriawood.config import configuration
 from wisteriawood.contracts import keys
+from wisteriawood.contracts import quotas
 from wisteriawood.contracts import resources
 from wisteriawood.contracts import tasks
 from wisteriawood import errors
@@ -33,10 +35,49 @@
 # counts as impossible, since the host list lags.
 IMPOSSIBLE_AFTER_S = 5.0
 CAPACITY_KEPT_S = 600.0
+LEAST_WEIGHT = 0.01
+NO_LIMIT = 2**62
 
 _LOG = events.Logger(name=__name__)
 
 
+def make_quota(name: str, team: configuration.Team) -> quotas.Quota:
+    """Return the quota that the configuration gives a team.
+
+    Args:
+        name: Name of the team.
+        team: Its configuration.
+    """
+    limits = (
+        team.quota.cores,
+        team.quota.memory_bytes,
+        team.quota.accelerators,
+    )
+    limit = None
+    if any(value is not None for value in limits):
+        cores, memory_bytes, accelerators = (
+            NO_LIMIT if value is None else value for value in limits
+        )
+        limit = resources.Resources(
+            cores=cores, memory_bytes=memory_bytes, accelerators=accelerators
+        )
+    classes = team.batch_classes.items()
+    return quotas.Quota(
+        team=name,
+        weight=max(team.quota.share, LEAST_WEIGHT),
+        limit=limit,
+        tail_latency_weight=team.weights.tail_latency,
+        throughput_weight=team.weights.batch_throughput,
+        eviction_weight=team.weights.evictions,
+        not_evicted=frozenset(
+            task_class for task_class, found in classes if not found.resumable
+        ),
+        not_throttled=frozenset(
+            task_class for task_class, found in classes if not found.throttled
+        ),
+    )
+
+
 class Placer:
     """Reads the queue of one zone and places what waits in it.
 
@@ -92,10 +133,13 @@
             hosts: The platform's host list.
         """
         now_s = anyio.current_time()
+        total = resources.NOTHING
         for host in hosts:
             is_worker = host.kind == platforms.HostKind.WORKER
             if is_worker and host.zone == self._scheduler.zone:
                 self._capacities[host.capacity] = now_s
+                total = total + host.capacity
+        self.allocator.zone_capacity = total
 
     def observe_latency(self, target: str, slowdown: float) -> None:
         """Take over how much slower a target answers than its peers.
@@ -139,10 +183,23 @@
         """Read the queue and place tasks until cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
+            group.start_soon(self._follow_configuration)
             group.start_soon(self._follow_queue)
             group.start_soon(self._place_forever)
             group.start_soon(self._follow_usage)
 
+    async def _follow_configuration(self) -> None:
+        follower = self._scheduler.configuration
+        while True:
+            changed = follower.changed
+            self.allocator.quotas.replace(
+                {
+                    name: make_quota(name, team)
+                    for name, team in follower.current.teams.items()
+                }
+            )
+            await changed.wait()
+
     async def _follow_queue(self) -> None:
         while True:
             if self._scheduler.membership.is_confirmed():
--- a/wisteriawood/machines/transitions.py
+++ b/wisteriawood/machines/transitions.py
@@ -230,6 +230,7 @@
         reason: Why the attempt failed.
     """
     where = (scheduler, rack, worker, placement)
+    scheduler.placer.note_failure(placement.task.spec.id, worker.name)
     failures = [*placement.task.failures, worker.name]
     if placement.is_cancelled:
         vacate(*where, reason)
