--- a/wisteriawood/commands/base.py
+++ b/wisteriawood/commands/base.py
@@ -9,6 +9,7 @@
 from cleo import helpers
 from cleo.io.inputs import option
 
+from wisteriawood.commands import tables
 from wisteriawood import errors
 from wisteriawood.links.codecs import rows
 from wisteriawood.links import platforms
@@ -113,8 +114,9 @@
         self.line(json.dumps(value, indent=2))
 
     def print_table(self, headers: list[str], lines: list[list[str]]) -> None:
-        """Print a table."""
-        self.render_table(headers, lines, style="compact")
+        """Print a table within the width of a terminal."""
+        for line in tables.lay_out(headers, lines):
+            self.line(line, style=None)
 
 
 class PlatformCommand(BaseCommand):
--- /dev/null
+++ b/wisteriawood/config/questionnaire.py
@@ -0,0 +1,135 @@
+"""The questionnaire: answers in plain words become a team's configuration."""
+
+import dataclasses
+import json
+import typing
+
+from wisteriawood.config import configuration
+from wisteriawood.config import configuration_patches as patches
+from wisteriawood.config import questions as question_modules
+from wisteriawood.config.questions import base
+from wisteriawood.config import settings
+from wisteriawood.policies import registry
+
+SCHEMA_HEAD = {"type": "object", "additionalProperties": False}
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Outcome:
+    """What the answers of a team lead to.
+
+    Attributes:
+        team: Name of the team.
+        document: The team's part of the configuration.
+        explanations: In words, what each answer led to.
+    """
+
+    team: str
+    document: configuration.Document
+    explanations: list[str]
+
+
+def questions() -> list[base.Question]:
+    """Return all questions in the order in which they are asked."""
+    registry.load_modules(question_modules)
+    found = [base.QUESTIONS.get(name) for name in base.QUESTIONS.names()]
+    return sorted(found, key=lambda question: question.order)
+
+
+def schema() -> configuration.Document:
+    """Return the JSON schema of an answers file."""
+    asked = questions()
+    return SCHEMA_HEAD | {
+        "required": [question.name for question in asked],
+        "properties": {question.name: question.schema for question in asked},
+    }
+
+
+def check(answers: typing.Any, *, file: str) -> None:
+    """Check answers against the questions.
+
+    Args:
+        answers: The answers by name of the question.
+        file: Where they came from, for the message.
+
+    Raises:
+        SettingsError: The first error, with its path and the remedy.
+    """
+    settings.check(file=file, value=answers, schema=schema())
+
+
+def read_file(*, file: str) -> base.Answers:
+    """Return the checked answers of a file.
+
+    Args:
+        file: Name of the file.
+
+    Raises:
+        SettingsError: The file is missing, no JSON or not as it should be.
+    """
+    answers = settings.read_json(file=file)
+    check(answers, file=file)
+    return answers
+
+
+def write_file(answers: base.Answers, *, file: str) -> None:
+    """Write answers to a file.
+
+    Args:
+        answers: The answers.
+        file: Name of the file.
+
+    Raises:
+        SettingsError: The file can't be written.
+    """
+    text = json.dumps(answers, indent=2) + "\n"
+    settings.write_text(file=file, text=text)
+
+
+def parse_answer(question: base.Question, text: str) -> typing.Any:
+    """Return the checked answer that a text holds.
+
+    Args:
+        question: The question.
+        text: What the operator typed.
+
+    Raises:
+        SettingsError: The answer does not fit; the message says why.
+    """
+    value = question.read(text)
+    settings.check(file=question.name, value=value, schema=question.schema)
+    return value
+
+
+def build(answers: base.Answers) -> Outcome:
+    """Return what checked answers lead to.
+
+    Args:
+        answers: The answers by name of the question.
+
+    Raises:
+        SettingsError: Two answers contradict each other.
+    """
+    document: configuration.Document = {}
+    explanations = []
+    for question in questions():
+        effect = question.effect(answers)
+        document = patches.apply(document, effect.patch)
+        explanations.extend(effect.explanations)
+    team = answers["team"]
+    configuration.check({"teams": {team: document}}, file="answers")
+    return Outcome(team=team, document=document, explanations=explanations)
+
+
+def merge(
+    document: configuration.Document, outcome: Outcome
+) -> configuration.Document:
+    """Return a configuration with the team's part replaced.
+
+    Args:
+        document: The configuration before.
+        outcome: What the team's answers lead to.
+    """
+    teams = dict(document.get("teams", {}))
+    teams[outcome.team] = outcome.document
+    return document | {"teams": teams}
--- /dev/null
+++ b/wisteriawood/config/questions/__init__.py
@@ -0,0 +1,1 @@
+"""Questions of the questionnaire, one module a topic."""
--- a/wisteriawood/config/settings.py
+++ b/wisteriawood/config/settings.py
@@ -140,6 +140,28 @@
         ) from exc
 
 
+def write_text(*, file: str, text: str) -> None:
+    """Write a text file.
+
+    Args:
+        file: Name of the file.
+        text: What to write.
+
+    Raises:
+        SettingsError: The file can't be written.
+    """
+    try:
+        with open(file, "w", encoding="utf-8") as stream:
+            stream.write(text)
+    except OSError as exc:
+        raise errors.SettingsError(
+            file=file,
+            path="$",
+            found=exc.strerror or "an error",
+            remedy="give the name of a file that can be written",
+        ) from exc
+
+
 def check(*, file: str, value: typing.Any, schema: typing.Any) -> None:
     """Check a JSON value against a schema.
 
--- a/wisteriawood/zones/peering.py
+++ b/wisteriawood/zones/peering.py
@@ -164,6 +164,7 @@
         "_dial_peer",
         "_group",
         "_kept",
+        "_live_addresses",
         "_machine",
         "_members",
         "_names",
@@ -187,6 +188,7 @@
         self._addresses = tuple(addresses)
         self._group: abc.TaskGroup | None = None
         self._kept: set[str] = set()
+        self._live_addresses: set[str] = set()
         self._names: dict[str, str] = {}
         self._wanted: set[str] = set()
         self.config_version = configurations.NO_VERSION
@@ -210,6 +212,10 @@
     def _choose(self) -> None:
         own = self._members.own
         live = self._members.live(holdings.Role.ENTRY)
+        addresses = {member.peer_address for member in live}
+        if addresses == self._live_addresses:
+            return
+        self._live_addresses = addresses
         chosen = choose_peers(own, live)
         if chosen:
             self._wanted = {member.peer_address for member in chosen}
