--- /dev/null
+++ b/wisteriawood/standins/processes.py
@@ -0,0 +1,246 @@
+"""Processes of ours and their links in memory: cuts, freezes and kills.
+
+Runs in virtual time: each process is a cancel scope, each link a call
+that a cut or a freeze can hold up or break.
+"""
+
+import functools
+import typing
+
+import anyio
+from anyio import abc
+
+from wisteriawood.contracts import requests
+from wisteriawood import errors
+from wisteriawood.links import channels
+from wisteriawood.standins import targets
+
+if typing.TYPE_CHECKING:
+    from wisteriawood.standins import worlds
+
+CALL_TIMEOUT_S = 2.0
+
+
+class Process:
+    """One process of ours, which can be frozen and killed.
+
+    Args:
+        name: Name of the process.
+    """
+
+    __slots__ = ("is_alive", "name", "scope", "thawed")
+
+    def __init__(self, *, name: str):
+        self.name = name
+        self.is_alive = True
+        self.scope = anyio.CancelScope()
+        self.thawed = anyio.Event()
+        self.thawed.set()
+
+    def freeze(self) -> None:
+        """Hold up whatever it sends and receives."""
+        if self.thawed.is_set():
+            self.thawed = anyio.Event()
+
+    def wake(self) -> None:
+        """Let it go on where it was."""
+        self.thawed.set()
+
+    def kill(self) -> None:
+        """End it at once."""
+        self.is_alive = False
+        self.scope.cancel()
+
+
+class GuardedLink:
+    """Calls of one process to one other, as the network lets them.
+
+    Args:
+        world: The world that knows the cuts.
+        process: The calling process.
+        peer: Name of the called one.
+        inner: Object that carries the calls out.
+        unsent: Makes the error of a call that had no effect.
+        unknown: Makes the error of a call that may have had one.
+    """
+
+    __slots__ = (
+        "_inner",
+        "_peer",
+        "_process",
+        "_unknown",
+        "_unsent",
+        "_world",
+    )
+
+    def __init__(
+        self,
+        *,
+        world: "worlds.World",
+        process: Process,
+        peer: str,
+        inner: typing.Any,
+        unsent: typing.Callable[[str], Exception],
+        unknown: typing.Callable[[str], Exception],
+    ):
+        self._world = world
+        self._process = process
+        self._peer = peer
+        self._inner = inner
+        self._unsent = unsent
+        self._unknown = unknown
+
+    def __getattr__(self, name: str) -> typing.Any:
+        call = getattr(self._inner, name)
+        return functools.partial(self._guard, call)
+
+    async def _guard(self, call, *args, **kwargs) -> typing.Any:
+        await self._process.thawed.wait()
+        world = self._world
+        name = self._process.name
+        world.calls.append((name, self._peer, call.__name__))
+        if world.is_dead(self._peer):
+            raise self._unsent("refused")
+        if world.is_cut(name, self._peer):
+            await anyio.sleep(CALL_TIMEOUT_S)
+            raise self._unknown("no answer")
+        if world.delay_s(name, self._peer):
+            call = functools.partial(self._deliver, call)
+        result = await call(*args, **kwargs)
+        await anyio.sleep(world.delay_s(self._peer, name))
+        if world.is_cut(self._peer, name):
+            await anyio.sleep(CALL_TIMEOUT_S)
+            raise self._unknown("no answer")
+        await self._process.thawed.wait()
+        return result
+
+    async def _deliver(self, call, *args, **kwargs) -> typing.Any:
+        """Let a call arrive after its delay, though its caller be dead."""
+        delivery = Delivery(delay_s=self._delay_s())
+        self._world.start_soon(delivery.run, call, args, kwargs)
+        with anyio.move_on_after(CALL_TIMEOUT_S):
+            await delivery.done.wait()
+        if not delivery.done.is_set():
+            raise self._unknown("no answer")
+        if delivery.error is not None:
+            raise delivery.error
+        return delivery.result
+
+    def _delay_s(self) -> float:
+        return self._world.delay_s(self._process.name, self._peer)
+
+
+class Delivery:
+    """One call on its way.
+
+    Args:
+        delay_s: Time that it takes in seconds.
+    """
+
+    __slots__ = ("_delay_s", "done", "error", "result")
+
+    def __init__(self, *, delay_s: float):
+        self._delay_s = delay_s
+        self.done = anyio.Event()
+        self.error: Exception | None = None
+        self.result: typing.Any = None
+
+    async def run(self, call, args, kwargs) -> None:
+        """Carry the call out after its delay."""
+        await anyio.sleep(self._delay_s)
+        try:
+            self.result = await call(*args, **kwargs)
+        except errors.WisteriawoodError as exc:
+            self.error = exc
+        self.done.set()
+
+
+class GuardedChannel:
+    """One end of a peer link, as the network lets it.
+
+    Args:
+        world: The world that knows the cuts.
+        process: The process at this end.
+        peer: Name of the process at the other end.
+        inner: The channel in memory.
+    """
+
+    __slots__ = ("_inner", "_peer", "_process", "_world")
+
+    def __init__(
+        self,
+        *,
+        world: "worlds.World",
+        process: Process,
+        peer: str,
+        inner: channels.MemoryChannel,
+    ):
+        self._world = world
+        self._process = process
+        self._peer = peer
+        self._inner = inner
+
+    async def send(self, message: typing.Any) -> None:
+        """Send a message; a cut loses it."""
+        await self._process.thawed.wait()
+        if self._world.is_cut(self._process.name, self._peer):
+            return
+        await anyio.sleep(self._world.delay_s(self._process.name, self._peer))
+        await self._inner.send(message)
+
+    async def receive(self) -> typing.Any:
+        """Wait for the next message."""
+        message = await self._inner.receive()
+        await self._process.thawed.wait()
+        return message
+
+    async def aclose(self) -> None:
+        """Close the link."""
+        await self._inner.aclose()
+
+
+class MemoryTarget:
+    """Link to a stand-in target in memory.
+
+    Args:
+        group: Runs what the target has taken, though the caller be gone.
+        target: The stand-in.
+    """
+
+    __slots__ = ("_group", "_target")
+
+    def __init__(self, *, group: abc.TaskGroup, target: targets.StandinTarget):
+        self._group = group
+        self._target = target
+
+    async def send(
+        self, request: requests.Request, *, timeout_s: float
+    ) -> requests.Answer:
+        """Run a request and return its whole answer."""
+        replies: list[targets.Reply] = []
+        done = anyio.Event()
+
+        async def _run() -> None:
+            replies.append(
+                await self._target.serve(
+                    request_id=request.id,
+                    key=request.key,
+                    body=request.body,
+                )
+            )
+            done.set()
+
+        self._group.start_soon(_run)
+        with anyio.move_on_after(timeout_s):
+            await done.wait()
+        if not replies:
+            raise errors.RequestUnknownError(reason="no answer in time")
+        reply = replies[0]
+        if reply.request_id != request.id:
+            raise errors.RequestUnknownError(reason="another's answer")
+        return requests.Answer(
+            request_id=request.id, status=reply.status, body=reply.body
+        )
+
+    async def aclose(self) -> None:
+        """Do nothing; the target goes on."""
--- a/wisteriawood/standins/worlds.py
+++ b/wisteriawood/standins/worlds.py
@@ -1,8 +1,4 @@
-"""Processes of ours over links in memory, with cuts, freezes and kills.
-
-Runs in virtual time: each process is a cancel scope, each link a call
-that a cut or a freeze can hold up or break.
-"""
+"""A world in memory: platform, workers, targets and processes of ours."""
 
 import contextlib
 import functools
@@ -13,245 +9,19 @@
 from anyio import abc
 
 from wisteriawood.contracts import holdings
-from wisteriawood.contracts import requests
 from wisteriawood import errors
 from wisteriawood.links import channels
 from wisteriawood.links import platforms as platform_links
 from wisteriawood.machines import entry_hosts
 from wisteriawood.machines import schedulers
 from wisteriawood.standins import platforms
+from wisteriawood.standins import processes
 from wisteriawood.standins import targets
 from wisteriawood.standins import workers
 from wisteriawood.telemetry import metrics
 from wisteriawood.telemetry import spans
 
 PLATFORM = "platform"
-CALL_TIMEOUT_S = 2.0
-
-
-class Process:
-    """One process of ours, which can be frozen and killed.
-
-    Args:
-        name: Name of the process.
-    """
-
-    __slots__ = ("is_alive", "name", "scope", "thawed")
-
-    def __init__(self, *, name: str):
-        self.name = name
-        self.is_alive = True
-        self.scope = anyio.CancelScope()
-        self.thawed = anyio.Event()
-        self.thawed.set()
-
-    def freeze(self) -> None:
-        """Hold up whatever it sends and receives."""
-        if self.thawed.is_set():
-            self.thawed = anyio.Event()
-
-    def wake(self) -> None:
-        """Let it go on where it was."""
-        self.thawed.set()
-
-    def kill(self) -> None:
-        """End it at once."""
-        self.is_alive = False
-        self.scope.cancel()
-
-
-class GuardedLink:
-    """Calls of one process to one other, as the network lets them.
-
-    Args:
-        world: The world that knows the cuts.
-        process: The calling process.
-        peer: Name of the called one.
-        inner: Object that carries the calls out.
-        unsent: Makes the error of a call that had no effect.
-        unknown: Makes the error of a call that may have had one.
-    """
-
-    __slots__ = (
-        "_inner",
-        "_peer",
-        "_process",
-        "_unknown",
-        "_unsent",
-        "_world",
-    )
-
-    def __init__(
-        self,
-        *,
-        world: "World",
-        process: Process,
-        peer: str,
-        inner: typing.Any,
-        unsent: typing.Callable[[str], Exception],
-        unknown: typing.Callable[[str], Exception],
-    ):
-        self._world = world
-        self._process = process
-        self._peer = peer
-        self._inner = inner
-        self._unsent = unsent
-        self._unknown = unknown
-
-    def __getattr__(self, name: str) -> typing.Any:
-        call = getattr(self._inner, name)
-        return functools.partial(self._guard, call)
-
-    async def _guard(self, call, *args, **kwargs) -> typing.Any:
-        await self._process.thawed.wait()
-        world = self._world
-        name = self._process.name
-        world.calls.append((name, self._peer, call.__name__))
-        if world.is_dead(self._peer):
-            raise self._unsent("refused")
-        if world.is_cut(name, self._peer):
-            await anyio.sleep(CALL_TIMEOUT_S)
-            raise self._unknown("no answer")
-        if world.delay_s(name, self._peer):
-            call = functools.partial(self._deliver, call)
-        result = await call(*args, **kwargs)
-        await anyio.sleep(world.delay_s(self._peer, name))
-        if world.is_cut(self._peer, name):
-            await anyio.sleep(CALL_TIMEOUT_S)
-            raise self._unknown("no answer")
-        await self._process.thawed.wait()
-        return result
-
-    async def _deliver(self, call, *args, **kwargs) -> typing.Any:
-        """Let a call arrive after its delay, though its caller be dead."""
-        delivery = Delivery(delay_s=self._delay_s())
-        self._world.start_soon(delivery.run, call, args, kwargs)
-        with anyio.move_on_after(CALL_TIMEOUT_S):
-            await delivery.done.wait()
-        if not delivery.done.is_set():
-            raise self._unknown("no answer")
-        if delivery.error is not None:
-            raise delivery.error
-        return delivery.result
-
-    def _delay_s(self) -> float:
-        return self._world.delay_s(self._process.name, self._peer)
-
-
-class Delivery:
-    """One call on its way.
-
-    Args:
-        delay_s: Time that it takes in seconds.
-    """
-
-    __slots__ = ("_delay_s", "done", "error", "result")
-
-    def __init__(self, *, delay_s: float):
-        self._delay_s = delay_s
-        self.done = anyio.Event()
-        self.error: Exception | None = None
-        self.result: typing.Any = None
-
-    async def run(self, call, args, kwargs) -> None:
-        """Carry the call out after its delay."""
-        await anyio.sleep(self._delay_s)
-        try:
-            self.result = await call(*args, **kwargs)
-        except errors.WisteriawoodError as exc:
-            self.error = exc
-        self.done.set()
-
-
-class GuardedChannel:
-    """One end of a peer link, as the network lets it.
-
-    Args:
-        world: The world that knows the cuts.
-        process: The process at this end.
-        peer: Name of the process at the other end.
-        inner: The channel in memory.
-    """
-
-    __slots__ = ("_inner", "_peer", "_process", "_world")
-
-    def __init__(
-        self,
-        *,
-        world: "World",
-        process: Process,
-        peer: str,
-        inner: channels.MemoryChannel,
-    ):
-        self._world = world
-        self._process = process
-        self._peer = peer
-        self._inner = inner
-
-    async def send(self, message: typing.Any) -> None:
-        """Send a message; a cut loses it."""
-        await self._process.thawed.wait()
-        if self._world.is_cut(self._process.name, self._peer):
-            return
-        await anyio.sleep(self._world.delay_s(self._process.name, self._peer))
-        await self._inner.send(message)
-
-    async def receive(self) -> typing.Any:
-        """Wait for the next message."""
-        message = await self._inner.receive()
-        await self._process.thawed.wait()
-        return message
-
-    async def aclose(self) -> None:
-        """Close the link."""
-        await self._inner.aclose()
-
-
-class MemoryTarget:
-    """Link to a stand-in target in memory.
-
-    Args:
-        group: Runs what the target has taken, though the caller be gone.
-        target: The stand-in.
-    """
-
-    __slots__ = ("_group", "_target")
-
-    def __init__(self, *, group: abc.TaskGroup, target: targets.StandinTarget):
-        self._group = group
-        self._target = target
-
-    async def send(
-        self, request: requests.Request, *, timeout_s: float
-    ) -> requests.Answer:
-        """Run a request and return its whole answer."""
-        replies: list[targets.Reply] = []
-        done = anyio.Event()
-
-        async def _run() -> None:
-            replies.append(
-                await self._target.serve(
-                    request_id=request.id,
-                    key=request.key,
-                    body=request.body,
-                )
-            )
-            done.set()
-
-        self._group.start_soon(_run)
-        with anyio.move_on_after(timeout_s):
-            await done.wait()
-        if not replies:
-            raise errors.RequestUnknownError(reason="no answer in time")
-        reply = replies[0]
-        if reply.request_id != request.id:
-            raise errors.RequestUnknownError(reason="another's answer")
-        return requests.Answer(
-            request_id=request.id, status=reply.status, body=reply.body
-        )
-
-    async def aclose(self) -> None:
-        """Do nothing; the target goes on."""
 
 
 def _not_run(reason: str) -> Exception:
@@ -287,13 +57,13 @@
 
     def __init__(self, *, group: abc.TaskGroup, seed: int = 1):
         self._group = group
-        self._handlers: dict[str, tuple[Process, typing.Any]] = {}
+        self._handlers: dict[str, tuple[processes.Process, typing.Any]] = {}
         self.seed = seed
         self.calls: list[tuple[str, str, str]] = []
         self.cuts: set[tuple[str, str]] = set()
         self.delays_s: dict[tuple[str, str], float] = {}
         self.platform = platforms.MemoryPlatform()
-        self.processes: dict[str, Process] = {}
+        self.processes: dict[str, processes.Process] = {}
         self.entries: dict[str, entry_hosts.EntryHost] = {}
         self.schedulers: dict[str, schedulers.Scheduler] = {}
         self.workers: dict[str, workers.StandinWorker] = {}
@@ -333,7 +103,7 @@
             serve_target=self._serve_target,
         )
         self.workers[host.address] = worker
-        self.processes[host.address] = Process(name=host.address)
+        self.processes[host.address] = processes.Process(name=host.address)
         self.platform.put_host(host)
         self._group.start_soon(worker.run)
         return worker
@@ -361,8 +131,8 @@
         self.platform.put_host(host)
         return target
 
-    def _platform_for(self, process: Process) -> typing.Any:
-        return GuardedLink(
+    def _platform_for(self, process: processes.Process) -> typing.Any:
+        return processes.GuardedLink(
             world=self,
             process=process,
             peer=PLATFORM,
@@ -371,8 +141,10 @@
             unknown=errors.TransactionUnknownError,
         )
 
-    def _dial_worker(self, process: Process, *, address: str) -> typing.Any:
-        return GuardedLink(
+    def _dial_worker(
+        self, process: processes.Process, *, address: str
+    ) -> typing.Any:
+        return processes.GuardedLink(
             world=self,
             process=process,
             peer=address,
@@ -382,13 +154,13 @@
         )
 
     def _dial_target(
-        self, process: Process, *, address: str, connections: int
+        self, process: processes.Process, *, address: str, connections: int
     ) -> typing.Any:
-        return GuardedLink(
+        return processes.GuardedLink(
             world=self,
             process=process,
             peer=address,
-            inner=MemoryTarget(
+            inner=processes.MemoryTarget(
                 group=self._group, target=self.targets[address]
             ),
             unsent=_not_run,
@@ -397,21 +169,21 @@
 
     @contextlib.asynccontextmanager
     async def _dial_peer(
-        self, process: Process, *, address: str
-    ) -> typing.AsyncIterator[GuardedChannel]:
+        self, process: processes.Process, *, address: str
+    ) -> typing.AsyncIterator[processes.GuardedChannel]:
         await process.thawed.wait()
         server, handler = self._handlers[address]
         if not server.is_alive:
             raise errors.LinkRefusedError("the peer refuses")
         if self.is_cut(process.name, server.name):
-            await anyio.sleep(CALL_TIMEOUT_S)
+            await anyio.sleep(processes.CALL_TIMEOUT_S)
             raise errors.LinkClosedError("no answer")
         near, far = channels.memory_pair()
         self._group.start_soon(
             self._serve_peer, server, process.name, handler, far
         )
         try:
-            yield GuardedChannel(
+            yield processes.GuardedChannel(
                 world=self, process=process, peer=server.name, inner=near
             )
         finally:
@@ -419,12 +191,12 @@
 
     async def _serve_peer(
         self,
-        server: Process,
+        server: processes.Process,
         client: str,
         handler: typing.Any,
         inner: channels.MemoryChannel,
     ) -> None:
-        channel = GuardedChannel(
+        channel = processes.GuardedChannel(
             world=self, process=server, peer=client, inner=inner
         )
         try:
@@ -437,13 +209,15 @@
             await inner.aclose()
 
     async def _end_with(
-        self, process: Process, scope: anyio.CancelScope
+        self, process: processes.Process, scope: anyio.CancelScope
     ) -> None:
         while process.is_alive:
             await anyio.sleep(0.1)
         scope.cancel()
 
-    async def _run(self, process: Process, machine: typing.Any) -> None:
+    async def _run(
+        self, process: processes.Process, machine: typing.Any
+    ) -> None:
         with process.scope:
             await machine.run()
 
@@ -451,7 +225,7 @@
         self, member: holdings.MemberRow
     ) -> schedulers.Scheduler:
         """Start a scheduler."""
-        process = Process(name=f"scheduler/{member.name}")
+        process = processes.Process(name=f"scheduler/{member.name}")
         self.processes[process.name] = process
         scheduler = schedulers.Scheduler(
             platform=self._platform_for(process),
@@ -473,7 +247,7 @@
         peer_addresses: typing.Sequence[str] = (),
     ) -> entry_hosts.EntryHost:
         """Start an entry host, with further peers to dial if given."""
-        process = Process(name=f"entry/{member.name}")
+        process = processes.Process(name=f"entry/{member.name}")
         self.processes[process.name] = process
         entry = entry_hosts.EntryHost(
             platform=self._platform_for(process),
