--- a/wisteriawood/standins/processes.py
+++ b/wisteriawood/standins/processes.py
@@ -18,6 +18,7 @@
 if typing.TYPE_CHECKING:
     from wisteriawood.standins import worlds
 
+PLATFORM = "platform"
 CALL_TIMEOUT_S = 2.0
 
 
--- a/wisteriawood/standins/worlds.py
+++ b/wisteriawood/standins/worlds.py
@@ -21,8 +21,6 @@
 from wisteriawood.telemetry import metrics
 from wisteriawood.telemetry import spans
 
-PLATFORM = "platform"
-
 
 def _not_run(reason: str) -> Exception:
     return errors.RequestNotRunError(reason=reason)
@@ -135,7 +133,7 @@
         return processes.GuardedLink(
             world=self,
             process=process,
-            peer=PLATFORM,
+            peer=processes.PLATFORM,
             inner=self.platform,
             unsent=errors.PlatformUnavailableError,
             unknown=errors.TransactionUnknownError,
--- /dev/null
+++ b/wisteriawood/tests/invariants.py
@@ -0,0 +1,171 @@
+"""Checks of what must always hold, from the workers' own records."""
+
+from wisteriawood.contracts import keys
+from wisteriawood.contracts import resources
+from wisteriawood.contracts import tasks
+from wisteriawood.links.codecs import rows
+
+NEVER_S = float("inf")
+
+
+def _runs(world):
+    """Yield each worker's name with each of its records."""
+    for worker in world.workers.values():
+        for record in worker.records:
+            yield worker, record
+
+
+def _stopped_s(record):
+    return record.stopped_s if record.end else NEVER_S
+
+
+def find_overlaps(world):
+    """Return attempts of one task that ran at the same time."""
+    found = []
+    by_task = {}
+    for worker, record in _runs(world):
+        by_task.setdefault(record.task, []).append((worker, record))
+    for task_id, runs in by_task.items():
+        runs.sort(key=lambda run: run[1].started_s)
+        for (one, before), (other, after) in zip(runs, runs[1:]):
+            if after.started_s < _stopped_s(before):
+                found.append(
+                    f"{task_id}: attempt {after.attempt} on {other.name} "
+                    f"began at {after.started_s:.1f} while {before.attempt} "
+                    f"on {one.name} ran until {_stopped_s(before):.1f}"
+                )
+            if after.attempt <= before.attempt:
+                found.append(f"{task_id}: attempt {after.attempt} ran twice")
+    return found
+
+
+def find_overloads(world):
+    """Return workers that were given more than they can hold."""
+    found = []
+    for worker in world.workers.values():
+        changes = []
+        for record in worker.records:
+            changes.append((record.started_s, 1, record))
+            changes.append((_stopped_s(record), 0, record))
+        used = resources.NOTHING
+        for at_s, is_start, record in sorted(
+            changes, key=lambda change: change[:2]
+        ):
+            if not is_start:
+                used = used - record.needs
+                continue
+            used = used + record.needs
+            if not used.fits(worker.capacity):
+                found.append(f"{worker.name} at {at_s:.1f}: {used}")
+    return found
+
+
+def find_wrong_resumes(world):
+    """Return evicted attempts that did not resume from their checkpoint."""
+    found = []
+    by_task = {}
+    for _worker, record in _runs(world):
+        by_task.setdefault(record.task, []).append(record)
+    for task_id, records in by_task.items():
+        records.sort(key=lambda record: record.attempt)
+        for before, after in zip(records, records[1:]):
+            wanted = f"checkpoint/{task_id}/{before.attempt}"
+            if before.is_told and after.resumed_from != wanted:
+                found.append(
+                    f"{task_id}: attempt {after.attempt} resumed from "
+                    f"{after.resumed_from!r}, not from {wanted!r}"
+                )
+    return found
+
+
+def find_lost(world, task_ids):
+    """Return accepted tasks that do not have exactly one row."""
+    found = []
+    table = world.platform.table
+    for task_id in task_ids:
+        kept = [
+            key
+            for key in table
+            if key.split("/")[0] in ("pending", "placed", "ended")
+            and key.rsplit("/", 1)[1] == task_id
+        ]
+        pointer = table.get(keys.pointer(task_id))
+        if len(kept) != 1 or pointer is None:
+            found.append(f"{task_id}: rows {kept}")
+        elif pointer.value["key"] != kept[0]:
+            found.append(f"{task_id}: pointer to {pointer.value['key']}")
+    return found
+
+
+def find_revived(world, cancelled):
+    """Return cancelled tasks that run, or that began after their end.
+
+    Args:
+        world: The world.
+        cancelled: Monotonic time of the accepted cancel by task id.
+    """
+    found = []
+    for task_id, at_s in cancelled.items():
+        for worker, record in _runs(world):
+            if record.task != task_id:
+                continue
+            if not record.end:
+                found.append(f"{task_id} still runs on {worker.name}")
+            # A start command may have been on its way at that time.
+            if record.started_s > at_s + 10.0:
+                found.append(f"{task_id} began at {record.started_s:.1f}")
+    return found
+
+
+def find_unended(world, task_ids):
+    """Return tasks without an end in the table."""
+    found = []
+    for task_id in task_ids:
+        row = world.platform.table.get(keys.ended(task_id))
+        if row is None:
+            found.append(f"{task_id} has not ended")
+            continue
+        state = rows.from_value(row.value, tasks.Task).state
+        if state not in tasks.ENDED_STATES:
+            found.append(f"{task_id}: {state}")
+    return found
+
+
+def find_runs_after_end(world, task_ids):
+    """Return attempts later than the one whose end is in the table."""
+    found = []
+    for task_id in task_ids:
+        row = world.platform.table.get(keys.ended(task_id))
+        last = row.value["attempt"] if row else NEVER_S
+        for worker, record in _runs(world):
+            if record.task == task_id and record.attempt > last:
+                found.append(f"{task_id}: attempt {record.attempt}")
+    return found
+
+
+def find_repeats(world):
+    """Return tasks of which more than one attempt finished."""
+    finished = [
+        record.task
+        for _worker, record in _runs(world)
+        if record.end == "finished"
+    ]
+    return sorted({name for name in finished if finished.count(name) > 1})
+
+
+def find_all(world, *, task_ids, cancelled):
+    """Return every breach of what must always hold.
+
+    Args:
+        world: The world.
+        task_ids: Ids of all accepted tasks.
+        cancelled: Monotonic time of the accepted cancel by task id.
+    """
+    return [
+        *find_overlaps(world),
+        *find_overloads(world),
+        *find_wrong_resumes(world),
+        *find_lost(world, task_ids),
+        *find_revived(world, cancelled),
+        *find_runs_after_end(world, task_ids),
+    ]
