Run every fault at every step of a task, with a proof for each mechanism

Seen first and mended: an attempt that its worker had lost was started again under the same number (2 cells: 'attempt 1 ran twice', 'attempt 2 ran twice'); now a start that was taken, adopted or sent to an earlier start of the worker is never sent again. A conflict let a holder that had lost its rack take over the row of the next holder; now it does not.

Each proof in proofs_tests.py runs a cell twice: no breach with the mechanism on, a breach with it off.

--- a/wisteriawood/links/workers.py
+++ b/wisteriawood/links/workers.py
@@ -90,12 +90,14 @@
         worker: Name of the worker.
         clock_s: Time of the worker's monotonic clock in seconds.
         capacity: What the worker offers.
+        boot: Id of this start of the worker; it loses all with it.
         attempts: Running attempts and those that ended lately.
     """
 
     worker: str
     clock_s: float
     capacity: resources.Resources
+    boot: str = ""
     attempts: list[AttemptReport] = dataclasses.field(default_factory=list)
 
 
--- a/wisteriawood/machines/attempts.py
+++ b/wisteriawood/machines/attempts.py
@@ -153,10 +153,9 @@
             self._record_end(placement, report)
 
     async def _step_absent(self, placement: workers.Placement) -> None:
-        is_assigned = placement.task.state == tasks.TaskState.ASSIGNED
         if not self._may_act():
             return
-        if is_assigned and not placement.is_unwanted():
+        if self._may_start(placement):
             if placement.task.spec.id not in self._running:
                 await self._start(placement)
             return
@@ -168,6 +167,16 @@
             self._scheduler, self._rack, self._worker, placement, reason
         )
 
+    def _may_start(self, placement: workers.Placement) -> bool:
+        """Tell whether the attempt has surely not run here before."""
+        return (
+            placement.task.state == tasks.TaskState.ASSIGNED
+            and not placement.is_unwanted()
+            and not placement.is_adopted
+            and not placement.is_started
+            and placement.boot in (None, self._inventory.boot)
+        )
+
     async def _start(self, placement: workers.Placement) -> None:
         term_ends_s = self._scheduler.membership.term.ends_at_s()
         not_after_s = min(
@@ -177,6 +186,7 @@
         placement.lease_ends_s = max(
             placement.lease_ends_s, not_after_s + terms.LEASE_S
         )
+        placement.boot = self._inventory.boot
         command = worker_links.StartCommand(
             spec=placement.task.spec,
             attempt=placement.task.attempt,
@@ -190,6 +200,7 @@
             # The worker can't read the checkpoint; it is asked again.
             return
         if is_started:
+            placement.is_started = True
             self._worker.wake()
             return
         placement.refusals += 1
--- a/wisteriawood/machines/transitions.py
+++ b/wisteriawood/machines/transitions.py
@@ -327,5 +327,9 @@
         worker.remove(placement.task.spec.id)
         _LOG.log(events.TASK_ROW_GONE, task=placement.task.spec.id)
         return
-    placement.task = rows.from_value(row.value, tasks.Task)
+    task = rows.from_value(row.value, tasks.Task)
+    if task.epoch > rack.holding.epoch:
+        # The next holder's; the rack is about to be found lost.
+        return
+    placement.task = task
     placement.version = row.version
--- a/wisteriawood/machines/workers.py
+++ b/wisteriawood/machines/workers.py
@@ -28,6 +28,8 @@
             under way can take effect any more.
         stop_not_before_s: Monotonic time before which it is not stopped,
             so that its requests in flight can end; 0 if not yet chosen.
+        boot: Start of the worker that the start command was sent to.
+        is_started: Whether the worker has taken the start command.
         refusals: Start commands that the worker has refused.
         change: Change of state that waits for its commit, if any.
         changed: The task as it will be once that is committed.
@@ -45,6 +47,8 @@
     is_adopted: bool = False
     not_after_s: float = 0.0
     stop_not_before_s: float = 0.0
+    boot: str | None = None
+    is_started: bool = False
     refusals: int = 0
     change: commits.Change | None = None
     changed: tasks.Task | None = None
--- a/wisteriawood/standins/processes.py
+++ b/wisteriawood/standins/processes.py
@@ -118,7 +118,10 @@
 
     async def _deliver(self, call, *args, **kwargs) -> typing.Any:
         """Let a call arrive after its delay, though its caller be dead."""
-        delivery = Delivery(delay_s=self._delay_s())
+        delivery = Delivery(
+            delay_s=self._delay_s(),
+            is_dead=functools.partial(self._world.is_dead, self._peer),
+        )
         self._world.start_soon(delivery.run, call, args, kwargs)
         with anyio.move_on_after(CALL_TIMEOUT_S):
             await delivery.done.wait()
@@ -137,12 +140,14 @@
 
     Args:
         delay_s: Time that it takes in seconds.
+        is_dead: Tells whether nobody is there to receive it.
     """
 
-    __slots__ = ("_delay_s", "done", "error", "result")
+    __slots__ = ("_delay_s", "_is_dead", "done", "error", "result")
 
-    def __init__(self, *, delay_s: float):
+    def __init__(self, *, delay_s: float, is_dead: typing.Callable[[], bool]):
         self._delay_s = delay_s
+        self._is_dead = is_dead
         self.done = anyio.Event()
         self.error: Exception | None = None
         self.result: typing.Any = None
@@ -150,6 +155,8 @@
     async def run(self, call, args, kwargs) -> None:
         """Carry the call out after its delay."""
         await anyio.sleep(self._delay_s)
+        if self._is_dead():
+            return
         try:
             self.result = await call(*args, **kwargs)
         except errors.WisteriawoodError as exc:
--- a/wisteriawood/standins/workers.py
+++ b/wisteriawood/standins/workers.py
@@ -110,6 +110,7 @@
         "_objects",
         "_serve_target",
         "attempts",
+        "boots",
         "capacity",
         "faults",
         "group",
@@ -128,6 +129,7 @@
         self.name = name
         self.capacity = capacity
         self.faults = WorkerFaults()
+        self.boots = 1
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.records: list[RunRecord] = []
         self.group: abc.TaskGroup | None = None
@@ -260,6 +262,7 @@
             if attempt.state == workers.AttemptState.RUNNING:
                 self._end(attempt, workers.AttemptState.STOPPED)
         self.attempts.clear()
+        self.boots += 1
 
     async def inventory(self) -> workers.Inventory:
         """Return all attempts that the worker knows of."""
@@ -268,6 +271,7 @@
             worker=self.name,
             clock_s=anyio.current_time(),
             capacity=self.capacity,
+            boot=f"{self.name}.{self.boots}",
             attempts=[
                 workers.AttemptReport(
                     task=attempt.spec.id,
--- a/wisteriawood/tests/faults/__main__.py
+++ b/wisteriawood/tests/faults/__main__.py
@@ -1,5 +1,6 @@
 """Runs the fault matrix alone and prints each cell."""
 
+import os
 import pathlib
 import sys
 import unittest
@@ -7,6 +8,7 @@
 
 def main() -> int:
     """Run the matrix and return the exit status."""
+    os.environ["WISTERIAWOOD_FAULTS"] = "all"
     here = pathlib.Path(__file__).parent
     suite = unittest.defaultTestLoader.discover(
         str(here), pattern="*_tests.py", top_level_dir=str(here.parents[2])
--- /dev/null
+++ b/wisteriawood/tests/faults/proofs_tests.py
@@ -0,0 +1,214 @@
+"""Proofs that each mechanism is needed: without it, an invariant breaks."""
+
+import contextlib
+import dataclasses
+import math
+import unittest
+from unittest import mock
+
+import anyio
+
+from wisteriawood import errors
+from wisteriawood.links import platforms
+from wisteriawood.links import workers as worker_links
+from wisteriawood.machines import cancels
+from wisteriawood.machines import leases
+from wisteriawood.machines import monitors
+from wisteriawood.machines import schedulers
+from wisteriawood.machines import transitions
+from wisteriawood.machines import workers
+from wisteriawood.tests import builders
+from wisteriawood.tests.faults import tasks_tests
+from wisteriawood.zones import claims
+
+
+def run(fault, step, *, off=None, run_s=60.0):
+    """Run a cell with a mechanism off and return the breaches."""
+    found = []
+
+    async def _check(world):
+        found.extend(
+            await tasks_tests.run_cell(world, fault, step, run_s=run_s)
+        )
+
+    with off or contextlib.nullcontext():
+        builders.run_world(_check)
+    return found
+
+
+def _never_late(**fields):
+    fields["not_after_s"] = math.inf
+    return _start_command(**fields)
+
+
+_start_command = worker_links.StartCommand
+
+
+def _confirmed_only(scheduler, _rack):
+    return scheduler.membership.is_confirmed()
+
+
+async def _assign_unwritten(_scheduler, rack, worker, placement):
+    placement.task = dataclasses.replace(
+        placement.task,
+        state="assigned",
+        attempt=placement.task.attempt + 1,
+        rack=rack.holding.rack,
+        worker=worker.name,
+    )
+    placement.is_committed = True
+
+
+async def _commit_unsettled(platform, transaction):
+    try:
+        return await platform.commit(transaction)
+    except errors.TransactionUnknownError as exc:
+        raise errors.PlatformUnavailableError(str(exc)) from exc
+
+
+_claim = claims.commit
+
+
+async def _claim_without_waiting(platform, own, claim):
+    rack = await _claim(platform, own, claim)
+    if rack is not None:
+        rack.adopted_until_s = anyio.current_time()
+    return rack
+
+
+def _claim_unconditionally(watcher, name, row):
+    claim = _find_claim(watcher, name, row)
+    if claim is not None:
+        claim.conditions.clear()
+    return claim
+
+
+_find_claim = claims.find_claim
+_add = workers.Worker.add
+
+
+def _add_uncounted(worker, placement):
+    free = worker.free
+    added = _add(worker, placement)
+    if placement.is_adopted:
+        worker.free = free
+        placement.counted = worker.free - worker.free
+    return added
+
+
+@contextlib.contextmanager
+def _count_nothing_adopted():
+    with (
+        mock.patch.object(workers.Worker, "add", _add_uncounted),
+        mock.patch.object(monitors.Monitor, "observe"),
+    ):
+        yield
+
+
+_record = transitions.record
+
+
+def _record_without_checkpoint(*where, **fields):
+    fields.pop("checkpoint", None)
+    _record(*where, **fields)
+
+
+def _mark_and_forget(canceller, found):
+    for row in found:
+        task_id = row.key.rsplit("/", 1)[1]
+        canceller._scheduler.commits.submit(
+            conditions=[], writes=[platforms.Write(key=row.key)]
+        )
+        for rack in canceller._scheduler.racks.values():
+            for worker in rack.workers.values():
+                worker.order_cancel(task_id)
+    return []
+
+
+class ProofTests(unittest.TestCase):
+
+    def _check(self, fault, step, off, *, run_s=60.0, breach):
+        self.assertEqual([], run(fault, step, run_s=run_s))
+        found = run(fault, step, off=off, run_s=run_s)
+        self.assertIn(breach, " ".join(found))
+
+    def test_start_commands_lapse(self):
+        self._check(
+            "commands delayed past a takeover",
+            "assigned",
+            mock.patch.object(worker_links, "StartCommand", _never_late),
+            breach="while",
+        )
+
+    def test_tasks_move_only_once_their_lease_lapsed(self):
+        self._check(
+            "worker cut off 40 s",
+            "running",
+            mock.patch.object(leases, "is_lapsed", lambda *_args: True),
+            breach="while",
+        )
+
+    def test_successor_waits_for_leases_of_the_cut_off_holder(self):
+        self._check(
+            "scheduler cut from the platform, successor from the worker",
+            "running",
+            mock.patch.object(claims, "commit", _claim_without_waiting),
+            run_s=120.0,
+            breach="while",
+        )
+
+    def test_racks_are_verified_after_a_break_of_the_term(self):
+        self._check(
+            "scheduler cut off 30 s, then far from the platform",
+            "assigned",
+            mock.patch.object(
+                schedulers.Scheduler, "has_authority", _confirmed_only
+            ),
+            breach="while",
+        )
+
+    def test_assignments_are_written_before_the_start(self):
+        self._check(
+            "entry host killed",
+            "submitted",
+            mock.patch.object(transitions, "assign", _assign_unwritten),
+            breach="ran twice",
+        )
+
+    def test_adopted_tasks_count_against_their_worker(self):
+        self._check(
+            "scheduler killed while more is submitted",
+            "running",
+            _count_nothing_adopted(),
+            breach="Resources",
+        )
+
+    def test_checkpoints_are_named_in_the_row(self):
+        self._check(
+            "entry host killed",
+            "evicted",
+            mock.patch.object(
+                transitions, "record", _record_without_checkpoint
+            ),
+            breach="resumed from",
+        )
+
+    def test_cancels_stay_until_the_end_is_committed(self):
+        self._check(
+            "cancelled and scheduler killed",
+            "running",
+            mock.patch.object(
+                cancels.Canceller, "_cancel_placed", _mark_and_forget
+            ),
+            run_s=2000.0,
+            breach="still runs",
+        )
+
+    def test_lost_acknowledgements_are_settled(self):
+        self._check(
+            "20 acknowledgements lost",
+            "submitted",
+            mock.patch.object(platforms, "commit_settled", _commit_unsettled),
+            run_s=10.0,
+            breach="has not ended",
+        )
