--- a/wisteriawood/policies/sizes.py
+++ b/wisteriawood/policies/sizes.py
@@ -6,8 +6,8 @@
 
 HISTORY = 32
 MIN_SAMPLES = 4
-CORES_QUANTILE = 0.8
-CORES_MARGIN = 1.1
+CORES_QUANTILE = 0.6
+CORES_MARGIN = 1.0
 MEMORY_MARGIN = 1.15
 MAX_CLASSES = 4096
 
@@ -81,6 +81,15 @@
     def __len__(self) -> int:
         return len(self._classes)
 
+    def is_known(self, name: str) -> bool:
+        """Tell whether enough was seen of a class to predict its tasks.
+
+        Args:
+            name: The class.
+        """
+        found = self._classes.get(name)
+        return found is not None and found.count >= MIN_SAMPLES
+
     def observe(
         self,
         name: str,
