Let operators see the whole, explain, watch, drain, cancel and report

drain writes a row that the daemons follow within 2 s: an entry host says in /readyz that it is drained and keeps serving what comes, a scheduler treats a worker like one that is leaving. The row stays until it is undone, so a restart does not end it.

--- a/wisteriawood/commands/base.py
+++ b/wisteriawood/commands/base.py
@@ -12,6 +12,7 @@
 from wisteriawood.commands import tables
 from wisteriawood import errors
 from wisteriawood.links.codecs import rows
+from wisteriawood.links import jobs
 from wisteriawood.links import platforms
 from wisteriawood.policies import registry
 
@@ -34,6 +35,20 @@
     flag=False,
     default="text",
 )
+LABEL_OPTION = helpers.option(
+    "label",
+    "l",
+    "Tasks that have this label, as KEY=VALUE; all of several.",
+    flag=False,
+    multiple=True,
+)
+RECORDS_OPTION = helpers.option(
+    "records",
+    "r",
+    "File of traces or events of a daemon, or a folder of them.",
+    flag=False,
+    multiple=True,
+)
 
 
 class BaseCommand(command.Command):
@@ -138,6 +153,27 @@
         finally:
             await platform.aclose()
 
+    async def find_task_ids(
+        self, platform: platforms.HttpPlatform
+    ) -> list[str]:
+        """Return the ids of the tasks named, and of those with the labels.
+
+        Args:
+            platform: Link to the platform.
+
+        Raises:
+            UsageError: A label is no KEY=VALUE.
+        """
+        task_ids = list(self.argument("tasks") or [])
+        pairs = [label.partition("=") for label in self.option("label") or []]
+        if any(not key or not is_pair for key, is_pair, _value in pairs):
+            raise errors.UsageError("--label takes KEY=VALUE")
+        labels = {key: value for key, _is, value in pairs}
+        if labels:
+            found = await jobs.find_labelled(platform, labels)
+            task_ids.extend(task.spec.id for task in found)
+        return task_ids
+
     async def run_on(self, platform: platforms.HttpPlatform) -> int | None:
         """Do what the command is for.
 
--- a/wisteriawood/commands/cancel.py
+++ b/wisteriawood/commands/cancel.py
@@ -3,22 +3,35 @@
 from cleo import helpers
 
 from wisteriawood.commands import base
+from wisteriawood import errors
 from wisteriawood.links import jobs
 from wisteriawood.links import platforms
 
 
 @base.COMMANDS.register("cancel")
 class CancelCommand(base.PlatformCommand):
-    """Cancels tasks."""
+    """Cancels tasks, by id or by label."""
 
     name = "cancel"
     description = "Cancels tasks; they stop and stay stopped."
-    arguments = [helpers.argument("tasks", "Ids of tasks.", multiple=True)]
-    options = [base.PLATFORM_OPTION]
+    arguments = [
+        helpers.argument(
+            "tasks", "Ids of tasks.", optional=True, multiple=True
+        )
+    ]
+    options = [base.PLATFORM_OPTION, base.OUTPUT_OPTION, base.LABEL_OPTION]
 
     async def run_on(self, platform: platforms.HttpPlatform) -> int | None:
         """Ask for the tasks to be cancelled."""
-        task_ids = self.argument("tasks")
+        as_json = self.wants_json()
+        task_ids = await self.find_task_ids(platform)
+        if not task_ids:
+            raise errors.UsageError(
+                "name tasks, or give --label KEY=VALUE that some task has"
+            )
         await jobs.cancel(platform, task_ids)
-        self.line(f"cancelling {len(task_ids)} tasks")
+        if as_json:
+            self.print_json(task_ids)
+        else:
+            self.line(f"cancelling {len(task_ids)} tasks")
         return 0
--- a/wisteriawood/commands/config.py
+++ b/wisteriawood/commands/config.py
@@ -1,11 +1,11 @@
 """Commands that show and change the configuration."""
 
-import datetime
 import os
 
 from cleo import helpers
 
 from wisteriawood.commands import base
+from wisteriawood.commands import times
 from wisteriawood.config import configuration
 from wisteriawood.config import configuration_patches as patches
 from wisteriawood.contracts import holdings
@@ -18,12 +18,6 @@
 FILE_ARGUMENT = helpers.argument("file", "Configuration file, in JSON.")
 
 
-def to_time(unix_s: float) -> str:
-    """Return a wall time for operators, in UTC."""
-    moment = datetime.datetime.fromtimestamp(unix_s, datetime.timezone.utc)
-    return moment.strftime("%Y-%m-%d %H:%M:%S")
-
-
 @base.COMMANDS.register("config show")
 class ShowCommand(base.PlatformCommand):
     """Shows the configuration in force, as a file that apply takes."""
@@ -159,7 +153,7 @@
             [
                 [
                     str(change.version),
-                    to_time(change.applied_unix_s),
+                    times.to_text(change.applied_unix_s),
                     change.author,
                     change.note,
                 ]
@@ -215,6 +209,6 @@
         name,
         member.zone,
         str(version) if version >= 0 else "none",
-        to_time(member.renewed_unix_s),
+        times.to_text(member.renewed_unix_s),
         remark,
     ]
--- a/wisteriawood/contracts/keys.py
+++ b/wisteriawood/contracts/keys.py
@@ -1,5 +1,9 @@
 """Keys of the rows in the platform's table."""
 
+PENDING = "pending/"
+PLACED = "placed/"
+RACK = "rack/"
+DRAIN = "drain/"
 CONFIG_HEAD = "config/head"
 CONFIG_VERSIONS = "config/version/"
 
@@ -16,12 +20,12 @@
 
 def rack(zone: str, name: str) -> str:
     """Return the key of the row that says who holds a rack."""
-    return f"rack/{zone}/{name}"
+    return f"{RACK}{zone}/{name}"
 
 
 def racks(zone: str) -> str:
     """Return the prefix of the rack rows of a zone."""
-    return f"rack/{zone}/"
+    return f"{RACK}{zone}/"
 
 
 def pointer(task: str) -> str:
@@ -31,22 +35,22 @@
 
 def pending(zone: str, task: str) -> str:
     """Return the key of a task that waits for a worker."""
-    return f"pending/{zone}/{task}"
+    return f"{PENDING}{zone}/{task}"
 
 
 def pendings(zone: str) -> str:
     """Return the prefix of the tasks that wait in a zone."""
-    return f"pending/{zone}/"
+    return f"{PENDING}{zone}/"
 
 
 def placed(zone: str, rack_name: str, task: str) -> str:
     """Return the key of a task that has a worker."""
-    return f"placed/{zone}/{rack_name}/{task}"
+    return f"{PLACED}{zone}/{rack_name}/{task}"
 
 
 def placeds(zone: str, rack_name: str) -> str:
     """Return the prefix of the tasks that have a worker of a rack."""
-    return f"placed/{zone}/{rack_name}/"
+    return f"{PLACED}{zone}/{rack_name}/"
 
 
 def ended(task: str) -> str:
@@ -86,9 +90,9 @@
 
 def drain(kind: str, name: str) -> str:
     """Return the key of an operator's order to drain a host."""
-    return f"drain/{kind}/{name}"
+    return f"{DRAIN}{kind}/{name}"
 
 
 def drains(kind: str) -> str:
     """Return the prefix of the orders to drain hosts of a kind."""
-    return f"drain/{kind}/"
+    return f"{DRAIN}{kind}/"
--- a/wisteriawood/links/jobs.py
+++ b/wisteriawood/links/jobs.py
@@ -6,6 +6,7 @@
 from wisteriawood.contracts import tasks
 from wisteriawood import errors
 from wisteriawood.links.codecs import rows
+from wisteriawood.links import overviews
 from wisteriawood.links import platforms
 
 FIND_TRIES = 5
@@ -74,6 +75,25 @@
     raise errors.NotFoundError(f"there is no task {task_id!r}")
 
 
+async def find_labelled(
+    platform: platforms.Platform, labels: dict[str, str]
+) -> list[tasks.Task]:
+    """Return the tasks that have not ended and carry all of some labels.
+
+    Args:
+        platform: Link to the platform.
+        labels: Labels by key.
+
+    Raises:
+        PlatformUnavailableError: The table could not be read.
+    """
+    return [
+        task
+        for task in await overviews.list_tasks(platform)
+        if labels.items() <= task.spec.labels.items()
+    ]
+
+
 async def cancel(platform: platforms.Platform, task_ids: list[str]) -> None:
     """Ask for tasks to be cancelled, in one write.
 
--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from wisteriawood.contracts import drains as drain_contracts
 from wisteriawood.contracts import holdings
 from wisteriawood.contracts import requests
 from wisteriawood import errors
@@ -21,6 +22,7 @@
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import metrics
 from wisteriawood.telemetry import spans
+from wisteriawood.zones import drains
 from wisteriawood.zones import followers
 from wisteriawood.zones import membership
 from wisteriawood.zones import peering
@@ -53,6 +55,7 @@
         "_rng",
         "configuration",
         "counters",
+        "drains",
         "is_draining",
         "membership",
         "peering",
@@ -79,15 +82,7 @@
     ):
         registry.load_modules(routing)
         self.membership = membership.Membership(platform=platform, own=member)
-        self.peering = peering.Peering(
-            members=self.membership,
-            machine=self,
-            dial_peer=dial_peer,
-            addresses=peer_addresses,
-        )
-        self.configuration = followers.Follower(
-            platform=platform, links=self.peering
-        )
+        self._join_peers(platform, dial_peer, peer_addresses)
         self.counters = counters
         self.tracer = tracer
         self.services: dict[tuple[str, str], services.Service] = {}
@@ -112,10 +107,33 @@
         self._policy = policy
         self._rng = rng
 
+    def _join_peers(
+        self,
+        platform: platforms.Platform,
+        dial_peer: typing.Callable,
+        peer_addresses: typing.Sequence[str],
+    ) -> None:
+        self.peering = peering.Peering(
+            members=self.membership,
+            machine=self,
+            dial_peer=dial_peer,
+            addresses=peer_addresses,
+        )
+        self.configuration = followers.Follower(
+            platform=platform, links=self.peering
+        )
+        self.drains = drains.Drains(
+            platform=platform,
+            kind=drain_contracts.DrainKind.ENTRY,
+            name=self.membership.own.name,
+        )
+
     def not_ready(self) -> str:
         """Return why the entry host is not ready; empty if it is."""
         if self.is_draining:
             return "draining"
+        if self.drains.is_ordered(self.membership.own.name):
+            return "draining: an operator has ordered it"
         if self.configuration.not_ready():
             return self.configuration.not_ready()
         if not self.targets:
@@ -128,6 +146,7 @@
             group.start_soon(self.membership.run)
             group.start_soon(self.peering.run)
             group.start_soon(self.configuration.run)
+            group.start_soon(self.drains.run)
             group.start_soon(self.slot_client.run)
             group.start_soon(self._tend_services)
             group.start_soon(self._run_once.run)
--- a/wisteriawood/machines/keepers.py
+++ b/wisteriawood/machines/keepers.py
@@ -170,7 +170,9 @@
                 worker = self._scheduler.add_worker(
                     rack, host.name, host.address, host.capacity
                 )
-            worker.see_leaving(host.leaving)
+            worker.see_leaving(
+                host.leaving or self._scheduler.drains.is_ordered(host.name)
+            )
         for rack in self._scheduler.racks.values():
             rack.forget_workers(listed)
 
--- a/wisteriawood/machines/schedulers.py
+++ b/wisteriawood/machines/schedulers.py
@@ -7,6 +7,7 @@
 import anyio
 from anyio import abc
 
+from wisteriawood.contracts import drains as drain_contracts
 from wisteriawood.contracts import holdings
 from wisteriawood.contracts import resources
 from wisteriawood.contracts import tasks
@@ -29,6 +30,7 @@
 from wisteriawood.policies.placement import base
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import metrics
+from wisteriawood.zones import drains
 from wisteriawood.zones import followers
 from wisteriawood.zones import membership
 from wisteriawood.zones import peering
@@ -63,6 +65,7 @@
         "commits",
         "configuration",
         "counters",
+        "drains",
         "grantor",
         "keeper",
         "membership",
@@ -95,6 +98,9 @@
         self.configuration = followers.Follower(
             platform=platform, links=self.peering
         )
+        self.drains = drains.Drains(
+            platform=platform, kind=drain_contracts.DrainKind.WORKER
+        )
         self.commits = commits.GroupCommit(
             platform=platform, counters=counters
         )
@@ -150,6 +156,7 @@
             group.start_soon(self.membership.run)
             group.start_soon(self.peering.run)
             group.start_soon(self.configuration.run)
+            group.start_soon(self.drains.run)
             group.start_soon(self.commits.run)
             async with anyio.create_task_group() as acting:
                 self._group = acting
--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -187,6 +187,9 @@
     "A worker refused a start command.",
     "Check the worker and its clock.",
 )
+HOST_DRAINED = define(
+    1812, "host-drained", "An operator has ordered a host to drain."
+)
 PEER_MESSAGE_IGNORED = define(
     1810,
     "peer-message-ignored",
--- /dev/null
+++ b/wisteriawood/telemetry/records.py
@@ -0,0 +1,128 @@
+"""Reads back the spans and events that daemons have written."""
+
+import dataclasses
+import datetime
+import json
+import pathlib
+import typing
+
+from wisteriawood import errors
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class SpanRecord:
+    """One hop of a request.
+
+    Attributes:
+        name: Name of the hop.
+        service: Daemon that wrote it.
+        trace_id: Id of the whole way.
+        span_id: Id of this hop.
+        parent_id: Id of the hop before; empty for the first.
+        started_unix_s: Wall time of its start in seconds.
+        duration_s: How long it took.
+        attributes: Further facts.
+    """
+
+    name: str
+    service: str
+    trace_id: str
+    span_id: str
+    parent_id: str
+    started_unix_s: float
+    duration_s: float
+    attributes: dict[str, typing.Any]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class EventRecord:
+    """One numbered event.
+
+    Attributes:
+        number: Its number in the catalogue.
+        at_unix_s: Wall time in seconds.
+        fields: Its fields.
+    """
+
+    number: int
+    at_unix_s: float
+    fields: dict[str, typing.Any]
+
+
+def _to_unix_s(text: str) -> float:
+    return datetime.datetime.fromisoformat(text).timestamp()
+
+
+def _to_span(value: dict[str, typing.Any]) -> SpanRecord:
+    started_s = _to_unix_s(value["start_time"])
+    return SpanRecord(
+        name=value["name"],
+        service=value["resource"]["attributes"].get("service.name", ""),
+        trace_id=value["context"]["trace_id"],
+        span_id=value["context"]["span_id"],
+        parent_id=value["parent_id"] or "",
+        started_unix_s=started_s,
+        duration_s=_to_unix_s(value["end_time"]) - started_s,
+        attributes=value.get("attributes", {}),
+    )
+
+
+def _to_event(value: dict[str, typing.Any]) -> EventRecord:
+    number = value["message_type"].partition(":")[0].removeprefix("W")
+    return EventRecord(
+        number=int(number), at_unix_s=value["timestamp"], fields=value
+    )
+
+
+def _files(paths: typing.Sequence[str]) -> list[pathlib.Path]:
+    found: list[pathlib.Path] = []
+    for path in map(pathlib.Path, paths):
+        if path.is_dir():
+            found.extend(sorted(p for p in path.iterdir() if p.is_file()))
+        elif path.is_file():
+            found.append(path)
+        else:
+            raise errors.UsageError(
+                f"there is no file or folder {str(path)!r}; give the "
+                "trace_file and log_file of your daemons, or their folder"
+            )
+    return found
+
+
+def read(
+    paths: typing.Sequence[str],
+) -> tuple[list[SpanRecord], list[EventRecord]]:
+    """Return the spans and events of files, each in order of time.
+
+    Lines of any other kind are passed over, so that a whole folder can
+    be given.
+
+    Args:
+        paths: Names of files, or of folders whose files are read.
+
+    Raises:
+        UsageError: There is no such file.
+    """
+    spans: list[SpanRecord] = []
+    found_events: list[EventRecord] = []
+    for path in _files(paths):
+        with open(path, encoding="utf-8", errors="replace") as stream:
+            for line in stream:
+                _read_line(line, spans, found_events)
+    spans.sort(key=lambda span: span.started_unix_s)
+    found_events.sort(key=lambda event: event.at_unix_s)
+    return spans, found_events
+
+
+def _read_line(
+    line: str, spans: list[SpanRecord], found_events: list[EventRecord]
+) -> None:
+    try:
+        value = json.loads(line)
+        if "context" in value:
+            spans.append(_to_span(value))
+        elif str(value.get("message_type", "")).startswith("W"):
+            found_events.append(_to_event(value))
+    except (ValueError, KeyError, TypeError, AttributeError):
+        # A line that was cut short, or another program's.
+        return
--- /dev/null
+++ b/wisteriawood/zones/drains.py
@@ -0,0 +1,65 @@
+"""Follows the operators' orders to drain hosts of one kind."""
+
+import anyio
+
+from wisteriawood.contracts import drains
+from wisteriawood.contracts import keys
+from wisteriawood import errors
+from wisteriawood.links import platforms
+from wisteriawood.telemetry import events
+
+POLL_PERIOD_S = 2.0
+
+_LOG = events.Logger(name=__name__)
+
+
+class Drains:
+    """The hosts that operators have ordered to drain, as last read.
+
+    Args:
+        platform: Link to the platform.
+        kind: Kind of the hosts.
+        name: Only the host of this name; empty for all.
+    """
+
+    __slots__ = ("_names", "_platform", "_prefix")
+
+    def __init__(
+        self,
+        *,
+        platform: platforms.Platform,
+        kind: drains.DrainKind,
+        name: str = "",
+    ):
+        self._platform = platform
+        self._prefix = keys.drains(kind) + name
+        self._names: frozenset[str] = frozenset()
+
+    def is_ordered(self, name: str) -> bool:
+        """Tell whether a host has been ordered to drain.
+
+        Args:
+            name: Name of the host.
+        """
+        return name in self._names
+
+    async def run(self) -> None:
+        """Poll the orders until cancelled; without the table they stay."""
+        while True:
+            try:
+                await self.poll()
+            except errors.PlatformError:
+                pass
+            await anyio.sleep(POLL_PERIOD_S)
+
+    async def poll(self) -> None:
+        """Read the orders once.
+
+        Raises:
+            PlatformError: The table could not be read.
+        """
+        found = await platforms.scan_all(self._platform, self._prefix)
+        names = frozenset(row.key.rsplit("/", 1)[1] for row in found)
+        for name in sorted(names - self._names):
+            _LOG.log(events.HOST_DRAINED, name=name)
+        self._names = names
