--- a/wisteriawood/commands/explain.py
+++ b/wisteriawood/commands/explain.py
@@ -132,7 +132,7 @@
         meaning = known.meaning if known else "Unknown to this version."
         self.line(f"{times.to_text(event.at_unix_s)} {meaning}")
         for name in ("worker", "target", "reason"):
-            if name in event.fields:
+            if event.fields.get(name):
                 self.line(f"  {name}: {event.fields[name]}")
 
 
--- a/wisteriawood/commands/questionnaire.py
+++ b/wisteriawood/commands/questionnaire.py
@@ -71,7 +71,8 @@
         for explanation in outcome.explanations:
             self.line(f"- {explanation}")
         self.line(f"Written to {file}. To put it in force:")
-        self.line(f"    wisteriawood config apply {file} --platform URL")
+        url = self.option("platform") or "URL"
+        self.line(f"    wisteriawood config apply {file} --platform {url}")
         return 0
 
     def _answers(self) -> question_base.Answers:
--- a/wisteriawood/commands/status.py
+++ b/wisteriawood/commands/status.py
@@ -99,6 +99,7 @@
             ],
         )
         self.line("")
+        drained = {order.name for order in overview.drained}
         self.print_table(
             ["host", "kind", "zone", "rack", "service", "state"],
             [
@@ -108,9 +109,15 @@
                     host.zone,
                     host.rack,
                     f"{host.team}/{host.service}" if host.service else "",
-                    "leaving" if host.leaving else "live",
+                    _to_state(host, drained),
                 ]
                 for host in overview.workers + overview.targets
             ],
         )
         self.line("")
+
+
+def _to_state(host: platforms.Host, drained: set[str]) -> str:
+    if host.leaving:
+        return "leaving"
+    return "draining" if host.name in drained else "live"
--- a/wisteriawood/links/overviews.py
+++ b/wisteriawood/links/overviews.py
@@ -20,7 +20,8 @@
         entry_hosts: Entry daemons that are live.
         schedulers: Schedulers that are live.
         workers: Workers in the host list.
-        targets: Targets in the host list.
+        targets: Targets in the host list, and instances of services
+            that run on workers.
         racks_held: Racks that a scheduler holds.
         waiting: Tasks that wait for a worker.
         placed: Tasks that have a worker.
@@ -135,4 +136,7 @@
             _zone(task.zone).waiting += 1
         else:
             _zone(task.zone).placed += 1
+        is_running = task.state == tasks.TaskState.RUNNING
+        if is_running and task.spec.kind == tasks.TaskKind.SERVICE:
+            _zone(task.zone).targets += 1
     return [zones[name] for name in sorted(zones)]
