--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -14,6 +14,7 @@
 from wisteriawood.machines import dispatchers
 from wisteriawood.machines import services
 from wisteriawood.machines import slot_clients
+from wisteriawood.machines import waiting_rooms
 from wisteriawood.policies import registry
 from wisteriawood.policies import routing
 from wisteriawood.policies.routing import base
@@ -54,6 +55,7 @@
         "is_draining",
         "membership",
         "peering",
+        "room",
         "services",
         "slot_client",
         "stopped",
@@ -106,6 +108,7 @@
         )
         self._policy = policy
         self._rng = rng
+        self.room = waiting_rooms.WaitingRoom()
 
     def not_ready(self) -> str:
         """Return why the entry host is not ready; empty if it is."""
@@ -157,7 +160,13 @@
         service = self.services.get((team, name))
         if service is None:
             policy = base.ROUTING.get(self._policy)(rng=self._rng)
-            service = services.Service(team=team, name=name, policy=policy)
+            service = services.Service(
+                team=team,
+                name=name,
+                policy=policy,
+                room=self.room,
+                rng=self._rng,
+            )
             self.services[team, name] = service
         return service
 
--- a/wisteriawood/machines/services.py
+++ b/wisteriawood/machines/services.py
@@ -274,12 +274,19 @@
         free = []
         busy = []
         for target in self._usable(request):
-            (free if target.has_free_slot() else busy).append(target)
+            grant = target.grant
+            if target.in_flight >= grant.slots or grant.leaving:
+                busy.append(target)
+            else:
+                free.append(target)
         if tried:
             free = [t for t in free if t.id not in tried] or free
-        if not free:
-            return None
-        return self.policy.choose(free, busy=busy, queued=queued)
+        while free:
+            target = self.policy.choose(free, busy=busy, queued=queued)
+            if target is None or target.has_free_slot():
+                return target
+            free.remove(target)
+        return None
 
     def _take(
         self, request: requests.Request, target: targets.Target
--- a/wisteriawood/machines/waiting_rooms.py
+++ b/wisteriawood/machines/waiting_rooms.py
@@ -131,6 +131,11 @@
         """Return the shares of all teams seen."""
         return list(self._shares.values())
 
+    def refresh_weights(self) -> None:
+        """Use the weights as they are now."""
+        for share in self._shares.values():
+            share.weight = self._weights.get(share.name, DEFAULT_WEIGHT)
+
     def add(self, waiter: Waiter) -> None:
         """Let a request wait."""
         self.share(waiter.request).waiters.add(waiter)
@@ -223,7 +228,7 @@
         self.places = places
         self.places_bytes = places_bytes
         self.usage = Usage()
-        self.weights = {} if weights is None else weights
+        self.weights = dict(weights or {})
         self._queues: dict[str, list[WaitingQueue]] = {}
 
     def open_queue(self, *, team: str) -> WaitingQueue:
@@ -232,6 +237,17 @@
         self._queues.setdefault(team, []).append(queue)
         return queue
 
+    def set_weights(self, weights: typing.Mapping[str, float]) -> None:
+        """Take over other weights, as a new configuration has them.
+
+        Args:
+            weights: Weight of each team that owns services or calls them.
+        """
+        self.weights.clear()
+        self.weights.update(weights)
+        for queue in itertools.chain.from_iterable(self._queues.values()):
+            queue.refresh_weights()
+
     def take_overflow(self) -> list[Waiter]:
         """Take out what is over the places, from the fullest team first.
 
--- a/wisteriawood/policies/retrying/budgeted.py
+++ b/wisteriawood/policies/retrying/budgeted.py
@@ -4,8 +4,8 @@
 
 from wisteriawood.policies.retrying import base
 
-RETRIES_PER_SUCCESS = 0.1
-MOST_SAVED = 20.0
+SUCCESSES_PER_RETRY = 10
+MOST_RETRIES_SAVED = 20
 MAX_ATTEMPTS = 4
 BASE_PAUSE_S = 0.01
 MAX_PAUSE_S = 1.0
@@ -19,24 +19,25 @@
         rng: Makes the pauses.
     """
 
-    __slots__ = ("_rng", "_saved")
+    __slots__ = ("_rng", "_successes")
 
     def __init__(self, *, rng: random.Random):
         self._rng = rng
-        self._saved = MOST_SAVED
+        self._successes = MOST_RETRIES_SAVED * SUCCESSES_PER_RETRY
 
     def succeeded(self) -> None:
         """Record a good answer."""
-        self._saved = min(MOST_SAVED, self._saved + RETRIES_PER_SUCCESS)
+        most = MOST_RETRIES_SAVED * SUCCESSES_PER_RETRY
+        self._successes = min(most, self._successes + 1)
 
     def available(self) -> int:
         """Return how many retries are allowed now."""
-        return int(self._saved)
+        return self._successes // SUCCESSES_PER_RETRY
 
     def spend(self, *, failures: int) -> float | None:
         """Take one retry out of those allowed."""
-        if failures >= MAX_ATTEMPTS or self._saved < 1:
+        if failures >= MAX_ATTEMPTS or not self.available():
             return None
-        self._saved -= 1
+        self._successes -= SUCCESSES_PER_RETRY
         longest_s = min(MAX_PAUSE_S, BASE_PAUSE_S * 2 ** (failures - 1))
         return self._rng.uniform(0.0, longest_s)
--- a/wisteriawood/policies/routing/base.py
+++ b/wisteriawood/policies/routing/base.py
@@ -55,4 +55,4 @@
 ROUTING: registry.Registry[RoutingFactory] = registry.Registry(
     kind="routing policy"
 )
-DEFAULT = "least-in-flight"
+DEFAULT = "interference-aware"
--- a/wisteriawood/policies/routing/interference_aware.py
+++ b/wisteriawood/policies/routing/interference_aware.py
@@ -9,10 +9,13 @@
 from wisteriawood.machines import targets
 from wisteriawood.policies.routing import base
 
-WEIGHT_OF_NEWEST = 1 / 16
+WEIGHT_OF_NEWEST = 1 / 24
 HALF_LIFE_S = 10.0
-LOG_SLOW_FACTOR = math.log(1.5)
-PEERS_PERIOD_S = 0.05
+MIN_COUNT = 8
+LOG_SLOW_FACTOR = math.log(1.6)
+COMPARE_PERIOD_S = 0.05
+TIE_BREAK = 1 / 1024
+HOLD_SHARE = 0.25
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -23,11 +26,13 @@
         log_latency: Decayed mean of the logarithm of seconds.
         mean_s: Decayed mean latency in seconds.
         observed_s: Monotonic time of the newest answer.
+        count: Answers seen.
     """
 
     log_latency: float
     mean_s: float
     observed_s: float
+    count: int = 1
 
 
 @base.ROUTING.register("interference-aware")
@@ -43,13 +48,14 @@
         rng: Breaks ties.
     """
 
-    __slots__ = ("_paces", "_peers_log", "_peers_s", "_rng")
+    __slots__ = ("_compared_s", "_paces", "_peers_log", "_rng", "_slow")
 
     def __init__(self, *, rng: random.Random):
         self._rng = rng
         self._paces: dict[str, Pace] = {}
         self._peers_log = 0.0
-        self._peers_s = -math.inf
+        self._compared_s = -math.inf
+        self._slow: dict[str, float] = {}
 
     def choose(
         self,
@@ -59,37 +65,24 @@
         queued: int,
     ) -> targets.Target | None:
         """Return the least loaded target among the least slowed ones."""
-        now_s = anyio.current_time()
-        self._compare(now_s)
-        best = None
+        self._compare()
+        slow = self._slow
+        best = free[0]
         best_score = math.inf
         for target in free:
-            slowdown = self.slowdown(target.id, now_s=now_s)
-            load = target.in_flight / max(1, target.grant.slots)
-            score = slowdown * (1 + load) + self._rng.random() / 1024
+            score = 1 + target.in_flight / target.grant.slots
+            if target.id in slow:
+                score *= slow[target.id]
+            score += TIE_BREAK * self._rng.random()
             if score < best_score:
-                best, best_score, best_slowdown = target, score, slowdown
-        if best_slowdown > 1 and self._pays_to_wait(
-            best, best_slowdown, busy, queued, now_s
-        ):
+                best, best_score = target, score
+        if best.id in slow and self._pays_to_wait(best, busy, queued):
             return None
         return best
 
-    def slowdown(self, target_id: str, *, now_s: float) -> float:
-        """Return how many times slower than its peers a target is.
-
-        Args:
-            target_id: Id of the target.
-            now_s: Monotonic time.
-
-        Returns:
-            The factor; 1 where it is too small to tell from chance.
-        """
-        pace = self._paces.get(target_id)
-        if pace is None:
-            return 1.0
-        excess = self._excess(pace, now_s=now_s)
-        return math.exp(excess) if excess > LOG_SLOW_FACTOR else 1.0
+    def slowdowns(self) -> dict[str, float]:
+        """Return how many times slower than its peers each slow target is."""
+        return dict(self._slow)
 
     def _excess(self, pace: Pace, *, now_s: float) -> float:
         """Return the logarithm of a slowdown, faded since the last answer."""
@@ -97,32 +90,33 @@
         return (pace.log_latency - self._peers_log) * faded
 
     def _pays_to_wait(
-        self,
-        target: targets.Target,
-        slowdown: float,
-        busy: list[targets.Target],
-        queued: int,
-        now_s: float,
+        self, target: targets.Target, busy: list[targets.Target], queued: int
     ) -> bool:
         """Tell whether a slot of a faster target is worth waiting for."""
-        freed_each_s = 0.0
-        for other in busy:
-            pace = self._paces.get(other.id)
-            if pace is None or self.slowdown(other.id, now_s=now_s) > 1:
-                continue
-            freed_each_s += other.in_flight / pace.mean_s
+        freed_each_s = sum(
+            other.in_flight / self._paces[other.id].mean_s
+            for other in busy
+            if other.id in self._paces and other.id not in self._slow
+        )
         if not freed_each_s:
             return False
-        extra_s = self._paces[target.id].mean_s * (1 - 1 / slowdown)
-        return queued / freed_each_s < extra_s
+        mean_s = self._paces[target.id].mean_s
+        extra_s = mean_s * (1 - 1 / self._slow[target.id])
+        return queued / freed_each_s < HOLD_SHARE * extra_s
 
-    def _compare(self, now_s: float) -> None:
-        """Take the median of all targets anew, now and then."""
-        if now_s - self._peers_s < PEERS_PERIOD_S or not self._paces:
+    def _compare(self) -> None:
+        """Find the slow targets anew, now and then."""
+        now_s = anyio.current_time()
+        if now_s - self._compared_s < COMPARE_PERIOD_S or not self._paces:
             return
+        self._compared_s = now_s
         paces = sorted(pace.log_latency for pace in self._paces.values())
         self._peers_log = paces[len(paces) // 2]
-        self._peers_s = now_s
+        self._slow = {}
+        for target_id, pace in self._paces.items():
+            excess = self._excess(pace, now_s=now_s)
+            if excess > LOG_SLOW_FACTOR and pace.count >= MIN_COUNT:
+                self._slow[target_id] = math.exp(excess)
 
     def observe(self, target: targets.Target, *, latency_s: float) -> None:
         """Learn the pace of a target."""
@@ -134,11 +128,14 @@
                 log_latency=log_latency, mean_s=latency_s, observed_s=now_s
             )
             return
+        pace.count += 1
+        weight = max(WEIGHT_OF_NEWEST, 1 / pace.count)
         known = self._peers_log + self._excess(pace, now_s=now_s)
-        pace.log_latency = known + WEIGHT_OF_NEWEST * (log_latency - known)
-        pace.mean_s += WEIGHT_OF_NEWEST * (latency_s - pace.mean_s)
+        pace.log_latency = known + weight * (log_latency - known)
+        pace.mean_s += weight * (latency_s - pace.mean_s)
         pace.observed_s = now_s
 
     def forget(self, target_id: str) -> None:
         """Drop the pace of a target that has left."""
         self._paces.pop(target_id, None)
+        self._slow.pop(target_id, None)
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -1,16 +1,27 @@
 """Builders of test data."""
 
 import functools
+import random
 
 import anyio
 import trio.testing
 
+from wisteriawood.contracts import grants
 from wisteriawood.contracts import holdings
 from wisteriawood.contracts import requests
 from wisteriawood.contracts import resources
 from wisteriawood.contracts import tasks
+from wisteriawood import errors
 from wisteriawood.links import platforms
+from wisteriawood.machines import dispatchers
+from wisteriawood.machines import services
+from wisteriawood.machines import targets
+from wisteriawood.machines import waiting_rooms
+from wisteriawood.policies import registry
+from wisteriawood.policies import routing
+from wisteriawood.policies.routing import base as routing_base
 from wisteriawood.standins import worlds
+from wisteriawood.telemetry import spans
 
 GIB = 1024**3
 
@@ -132,3 +143,86 @@
         )
         for name in names
     }
+
+
+class FakeLink:
+    """A link to a target; its switches say how it answers."""
+
+    __slots__ = (
+        "is_frozen",
+        "refusals",
+        "refuses",
+        "sent",
+        "service_s",
+        "status",
+    )
+
+    def __init__(self, *, service_s=0.01):
+        self.is_frozen = False
+        self.refusals = 0
+        self.refuses = False
+        self.sent = []
+        self.service_s = service_s
+        self.status = 200
+
+    async def send(self, request, *, timeout_s):
+        """Answer, refuse or stay silent."""
+        if self.refuses:
+            self.refusals += 1
+            raise errors.RequestNotRunError(reason="refused")
+        self.sent.append(request.id)
+        if self.is_frozen or self.service_s > timeout_s:
+            await anyio.sleep(timeout_s)
+            raise errors.RequestUnknownError(reason="no answer in time")
+        await anyio.sleep(self.service_s)
+        return requests.Answer(request_id=request.id, status=self.status)
+
+    async def aclose(self):
+        """Do nothing."""
+
+
+def make_target(*, id="target-1", slots=8, link=None):
+    """Return a target as an entry host sees it."""
+    grant = grants.SlotGrant(
+        target=id,
+        address=f"{id}:1",
+        team="vitrinenklima",
+        service="humidity",
+        slots=slots,
+    )
+    return targets.Target(
+        grant=grant, grantor="linz-a-1", link=link or FakeLink()
+    )
+
+
+def make_service(*, targets=(), policy="least-in-flight", **fields):
+    """Return a service with its targets."""
+    registry.load_modules(routing)
+    rng = make_rng()
+    service = services.Service(
+        team="vitrinenklima",
+        name="humidity",
+        policy=routing_base.ROUTING.get(policy)(rng=rng),
+        rng=rng,
+        **fields,
+    )
+    service.targets.update((target.id, target) for target in targets)
+    return service
+
+
+def make_dispatcher(service):
+    """Return a dispatcher to one service."""
+    return dispatchers.Dispatcher(
+        services={(service.team, service.name): service},
+        tracer=spans.Tracer(service="test"),
+    )
+
+
+def make_room(*, weights=None, **fields):
+    """Return places for waiting requests."""
+    return waiting_rooms.WaitingRoom(weights=weights, **fields)
+
+
+def make_rng():
+    """Return a source of random numbers that repeats itself."""
+    return random.Random(1)
--- /dev/null
+++ b/wisteriawood/tests/routing_tests.py
@@ -0,0 +1,119 @@
+"""Routing policies under disturbed targets."""
+
+import unittest
+
+import anyio
+
+from wisteriawood.policies import registry
+from wisteriawood.policies import routing
+from wisteriawood.policies.routing import base
+from wisteriawood.tests import builders
+
+SLOWED_S = 0.06
+CALM_S = 0.02
+
+
+class RoutingTests(unittest.TestCase):
+
+    def _share_of_slowed(self, policy, *, rounds=400):
+        """Return the share of requests that a slowed target out of 5 gets."""
+
+        async def _check():
+            targets = [
+                builders.make_target(
+                    id=f"target-{number}",
+                    link=builders.FakeLink(service_s=CALM_S),
+                )
+                for number in range(5)
+            ]
+            targets[0].link.service_s = SLOWED_S
+            service = builders.make_service(targets=targets, policy=policy)
+            dispatcher = builders.make_dispatcher(service)
+            await self._load(dispatcher, rounds=rounds)
+            return len(targets[0].link.sent) / rounds, service
+
+        return builders.run_virtual(_check)
+
+    def test_each_policy_uses_all_targets_that_are_alike(self):
+        registry.load_modules(routing)
+        for policy in base.ROUTING.names():
+            with self.subTest(policy=policy):
+                targets = [
+                    builders.make_target(id=f"target-{n}") for n in range(4)
+                ]
+                used = builders.run_virtual(
+                    self._use, policy, targets, rounds=200
+                )
+                self.assertEqual(4, len(used))
+
+    async def _use(self, policy, targets, *, rounds):
+        service = builders.make_service(targets=targets, policy=policy)
+        dispatcher = builders.make_dispatcher(service)
+        used = set()
+        for _ in range(rounds):
+            answer = await dispatcher.dispatch(builders.make_request())
+            used.add(answer.target)
+        return used
+
+    def test_interference_is_avoided_more_than_by_load_alone(self):
+        aware, _service = self._share_of_slowed("interference-aware")
+        blind, _service = self._share_of_slowed("random")
+        self.assertLess(aware, 0.4 * blind)
+
+    def test_slowed_target_is_named_and_forgotten_with_it(self):
+        _share, service = self._share_of_slowed("interference-aware")
+        self.assertEqual({"target-0"}, set(service.policy.slowdowns()))
+        service.policy.forget("target-0")
+        self.assertEqual({}, service.policy.slowdowns())
+
+    def test_target_that_recovers_is_used_again(self):
+        async def _check():
+            targets = [
+                builders.make_target(
+                    id=f"target-{number}",
+                    link=builders.FakeLink(service_s=CALM_S),
+                )
+                for number in range(5)
+            ]
+            targets[0].link.service_s = SLOWED_S
+            service = builders.make_service(
+                targets=targets, policy="interference-aware"
+            )
+            dispatcher = builders.make_dispatcher(service)
+            await self._load(dispatcher, rounds=400)
+            targets[0].link.service_s = CALM_S
+            targets[0].link.sent.clear()
+            await anyio.sleep(20)
+            await self._load(dispatcher, rounds=400)
+            self.assertGreater(len(targets[0].link.sent), 0.1 * 400)
+
+        builders.run_virtual(_check)
+
+    async def _load(self, dispatcher, *, rounds):
+        async with anyio.create_task_group() as group:
+            for _ in range(rounds):
+                await anyio.sleep(0.002)
+                group.start_soon(dispatcher.dispatch, builders.make_request())
+
+    def test_requests_wait_for_no_one_when_only_slow_ones_are_left(self):
+        async def _check():
+            slow = builders.make_target(
+                id="slow", link=builders.FakeLink(service_s=SLOWED_S)
+            )
+            calm = [
+                builders.make_target(
+                    id=f"calm-{n}", link=builders.FakeLink(service_s=CALM_S)
+                )
+                for n in range(2)
+            ]
+            service = builders.make_service(
+                targets=[slow, *calm], policy="interference-aware"
+            )
+            dispatcher = builders.make_dispatcher(service)
+            await self._load(dispatcher, rounds=400)
+            for target in calm:
+                target.grant.slots = 0
+            answer = await dispatcher.dispatch(builders.make_request())
+            self.assertEqual("slow", answer.target)
+
+        builders.run_virtual(_check)
--- /dev/null
+++ b/wisteriawood/tests/services_tests.py
@@ -0,0 +1,267 @@
+"""Admission: who gets the next slot, and who is refused."""
+
+import contextlib
+import math
+import unittest
+
+import anyio
+
+from wisteriawood import errors
+from wisteriawood.machines import outliers
+from wisteriawood.machines import services
+from wisteriawood.tests import builders
+
+
+class ServiceTests(unittest.TestCase):
+
+    def setUp(self):
+        self.order = []
+        self.refusals = []
+
+    async def _serve(self, service, request, *, service_s=1.0):
+        """Hold a slot for some time, and note when it was given."""
+        try:
+            target = await service.acquire(request)
+        except errors.RequestNotRunError as exc:
+            self.refusals.append((request.id, exc))
+            return
+        self.order.append(request.id)
+        await anyio.sleep(service_s)
+        ending = services.Ending(
+            verdict=outliers.Verdict.GOOD, latency_s=service_s, is_done=True
+        )
+        service.release(target, request, ending)
+
+    async def _serve_all(self, service, found, **kwargs):
+        async with anyio.create_task_group() as group:
+            for request in found:
+                group.start_soon(
+                    lambda request=request: self._serve(
+                        service, request, **kwargs
+                    )
+                )
+                await anyio.sleep(0.0001)
+
+    def _learn(self, service, *, latency_s):
+        for _ in range(64):
+            service.times.observe(latency_s)
+
+    def test_earliest_deadline_goes_first_and_urgent_before_it(self):
+        async def _check():
+            target = builders.make_target(slots=1)
+            service = builders.make_service(targets=[target])
+            now_s = anyio.current_time()
+            found = [
+                builders.make_request(id="first", deadline_s=now_s + 90),
+                builders.make_request(id="late", deadline_s=now_s + 80),
+                builders.make_request(id="early", deadline_s=now_s + 70),
+                builders.make_request(
+                    id="urgent", deadline_s=now_s + 90, urgent=True
+                ),
+            ]
+            await self._serve_all(service, found)
+
+        builders.run_virtual(_check)
+        self.assertEqual(["first", "urgent", "early", "late"], self.order)
+
+    def test_flooding_team_leaves_others_their_share(self):
+        async def _check():
+            room = builders.make_room(weights={"flood": 1.0, "calm": 1.0})
+            target = builders.make_target(slots=2)
+            service = builders.make_service(targets=[target], room=room)
+            found = [
+                builders.make_request(
+                    id=f"flood-{n}",
+                    caller="flood",
+                    urgent=True,
+                    deadline_s=math.inf,
+                )
+                for n in range(50)
+            ]
+            found += [
+                builders.make_request(
+                    id=f"calm-{n}", caller="calm", deadline_s=math.inf
+                )
+                for n in range(10)
+            ]
+            await self._serve_all(service, found)
+
+        builders.run_virtual(_check)
+        calm = [n for n, id in enumerate(self.order) if id[:4] == "calm"]
+        # Half of the slots are its own from the first release on.
+        self.assertLessEqual(max(calm), 2 + 2 * 10)
+
+    def test_full_room_gives_up_waiters_of_the_fullest_team(self):
+        async def _check():
+            weights = {"vitrinenklima": 1.0, "kroupa": 1.0}
+            room = builders.make_room(places=10, weights=weights)
+            service = builders.make_service(room=room)
+            other = services.Service(
+                team="kroupa",
+                name="shop",
+                policy=service.policy,
+                room=room,
+            )
+            async with anyio.create_task_group() as group:
+                for number in range(20):
+                    request = builders.make_request(id=f"flood-{number}")
+                    group.start_soon(self._serve, service, request)
+                await anyio.sleep(0.1)
+                for number in range(3):
+                    request = builders.make_request(
+                        id=f"calm-{number}", team="kroupa", service="shop"
+                    )
+                    group.start_soon(self._serve, other, request)
+                await anyio.sleep(0.1)
+                self.assertEqual(10, service.waiting + other.waiting)
+                self.assertEqual(3, other.waiting)
+                group.cancel_scope.cancel()
+
+        builders.run_virtual(_check)
+        self.assertTrue(all(id[:5] == "flood" for id, _ in self.refusals))
+
+    def test_bodies_that_wait_are_bounded(self):
+        async def _check():
+            room = builders.make_room(places_bytes=1000)
+            service = builders.make_service(room=room)
+            async with anyio.create_task_group() as group:
+                for number in range(20):
+                    request = builders.make_request(
+                        id=str(number), body=b"x" * 200
+                    )
+                    group.start_soon(self._serve, service, request)
+                await anyio.sleep(0.1)
+                self.assertEqual(5, service.waiting)
+                group.cancel_scope.cancel()
+
+        builders.run_virtual(_check)
+
+    def test_request_that_would_wait_too_long_is_refused_at_once(self):
+        async def _check():
+            service = builders.make_service(
+                targets=[builders.make_target(slots=1)]
+            )
+            self._learn(service, latency_s=1.0)
+            started_s = anyio.current_time()
+            async with anyio.create_task_group() as group:
+                for number in range(10):
+                    request = builders.make_request(id=str(number))
+                    group.start_soon(self._serve, service, request)
+                await anyio.sleep(0.01)
+                self.assertEqual(5, len(self.refusals))
+                self.assertEqual(0.01, anyio.current_time() - started_s)
+
+        builders.run_virtual(_check)
+        self.assertEqual(5, len(self.order))
+        for _id, exc in self.refusals:
+            self.assertGreaterEqual(exc.retry_after_s, 1.0)
+
+    def test_deadline_that_passes_in_the_queue_is_not_run(self):
+        async def _check():
+            target = builders.make_target(slots=1)
+            service = builders.make_service(targets=[target])
+            await self._serve_all(
+                service,
+                [builders.make_request(id="a"), builders.make_request(id="b")],
+                service_s=6.0,
+            )
+            self.assertEqual(0, service.waiting)
+            self.assertEqual(0, target.in_flight)
+
+        builders.run_virtual(_check)
+        self.assertEqual(["a"], self.order)
+        self.assertEqual(["b"], [id for id, _exc in self.refusals])
+
+    def test_caller_that_leaves_the_queue_frees_its_place(self):
+        async def _check():
+            target = builders.make_target(slots=1)
+            service = builders.make_service(targets=[target])
+            first = builders.make_request(id="first")
+            await service.acquire(first)
+            with anyio.move_on_after(0.1):
+                await service.acquire(builders.make_request(id="gone"))
+            self.assertEqual(0, service.waiting)
+            service.release(target, first, services.Ending(is_done=True))
+            self.assertEqual(0, target.in_flight)
+
+        builders.run_virtual(_check)
+
+    def test_slot_given_to_a_caller_that_leaves_goes_to_the_next(self):
+        async def _check():
+            target = builders.make_target(slots=1)
+            service = builders.make_service(targets=[target])
+            first = builders.make_request(id="first")
+            await service.acquire(first)
+            async with anyio.create_task_group() as group:
+                scope = anyio.CancelScope()
+
+                async def _leave():
+                    with scope:
+                        await service.acquire(
+                            builders.make_request(id="gone", urgent=True)
+                        )
+
+                group.start_soon(_leave)
+                group.start_soon(
+                    self._serve, service, builders.make_request(id="next")
+                )
+                await anyio.sleep(0.1)
+                scope.cancel()
+                service.release(target, first, services.Ending(is_done=True))
+            self.assertEqual(0, target.in_flight)
+
+        builders.run_virtual(_check)
+        self.assertEqual(["next"], self.order)
+
+    def test_one_waiter_is_woken_for_each_slot(self):
+        async def _check():
+            target = builders.make_target(slots=1)
+            service = builders.make_service(targets=[target])
+            first = builders.make_request(id="first")
+            await service.acquire(first)
+            async with anyio.create_task_group() as group:
+                for number in range(100):
+                    request = builders.make_request(id=str(number))
+                    group.start_soon(self._serve, service, request)
+                await anyio.sleep(0.1)
+                service.release(target, first, services.Ending(is_done=True))
+                self.assertEqual(99, service.waiting)
+                await anyio.sleep(0.1)
+                self.assertEqual(1, len(self.order))
+                group.cancel_scope.cancel()
+
+        builders.run_virtual(_check)
+
+    def test_frozen_target_is_taken_out_and_brought_back(self):
+        async def _check():
+            frozen = builders.make_target(id="frozen")
+            good = builders.make_target(id="good")
+            frozen.link.is_frozen = True
+            service = builders.make_service(targets=[frozen, good])
+            self._learn(service, latency_s=0.01)
+            dispatcher = builders.make_dispatcher(service)
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._tend, service)
+                for number in range(400):
+                    await anyio.sleep(0.01)
+                    with contextlib.suppress(errors.RequestUnknownError):
+                        await dispatcher.dispatch(
+                            builders.make_request(id=str(number))
+                        )
+                self.assertLess(len(frozen.link.sent), 8)
+                frozen.link.is_frozen = False
+                await anyio.sleep(60)
+                sent = len(frozen.link.sent)
+                for number in range(100):
+                    await dispatcher.dispatch(builders.make_request())
+                self.assertGreater(len(frozen.link.sent), sent + 30)
+                group.cancel_scope.cancel()
+
+        builders.run_virtual(_check)
+
+    async def _tend(self, service):
+        while True:
+            await anyio.sleep(0.1)
+            for target in service.targets.values():
+                target.end_quarantines(now_s=anyio.current_time())
+            service.tend()
