Hold no request back for targets that fell silent

Cause: a request waits for a faster target as long as that pays, reckoned from the pace of the busy ones; a target that answers nothing any more kept its pace, so with all fast ones silent requests waited for their deadline beside free slots. Only targets heard within ten of their answers count now. The new test fails with that limit off (the request is not run) and passes with it on.

The share of a request is kept from its admission to its end, so that new weights while it is in flight leave no count behind.

--- a/wisteriawood/contracts/requests.py
+++ b/wisteriawood/contracts/requests.py
@@ -29,6 +29,7 @@
         team: Team whose service is called.
         service: Name of the service.
         caller: Team that calls, for its share; empty for the owner.
+        share: Name of the share that it is counted in; set on admission.
         method: HTTP method.
         path: Path and query below the service.
         headers: Header fields that are passed on.
@@ -46,6 +47,7 @@
     team: str
     service: str
     caller: str = ""
+    share: str = ""
     method: str = "POST"
     path: str = "/"
     headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -147,6 +147,7 @@
             await anyio.sleep(TEND_PERIOD_S)
             for service in self.services.values():
                 service.tend()
+            self.counters.waiting.set(self.room.usage.waiting)
 
     async def _say_gone(self) -> None:
         """Tell the table that all slots have been returned."""
--- a/wisteriawood/machines/services.py
+++ b/wisteriawood/machines/services.py
@@ -99,6 +99,10 @@
         """Number of requests that wait for a slot."""
         return len(self._queue)
 
+    def shares(self) -> list[waiting_rooms.TeamShare]:
+        """Return what each calling team waits for and has in flight."""
+        return self._queue.shares()
+
     def slots(self) -> int:
         """Return the slots granted on targets that take requests."""
         return sum(
--- a/wisteriawood/machines/waiting_rooms.py
+++ b/wisteriawood/machines/waiting_rooms.py
@@ -15,7 +15,7 @@
 DEFAULT_PLACES = 1000
 DEFAULT_PLACES_BYTES = 16 * 1024 * 1024
 DEFAULT_WEIGHT = 1.0
-OTHERS = ""
+OTHERS = "*"
 
 _SEQUENCE = itertools.count()
 
@@ -117,9 +117,11 @@
 
     def share(self, request: requests.Request) -> TeamShare:
         """Return the share from which a request is served."""
-        name = request.caller or request.team
-        if name not in self._weights:
-            name = OTHERS
+        if not request.share:
+            # Once and for all: the weights may change while it is in flight.
+            caller = request.caller or request.team
+            request.share = caller if caller in self._weights else OTHERS
+        name = request.share
         found = self._shares.get(name)
         if found is None:
             weight = self._weights.get(name, DEFAULT_WEIGHT)
--- a/wisteriawood/policies/routing/interference_aware.py
+++ b/wisteriawood/policies/routing/interference_aware.py
@@ -16,6 +16,7 @@
 COMPARE_PERIOD_S = 0.05
 TIE_BREAK = 1 / 1024
 HOLD_SHARE = 0.25
+FRESH_FACTOR = 10.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -93,11 +94,13 @@
         self, target: targets.Target, busy: list[targets.Target], queued: int
     ) -> bool:
         """Tell whether a slot of a faster target is worth waiting for."""
-        freed_each_s = sum(
-            other.in_flight / self._paces[other.id].mean_s
-            for other in busy
-            if other.id in self._paces and other.id not in self._slow
-        )
+        freed_each_s = 0.0
+        for other in busy:
+            pace = self._paces.get(other.id)
+            if pace is None or other.id in self._slow:
+                continue
+            if self._compared_s - pace.observed_s < FRESH_FACTOR * pace.mean_s:
+                freed_each_s += other.in_flight / pace.mean_s
         if not freed_each_s:
             return False
         mean_s = self._paces[target.id].mean_s
--- a/wisteriawood/tests/routing_tests.py
+++ b/wisteriawood/tests/routing_tests.py
@@ -117,3 +117,36 @@
             self.assertEqual("slow", answer.target)
 
         builders.run_virtual(_check)
+
+    def test_request_waits_for_no_target_that_fell_silent(self):
+        async def _check():
+            slow = builders.make_target(
+                id="slow", link=builders.FakeLink(service_s=SLOWED_S)
+            )
+            calm = [
+                builders.make_target(
+                    id=f"calm-{n}", link=builders.FakeLink(service_s=CALM_S)
+                )
+                for n in range(2)
+            ]
+            service = builders.make_service(
+                targets=[slow, *calm], policy="interference-aware"
+            )
+            dispatcher = builders.make_dispatcher(service)
+            await self._load(dispatcher, rounds=400)
+            for target in calm:
+                target.in_flight = target.grant.slots
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._tend, service)
+                started_s = anyio.current_time()
+                answer = await dispatcher.dispatch(builders.make_request())
+                self.assertEqual("slow", answer.target)
+                self.assertLess(anyio.current_time() - started_s, 0.5)
+                group.cancel_scope.cancel()
+
+        builders.run_virtual(_check)
+
+    async def _tend(self, service):
+        while True:
+            await anyio.sleep(0.1)
+            service.tend()
--- a/wisteriawood/tests/services_tests.py
+++ b/wisteriawood/tests/services_tests.py
@@ -120,6 +120,25 @@
         builders.run_virtual(_check)
         self.assertTrue(all(id[:5] == "flood" for id, _ in self.refusals))
 
+    def test_new_weights_count_what_is_in_flight_where_it_was(self):
+        async def _check():
+            room = builders.make_room()
+            target = builders.make_target(slots=1)
+            service = builders.make_service(targets=[target], room=room)
+            request = builders.make_request(caller="kroupa")
+            await service.acquire(request)
+            room.set_weights({"kroupa": 2.0})
+            service.release(target, request, services.Ending(is_done=True))
+            queue = room.open_queue(team="kroupa")
+            self.assertEqual(2.0, queue.share(_fresh()).weight)
+            for share in service.shares():
+                self.assertEqual(0, share.in_flight)
+
+        def _fresh():
+            return builders.make_request(id="fresh", caller="kroupa")
+
+        builders.run_virtual(_check)
+
     def test_bodies_that_wait_are_bounded(self):
         async def _check():
             room = builders.make_room(places_bytes=1000)
