Make the test of short deadlines fail without its guard

With two targets both counted as failed, more than half were out and so none was; the test passed with the guard off. It asks with ten targets now, and fails with the guard off.

--- a/wisteriawood/tests/retrying_tests.py
+++ b/wisteriawood/tests/retrying_tests.py
@@ -162,7 +162,7 @@
                             deadline_s=anyio.current_time() + 0.005
                         )
                     )
-            self.assertEqual({}, service.outliers.out(targets_count=2))
+            self.assertEqual({}, service.outliers.out(targets_count=10))
             self.assertTrue(bad.link.sent and good.link.sent)
 
         builders.run_virtual(_check)
