Put the quotas of the configuration in force for requests

Cause: the configuration has a share and a bound of requests in flight for each team, and entry hosts went by neither. The waiting room of an entry host takes both over with each version.

--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -133,6 +133,7 @@
             group.start_soon(self.configuration.run)
             group.start_soon(self.slot_client.run)
             group.start_soon(self._tend_services)
+            group.start_soon(self._follow_quotas)
             group.start_soon(self._run_once.run)
             await self.stopping.wait()
             is_released = await self.slot_client.release()
@@ -142,6 +143,23 @@
             await self._say_gone()
         self.stopped.set()
 
+    async def _follow_quotas(self) -> None:
+        while True:
+            changed = self.configuration.changed
+            quotas = {
+                name: team.quota
+                for name, team in self.configuration.current.teams.items()
+            }
+            self.room.set_quotas(
+                weights={name: quota.share for name, quota in quotas.items()},
+                limits={
+                    name: quota.requests_in_flight
+                    for name, quota in quotas.items()
+                    if quota.requests_in_flight is not None
+                },
+            )
+            await changed.wait()
+
     async def _tend_services(self) -> None:
         while True:
             await anyio.sleep(TEND_PERIOD_S)
--- a/wisteriawood/machines/services.py
+++ b/wisteriawood/machines/services.py
@@ -104,12 +104,13 @@
         return self._queue.shares()
 
     def slots(self) -> int:
-        """Return the slots granted on targets that take requests."""
-        return sum(
+        """Return the slots that the team may fill at once."""
+        granted = sum(
             target.grant.slots
             for target in self.targets.values()
             if not target.grant.leaving
         )
+        return min(granted, self._room.limit(self.team))
 
     async def acquire(
         self,
@@ -161,6 +162,7 @@
             ending: How the attempt ended.
         """
         self._queue.share(request).in_flight -= 1
+        self._room.give_back(self.team)
         target.give_back(is_done=ending.is_done, until_s=ending.until_s)
         if not math.isnan(ending.latency_s):
             self.times.observe(ending.latency_s)
@@ -275,6 +277,8 @@
     def _choose(
         self, request: requests.Request, tried: frozenset[str], *, queued: int
     ) -> targets.Target | None:
+        if not self._room.may_take(self.team):
+            return None
         free = []
         busy = []
         for target in self._usable(request):
@@ -296,6 +300,7 @@
         self, request: requests.Request, target: targets.Target
     ) -> targets.Target:
         target.take()
+        self._room.take(self.team)
         self._queue.share(request).in_flight += 1
         return target
 
--- a/wisteriawood/machines/waiting_rooms.py
+++ b/wisteriawood/machines/waiting_rooms.py
@@ -212,13 +212,23 @@
 class WaitingRoom:
     """Places for waiting requests, shared by the services of a host.
 
+    It also keeps each team within its limit of requests in flight.
+
     Args:
         places: Most requests that wait at once.
         places_bytes: Most bytes of bodies that wait at once.
         weights: Weight of each team that owns services or calls them.
     """
 
-    __slots__ = ("_queues", "places", "places_bytes", "usage", "weights")
+    __slots__ = (
+        "_in_flight",
+        "_queues",
+        "limits",
+        "places",
+        "places_bytes",
+        "usage",
+        "weights",
+    )
 
     def __init__(
         self,
@@ -231,6 +241,8 @@
         self.places_bytes = places_bytes
         self.usage = Usage()
         self.weights = dict(weights or {})
+        self.limits: dict[str, int] = {}
+        self._in_flight: dict[str, int] = {}
         self._queues: dict[str, list[WaitingQueue]] = {}
 
     def open_queue(self, *, team: str) -> WaitingQueue:
@@ -239,17 +251,40 @@
         self._queues.setdefault(team, []).append(queue)
         return queue
 
-    def set_weights(self, weights: typing.Mapping[str, float]) -> None:
-        """Take over other weights, as a new configuration has them.
+    def set_quotas(
+        self,
+        *,
+        weights: typing.Mapping[str, float],
+        limits: typing.Mapping[str, int],
+    ) -> None:
+        """Take over other quotas, as a new configuration has them.
 
         Args:
             weights: Weight of each team that owns services or calls them.
+            limits: Most requests in flight to the services of a team.
         """
+        self.limits = dict(limits)
         self.weights.clear()
         self.weights.update(weights)
         for queue in itertools.chain.from_iterable(self._queues.values()):
             queue.refresh_weights()
 
+    def limit(self, team: str) -> float:
+        """Return how many requests to a team's services may be in flight."""
+        return self.limits.get(team, math.inf)
+
+    def may_take(self, team: str) -> bool:
+        """Tell whether a team is below its limit."""
+        return self._in_flight.get(team, 0) < self.limit(team)
+
+    def take(self, team: str) -> None:
+        """Count one more request in flight."""
+        self._in_flight[team] = self._in_flight.get(team, 0) + 1
+
+    def give_back(self, team: str) -> None:
+        """Count one request in flight less."""
+        self._in_flight[team] -= 1
+
     def take_overflow(self) -> list[Waiter]:
         """Take out what is over the places, from the fullest team first.
 
--- a/wisteriawood/standins/worlds.py
+++ b/wisteriawood/standins/worlds.py
@@ -12,7 +12,6 @@
 from wisteriawood import errors
 from wisteriawood.links import channels
 from wisteriawood.links import platforms as platform_links
-from wisteriawood.links import targets as target_links
 from wisteriawood.machines import entry_hosts
 from wisteriawood.machines import schedulers
 from wisteriawood.standins import platforms
--- a/wisteriawood/tests/services_tests.py
+++ b/wisteriawood/tests/services_tests.py
@@ -7,6 +7,7 @@
 import anyio
 
 from wisteriawood import errors
+from wisteriawood.links import configurations
 from wisteriawood.machines import outliers
 from wisteriawood.machines import services
 from wisteriawood.tests import builders
@@ -127,7 +128,7 @@
             service = builders.make_service(targets=[target], room=room)
             request = builders.make_request(caller="kroupa")
             await service.acquire(request)
-            room.set_weights({"kroupa": 2.0})
+            room.set_quotas(weights={"kroupa": 2.0}, limits={})
             service.release(target, request, services.Ending(is_done=True))
             queue = room.open_queue(team="kroupa")
             self.assertEqual(2.0, queue.share(_fresh()).weight)
@@ -139,6 +140,53 @@
 
         builders.run_virtual(_check)
 
+    def test_team_stays_within_its_limit_in_all_its_services(self):
+        async def _check():
+            room = builders.make_room()
+            room.set_quotas(weights={}, limits={"vitrinenklima": 3})
+            found = [
+                builders.make_service(
+                    targets=[builders.make_target(id=name)], room=room
+                )
+                for name in ("one", "other")
+            ]
+            async with anyio.create_task_group() as group:
+                for service in found:
+                    group.start_soon(self._tend, service)
+                for number in range(10):
+                    request = builders.make_request(
+                        id=str(number), deadline_s=math.inf
+                    )
+                    group.start_soon(self._serve, found[number % 2], request)
+                for _ in range(100):
+                    await anyio.sleep(0.1)
+                    in_flight = sum(
+                        service.targets[name].in_flight
+                        for service, name in zip(found, ("one", "other"))
+                    )
+                    self.assertLessEqual(in_flight, 3)
+                group.cancel_scope.cancel()
+
+        builders.run_virtual(_check)
+        self.assertEqual(10, len(self.order))
+
+    def test_quotas_of_an_accepted_configuration_are_in_force(self):
+        async def _check(world):
+            entry = builders.add_entries(world, ["linz-a-1"])["linz-a-1"]
+            await anyio.sleep(2)
+            document = builders.make_configuration()
+            document["teams"]["kroupa"]["quota"] = {
+                "share": 3.0,
+                "requests_in_flight": 7,
+            }
+            await configurations.apply(world.platform, document, base=0)
+            await anyio.sleep(3)
+            self.assertEqual(7, entry.room.limit("kroupa"))
+            self.assertEqual(math.inf, entry.room.limit("vitrinenklima"))
+            self.assertEqual(3.0, entry.room.weights["kroupa"])
+
+        builders.run_world(_check)
+
     def test_bodies_that_wait_are_bounded(self):
         async def _check():
             room = builders.make_room(places_bytes=1000)
