Measure a whole dispatch and a waiting request; prove a frozen target

Over the whole path in memory, a target that freezes among two costs no repeatable request its answer and no slot too many.

--- a/wisteriawood/bench/requests.py
+++ b/wisteriawood/bench/requests.py
@@ -10,6 +10,7 @@
 
 from wisteriawood.bench import base
 from wisteriawood.bench import clocks
+from wisteriawood.bench import request_costs
 from wisteriawood.bench import zone_fakes
 from wisteriawood.policies import registry
 from wisteriawood.policies import routing
@@ -37,6 +38,7 @@
 OVERLOAD_COUNT = 7000
 OVERLOAD_DEADLINE_S = 0.25
 COST_COUNT = 2000
+WAITING_COUNT = 500
 COST_TARGETS = (25, 100, 400)
 
 
@@ -238,19 +240,34 @@
 
 
 def measure_cost() -> typing.Iterator[base.Measure]:
-    """Yield the processor time of admission, routing and release."""
+    """Yield the processor time and memory of a request."""
     for count in COST_TARGETS:
-        size = zone_fakes.ZoneSize(
-            team="kroupa", targets=count, slots=8, delay_s=0.0
-        )
-        zone = zone_fakes.FakeZone(
-            size=size, policy=routing_base.DEFAULT, entries=1
+        size = dataclasses.replace(SIZES[0], targets=count)
+        cost_s = run(
+            request_costs.decide_s, _one_entry(size), count=COST_COUNT
         )
         yield base.Measure(
             name=f"requests/cost/{count}-targets",
-            value=1e6 * run(zone.cost_s, count=COST_COUNT),
+            value=1e6 * cost_s,
             unit="us",
         )
+    zone = _one_entry(SIZES[0])
+    cost_s = run(request_costs.dispatch_s, zone, count=COST_COUNT)
+    yield base.Measure(
+        name="requests/cost/dispatch", value=1e6 * cost_s, unit="us"
+    )
+    zone = _one_entry(SIZES[0])
+    yield base.Measure(
+        name="requests/cost/waiting",
+        value=run(request_costs.waiting_bytes, zone, count=WAITING_COUNT),
+        unit="bytes",
+    )
+
+
+def _one_entry(size: zone_fakes.ZoneSize) -> zone_fakes.FakeZone:
+    return zone_fakes.FakeZone(
+        size=size, policy=routing_base.DEFAULT, entries=1
+    )
 
 
 @base.BENCHES.register("requests")
--- a/wisteriawood/bench/zone_fakes.py
+++ b/wisteriawood/bench/zone_fakes.py
@@ -3,7 +3,6 @@
 import contextlib
 import dataclasses
 import random
-import time
 import typing
 
 import anyio
@@ -13,7 +12,6 @@
 from wisteriawood.contracts import requests
 from wisteriawood import errors
 from wisteriawood.machines import dispatchers
-from wisteriawood.machines import outliers
 from wisteriawood.machines import services
 from wisteriawood.machines import shares
 from wisteriawood.machines import slot_clients
@@ -247,8 +245,12 @@
                     grant=grant, grantor="scheduler", link=fake
                 )
 
-    def _grant(self, demand: dict[str, float]) -> None:
-        """Grant the slots in proportion to demand, as a grantor does."""
+    def grant(self, demand: dict[str, float]) -> None:
+        """Grant the slots in proportion to demand, as a grantor does.
+
+        Args:
+            demand: Demand of each entry host, by its number as text.
+        """
         for name, counted in self.shares.items():
             fair = shares.divide(
                 target=name, slots=self._size.slots, demand=demand
@@ -272,7 +274,7 @@
                 now = float(in_flight + service.waiting)
                 kept = slot_clients.DEMAND_KEPT * demand.get(str(holder), 0.0)
                 demand[str(holder)] = max(now, kept)
-            self._grant(demand)
+            self.grant(demand)
             for service in self.services:
                 service.wake()
 
@@ -287,7 +289,7 @@
             disturb: Task that slows or freezes targets; None for none.
         """
         start_s = anyio.current_time()
-        self._grant({str(h): 1.0 for h in range(len(self.services))})
+        self.grant({str(h): 1.0 for h in range(len(self.services))})
         self.outcome.last_s = start_s + arrivals[-1].at_s
         self.outcome.warm_s = start_s + WARM_SHARE * arrivals[-1].at_s
         async with anyio.create_task_group() as keepers:
@@ -330,34 +332,6 @@
         self.outcome.good += self.outcome.warm_s < now_s <= self.outcome.last_s
         self.outcome.sketch.add(now_s - came_s)
 
-    async def cost_s(self, *, count: int) -> float:
-        """Return the processor time of one request's decisions, in seconds.
-
-        Three quarters of the slots are taken meanwhile.
-
-        Args:
-            count: Number of requests over which to take the mean.
-        """
-        self._grant({"0": 1.0})
-        service = self.services[0]
-        request = requests.Request(
-            id="request", team=self._size.team, service="service"
-        )
-        request.deadline_s = anyio.current_time() + 1e6
-        slots = self._size.targets * self._size.slots
-        held = [await service.acquire(request) for _ in range(slots * 3 // 4)]
-        ending = services.Ending(
-            verdict=outliers.Verdict.GOOD,
-            latency_s=MEAN_SERVICE_S,
-            is_done=True,
-        )
-        started_s = time.process_time()
-        for number in range(count):
-            place = number % len(held)
-            service.release(held[place], request, ending)
-            held[place] = await service.acquire(request)
-        return (time.process_time() - started_s) / count
-
     async def _tend(self) -> None:
         while True:
             await anyio.sleep(TEND_PERIOD_S)
--- a/wisteriawood/tests/services_tests.py
+++ b/wisteriawood/tests/services_tests.py
@@ -332,3 +332,40 @@
             for target in service.targets.values():
                 target.end_quarantines(now_s=anyio.current_time())
             service.tend()
+
+    def test_frozen_target_costs_no_answer_and_no_slot_too_many(self):
+        async def _check(world):
+            frozen, good = (
+                world.add_target(
+                    builders.make_target_host(name=name), service_s=0.02
+                )
+                for name in ("target-1", "target-2")
+            )
+            world.add_scheduler(builders.make_member())
+            entry = builders.add_entries(world, ["linz-a-1"])["linz-a-1"]
+            await anyio.sleep(10)
+            await self._call(entry, 100)
+            frozen.faults.frozen = True
+            started = frozen.counts.started
+            await self._call(entry, 100)
+            frozen.faults.frozen = False
+            caught = frozen.counts.started - started
+            self.assertTrue(0 < caught <= 8, caught)
+            await self._call(entry, 100)
+            self.assertEqual(0, frozen.counts.breaches + good.counts.breaches)
+
+        builders.run_world(_check)
+        self.assertEqual(300, len(self.order))
+
+    async def _call(self, entry, count):
+        """Send requests to the whole path, and note who is answered."""
+
+        async def _send(request):
+            await entry.serve(request)
+            self.order.append(request.id)
+
+        async with anyio.create_task_group() as group:
+            for number in range(count):
+                await anyio.sleep(0.02)
+                request = builders.make_request(id=f"{number}")
+                group.start_soon(_send, request)
