Choose the retry policy from its registry; send each attempt as a sibling

The service built the budgeted policy itself, past the registry. A second attempt hung below the first in the trace, because the first one's context was written into the request; each attempt now sends a copy. A retried request no longer serves as the probe of a target that failed it.

--- a/wisteriawood/machines/dispatchers.py
+++ b/wisteriawood/machines/dispatchers.py
@@ -1,5 +1,7 @@
 """Dispatching: a request's way from the queue to a target and back."""
 
+import dataclasses
+
 import anyio
 
 from wisteriawood.contracts import requests
@@ -148,12 +150,12 @@
         with self._tracer.span(
             "target", traceparent=request.traceparent, target=target.id
         ) as traceparent:
-            request.traceparent = traceparent
+            sent = dataclasses.replace(request, traceparent=traceparent)
             with (
                 anyio.CancelScope() as scope,
                 service.watch(target, request, scope),
             ):
-                return await target.link.send(request, timeout_s=timeout_s)
+                return await target.link.send(sent, timeout_s=timeout_s)
         raise errors.RequestUnknownError(
             reason="the target stopped answering", status=502
         )
--- a/wisteriawood/machines/services.py
+++ b/wisteriawood/machines/services.py
@@ -14,8 +14,9 @@
 from wisteriawood.machines import service_times
 from wisteriawood.machines import targets
 from wisteriawood.machines import waiting_rooms
+from wisteriawood.policies import registry
+from wisteriawood.policies import retrying as retrying_policies
 from wisteriawood.policies.retrying import base as retrying_base
-from wisteriawood.policies.retrying import budgeted
 from wisteriawood.policies.routing import base as routing_base
 from wisteriawood.telemetry import events
 
@@ -49,8 +50,8 @@
         team: Team that owns it.
         name: Name of the service.
         policy: Chooses among the targets with a free slot.
-        retrying: Says whether failed requests are retried; by default
-            within a budget.
+        retrying: Says whether failed requests are retried; None for the
+            default policy.
         room: Places for waiting requests, shared with other services.
         rng: Source of random numbers.
     """
@@ -86,7 +87,10 @@
         self.targets: dict[str, targets.Target] = {}
         self.times = service_times.ServiceTimes()
         rng = rng or random.Random()
-        self.retrying = retrying or budgeted.Budgeted(rng=rng)
+        registry.load_modules(retrying_policies)
+        self.retrying = retrying or retrying_base.RETRYING.get(
+            retrying_base.DEFAULT
+        )(rng=rng)
         self.outliers = outliers.OutlierWatch(rng=rng)
         self._rescuable: dict[str, set[anyio.CancelScope]] = {}
         self._room = room or waiting_rooms.WaitingRoom()
@@ -256,24 +260,28 @@
             scope.cancel()
 
     def _usable(
-        self, request: requests.Request
+        self, request: requests.Request, tried: frozenset[str]
     ) -> typing.Iterable[targets.Target]:
         """Return the targets that a request may go to."""
         out = self.outliers.out(targets_count=len(self.targets))
         if not out:
             return self.targets.values()
         if request.request_class == requests.RequestClass.REPEATABLE:
-            now_s = anyio.current_time()
             for target_id in out:
-                target = self.targets.get(target_id)
-                if (
-                    target is not None
-                    and target.has_free_slot()
-                    and self.outliers.is_probe_due(target_id, now_s=now_s)
-                ):
-                    return [target]
+                if target_id not in tried and self._is_probe_due(target_id):
+                    return [self.targets[target_id]]
         return [t for t in self.targets.values() if t.id not in out]
 
+    def _is_probe_due(self, target_id: str) -> bool:
+        target = self.targets.get(target_id)
+        return (
+            target is not None
+            and target.has_free_slot()
+            and self.outliers.is_probe_due(
+                target_id, now_s=anyio.current_time()
+            )
+        )
+
     def _choose(
         self, request: requests.Request, tried: frozenset[str], *, queued: int
     ) -> targets.Target | None:
@@ -281,7 +289,7 @@
             return None
         free = []
         busy = []
-        for target in self._usable(request):
+        for target in self._usable(request, tried):
             grant = target.grant
             if target.in_flight >= grant.slots or grant.leaving:
                 busy.append(target)
