--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -16,6 +16,7 @@
 from wisteriawood.machines import run_once
 from wisteriawood.machines import services
 from wisteriawood.machines import slot_clients
+from wisteriawood.machines import waiting_rooms
 from wisteriawood.policies import registry
 from wisteriawood.policies import routing
 from wisteriawood.policies.routing import base
@@ -59,6 +60,7 @@
         "is_draining",
         "membership",
         "peering",
+        "room",
         "services",
         "slot_client",
         "stopped",
@@ -106,6 +108,7 @@
         )
         self._policy = policy
         self._rng = rng
+        self.room = waiting_rooms.WaitingRoom()
 
     def _join_peers(
         self,
@@ -149,6 +152,7 @@
             group.start_soon(self.drains.run)
             group.start_soon(self.slot_client.run)
             group.start_soon(self._tend_services)
+            group.start_soon(self._follow_quotas)
             group.start_soon(self._run_once.run)
             await self.stopping.wait()
             is_released = await self.slot_client.release()
@@ -158,11 +162,29 @@
             await self._say_gone()
         self.stopped.set()
 
+    async def _follow_quotas(self) -> None:
+        while True:
+            changed = self.configuration.changed
+            quotas = {
+                name: team.quota
+                for name, team in self.configuration.current.teams.items()
+            }
+            self.room.set_quotas(
+                weights={name: quota.share for name, quota in quotas.items()},
+                limits={
+                    name: quota.requests_in_flight
+                    for name, quota in quotas.items()
+                    if quota.requests_in_flight is not None
+                },
+            )
+            await changed.wait()
+
     async def _tend_services(self) -> None:
         while True:
             await anyio.sleep(TEND_PERIOD_S)
             for service in self.services.values():
                 service.tend()
+            self.counters.waiting.set(self.room.usage.waiting)
 
     async def _say_gone(self) -> None:
         """Tell the table that all slots have been returned."""
@@ -184,7 +206,13 @@
         service = self.services.get((team, name))
         if service is None:
             policy = base.ROUTING.get(self._policy)(rng=self._rng)
-            service = services.Service(team=team, name=name, policy=policy)
+            service = services.Service(
+                team=team,
+                name=name,
+                policy=policy,
+                room=self.room,
+                rng=self._rng,
+            )
             self.services[team, name] = service
         return service
 
