Evict and throttle only jobs whose harm is worth an order

Now a job is limited or evicted only if its own predicted harm is worth it, and a margin of memory is added only where it fits. Ruled out: the waves, as the evictions were spread evenly over time.

--- a/wisteriawood/machines/evictions.py
+++ b/wisteriawood/machines/evictions.py
@@ -213,20 +213,24 @@
 
         Args:
             entry: The worker's entry.
-            harms: Predicted harm by id of the task.
+            harms: Predicted harm by id, of the tasks that may go.
             reason: Why, for the operator.
             now_s: Monotonic time in seconds.
 
         Returns:
             Whether there was a job to evict.
         """
-        victims = self.victims(entry, now_s=now_s)
+        victims = [
+            victim
+            for victim in self.victims(entry, now_s=now_s)
+            if victim.spec.id in harms
+        ]
         if not victims:
             return False
         worst = max(
             victims,
             key=lambda victim: (
-                harms.get(victim.spec.id, 0.0) / self._policy.cost(victim)
+                harms[victim.spec.id] / self._policy.cost(victim)
             ),
         )
         plan = Plan(entry=entry, victims=[worst], cost=0.0)
--- a/wisteriawood/machines/monitors.py
+++ b/wisteriawood/machines/monitors.py
@@ -190,15 +190,19 @@
             if track is None or track.reports < 2:
                 continue
             learned = self._allocator.needs_of(placement.task.spec)
+            old = placement.counted
+            # The margin must fit into what is free; the use itself counts
+            # in any case.
+            room_bytes = old.memory_bytes + max(0, worker.free.memory_bytes)
+            margin_bytes = int(track.peak.memory_bytes * USE_MARGIN)
+            wanted_bytes = max(learned.memory_bytes, margin_bytes)
             counted = resources.Resources(
                 cores=track.peak.cores,
                 memory_bytes=max(
-                    learned.memory_bytes,
-                    int(track.peak.memory_bytes * USE_MARGIN),
+                    track.peak.memory_bytes, min(wanted_bytes, room_bytes)
                 ),
-                accelerators=placement.counted.accelerators,
+                accelerators=old.accelerators,
             )
-            old = placement.counted
             if (
                 abs(counted.cores - old.cores) < least
                 and counted.memory_bytes <= old.memory_bytes
@@ -255,7 +259,11 @@
         if verdict.evict:
             self._allocator.evictions.evict_one(
                 entry,
-                harms={found.task: found.harm for found in culprits},
+                harms={
+                    found.task: found.present_harm()
+                    for found in culprits
+                    if found.present_harm() >= base.LEAST_HARM
+                },
                 reason="slows services, though throttled",
                 now_s=now_s,
             )
--- a/wisteriawood/policies/interference.py
+++ b/wisteriawood/policies/interference.py
@@ -84,8 +84,11 @@
             aggressor: Class of the neighbour.
             now_s: Monotonic time in seconds.
         """
-        mean = self._aggressors.get(aggressor, PRIOR)
-        return max(0.0, mean + self._pair((victim, aggressor), now_s))
+        value = self._aggressors.get(aggressor, PRIOR)
+        found = self._pairs.get((victim, aggressor))
+        if found is not None:
+            value += found[0] * 0.5 ** ((now_s - found[1]) / HALF_LIFE_S)
+        return value if value > 0.0 else 0.0
 
     def observe(
         self,
--- a/wisteriawood/policies/placement/least_harm.py
+++ b/wisteriawood/policies/placement/least_harm.py
@@ -102,12 +102,14 @@
         load = request.needs.cores / entry.worker.capacity.cores
         load *= request.share
         name = indexes.class_of(spec)
+        harm = self._estimates.harm
+        now_s = request.now_s
         own = 0.0
         batch_loss = 0.0
         cost = 0.0
         for other in entry.neighbours.values():
-            own += self._harm(name, other.name, request) * other.load
-            added = self._harm(other.name, name, request) * load
+            own += harm(name, other.name, now_s) * other.load
+            added = harm(other.name, name, now_s) * load
             pressure = self._pressure(entry, other, request)
             if other.kind == tasks.TaskKind.BATCH:
                 weight = self._quotas.of(other.team).throughput_weight
@@ -175,9 +177,6 @@
             + SAME_RACK_COST * in_rack
         )
 
-    def _harm(self, victim: str, other: str, request: base.Request) -> float:
-        return self._estimates.harm(victim, other, request.now_s)
-
     def _pressure(
         self,
         entry: indexes.Entry,
@@ -191,6 +190,7 @@
                 load = other.load
                 if other is victim:
                     load -= load / other.count
-                found += self._harm(victim.name, other.name, request) * load
+                harm = self._estimates.harm
+                found += harm(victim.name, other.name, request.now_s) * load
             entry.pressures[victim.name] = found
         return found
--- a/wisteriawood/policies/throttling/base.py
+++ b/wisteriawood/policies/throttling/base.py
@@ -5,6 +5,9 @@
 
 from wisteriawood.policies import registry
 
+# Slowdown, as a logarithm, below which a job is not worth an order.
+LEAST_HARM = 0.004
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Culprit:
@@ -21,6 +24,10 @@
     harm: float
     share: float = 1.0
 
+    def present_harm(self) -> float:
+        """Return the slowdown by it at its present share."""
+        return self.harm * self.share
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class WorkerView:
--- a/wisteriawood/policies/throttling/step_down.py
+++ b/wisteriawood/policies/throttling/step_down.py
@@ -77,17 +77,19 @@
         if view.now_s - state.released_s < RELAPSE_S:
             state.hold_s = min(2 * state.hold_s, MAX_CALM_S)
             state.released_s = -1e9
-        left = [
+        worth = [
             culprit
             for culprit in view.culprits
-            if culprit.share > LEAST_SHARE and culprit.harm > 0
+            if culprit.present_harm() >= base.LEAST_HARM
         ]
+        left = [culprit for culprit in worth if culprit.share > LEAST_SHARE]
         if left:
             state.acted_s = view.now_s
             return base.Verdict(throttles=_steps(left, view.excess))
-        if view.culprits and view.now_s - state.slow_s >= EVICT_AFTER_S:
+        if worth and view.now_s - state.slow_s >= EVICT_AFTER_S:
             state.acted_s = view.now_s
             return base.Verdict(evict=True)
+        # What slows the services is none of the batch jobs here.
         return base.Verdict()
 
     def _release(self, state: State, view: base.WorkerView) -> base.Verdict:
@@ -96,7 +98,7 @@
             state.hold_s = max(FIRST_CALM_S, state.hold_s / 2)
             state.calm_s = view.now_s
             return base.Verdict()
-        least = min(throttled, key=lambda found: found.harm * found.share)
+        least = min(throttled, key=base.Culprit.present_harm)
         share = min(1.0, least.share / STEP)
         added = least.harm * (share - least.share)
         if math.log(max(view.excess, 0.01)) + added > 0:
@@ -113,9 +115,7 @@
     """Return one step for each of the worst jobs, as many as it takes."""
     wanted = math.log(excess)
     steps = []
-    for culprit in sorted(
-        left, key=lambda found: found.harm * found.share, reverse=True
-    ):
+    for culprit in sorted(left, key=base.Culprit.present_harm, reverse=True):
         if steps and wanted <= 0:
             break
         share = max(LEAST_SHARE, culprit.share * STEP)
