Test queue, placement and interference; spread services over racks

The tests found four faults, mended here: short jobs of a new class ran eight in 15 s, as their probes outlived them; a class whose declarations are off tenfold both ways was counted at a tenth of a core; margins of memory caused an eviction that the use did not; services stood 3, 3, 6 in three racks.

--- a/wisteriawood/machines/allocators.py
+++ b/wisteriawood/machines/allocators.py
@@ -10,6 +10,7 @@
 from wisteriawood.machines import evictions
 from wisteriawood.machines import indexes
 from wisteriawood.machines import probations
+from wisteriawood.machines import probes
 from wisteriawood.machines import queues
 from wisteriawood.machines import workers
 from wisteriawood.policies import eviction as eviction_policies
@@ -34,6 +35,10 @@
 # throttled, and the share that it starts with.
 THROTTLED_AFTER_S = 60.0
 THROTTLED_SHARE = 0.25
+# Waiting time after which a job that would do harm anywhere starts
+# throttled, and the share that it starts with.
+THROTTLED_AFTER_S = 60.0
+THROTTLED_SHARE = 0.25
 # Tasks of a class not yet known that may run unmeasured, and the time after
 # which one counts as measured though no report came.
 MAX_PROBES = 8
@@ -95,13 +100,13 @@
 
     __slots__ = (
         "_failures",
-        "_probes",
         "_reclaims",
         "estimates",
         "evictions",
         "index",
         "placement",
         "probations",
+        "probes",
         "queue",
         "quotas",
         "sizes",
@@ -125,6 +130,7 @@
             estimates = interference.PairEstimates()
         self.estimates = estimates
         self.sizes = sizes.Sizes() if learned is None else learned
+        self.probes = probes.Probes(learned=self.sizes)
         self.index = indexes.WorkerIndex(rng=rng)
         self.queue = queues.Queue()
         self.probations = probations.Probations()
@@ -139,7 +145,6 @@
             ),
         )
         self._failures: dict[str, list[Failure]] = {}
-        self._probes: dict[str, dict[str, float]] = {}
         self._reclaims = 0
         self.zone_capacity = resources.NOTHING
 
@@ -190,6 +195,15 @@
         if waiting is not None and waiting.reserved:
             self.index.reserve(waiting.reserved, "")
 
+    def keep_only(self, placed: set[str]) -> None:
+        """Forget the tasks that have left.
+
+        Args:
+            placed: Ids of the tasks that are on workers.
+        """
+        self.evictions.keep_only(placed)
+        self.probes.keep_only(placed)
+
     def needs_of(self, spec: tasks.TaskSpec) -> resources.Resources:
         """Return what a task is counted with.
 
@@ -213,7 +227,7 @@
             waiting.is_short = False
             waiting.reason = f"team {spec.team} is at the limit of its quota"
             return False
-        if not self._may_probe(spec, now_s):
+        if not self.probes.may_start(spec, now_s=now_s):
             waiting.is_short = False
             waiting.reason = "the first tasks of its class are being measured"
             return False
@@ -244,29 +258,6 @@
             and total.accelerators <= limit.accelerators * part
         )
 
-    def _may_probe(self, spec: tasks.TaskSpec, now_s: float) -> bool:
-        """Tell whether one more task of a class may start unmeasured."""
-        name = indexes.class_of(spec)
-        if spec.urgent or self.sizes.is_known(name):
-            return True
-        probes = self._probes.get(name)
-        if probes is None:
-            return True
-        for task, started_s in list(probes.items()):
-            if now_s - started_s > PROBE_S:
-                del probes[task]
-        return len(probes) < MAX_PROBES
-
-    def note_measured(self, spec: tasks.TaskSpec) -> None:
-        """Take over that a task's size was seen.
-
-        Args:
-            spec: The task.
-        """
-        probes = self._probes.get(indexes.class_of(spec))
-        if probes is not None:
-            probes.pop(spec.id, None)
-
     def _find(
         self, waiting: queues.Waiting, needs: resources.Resources, now_s: float
     ) -> Choice | None:
@@ -381,10 +372,7 @@
         if entry.worker.add(placement) is False:
             # Its last attempt still counts on this very worker.
             return
-        name = indexes.class_of(placement.task.spec)
-        if not self.sizes.is_known(name):
-            probes = self._probes.setdefault(name, {})
-            probes[waiting.task.spec.id] = now_s
+        self.probes.start(placement.task.spec, now_s=now_s)
         self.evictions.note_start(waiting.task.spec.id, now_s=now_s)
         self.index.update(entry.worker, now_s=now_s)
         starts.append(Start(worker=entry.worker, placement=placement))
--- a/wisteriawood/machines/monitors.py
+++ b/wisteriawood/machines/monitors.py
@@ -96,7 +96,7 @@
         """
         for task in self._tracks.keys() - placed:
             del self._tracks[task]
-        self._allocator.evictions.keep_only(placed)
+        self._allocator.keep_only(placed)
 
     def observe(
         self,
@@ -152,7 +152,7 @@
             self._allocator.sizes.observe(
                 indexes.class_of(spec), declared=spec.needs, used=track.peak
             )
-            self._allocator.note_measured(spec)
+            self._allocator.probes.finish(spec)
 
     def _learn_slowdown(
         self,
@@ -218,7 +218,21 @@
         if worker.free.memory_bytes < 0:
             self._free_memory(entry, now_s)
 
+    def _drop_margins(self, worker: workers.Worker) -> None:
+        """Count tasks with the memory that they use, and no more."""
+        for task_id, placement in list(worker.placements.items()):
+            track = self._tracks.get(task_id)
+            if track is None or track.reports < 2:
+                continue
+            worker.remove(task_id)
+            placement.counted = dataclasses.replace(
+                placement.counted, memory_bytes=track.peak.memory_bytes
+            )
+            worker.add(placement)
+
     def _free_memory(self, entry: indexes.Entry, now_s: float) -> None:
+        self._drop_margins(entry.worker)
+        self._allocator.index.update(entry.worker, now_s=now_s)
         short_bytes = -entry.worker.free.memory_bytes
         evictions = self._allocator.evictions
         for task_id, placement in entry.worker.placements.items():
--- a/wisteriawood/policies/placement/least_harm.py
+++ b/wisteriawood/policies/placement/least_harm.py
@@ -9,7 +9,9 @@
 from wisteriawood.policies import interference
 from wisteriawood.policies.placement import base
 
-SAMPLE = 16
+SAMPLE = 12
+# More for services, which are few, so that they spread evenly over racks.
+SERVICE_SAMPLE = 64
 # Slowdown of a service that a team of weight 1 allows.
 ALLOWED_SLOWDOWN = 1.08
 # Weight of a batch job that uses a whole worker, against one service.
@@ -17,7 +19,7 @@
 # Cost of another instance of a group on one worker, by the square of those
 # there, and of one in the same rack.
 SAME_WORKER_COST = 0.04
-SAME_RACK_COST = 0.05
+SAME_RACK_COST = 0.4
 # Cost of a first service on a worker: batch that is noisy can't go there.
 FIRST_SERVICE_COST = 0.3
 # Cost of a whole worker's load of batch where no services are, so that
@@ -72,7 +74,9 @@
         self, request: base.Request, index: indexes.WorkerIndex
     ) -> indexes.Entry:
         """Return the worker with the least harm, of a sample."""
-        fitting = request.sample(index, SAMPLE)
+        is_batch = request.spec.kind == tasks.TaskKind.BATCH
+        count = SAMPLE if is_batch else SERVICE_SAMPLE
+        fitting = request.sample(index, count)
         best, least = None, math.inf
         for entry in fitting:
             cost = self._cost(request, entry, index)
--- a/wisteriawood/policies/sizes.py
+++ b/wisteriawood/policies/sizes.py
@@ -44,6 +44,13 @@
             self._value = found[place]
         return self._value
 
+    def spread(self) -> float:
+        """Return how far the values lie apart, as a ratio; 1 if alike."""
+        found = sorted(self._values)
+        low = found[len(found) // 10]
+        high = found[len(found) - 1 - len(found) // 10]
+        return high / max(low, 1e-6)
+
 
 class ClassSizes:
     """What the tasks of one class were seen to use."""
@@ -67,10 +74,10 @@
 class Sizes:
     """Predicts what a task uses from its class and what it declares.
 
-    Two bounds are learned for each class: of the use itself, and of the use
-    as a ratio of what was declared. The lower one counts, so a class whose
-    tasks are alike and one whose declarations are wrong in the same way are
-    both predicted closely.
+    Two figures are learned for each class: the use itself, and the use as a
+    ratio of what was declared. The one that varies less counts for cores,
+    the lower bound for memory, so a class whose tasks are alike and one
+    whose declarations are wrong in the same way are both predicted closely.
     """
 
     __slots__ = ("_classes",)
@@ -133,9 +140,9 @@
         found = self._classes.get(name)
         if found is None or found.count < MIN_SAMPLES:
             return declared
-        cores = min(
-            found.cores.value(), found.cores_ratio.value() * declared.cores
-        )
+        cores = found.cores.value()
+        if found.cores_ratio.spread() < found.cores.spread():
+            cores = found.cores_ratio.value() * declared.cores
         memory_bytes = min(
             found.memory_bytes.value(),
             found.memory_ratio.value() * declared.memory_bytes,
--- a/wisteriawood/policies/throttling/step_down.py
+++ b/wisteriawood/policies/throttling/step_down.py
@@ -27,6 +27,7 @@
         acted_s: Monotonic time of the newest order.
         slow_s: Monotonic time since which services are slowed; 0 if not.
         calm_s: Monotonic time since which they are calm; 0 if not.
+        worst: Greatest excess while calm.
         released_s: Monotonic time of the newest release.
         hold_s: Seconds of calm that a release takes.
     """
@@ -34,6 +35,7 @@
     acted_s: float = -1e9
     slow_s: float = 0.0
     calm_s: float = 0.0
+    worst: float = 0.0
     released_s: float = -1e9
     hold_s: float = FIRST_CALM_S
 
@@ -64,7 +66,10 @@
             state.calm_s = 0.0
         elif view.excess < CALM_EXCESS:
             state.slow_s = 0.0
-            state.calm_s = state.calm_s or now_s
+            if not state.calm_s:
+                state.calm_s = now_s
+                state.worst = 0.0
+        state.worst = max(state.worst, view.excess)
         if now_s - state.acted_s < SETTLE_S:
             return base.Verdict()
         if state.slow_s and view.excess > 1.0:
@@ -101,11 +106,13 @@
         least = min(throttled, key=base.Culprit.present_harm)
         share = min(1.0, least.share / STEP)
         added = least.harm * (share - least.share)
-        if math.log(max(view.excess, 0.01)) + added > 0:
-            # The services would be slowed again.
+        if math.log(max(state.worst, 0.01)) + added > 0:
+            # The services would be slowed again; wait as long once more.
+            state.calm_s = view.now_s
+            state.worst = 0.0
             return base.Verdict()
         state.acted_s = state.released_s = view.now_s
-        state.calm_s = 0.0
+        state.calm_s = state.worst = 0.0
         return base.Verdict(
             throttles=[base.Throttle(task=least.task, share=share)]
         )
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -1,6 +1,7 @@
 """Builders of test data."""
 
 import functools
+import random
 
 import anyio
 import trio.testing
@@ -10,6 +11,9 @@
 from wisteriawood.contracts import resources
 from wisteriawood.contracts import tasks
 from wisteriawood.links import platforms
+from wisteriawood.links import workers as worker_links
+from wisteriawood.machines import allocators
+from wisteriawood.machines import workers
 from wisteriawood.standins import worlds
 
 GIB = 1024**3
@@ -132,3 +136,65 @@
         )
         for name in names
     }
+
+
+def make_worker(*, name="worker-1", rack="rack-1", link=None, **fields):
+    """Return a worker as its scheduler sees it, known and empty."""
+    values = {
+        "address": f"{name}:1",
+        "capacity": make_resources(cores=64.0, memory_bytes=250 * GIB),
+    }
+    values.update(fields)
+    worker = workers.Worker(name=name, rack=rack, link=link, **values)
+    worker.is_known = True
+    return worker
+
+
+def make_workers(count, *, rack_size=8, **fields):
+    """Return workers in racks."""
+    return [
+        make_worker(
+            name=f"worker-{number}",
+            rack=f"rack-{number // rack_size}",
+            **fields,
+        )
+        for number in range(count)
+    ]
+
+
+def make_allocator(found=(), *, seed=1, **fields):
+    """Return an allocator that knows some workers."""
+    allocator = allocators.Allocator(rng=random.Random(seed), **fields)
+    allocator.refresh(found, now_s=0.0)
+    return allocator
+
+
+def enqueue(allocator, spec, *, now_s=0.0):
+    """Let a task wait and return its entry in the queue."""
+    task = tasks.Task(spec=spec, zone="linz-a")
+    return allocator.queue.add(task, version=1, now_s=now_s)
+
+
+def place_on(worker, spec, *, counted=None):
+    """Put a running task on a worker and return its placement."""
+    placement = workers.Placement(
+        task=tasks.Task(
+            spec=spec, zone="linz-a", state=tasks.TaskState.RUNNING
+        ),
+        version=1,
+        counted=counted or spec.needs,
+        is_committed=True,
+    )
+    worker.add(placement)
+    return placement
+
+
+def make_usage(spec, *, speed=1.0, measured_s=0.0, used=None):
+    """Return a usage report of a task."""
+    return worker_links.UsageReport(
+        task=spec.id,
+        attempt=1,
+        used=used or spec.needs,
+        speed=speed,
+        measured_s=measured_s,
+    )
