Play the request half of the fault matrix

Every fault at every step of one run-once request, in virtual time, beside load at both entry hosts of a zone.

Found by it, and mended: an entry host told to stop did not wait for the requests in its own queue; an error that the HTTP library raises outside of its own tree ended the whole entry host.

--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -50,6 +50,7 @@
         "_dispatcher",
         "_policy",
         "_run_once",
+        "_serving",
         "_rng",
         "configuration",
         "counters",
@@ -110,6 +111,7 @@
             services=self.services, tracer=tracer
         )
         self._policy = policy
+        self._serving = 0
         self._rng = rng
 
     def not_ready(self) -> str:
@@ -132,6 +134,7 @@
             group.start_soon(self.configuration.run)
             group.start_soon(self._tend_services)
             await self.stopping.wait()
+            await self._finish_requests()
             is_released = await self.slot_client.release()
             await self._run_once.settle()
             group.cancel_scope.cancel()
@@ -139,6 +142,11 @@
             await self._say_gone()
         self.stopped.set()
 
+    async def _finish_requests(self) -> None:
+        with anyio.move_on_after(slot_clients.RELEASE_TIMEOUT_S):
+            while self._serving:
+                await anyio.sleep(TEND_PERIOD_S)
+
     async def _say_gone(self) -> None:
         """Tell the table that all slots have been returned."""
         self.membership.own.state = holdings.HostState.GONE
@@ -208,6 +216,15 @@
         return answer
 
     async def _run(self, request: requests.Request) -> requests.Answer:
+        self._serving += 1
+        try:
+            return await self._run_by_class(request)
+        finally:
+            self._serving -= 1
+
+    async def _run_by_class(
+        self, request: requests.Request
+    ) -> requests.Answer:
         dispatch = self._dispatcher.dispatch
         if request.request_class == requests.RequestClass.RUN_ONCE:
             return await self._run_once.serve(request, dispatch)
--- a/wisteriawood/machines/slotted_links.py
+++ b/wisteriawood/machines/slotted_links.py
@@ -93,6 +93,11 @@
             )
         except errors.RequestError as exc:
             call.error = exc
+        except Exception as exc:
+            # A fault of one call must not end those of all others.
+            call.error = errors.RequestUnknownError(
+                reason=f"the target did not answer: {exc!r}", status=502
+            )
         call.done.set()
         if not call.is_left:
             return
--- a/wisteriawood/tests/faults/__main__.py
+++ b/wisteriawood/tests/faults/__main__.py
@@ -4,9 +4,12 @@
 import sys
 import unittest
 
+from wisteriawood.tests.faults import requests_tests
+
 
 def main() -> int:
     """Run the matrix and return the exit status."""
+    requests_tests.STRIDE = 1
     here = pathlib.Path(__file__).parent
     suite = unittest.defaultTestLoader.discover(
         str(here), pattern="*_tests.py", top_level_dir=str(here.parents[2])
--- /dev/null
+++ b/wisteriawood/tests/faults/request_faults.py
@@ -0,0 +1,274 @@
+"""Faults that strike a zone; each returns what undoes it."""
+
+import anyio
+
+from wisteriawood.policies import registry
+from wisteriawood.tests.faults import request_worlds
+
+FAULTS = registry.Registry(kind="fault")
+# Faults that last longer than the terms of slots.
+LONG = set()
+FIRST_ENTRY, SECOND_ENTRY = request_worlds.ENTRIES
+SLOW_S = 0.8
+LATE_S = 6.0
+
+
+def _lasts_long(name):
+    LONG.add(name)
+    return FAULTS.register(name)
+
+
+def _nothing():
+    return None
+
+
+def _target(world):
+    return world.targets["target-1:1"]
+
+
+@_lasts_long("entry host killed")
+def kill_entry(world):
+    world.kill_entry(FIRST_ENTRY)
+    return _nothing
+
+
+@FAULTS.register("entry host drained")
+def drain_entry(world):
+    world.entries[FIRST_ENTRY].is_draining = True
+    world.closed[FIRST_ENTRY] = anyio.current_time()
+    world.entries[FIRST_ENTRY].stopping.set()
+    return _nothing
+
+
+@_lasts_long("grantor killed, another takes over")
+def kill_grantor(world):
+    world.grantor_process().kill()
+    return _nothing
+
+
+@FAULTS.register("grantor drained, another takes over")
+def drain_grantor(world):
+    name = world.grantor_process().name.split("/")[1]
+    world.schedulers[name].stopping.set()
+    return _nothing
+
+
+@FAULTS.register("target killed")
+def kill_target(world):
+    _target(world).is_dead = True
+    world.processes["target-1:1"].kill()
+    return _nothing
+
+
+@_lasts_long("entry host frozen past its slots' term")
+def freeze_entry(world):
+    process = world.entry_process(FIRST_ENTRY)
+    process.freeze()
+    return process.wake
+
+
+@_lasts_long("grantor frozen past its term")
+def freeze_grantor(world):
+    process = world.grantor_process()
+    process.freeze()
+    return process.wake
+
+
+@FAULTS.register("target frozen")
+def freeze_target(world):
+    target = _target(world)
+    target.thawed = type(target.thawed)()
+    return target.thawed.set
+
+
+def _cut(world, *pairs):
+    world.cuts |= set(pairs)
+
+    def _mend():
+        world.cuts -= set(pairs)
+
+    return _mend
+
+
+@FAULTS.register("cut one way, entry host to target")
+def cut_to_target(world):
+    return _cut(world, (f"entry/{FIRST_ENTRY}", "target-1:1"))
+
+
+@FAULTS.register("cut one way, target to entry host")
+def cut_from_target(world):
+    return _cut(world, ("target-1:1", f"entry/{FIRST_ENTRY}"))
+
+
+@_lasts_long("cut one way, entry host to grantor")
+def cut_to_grantor(world):
+    grantor = world.grantor_process().name
+    return _cut(world, (f"entry/{FIRST_ENTRY}", grantor))
+
+
+@_lasts_long("cut one way, grantor to entry host")
+def cut_from_grantor(world):
+    grantor = world.grantor_process().name
+    return _cut(world, (grantor, f"entry/{FIRST_ENTRY}"))
+
+
+@_lasts_long("cut both ways, entry host and grantor")
+def cut_grantor(world):
+    return _cut_pair(
+        world, f"entry/{FIRST_ENTRY}", world.grantor_process().name
+    )
+
+
+def _cut_pair(world, one, other):
+    return _cut(world, (one, other), (other, one))
+
+
+@_lasts_long("cut both ways, entry host and platform")
+def cut_platform(world):
+    return _cut_pair(world, f"entry/{FIRST_ENTRY}", "platform")
+
+
+@_lasts_long("cut both ways, grantor and platform")
+def cut_grantor_platform(world):
+    return _cut_pair(world, world.grantor_process().name, "platform")
+
+
+@FAULTS.register("slow links to the target")
+def slow_target_link(world):
+    pair = ("target-1:1", f"entry/{FIRST_ENTRY}")
+    world.delays_s[pair] = world.delays_s[pair[::-1]] = SLOW_S
+
+    def _mend():
+        world.delays_s.clear()
+
+    return _mend
+
+
+def _switch(world, **switches):
+    before = {name: getattr(world.platform.faults, name) for name in switches}
+    for name, value in switches.items():
+        setattr(world.platform.faults, name, value)
+
+    def _undo():
+        for name, value in before.items():
+            setattr(world.platform.faults, name, value)
+
+    return _undo
+
+
+@_lasts_long("platform down")
+def platform_down(world):
+    return _switch(world, down=True)
+
+
+@FAULTS.register("platform slow")
+def platform_slow(world):
+    return _switch(world, slow_s=SLOW_S)
+
+
+@FAULTS.register("platform's acknowledgements lost")
+def platform_answers_lost(world):
+    return _switch(world, answers_lost=40)
+
+
+@FAULTS.register("host list stale: a live target missing, a dead one listed")
+def stale_hosts(world):
+    world.platform.remove_host("target-2")
+    return kill_target(world)
+
+
+@FAULTS.register("target leaving")
+def target_leaving(world):
+    request_worlds.leave(world, "target-1")
+    return _nothing
+
+
+def _mode(world, mode):
+    target = _target(world)
+    target.mode = mode
+
+    def _undo():
+        target.mode = ""
+
+    return _undo
+
+
+@_lasts_long("target answers late, after the deadline")
+def answers_late(world):
+    target = _target(world)
+    target.faults.slow_s = LATE_S
+
+    def _undo():
+        target.faults.slow_s = 0.0
+
+    return _undo
+
+
+@FAULTS.register("target answers twice")
+def answers_twice(world):
+    return _mode(world, "twice")
+
+
+@FAULTS.register("target answers out of order")
+def answers_out_of_order(world):
+    return _mode(world, "out of order")
+
+
+@FAULTS.register("target answers half")
+def answers_half(world):
+    return _mode(world, "half")
+
+
+@FAULTS.register("caller gone")
+def caller_gone(world):
+    world.probe_scope.cancel()
+    return _nothing
+
+
+@_lasts_long("two: grantor killed, platform down")
+def grantor_and_platform(world):
+    kill_grantor(world)
+    return platform_down(world)
+
+
+@_lasts_long("two: entry host cut from grantor, grantor from platform")
+def cut_and_cut(world):
+    return _both(cut_grantor(world), cut_grantor_platform(world))
+
+
+@_lasts_long("two: entry host frozen, grantor killed")
+def freeze_and_kill(world):
+    kill_grantor(world)
+    return freeze_entry(world)
+
+
+@_lasts_long("two: entry host killed, acknowledgements lost")
+def kill_and_lose(world):
+    kill_entry(world)
+    return platform_answers_lost(world)
+
+
+@_lasts_long("two: grantor killed, entry host cut from its successor")
+def kill_and_cut(world):
+    grantor = world.grantor_process().name
+    (successor,) = {
+        name
+        for name in world.processes
+        if name.startswith("scheduler/") and name != grantor
+    }
+    kill_grantor(world)
+    return _cut_pair(world, f"entry/{FIRST_ENTRY}", successor)
+
+
+@_lasts_long("two: target late, grantor killed")
+def late_and_kill(world):
+    kill_grantor(world)
+    return answers_late(world)
+
+
+def _both(one, other):
+    def _undo():
+        one()
+        other()
+
+    return _undo
