--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -25,8 +25,8 @@
 from wisteriawood.zones import membership
 from wisteriawood.zones import peering
 
+TEND_PERIOD_S = 0.25
 GOODBYE_TIMEOUT_S = 3.0
-TEND_PERIOD_S = 0.1
 
 _LOG = events.Logger(name=__name__)
 
@@ -129,10 +129,10 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self.membership.run)
             group.start_soon(self.peering.run)
-            group.start_soon(self.slot_client.run)
-            group.start_soon(self._run_once.run)
             group.start_soon(self.configuration.run)
+            group.start_soon(self.slot_client.run)
             group.start_soon(self._tend_services)
+            group.start_soon(self._run_once.run)
             await self.stopping.wait()
             await self._finish_requests()
             is_released = await self.slot_client.release()
@@ -147,6 +147,12 @@
             while self._serving:
                 await anyio.sleep(TEND_PERIOD_S)
 
+    async def _tend_services(self) -> None:
+        while True:
+            await anyio.sleep(TEND_PERIOD_S)
+            for service in self.services.values():
+                service.tend()
+
     async def _say_gone(self) -> None:
         """Tell the table that all slots have been returned."""
         self.membership.own.state = holdings.HostState.GONE
@@ -156,12 +162,6 @@
             except errors.PlatformError as exc:
                 _LOG.log(events.PLATFORM_LOST, reason=str(exc))
 
-    async def _tend_services(self) -> None:
-        while True:
-            await anyio.sleep(TEND_PERIOD_S)
-            for service in self.services.values():
-                service.tend()
-
     def _take_late_answer(
         self, request: requests.Request, answer: requests.Answer
     ) -> None:
--- /dev/null
+++ b/wisteriawood/machines/keepers.py
@@ -0,0 +1,233 @@
+"""The keeper of racks: claims, verifies, adopts and releases them."""
+
+import typing
+
+import anyio
+
+from wisteriawood.contracts import holdings
+from wisteriawood.contracts import keys
+from wisteriawood.contracts import resources
+from wisteriawood.contracts import tasks
+from wisteriawood.contracts import terms
+from wisteriawood import errors
+from wisteriawood.links.codecs import rows
+from wisteriawood.links import platforms
+from wisteriawood.machines import racks
+from wisteriawood.machines import workers
+from wisteriawood.telemetry import events
+from wisteriawood.zones import claims
+
+if typing.TYPE_CHECKING:
+    from wisteriawood.machines import schedulers
+
+RACK_PERIOD_S = 1.0
+FORMER_PERIOD_S = 2.0
+
+_LOG = events.Logger(name=__name__)
+
+
+class RackKeeper:
+    """Holds racks of one zone for a scheduler, by rows of the table.
+
+    Args:
+        scheduler: The scheduler that it works for.
+        dial_peer: Opens a channel to the peer at an address.
+    """
+
+    __slots__ = ("_dial_peer", "_scheduler")
+
+    def __init__(
+        self, *, scheduler: "schedulers.Scheduler", dial_peer: typing.Any
+    ):
+        self._dial_peer = dial_peer
+        self._scheduler = scheduler
+
+    async def run(self) -> None:
+        """Look after the racks until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._follow_racks)
+            group.start_soon(self._follow_formers)
+
+    async def _follow_racks(self) -> None:
+        while True:
+            if self._scheduler.membership.is_confirmed():
+                try:
+                    await self._check_racks()
+                except errors.PlatformError:
+                    pass
+            with anyio.move_on_after(RACK_PERIOD_S):
+                await self._scheduler.membership.changed.wait()
+
+    async def _check_racks(self) -> None:
+        # Read before the rows, so that they are newer than the term.
+        since_s = self._scheduler.membership.term.unbroken_since_s()
+        hosts = [
+            host
+            for host in await self._scheduler.platform.hosts()
+            if host.zone == self._scheduler.zone
+        ]
+        self._scheduler.placer.see_hosts(hosts)
+        prefix = keys.racks(self._scheduler.zone)
+        found = {
+            row.key.removeprefix(prefix): row
+            for row in await platforms.scan_all(
+                self._scheduler.platform, prefix
+            )
+        }
+        self._scheduler.rack_holders = {
+            rows.from_value(row.value, holdings.RackHolding).holder
+            for row in found.values()
+        } - {""}
+        for name in list(self._scheduler.racks):
+            self._check_rack(name, found.get(name), since_s)
+        for name in sorted({host.rack for host in hosts} | set(found)):
+            if name in self._scheduler.racks:
+                continue
+            claim = claims.find_claim(
+                self._scheduler.membership, name, found.get(name)
+            )
+            if claim is not None:
+                await self._claim_rack(claim, since_s)
+        self._scheduler.counters.racks_held.set(len(self._scheduler.racks))
+        self._adopt_hosts(hosts)
+
+    def _check_rack(
+        self, name: str, row: platforms.Row | None, since_s: float | None
+    ) -> None:
+        rack = self._scheduler.racks[name]
+        if row is not None:
+            holding = rows.from_value(row.value, holdings.RackHolding)
+            is_own = holding.incarnation == rack.holding.incarnation
+            if is_own and holding.epoch == rack.holding.epoch:
+                rack.version = row.version
+                rack.verified_since_s = since_s
+                rack.term_ends_s = self._term_ends_s()
+                return
+        del self._scheduler.racks[name]
+        _LOG.log(events.RACK_LOST, rack=name)
+
+    async def _claim_rack(
+        self, claim: claims.Claim, since_s: float | None
+    ) -> None:
+        rack = await claims.commit(
+            self._scheduler.platform, self._scheduler.membership.own, claim
+        )
+        if rack is None:
+            return
+        name = rack.holding.rack
+        found = await platforms.scan_all(
+            self._scheduler.platform, keys.placeds(self._scheduler.zone, name)
+        )
+        rack.verified_since_s = since_s
+        rack.term_ends_s = self._term_ends_s()
+        self._scheduler.racks[name] = rack
+        for row in found:
+            self._adopt_task(rack, row)
+        _LOG.log(
+            events.RACK_CLAIMED,
+            rack=name,
+            epoch=rack.holding.epoch,
+            tasks=len(found),
+        )
+
+    def _term_ends_s(self) -> float:
+        return self._scheduler.membership.term.ends_at_s() or 0.0
+
+    def _adopt_task(self, rack: racks.Rack, row: platforms.Row) -> None:
+        task = rows.from_value(row.value, tasks.Task)
+        worker = rack.workers.get(task.worker)
+        if worker is None:
+            # Its worker may be missing from the host list.
+            worker = self._scheduler.add_worker(
+                rack, task.worker, task.worker_address, resources.NOTHING
+            )
+        worker.add(
+            workers.Placement(
+                task=task,
+                version=row.version,
+                counted=task.spec.needs,
+                is_committed=True,
+                is_adopted=True,
+                lease_ends_s=rack.adopted_until_s,
+                not_after_s=anyio.current_time()
+                + terms.COMMAND_LIFE_S
+                + terms.DRIFT_MARGIN_S,
+            )
+        )
+
+    def _adopt_hosts(self, hosts: list[platforms.Host]) -> None:
+        listed = set()
+        for host in hosts:
+            rack = self._scheduler.racks.get(host.rack)
+            if rack is None:
+                continue
+            if host.kind == platforms.HostKind.TARGET:
+                rack.see_target(host)
+                continue
+            listed.add(host.name)
+            worker = rack.workers.get(host.name)
+            if worker is None or worker.is_moved(host.address):
+                worker = self._scheduler.add_worker(
+                    rack, host.name, host.address, host.capacity
+                )
+            worker.see_leaving(host.leaving)
+        for rack in self._scheduler.racks.values():
+            rack.forget_workers(listed)
+
+    async def _follow_formers(self) -> None:
+        """Find out which former holders are surely dead."""
+        while True:
+            formers: dict[str, list[racks.Rack]] = {}
+            for rack in self._scheduler.racks.values():
+                if rack.former is not None:
+                    held = formers.setdefault(rack.former.incarnation, [])
+                    held.append(rack)
+            for held in formers.values():
+                if await self._is_gone(held[0].former):
+                    for rack in held:
+                        rack.see_former_gone()
+                        _LOG.log(
+                            events.FORMER_HOLDER_GONE, rack=rack.holding.rack
+                        )
+            await anyio.sleep(FORMER_PERIOD_S)
+
+    async def _is_gone(self, former: holdings.MemberRow) -> bool:
+        sighting = self._scheduler.membership.sightings.get(
+            (former.role, former.name)
+        )
+        if sighting and sighting.member.incarnation != former.incarnation:
+            return True
+        try:
+            async with self._dial_peer(address=former.peer_address):
+                return False
+        except errors.LinkRefusedError:
+            return True
+        except errors.LinkError:
+            return False
+
+    async def release(self) -> None:
+        """Give the racks up, saying how long their leases may last."""
+        await self._scheduler.commits.flush()
+        async with anyio.create_task_group() as group:
+            for rack in list(self._scheduler.racks.values()):
+                group.start_soon(self._release_rack, rack)
+
+    async def _release_rack(self, rack: racks.Rack) -> None:
+        released = holdings.RackHolding(
+            zone=self._scheduler.zone,
+            rack=rack.holding.rack,
+            epoch=rack.holding.epoch,
+            lease_left_s=rack.lease_left_s(),
+        )
+        condition = rack.condition()
+        write = platforms.Write(
+            key=condition.key, value=rows.to_value(released)
+        )
+        try:
+            await self._scheduler.commits.commit(
+                conditions=[condition], writes=[write]
+            )
+        except errors.PlatformError:
+            return
+        del self._scheduler.racks[rack.holding.rack]
+        _LOG.log(events.RACK_RELEASED, rack=rack.holding.rack)
--- a/wisteriawood/machines/slotted_links.py
+++ b/wisteriawood/machines/slotted_links.py
@@ -67,9 +67,7 @@
     ) -> requests.Answer:
         """Run a request and return its whole answer."""
         copy = dataclasses.replace(
-            request,
-            deadline_s=anyio.current_time() + timeout_s,
-            send_by_s=self._target.usable_until_s(),
+            request, send_by_s=self._target.usable_until_s()
         )
         call = Call(request=copy)
         self._group.start_soon(self._run, call)
--- a/wisteriawood/tests/faults/request_faults.py
+++ b/wisteriawood/tests/faults/request_faults.py
@@ -135,13 +135,8 @@
 
 @FAULTS.register("slow links to the target")
 def slow_target_link(world):
-    pair = ("target-1:1", f"entry/{FIRST_ENTRY}")
-    world.delays_s[pair] = world.delays_s[pair[::-1]] = SLOW_S
-
-    def _mend():
-        world.delays_s.clear()
-
-    return _mend
+    world.slow_links_s["target-1:1"] = SLOW_S
+    return world.slow_links_s.clear
 
 
 def _switch(world, **switches):
--- a/wisteriawood/tests/faults/request_worlds.py
+++ b/wisteriawood/tests/faults/request_worlds.py
@@ -10,6 +10,7 @@
 from wisteriawood.contracts import requests
 from wisteriawood import errors
 from wisteriawood.links import targets as target_links
+from wisteriawood.standins import processes
 from wisteriawood.standins import targets
 from wisteriawood.standins import worlds
 from wisteriawood.tests import builders
@@ -129,17 +130,20 @@
 class ObservedLink:
     """Tells the world that a request has been granted a slot."""
 
-    __slots__ = ("_inner", "_target", "_world")
+    __slots__ = ("_address", "_inner", "_target", "_world")
 
-    def __init__(self, *, world, inner, target):
+    def __init__(self, *, world, address, inner, target):
         self._world = world
+        self._address = address
         self._inner = inner
         self._target = target
 
     async def send(self, request, *, timeout_s):
         if request.key == PROBE:
             self._world.reach("granted")
+        await anyio.sleep(self._world.way_s(self._address))
         answer = await self._inner.send(request, timeout_s=timeout_s)
+        await anyio.sleep(self._world.way_s(self._address))
         if self._target.mode == "half":
             raise errors.RequestUnknownError(reason="cut off half-way")
         return answer
@@ -173,13 +177,14 @@
     """A zone under load, with a probe whose steps are seen."""
 
     __slots__ = (
-        "calls",
+        "call_scopes",
         "closed",
         "left_s",
         "on_step",
         "probe_scope",
         "reached",
         "replies",
+        "slow_links_s",
         "uses_http",
     )
 
@@ -188,8 +193,9 @@
         self.on_step = None
         self.reached = []
         self.replies = []
-        self.calls = {}
+        self.call_scopes = {}
         self.closed = {}
+        self.slow_links_s = {}
         self.uses_http = False
         self.left_s = {}
         self.probe_scope = anyio.CancelScope()
@@ -213,7 +219,14 @@
         self._group.start_soon(_later)
 
     def delay_s(self, sender, receiver):
-        return self.delays_s.get((sender, receiver), LINK_DELAY_S)
+        if sender in self.targets or receiver in self.targets:
+            # The links to targets wait as long as the product tells them.
+            return 0.0
+        return LINK_DELAY_S
+
+    def way_s(self, address):
+        """Return the delay of a link to a target, one way."""
+        return self.slow_links_s.get(address, LINK_DELAY_S)
 
     def add_target(self, host, *, service_s=SERVICE_S):
         target = RecordingTarget(
@@ -223,7 +236,7 @@
             service_s=service_s,
         )
         self.targets[host.address] = target
-        self.processes[host.address] = worlds.Process(name=host.address)
+        self.processes[host.address] = processes.Process(name=host.address)
         self.platform.put_host(host)
         return target
 
@@ -237,7 +250,7 @@
             process, address=address, connections=connections
         )
         if self.uses_http:
-            inner = worlds.GuardedLink(
+            inner = processes.GuardedLink(
                 world=self,
                 process=process,
                 peer=address,
@@ -246,13 +259,16 @@
                 unknown=lambda text: errors.RequestUnknownError(reason=text),
             )
         return ObservedLink(
-            world=self, inner=inner, target=self.targets[address]
+            world=self,
+            address=address,
+            inner=inner,
+            target=self.targets[address],
         )
 
     def kill_entry(self, name):
         """Kill an entry host, with the connections of its callers."""
         self.entry_process(name).kill()
-        for scope in self.calls.get(name, ()):
+        for scope in self.call_scopes.get(name, ()):
             scope.cancel()
 
     def entry_process(self, name):
