--- a/wisteriawood/tests/faults/request_faults.py
+++ b/wisteriawood/tests/faults/request_faults.py
@@ -179,11 +179,12 @@
 
 
 def _mode(world, mode):
-    target = _target(world)
-    target.mode = mode
+    for target in world.targets.values():
+        target.mode = mode
 
     def _undo():
-        target.mode = ""
+        for target in world.targets.values():
+            target.mode = ""
 
     return _undo
 
