--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -53,6 +53,7 @@
         "_dispatcher",
         "_policy",
         "_run_once",
+        "_serving",
         "_rng",
         "configuration",
         "counters",
@@ -107,6 +108,7 @@
             services=self.services, tracer=tracer
         )
         self._policy = policy
+        self._serving = 0
         self._rng = rng
         self.room = waiting_rooms.WaitingRoom()
 
@@ -155,6 +157,7 @@
             group.start_soon(self._follow_quotas)
             group.start_soon(self._run_once.run)
             await self.stopping.wait()
+            await self._finish_requests()
             is_released = await self.slot_client.release()
             await self._run_once.settle()
             group.cancel_scope.cancel()
@@ -179,6 +182,11 @@
             )
             await changed.wait()
 
+    async def _finish_requests(self) -> None:
+        with anyio.move_on_after(slot_clients.RELEASE_TIMEOUT_S):
+            while self._serving:
+                await anyio.sleep(TEND_PERIOD_S)
+
     async def _tend_services(self) -> None:
         while True:
             await anyio.sleep(TEND_PERIOD_S)
@@ -255,6 +263,15 @@
         return answer
 
     async def _run(self, request: requests.Request) -> requests.Answer:
+        self._serving += 1
+        try:
+            return await self._run_by_class(request)
+        finally:
+            self._serving -= 1
+
+    async def _run_by_class(
+        self, request: requests.Request
+    ) -> requests.Answer:
         dispatch = self._dispatcher.dispatch
         if request.request_class == requests.RequestClass.RUN_ONCE:
             return await self._run_once.serve(request, dispatch)
