Free a dead entry host's slots after its own longest request

Cause: a grantor learnt of an entry host's death only from a newer start at the same port, else it waited for the short term or, as a successor, for the horizon; and it counted 60 s for requests in flight, whatever their deadlines were.

Now grantors dial the entry hosts that owe an answer. A refused connection proves death: a daemon listens before it writes its row and closes its listener after it has released what it holds. Silence proves nothing. And an entry host tells in its member row how long its requests may take at a target; a longer request raises that first, and it falls once no longer one can be at a target. A grantor reads the row after the proof of death, so that it has the last word of the dead process; a new start at the same port carries the former's word over. Where the row tells nothing, 60 s stay.

Ruled out: the announcement in the report to each grantor, with an acknowledgement. A successor would not know it, and grants move only with the table in reach anyway. In an outage a request with a longer deadline is sent with the announced one.

An entry host that is silent and not proved dead ends only the shares that this grantor has renewed; what it may keep of another grantor's rack stays counted to the horizon. Before, silence ended that too.

--- a/wisteriawood/config/configuration.py
+++ b/wisteriawood/config/configuration.py
@@ -209,6 +209,17 @@
         """
         return not self.version or name in self.teams
 
+    def longest_deadline_s(self) -> float:
+        """Return the longest deadline of a service, in seconds."""
+        return max(
+            (
+                service.deadline_s
+                for team in self.teams.values()
+                for service in team.services.values()
+            ),
+            default=requests.LONGEST_REQUEST_S,
+        )
+
     def service(self, team: str, name: str) -> Service | None:
         """Return a service of a team, or None if there is none such."""
         found = self.teams.get(team)
--- a/wisteriawood/contracts/holdings.py
+++ b/wisteriawood/contracts/holdings.py
@@ -38,6 +38,11 @@
         config_version: Version of the configuration in force there.
         followers: Versions in force at peers that are cut off from the
             platform, by role/name.
+        longest_s: No request of its own runs longer at a target, in
+            seconds; 0 if that is not known.
+        former_incarnation: The start before, if it listened at the same
+            address; it is surely dead.
+        former_longest_s: What the start before announced last.
     """
 
     name: str
@@ -51,6 +56,20 @@
     renewed_unix_s: float = 0.0
     config_version: int = configurations.NO_VERSION
     followers: dict[str, int] = dataclasses.field(default_factory=dict)
+    longest_s: float = 0.0
+    former_incarnation: str = ""
+    former_longest_s: float = 0.0
+
+    def replaces(self, older: "MemberRow") -> bool:
+        """Tell whether an older process is dead, as its port is another's.
+
+        Args:
+            older: Row of a process that was listening before.
+        """
+        return (
+            self.peer_address == older.peer_address
+            and self.incarnation != older.incarnation
+        )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/wisteriawood/contracts/requests.py
+++ b/wisteriawood/contracts/requests.py
@@ -4,6 +4,9 @@
 import enum
 import math
 
+# Callers may not ask for more time than this.
+LONGEST_REQUEST_S = 60.0
+
 
 class RequestClass(enum.StrEnum):
     """Whether a request may be sent more than once."""
--- a/wisteriawood/links/callers.py
+++ b/wisteriawood/links/callers.py
@@ -20,7 +20,6 @@
 URGENT_HEADER = "x-urgent"
 CALLER_HEADER = "x-caller-team"
 DEFAULT_DEADLINE_S = 5.0
-MAX_DEADLINE_S = 60.0
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_KEY_CHARS = 200
 METHODS = ["DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"]
@@ -67,7 +66,7 @@
             "above 0",
             status=400,
         )
-    return min(int(text) / 1000.0, MAX_DEADLINE_S)
+    return min(int(text) / 1000.0, requests.LONGEST_REQUEST_S)
 
 
 def _read_class(
--- a/wisteriawood/links/messages.py
+++ b/wisteriawood/links/messages.py
@@ -76,7 +76,6 @@
         answers: Claims answered; the holdings of these racks are whole.
         holdings: Holdings that changed since the last report.
         demand: Slots that it could fill, by team/service; those changed.
-        longest_s: No request of its own runs longer at a target.
         is_draining: Whether it returns what it holds.
     """
 
@@ -86,7 +85,6 @@
         default_factory=list
     )
     demand: dict[str, float] = dataclasses.field(default_factory=dict)
-    longest_s: float = 0.0
     is_draining: bool = False
 
 
--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -98,6 +98,7 @@
             dial_target=dial_target,
             get_service=self.service,
             on_late_answer=self._take_late_answer,
+            get_usual_s=self._usual_deadline_s,
         )
         self.targets = self.slot_client.targets
         self._run_once = run_once.RunOnce(
@@ -154,6 +155,12 @@
             except errors.PlatformError as exc:
                 _LOG.log(events.PLATFORM_LOST, reason=str(exc))
 
+    def _usual_deadline_s(self) -> float:
+        """Return the longest deadline that the configuration gives."""
+        if self.configuration.not_ready():
+            return requests.LONGEST_REQUEST_S
+        return self.configuration.current.longest_deadline_s()
+
     def _take_late_answer(
         self, request: requests.Request, answer: requests.Answer
     ) -> None:
--- a/wisteriawood/machines/grantors.py
+++ b/wisteriawood/machines/grantors.py
@@ -1,36 +1,32 @@
 """Grantors: the part of a scheduler that grants slots to entry hosts."""
 
+import typing
+
 import anyio
 
 from wisteriawood.contracts import grants
 from wisteriawood.contracts import holdings
+from wisteriawood.contracts import requests
 from wisteriawood.contracts import terms
 from wisteriawood.links import channels
 from wisteriawood.links import messages
+from wisteriawood.machines import quarantines
 from wisteriawood.machines import racks
 from wisteriawood.machines import shares
 from wisteriawood.machines import slot_books
 from wisteriawood.machines import targets
 from wisteriawood.telemetry import events
 from wisteriawood.zones import membership
+from wisteriawood.zones import probes
 
 REVIEW_PERIOD_S = 0.25
+# A process that has said nothing for so long is probed.
+SILENT_S = 1.5
 TAKE_BACK_S = terms.SLOT_TERM_S + terms.DRIFT_MARGIN_S
 
 _LOG = events.Logger(name=__name__)
 
 
-def _replaces(newer: holdings.MemberRow, older: holdings.MemberRow) -> bool:
-    """Tell whether the port of a process is another's by now.
-
-    Its port was free then, so the older process is dead.
-    """
-    return (
-        newer.peer_address == older.peer_address
-        and newer.incarnation != older.incarnation
-    )
-
-
 class Grantor:
     """Grants the slots of the targets on the racks that are held.
 
@@ -38,12 +34,15 @@
         members: Membership of the scheduler.
         held: Racks that the scheduler holds, by name.
         stopping: Set once the scheduler stops.
+        dial_peer: Opens a channel to the peer at an address.
     """
 
     __slots__ = (
         "_held",
         "_listed",
         "_members",
+        "_probes",
+        "_quarantines",
         "_stopping",
         "books",
         "holders",
@@ -55,19 +54,48 @@
         members: membership.Membership,
         held: dict[str, racks.Rack],
         stopping: anyio.Event,
+        dial_peer: typing.Callable,
     ):
         self._members = members
         self._held = held
         self._stopping = stopping
         self._listed: dict[str, holdings.MemberRow] = {}
+        self._probes = probes.Prober(
+            dial_peer=dial_peer,
+            suspects=self._suspects,
+            see_dead=self.see_dead,
+        )
+        self._quarantines = quarantines.Quarantines(members=members)
         self.books: dict[str, slot_books.SlotBook] = {}
         self.holders: dict[str, slot_books.Holder] = {}
 
     async def run(self) -> None:
         """Take back what silent entry hosts hold, for ever."""
-        while True:
-            self.review()
-            await anyio.sleep(REVIEW_PERIOD_S)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._probes.run)
+            while True:
+                self.review()
+                await anyio.sleep(REVIEW_PERIOD_S)
+
+    def _suspects(self) -> list[holdings.MemberRow]:
+        """Return the entry hosts that owe an answer."""
+        now_s = anyio.current_time()
+        owing = {
+            incarnation
+            for book in self.books.values()
+            if now_s - book.claimed_s > SILENT_S
+            for incarnation in book.unanswered_until_s or ()
+            if not self._quarantines.is_dead(incarnation)
+        }
+        found = {
+            member.incarnation: member
+            for member in self._listed.values()
+            if member.incarnation in owing
+        }
+        for incarnation, holder in self.holders.items():
+            if now_s - holder.updated_s > SILENT_S:
+                found[incarnation] = holder.member
+        return list(found.values())
 
     def review(self) -> None:
         """Bring the books up to date with the racks and the clock."""
@@ -80,6 +108,8 @@
             if book.unanswered_until_s is None:
                 self._list_unanswered(book, now_s)
         self._read_members(now_s)
+        for quarantine in self._quarantines.review(now_s=now_s):
+            self._quarantine(quarantine)
         for book in self.books.values():
             book.review(now_s=now_s)
 
@@ -104,7 +134,7 @@
             now_s
             + terms.HORIZON_S
             + terms.DRIFT_MARGIN_S
-            + slot_books.LONGEST_REQUEST_S
+            + requests.LONGEST_REQUEST_S
         )
         book.unanswered_until_s = {
             sighting.member.incarnation: until_s
@@ -122,12 +152,14 @@
                 continue
             before = self._listed.get(name)
             self._listed[name] = member
-            if before is not None and _replaces(member, before):
+            if before is not None and member.replaces(before):
                 self.see_dead(before)
             if member.state == holdings.HostState.GONE:
                 # It has returned all that it held.
                 for book in self.books.values():
-                    book.quarantine(member.incarnation, until_s=now_s)
+                    book.quarantine(
+                        member.incarnation, until_s=now_s, is_dead=True
+                    )
 
     def _may_take_back(self, holder: slot_books.Holder, now_s: float) -> bool:
         silent_s = now_s - holder.updated_s
@@ -141,16 +173,27 @@
         return since_s is not None and since_s <= holder.updated_s
 
     def _take_back(self, holder: slot_books.Holder, now_s: float) -> None:
-        self._end(holder, until_s=now_s + holder.longest_s)
+        self._end(holder.member, now_s=now_s, is_dead=False)
         _LOG.log(events.SLOTS_TAKEN_BACK, entry=holder.member.name)
 
-    def _end(self, holder: slot_books.Holder, *, until_s: float) -> None:
-        holder.is_silent = True
-        incarnation = holder.member.incarnation
-        if self.holders.get(incarnation) is holder:
-            del self.holders[incarnation]
+    def _end(
+        self, member: holdings.MemberRow, *, now_s: float, is_dead: bool
+    ) -> None:
+        """Let the shares of a process end that surely sends nothing new."""
+        holder = self.holders.pop(member.incarnation, None)
+        if holder is not None:
+            holder.is_silent = True
+        self._quarantine(
+            self._quarantines.open(member, ended_s=now_s, is_dead=is_dead)
+        )
+
+    def _quarantine(self, quarantine: quarantines.Quarantine) -> None:
         for book in self.books.values():
-            book.quarantine(incarnation, until_s=until_s)
+            book.quarantine(
+                quarantine.member.incarnation,
+                until_s=quarantine.until_s(),
+                is_dead=quarantine.is_dead,
+            )
 
     def see_dead(self, member: holdings.MemberRow) -> None:
         """Take the proof that a process of an entry host is dead.
@@ -158,12 +201,8 @@
         Args:
             member: Its member row.
         """
-        until_s = anyio.current_time() + slot_books.LONGEST_REQUEST_S
-        holder = self.holders.get(member.incarnation)
-        if holder is not None:
-            self._end(holder, until_s=until_s)
-        for book in self.books.values():
-            book.quarantine(member.incarnation, until_s=until_s)
+        self._end(member, now_s=anyio.current_time(), is_dead=True)
+        _LOG.log(events.ENTRY_HOST_DEAD, entry=member.name)
 
     async def serve(
         self, hello: messages.Hello, channel: channels.Channel
@@ -192,8 +231,9 @@
             member: The entry host's member row.
         """
         for other in list(self.holders.values()):
-            if _replaces(member, other.member):
+            if member.replaces(other.member):
                 self.see_dead(other.member)
+        self._quarantines.drop(member.incarnation)
         before = self.holders.get(member.incarnation)
         now_s = anyio.current_time()
         holder = slot_books.Holder(member=member, now_s=now_s)
@@ -249,9 +289,6 @@
         self, holder: slot_books.Holder, report: messages.SlotReport
     ) -> None:
         incarnation = holder.member.incarnation
-        holder.longest_s = (
-            max(report.longest_s, 0.0) or slot_books.LONGEST_REQUEST_S
-        )
         holder.is_draining = report.is_draining
         holder.demand.update(report.demand)
         for answer in report.answers:
@@ -278,9 +315,9 @@
         rack = self._held.get(book.claim.rack)
         if rack is None:
             return []
-        may_gain = (
-            self._is_in_table(holder.member) and self._members.is_confirmed()
-        )
+        # A successor learns from the table whom it has to ask.
+        is_listed = self._members.lists(holder.member)
+        may_gain = is_listed and self._members.is_confirmed()
         changed = []
         for target in rack.targets.values():
             # Nobody before can have granted a target of this epoch.
@@ -291,14 +328,6 @@
                 changed.append(grant)
         return changed
 
-    def _is_in_table(self, member: holdings.MemberRow) -> bool:
-        # A successor learns from the table whom it has to ask.
-        sighting = self._members.sightings.get((member.role, member.name))
-        return (
-            sighting is not None
-            and sighting.member.incarnation == member.incarnation
-        )
-
     def _grant(
         self,
         holder: slot_books.Holder,
--- a/wisteriawood/machines/schedulers.py
+++ b/wisteriawood/machines/schedulers.py
@@ -105,7 +105,10 @@
         self.stopping = anyio.Event()
         self.stopped = anyio.Event()
         self.grantor = grantors.Grantor(
-            members=self.membership, held=self.racks, stopping=self.stopping
+            members=self.membership,
+            held=self.racks,
+            stopping=self.stopping,
+            dial_peer=dial_peer,
         )
         self.canceller = cancels.Canceller(scheduler=self)
         self._dial_worker = dial_worker
--- a/wisteriawood/machines/slot_books.py
+++ b/wisteriawood/machines/slot_books.py
@@ -4,9 +4,6 @@
 from wisteriawood.contracts import holdings
 from wisteriawood.machines import shares
 
-# No request runs longer at a target than callers may ask for.
-LONGEST_REQUEST_S = 60.0
-
 
 class Holder:
     """A process of an entry host, as a grantor sees it on one link.
@@ -20,7 +17,6 @@
         "demand",
         "is_draining",
         "is_silent",
-        "longest_s",
         "member",
         "renewed",
         "updated_s",
@@ -29,7 +25,6 @@
     def __init__(self, *, member: holdings.MemberRow, now_s: float):
         self.member = member
         self.updated_s = now_s
-        self.longest_s = LONGEST_REQUEST_S
         self.is_silent = False
         self.is_draining = False
         self.demand: dict[str, float] = {}
@@ -78,12 +73,16 @@
         for target in self.targets.values():
             target.shares.pop(holder, None)
 
-    def quarantine(self, holder: str, *, until_s: float) -> None:
+    def quarantine(
+        self, holder: str, *, until_s: float, is_dead: bool
+    ) -> None:
         """Let the shares of a holder end.
 
         Args:
             holder: Incarnation of the entry host.
             until_s: Monotonic time at which its last request has ended.
+            is_dead: Whether its process has surely ended. One that is only
+                silent may keep what another grantor had granted.
         """
         self.answered.discard(holder)
         for target in self.targets.values():
@@ -91,7 +90,7 @@
             if share is not None:
                 share.until_s = min(share.until_s, until_s)
         waits = self.unanswered_until_s or {}
-        if holder in waits:
+        if is_dead and holder in waits:
             waits[holder] = min(waits[holder], until_s)
 
     def review(self, *, now_s: float) -> None:
--- a/wisteriawood/machines/slot_clients.py
+++ b/wisteriawood/machines/slot_clients.py
@@ -13,6 +13,7 @@
 from wisteriawood.links.codecs import rows
 from wisteriawood.links import messages
 from wisteriawood.links import platforms
+from wisteriawood.machines import announcements
 from wisteriawood.machines import held_racks
 from wisteriawood.machines import services
 from wisteriawood.machines import slotted_links
@@ -64,9 +65,11 @@
         dial_target: Opens the link to the target at an address.
         get_service: Returns the service of a team and a name.
         on_late_answer: Takes an answer whose caller has left.
+        get_usual_s: Returns the time in seconds that requests usually have.
     """
 
     __slots__ = (
+        "_announcement",
         "_dead",
         "_dial_peer",
         "_dial_target",
@@ -91,6 +94,7 @@
         dial_target: typing.Callable,
         get_service: GetService,
         on_late_answer: slotted_links.OnLateAnswer,
+        get_usual_s: typing.Callable[[], float],
     ):
         self._platform = platform
         self._members = members
@@ -98,6 +102,9 @@
         self._dial_target = dial_target
         self._get_service = get_service
         self._on_late_answer = on_late_answer
+        self._announcement = announcements.Announcement(
+            members=members, get_usual_s=get_usual_s
+        )
         self._dead: set[str] = set()
         self._enquiring: set[str] = set()
         self._followed: set[str] = set()
@@ -295,6 +302,7 @@
         target.link = slotted_links.SlottedLink(
             inner=inner,
             target=target,
+            announcement=self._announcement,
             group=self._group,
             on_late_answer=self._on_late_answer,
         )
@@ -309,6 +317,7 @@
                 self._review_rack(rack, now_s)
             for target in list(self.targets.values()):
                 await self._review_target(target, now_s)
+            self._announcement.review()
 
     def _review_rack(self, rack: held_racks.HeldRack, now_s: float) -> None:
         if rack.grantor is None or rack.is_kept:
@@ -370,6 +379,8 @@
             _LOG.log(events.SLOTS_LET_GO, target=target.id)
         if target.end_quarantines(now_s=now_s):
             service.wake()
+        if target.is_overrun(now_s=now_s):
+            self._announcement.see_overrun()
         if target.grant.leaving and not target.in_flight:
             del self.targets[target.id]
             service.targets.pop(target.id, None)
--- a/wisteriawood/machines/slotted_links.py
+++ b/wisteriawood/machines/slotted_links.py
@@ -10,6 +10,7 @@
 from wisteriawood.contracts import terms
 from wisteriawood import errors
 from wisteriawood.links import targets as target_links
+from wisteriawood.machines import announcements
 from wisteriawood.machines import targets
 
 OnLateAnswer = typing.Callable[[requests.Request, requests.Answer], None]
@@ -43,22 +44,31 @@
     Args:
         inner: The link that carries requests.
         target: The target whose slots the requests fill.
+        announcement: How long requests may take.
         group: Runs the calls.
         on_late_answer: Takes an answer whose caller has left.
     """
 
-    __slots__ = ("_group", "_inner", "_on_late_answer", "_target")
+    __slots__ = (
+        "_announcement",
+        "_group",
+        "_inner",
+        "_on_late_answer",
+        "_target",
+    )
 
     def __init__(
         self,
         *,
         inner: target_links.TargetLink,
         target: targets.Target,
+        announcement: announcements.Announcement,
         group: abc.TaskGroup,
         on_late_answer: OnLateAnswer,
     ):
         self._inner = inner
         self._target = target
+        self._announcement = announcement
         self._group = group
         self._on_late_answer = on_late_answer
 
@@ -66,8 +76,18 @@
         self, request: requests.Request, *, timeout_s: float
     ) -> requests.Answer:
         """Run a request and return its whole answer."""
+        left_s = request.deadline_s - anyio.current_time()
+        allowed_s = await self._announcement.allow(left_s)
+        if left_s > 0 and allowed_s <= 0:
+            raise errors.RequestNotRunError(
+                reason="this entry host has not announced itself yet"
+            )
         copy = dataclasses.replace(
-            request, send_by_s=self._target.usable_until_s()
+            request,
+            deadline_s=min(
+                request.deadline_s, anyio.current_time() + allowed_s
+            ),
+            send_by_s=self._target.usable_until_s(),
         )
         call = Call(request=copy)
         self._group.start_soon(self._run, call)
--- a/wisteriawood/machines/targets.py
+++ b/wisteriawood/machines/targets.py
@@ -117,6 +117,15 @@
         self.in_flight -= freed
         return freed
 
+    def is_overrun(self, *, now_s: float) -> bool:
+        """Tell whether the target works on a request past its deadline.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        ends_s = self._quarantined_until_s
+        return bool(self.late and ends_s and ends_s[0] <= now_s)
+
     def holding(self) -> grants.SlotHolding:
         """Return what this entry host says of its share."""
         is_usable = anyio.current_time() < self.usable_until_s()
--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -221,3 +221,9 @@
     "The record of a run-once request was changed by another.",
     "Nothing, if it had expired; else report it as a fault.",
 )
+ENTRY_HOST_DEAD = define(
+    1650,
+    "entry-host-dead",
+    "A silent entry host's machine refuses connections; its slots move on.",
+    "Check why the process ended.",
+)
--- /dev/null
+++ b/wisteriawood/tests/faults/recovery_tests.py
@@ -0,0 +1,175 @@
+"""How soon slots are usable again after a death, and that none is twice."""
+
+import unittest
+
+import anyio
+
+from wisteriawood.contracts import holdings
+from wisteriawood import errors
+from wisteriawood.links import configurations
+from wisteriawood.tests import builders
+
+ZONE = "linz-a"
+NAMES = ("linz-a-1", "linz-a-2")
+TARGETS = 4
+SLOTS = 8 * TARGETS
+# The longest deadline of builders.make_configuration.
+ANNOUNCED_S = 2.0
+TAKEOVER_S = 10.0
+
+
+async def build(world, *, service_s=0.01):
+    """Fill a world: two entry hosts, two schedulers, two racks of targets."""
+    await configurations.apply(
+        world.platform, builders.make_configuration(), base=0
+    )
+    for number in range(TARGETS):
+        world.add_target(
+            builders.make_target_host(
+                name=f"target-{number}", rack=f"rack-{number % 2}"
+            ),
+            service_s=service_s,
+        )
+    for name in NAMES:
+        world.add_scheduler(builders.make_member(name=name))
+    builders.add_entries(world, NAMES)
+    await anyio.sleep(15)
+
+
+def usable_slots(world, names):
+    """Return the slots that entry hosts may fill now."""
+    now_s = anyio.current_time()
+    return sum(
+        target.grant.slots
+        for name in names
+        for target in world.entries[name].targets.values()
+        if now_s < target.usable_until_s()
+    )
+
+
+async def measure(world, names, *, longest_s=120.0):
+    """Return the seconds until entry hosts may fill all slots again."""
+    began_s = anyio.current_time()
+    with anyio.fail_after(longest_s):
+        while usable_slots(world, names) < SLOTS:
+            await anyio.sleep(0.05)
+    return anyio.current_time() - began_s
+
+
+def holder_process(world):
+    """Return the process of the scheduler that holds the most racks."""
+    name = max(NAMES, key=lambda n: len(world.schedulers[n].racks))
+    return world.processes[f"scheduler/{name}"], name
+
+
+async def fill(world, name, *, count, deadline_s):
+    """Send requests through one entry host, whatever comes of them."""
+
+    async def _send(number):
+        request = builders.make_request(
+            id=f"{name}-{number}",
+            deadline_s=anyio.current_time() + deadline_s,
+        )
+        try:
+            await world.entries[name].serve(request)
+        except errors.RequestError:
+            return
+
+    for number in range(count):
+        world.start_soon(_send, number)
+
+
+def breaches(world):
+    """Return how often a target had more than its slots."""
+    return sum(target.counts.breaches for target in world.targets.values())
+
+
+class RecoveryTests(unittest.TestCase):
+
+    def run_world(self, function, **fields):
+        async def _check(world):
+            await build(world, **fields)
+            self.assertEqual(SLOTS, usable_slots(world, NAMES))
+            await function(world)
+            self.assertEqual(0, breaches(world))
+
+        builders.run_world(_check)
+
+    def test_slots_of_killed_entry_host(self):
+        async def _check(world):
+            world.processes["entry/linz-a-1"].kill()
+            # Silence is noticed and the row read within 2 s.
+            self.assertLess(
+                await measure(world, NAMES[1:]), 2.0 + ANNOUNCED_S + 2.0
+            )
+
+        self.run_world(_check)
+
+    def test_slots_of_killed_entry_host_and_its_scheduler(self):
+        async def _check(world):
+            scheduler, name = holder_process(world)
+            world.processes[f"entry/{name}"].kill()
+            scheduler.kill()
+            alive = [n for n in NAMES if n != name]
+            self.assertLess(
+                await measure(world, alive), TAKEOVER_S + ANNOUNCED_S + 2.0
+            )
+
+        self.run_world(_check)
+
+    def test_silence_is_no_proof_of_death(self):
+        async def _check(world):
+            # It goes on, and its targets' link is whole.
+            for name in NAMES:
+                world.cut(f"scheduler/{name}", "entry/linz-a-1")
+            for _round in range(24):
+                for name in NAMES:
+                    await fill(world, name, count=60, deadline_s=2.0)
+                await anyio.sleep(0.5)
+
+        self.run_world(_check, service_s=0.2)
+
+    def test_longer_request_is_announced_before_it_leaves(self):
+        async def _check(world):
+            await anyio.sleep(130)
+            own = world.entries["linz-a-1"].membership.own
+            self.assertEqual(ANNOUNCED_S, own.longest_s)
+            await fill(world, "linz-a-1", count=40, deadline_s=20.0)
+            await anyio.sleep(0.5)
+            world.processes["entry/linz-a-1"].kill()
+            for _round in range(40):
+                await fill(world, "linz-a-2", count=40, deadline_s=20.0)
+                await anyio.sleep(0.5)
+
+        self.run_world(_check, service_s=18.0)
+
+    def test_request_is_cut_to_what_is_announced_in_an_outage(self):
+        async def _check(world):
+            world.cut("entry/linz-a-1", "platform")
+            await anyio.sleep(5)
+            entry = world.entries["linz-a-1"]
+            request = builders.make_request(
+                deadline_s=anyio.current_time() + 20.0
+            )
+            answer = await entry.serve(request)
+            self.assertEqual("ran", answer.outcome)
+            self.assertEqual(ANNOUNCED_S, entry.membership.announced_s)
+
+        self.run_world(_check)
+
+    def test_restarted_entry_host_gets_its_slots_back(self):
+        async def _check(world):
+            world.processes["entry/linz-a-1"].kill()
+            await anyio.sleep(0.5)
+            member = builders.make_member(
+                name="linz-a-1",
+                role=holdings.Role.ENTRY,
+                incarnation="second",
+            )
+            world.add_entry(member)
+            self.assertLess(
+                await measure(world, NAMES), 2.0 + ANNOUNCED_S + 2.0
+            )
+            self.assertGreater(usable_slots(world, NAMES[:1]), 0)
+
+        self.run_world(_check)
--- a/wisteriawood/zones/membership.py
+++ b/wisteriawood/zones/membership.py
@@ -59,10 +59,13 @@
     __slots__ = (
         "_platform",
         "_reachable",
+        "_renewal_due",
         "_version",
         "_watched_at_s",
+        "announced_s",
         "changed",
         "own",
+        "renewed",
         "sightings",
         "superseded",
         "term",
@@ -74,13 +77,17 @@
     ):
         self._platform = platform
         self._reachable = True
+        self._renewal_due = anyio.Event()
         self._version = 0
         self._watched_at_s: float | None = None
         self.own = own
         self.term = terms.Term(duration_s=terms.PLACEMENT_TERM_S)
         self.sightings: dict[tuple[holdings.Role, str], Sighting] = {}
         self.watched_at_s = -math.inf
+        # The longest time of a request that the own row surely tells.
+        self.announced_s = 0.0
         self.changed = anyio.Event()
+        self.renewed = anyio.Event()
         self.superseded = anyio.Event()
 
     def is_confirmed(self) -> bool:
@@ -100,6 +107,18 @@
         """
         return self.watched_at_s > time_s
 
+    def lists(self, member: holdings.MemberRow) -> bool:
+        """Tell whether the table has a row of a process.
+
+        Args:
+            member: What is known of it.
+        """
+        sighting = self.sightings.get((member.role, member.name))
+        return (
+            sighting is not None
+            and sighting.member.incarnation == member.incarnation
+        )
+
     def live(
         self, role: holdings.Role, *, zone: str = ""
     ) -> list[holdings.MemberRow]:
@@ -128,8 +147,14 @@
 
     async def _renew_forever(self) -> None:
         while not self.superseded.is_set():
+            self._renewal_due = anyio.Event()
             await self._try(self.renew)
-            await anyio.sleep(RENEW_PERIOD_S[self.own.role])
+            with anyio.move_on_after(RENEW_PERIOD_S[self.own.role]):
+                await self._renewal_due.wait()
+
+    def renew_soon(self) -> None:
+        """Have the own row written at once, as it has changed."""
+        self._renewal_due.set()
 
     async def _watch_forever(self) -> None:
         while True:
@@ -160,9 +185,13 @@
         if not self._version:
             row = await self._platform.read(key)
             self._version = row.version if row else 0
+            self._see_former(row)
         self.own.renewals += 1
         self.own.renewed_unix_s = time.time()
         sent_at_s = anyio.current_time()
+        announced_s = self.own.longest_s
+        # Whatever comes of this write, the row may say this from now on.
+        self.announced_s = min(self.announced_s, announced_s)
         transaction = platforms.Transaction(
             conditions=[platforms.Condition(key=key, version=self._version)],
             writes=[platforms.Write(key=key, value=rows.to_value(self.own))],
@@ -178,6 +207,18 @@
         self.term.confirm(
             sent_at_s=sent_at_s, confirmed_at_s=anyio.current_time()
         )
+        self.announced_s = announced_s
+        self.renewed.set()
+        self.renewed = anyio.Event()
+
+    def _see_former(self, row: platforms.Row | None) -> None:
+        """Carry over what the start before had announced, if it is dead."""
+        if row is None:
+            return
+        former = rows.from_value(row.value, holdings.MemberRow)
+        if self.own.replaces(former):
+            self.own.former_incarnation = former.incarnation
+            self.own.former_longest_s = former.longest_s
 
     async def watch(self) -> None:
         """Read the rows of all members once.
--- /dev/null
+++ b/wisteriawood/zones/probes.py
@@ -0,0 +1,74 @@
+"""Probes: which silent processes are surely dead.
+
+A daemon listens before it writes its row, and closes its listener only
+after it has released what it holds. So a refused connection proves that
+the process of a row read before is dead. Silence proves nothing.
+"""
+
+import typing
+
+import anyio
+
+from wisteriawood.contracts import holdings
+from wisteriawood import errors
+
+PROBE_PERIOD_S = 0.5
+
+
+class Prober:
+    """Dials silent processes, one task each.
+
+    Args:
+        dial_peer: Opens a channel to the peer at an address.
+        suspects: Returns the member rows of the silent processes.
+        see_dead: Takes the row of a process that is surely dead.
+    """
+
+    __slots__ = ("_dial_peer", "_probed", "_see_dead", "_suspects")
+
+    def __init__(
+        self,
+        *,
+        dial_peer: typing.Callable,
+        suspects: typing.Callable[[], list[holdings.MemberRow]],
+        see_dead: typing.Callable[[holdings.MemberRow], None],
+    ):
+        self._dial_peer = dial_peer
+        self._probed: set[str] = set()
+        self._see_dead = see_dead
+        self._suspects = suspects
+
+    async def run(self) -> None:
+        """Probe, for ever."""
+        async with anyio.create_task_group() as group:
+            while True:
+                for member in self._suspects():
+                    if member.incarnation not in self._probed:
+                        self._probed.add(member.incarnation)
+                        group.start_soon(self._probe, member)
+                await anyio.sleep(PROBE_PERIOD_S)
+
+    async def _probe(self, member: holdings.MemberRow) -> None:
+        try:
+            if await is_refused(self._dial_peer, member):
+                self._see_dead(member)
+        finally:
+            self._probed.discard(member.incarnation)
+
+
+async def is_refused(
+    dial_peer: typing.Callable, member: holdings.MemberRow
+) -> bool:
+    """Tell whether the machine of a process refuses connections.
+
+    Args:
+        dial_peer: Opens a channel to the peer at an address.
+        member: Row of the process, read before.
+    """
+    try:
+        async with dial_peer(address=member.peer_address):
+            return False
+    except errors.LinkRefusedError:
+        return True
+    except errors.LinkError:
+        return False
