Claim a dead scheduler's racks without waiting for its term

Cause: a rack was claimed only once its holder's row had stayed unchanged for the term and margin (6.5 s), though the holder's machine refused connections; a platform that went down 6 s after the death left its running services without a holder until they lost their leases.

Now schedulers dial a holder that has not renewed its row for 2.5 s. A refused connection proves death, and the claim needs no wait; a newer start at the same port proves it too, by the word it carries over in its row. The claim stays conditional on the holder's row.

Schedule of events: D reads its row as held, sends start(n), dies; S dials, is refused, claims e+1, then reads the tasks. Writes of D still under way carry the condition on the rack's row: they land before the claim and are read, or fail. Commands of D lapse 4 s after they were sent, so at the latest 4 s after the death; an adopted attempt counts as possibly starting until 4.5 s after the claim, and attempt n+1 waits for that. Leases granted before still count to the horizon on a worker that can't be reached.

Ruled out: treating silence as death. With that, the test of a holder cut off without a refusal fails (it finds racks claimed early); on, it passes. That the wait for the term protects anything more once the death is proved was not found in the schedule above; no test shows that it does.

--- a/wisteriawood/machines/keepers.py
+++ b/wisteriawood/machines/keepers.py
@@ -16,12 +16,15 @@
 from wisteriawood.machines import workers
 from wisteriawood.telemetry import events
 from wisteriawood.zones import claims
+from wisteriawood.zones import probes
 
 if typing.TYPE_CHECKING:
     from wisteriawood.machines import schedulers
 
 RACK_PERIOD_S = 1.0
 FORMER_PERIOD_S = 2.0
+# A holder that has not renewed its row for so long is probed.
+SILENT_S = 2.5
 
 _LOG = events.Logger(name=__name__)
 
@@ -34,19 +37,43 @@
         dial_peer: Opens a channel to the peer at an address.
     """
 
-    __slots__ = ("_dial_peer", "_scheduler")
+    __slots__ = ("_dial_peer", "_probes", "_scheduler")
 
     def __init__(
         self, *, scheduler: "schedulers.Scheduler", dial_peer: typing.Any
     ):
         self._dial_peer = dial_peer
         self._scheduler = scheduler
+        self._probes = probes.Prober(
+            dial_peer=dial_peer,
+            suspects=self._suspects,
+            see_dead=self._see_dead,
+        )
 
     async def run(self) -> None:
         """Look after the racks until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._follow_racks)
             group.start_soon(self._follow_formers)
+            group.start_soon(self._probes.run)
+
+    def _suspects(self) -> list[holdings.MemberRow]:
+        """Return the holders of racks that do not renew their rows."""
+        members = self._scheduler.membership
+        now_s = anyio.current_time()
+        return [
+            sighting.member
+            for (role, name), sighting in members.sightings.items()
+            if role == holdings.Role.SCHEDULER
+            and name in self._scheduler.rack_holders
+            and sighting.member.peer_address
+            and sighting.member.incarnation not in members.dead
+            and now_s - sighting.first_seen_s > SILENT_S
+        ]
+
+    def _see_dead(self, member: holdings.MemberRow) -> None:
+        self._scheduler.membership.dead.add(member.incarnation)
+        _LOG.log(events.SCHEDULER_DEAD, scheduler=member.name)
 
     async def _follow_racks(self) -> None:
         while True:
@@ -197,13 +224,7 @@
         )
         if sighting and sighting.member.incarnation != former.incarnation:
             return True
-        try:
-            async with self._dial_peer(address=former.peer_address):
-                return False
-        except errors.LinkRefusedError:
-            return True
-        except errors.LinkError:
-            return False
+        return await probes.is_refused(self._dial_peer, former)
 
     async def release(self) -> None:
         """Give the racks up, saying how long their leases may last."""
--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -227,3 +227,9 @@
     "A silent entry host's machine refuses connections; its slots move on.",
     "Check why the process ended.",
 )
+SCHEDULER_DEAD = define(
+    1651,
+    "scheduler-dead",
+    "A silent scheduler's machine refuses connections; others take its racks.",
+    "Check why the process ended.",
+)
--- a/wisteriawood/tests/faults/recovery_tests.py
+++ b/wisteriawood/tests/faults/recovery_tests.py
@@ -7,6 +7,7 @@
 from wisteriawood.contracts import holdings
 from wisteriawood import errors
 from wisteriawood.links import configurations
+from wisteriawood.standins import processes
 from wisteriawood.tests import builders
 
 ZONE = "linz-a"
@@ -16,6 +17,8 @@
 # The longest deadline of builders.make_configuration.
 ANNOUNCED_S = 2.0
 TAKEOVER_S = 10.0
+# Below the term, after which a rack is claimed without proof of death.
+EARLY_CLAIM_S = 5.0
 
 
 async def build(world, *, service_s=0.01):
@@ -62,6 +65,13 @@
     return world.processes[f"scheduler/{name}"], name
 
 
+def vanish(world, name):
+    """Cut a process off without its machine refusing connections."""
+    for other in [processes.PLATFORM, *world.processes]:
+        if other != name:
+            world.cut(name, other)
+
+
 async def fill(world, name, *, count, deadline_s):
     """Send requests through one entry host, whatever comes of them."""
 
@@ -117,6 +127,28 @@
 
         self.run_world(_check)
 
+    def test_dead_schedulers_racks_are_claimed_before_its_term_ends(self):
+        async def _check(world):
+            scheduler, name = holder_process(world)
+            scheduler.kill()
+            alive = world.schedulers[NAMES[1 - NAMES.index(name)]]
+            with anyio.fail_after(EARLY_CLAIM_S):
+                while len(alive.racks) < 2:
+                    await anyio.sleep(0.05)
+
+        self.run_world(_check)
+
+    def test_silent_schedulers_racks_are_not_claimed_early(self):
+        async def _check(world):
+            scheduler, name = holder_process(world)
+            held = set(world.schedulers[name].racks)
+            vanish(world, scheduler.name)
+            await anyio.sleep(EARLY_CLAIM_S)
+            alive = world.schedulers[NAMES[1 - NAMES.index(name)]]
+            self.assertEqual(set(), held & set(alive.racks))
+
+        self.run_world(_check)
+
     def test_silence_is_no_proof_of_death(self):
         async def _check(world):
             # It goes on, and its targets' link is whole.
--- a/wisteriawood/zones/claims.py
+++ b/wisteriawood/zones/claims.py
@@ -53,8 +53,8 @@
     """Return the claim that this scheduler may make on a rack, if any.
 
     A holder's term is over once its member row has been seen unchanged for
-    longer than the term. So that a renewal sent meanwhile wins, the claim
-    is conditional on the version of that row.
+    longer than the term, or its process is surely dead. So that a renewal
+    sent meanwhile wins, the claim is conditional on the version of that row.
 
     Args:
         watcher: Membership of this scheduler.
@@ -82,7 +82,8 @@
     if sighting is None:
         watcher.see_missing(_unknown_member(holding))
         return None
-    return _find_takeover(claim, sighting)
+    is_dead = holding.incarnation in watcher.dead
+    return _find_takeover(claim, sighting, is_dead=is_dead)
 
 
 def _unknown_member(holding: holdings.RackHolding) -> holdings.MemberRow:
@@ -96,12 +97,14 @@
 
 
 def _find_takeover(
-    claim: "Claim", sighting: membership.Sighting
+    claim: "Claim", sighting: membership.Sighting, *, is_dead: bool
 ) -> "Claim | None":
     now_s = anyio.current_time()
     claim.lease_left_s = terms.HORIZON_S + terms.DRIFT_MARGIN_S
     claim.rival_s = terms.COMMAND_LIFE_S + terms.DRIFT_MARGIN_S
     if sighting.member.incarnation != claim.holding.incarnation:
+        if sighting.member.former_incarnation == claim.holding.incarnation:
+            return claim
         # Its machine has started anew; the old start can't renew its row
         # any more, and its last term ends within T of the new row.
         wait_s = terms.PLACEMENT_TERM_S + terms.DRIFT_MARGIN_S
@@ -112,7 +115,8 @@
             version=sighting.version,
         )
     )
-    if sighting.member.state == holdings.HostState.GONE:
+    if is_dead or sighting.member.state == holdings.HostState.GONE:
+        # Its commands under way lapse within their life.
         return claim
     if not sighting.is_lapsed(now_s=now_s):
         return None
--- a/wisteriawood/zones/membership.py
+++ b/wisteriawood/zones/membership.py
@@ -64,6 +64,7 @@
         "_watched_at_s",
         "announced_s",
         "changed",
+        "dead",
         "own",
         "renewed",
         "sightings",
@@ -86,6 +87,8 @@
         self.watched_at_s = -math.inf
         # The longest time of a request that the own row surely tells.
         self.announced_s = 0.0
+        # Incarnations whose machines refuse connections.
+        self.dead: set[str] = set()
         self.changed = anyio.Event()
         self.renewed = anyio.Event()
         self.superseded = anyio.Event()
@@ -135,6 +138,7 @@
             if found == role
             and zone in ("", sighting.member.zone)
             and sighting.version
+            and sighting.member.incarnation not in self.dead
             and sighting.member.state != holdings.HostState.GONE
             and not sighting.is_lapsed(now_s=now_s)
         ]
@@ -260,6 +264,8 @@
         started_s = now_s
         if before and before.member.incarnation == member.incarnation:
             started_s = before.started_s
+        elif before:
+            self.dead.discard(before.member.incarnation)
         self.sightings[key] = Sighting(
             member=member,
             version=version,
