--- a/wisteriawood/tests/faults/recovery_tests.py
+++ b/wisteriawood/tests/faults/recovery_tests.py
@@ -5,8 +5,11 @@
 import anyio
 
 from wisteriawood.contracts import holdings
+from wisteriawood.contracts import tasks
+from wisteriawood.contracts import terms
 from wisteriawood import errors
 from wisteriawood.links import configurations
+from wisteriawood.links import jobs
 from wisteriawood.standins import processes
 from wisteriawood.tests import builders
 
@@ -127,6 +130,51 @@
 
         self.run_world(_check)
 
+    def test_slots_of_vanished_entry_host(self):
+        async def _check(world):
+            vanish(world, "entry/linz-a-1")
+            self.assertLess(
+                await measure(world, NAMES[1:]),
+                terms.SLOT_TERM_S + ANNOUNCED_S + 2.0,
+            )
+
+        self.run_world(_check)
+
+    def test_restarted_schedulers_get_their_racks_back(self):
+        async def _check(world):
+            for name in NAMES:
+                world.processes[f"scheduler/{name}"].kill()
+            for name in NAMES:
+                world.add_scheduler(
+                    builders.make_member(name=name, incarnation=f"2-{name}")
+                )
+            await anyio.sleep(EARLY_CLAIM_S)
+            racks = [r for s in world.schedulers.values() for r in s.racks]
+            self.assertEqual(2, len(racks))
+            self.assertEqual(SLOTS, usable_slots(world, NAMES))
+
+        self.run_world(_check)
+
+    def test_service_lives_on_if_platform_fails_soon_after_its_holder(self):
+        async def _check(world):
+            worker = world.add_worker(builders.make_worker_host())
+            spec = builders.make_spec(kind=tasks.TaskKind.SERVICE)
+            await jobs.submit(world.platform, [spec], zone=ZONE)
+            await anyio.sleep(5)
+            for name in NAMES:
+                if "rack-1" in world.schedulers[name].racks:
+                    world.processes[f"scheduler/{name}"].kill()
+            await anyio.sleep(6)
+            for name in list(world.processes):
+                world.cut(name, processes.PLATFORM)
+            await anyio.sleep(60)
+            for name in list(world.processes):
+                world.mend(name, processes.PLATFORM)
+            await anyio.sleep(10)
+            self.assertEqual([""], [run.end for run in worker.records])
+
+        self.run_world(_check)
+
     def test_dead_schedulers_racks_are_claimed_before_its_term_ends(self):
         async def _check(world):
             scheduler, name = holder_process(world)
