--- a/wisteriawood/links/peers.py
+++ b/wisteriawood/links/peers.py
@@ -10,11 +10,14 @@
 from wisteriawood import errors
 from wisteriawood.links import channels
 from wisteriawood.links.codecs import cbor
+from wisteriawood.telemetry import events
 
 OPEN_TIMEOUT_S = 2.0
 PING_PERIOD_S = 5.0
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 
+_LOG = events.Logger(name=__name__)
+
 Handler = typing.Callable[[channels.Channel], typing.Awaitable[None]]
 
 
@@ -94,8 +97,12 @@
 
     async def _serve_one(socket: typing.Any) -> None:
         channel = PeerChannel(socket=socket)
-        with contextlib.suppress(errors.LinkError):
+        try:
             await handler(channel)
+        except errors.MessageError as exc:
+            _LOG.log(events.MESSAGE_REFUSED, reason=str(exc))
+        except errors.LinkError:
+            pass
 
     host, port = address.rsplit(":", 1)
     async with ws_server.serve(
--- /dev/null
+++ b/wisteriawood/tests/module.py
@@ -0,0 +1,28 @@
+"""Runs one module of tests and prints the result as a line of JSON."""
+
+import json
+import sys
+import unittest
+
+
+def _name(case):
+    # A subtest counts as the test that it is part of.
+    return getattr(case, "test_case", case).id()
+
+
+def main(name):
+    """Run the module.
+
+    Args:
+        name: Dotted name of the module.
+    """
+    suite = unittest.defaultTestLoader.loadTestsFromName(name)
+    result = unittest.TextTestRunner(verbosity=1).run(suite)
+    failed = {_name(case) for case, _text in result.failures + result.errors}
+    failed |= {_name(case) for case in result.unexpectedSuccesses}
+    print(json.dumps({"ran": result.testsRun, "failed": sorted(failed)}))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1]))
--- /dev/null
+++ b/wisteriawood/tests/pages_tests.py
@@ -0,0 +1,44 @@
+"""The docs say what the code does."""
+
+import pathlib
+import re
+import unittest
+
+from wisteriawood.telemetry import catalogue
+
+ROOT = pathlib.Path(__file__).parents[2]
+DOCS = ROOT / "docs"
+PACKAGE = ROOT / "wisteriawood"
+
+
+class PagesTests(unittest.TestCase):
+
+    def test_event_catalogue_is_that_of_the_code(self):
+        page = (DOCS / "events.md").read_text(encoding="utf-8")
+        self.assertEqual(
+            catalogue.render(), page, "write it anew: make events"
+        )
+
+    def test_links_between_pages_lead_somewhere(self):
+        pages = [ROOT / "README.md", *DOCS.rglob("*.md")]
+        for page in pages:
+            text = page.read_text(encoding="utf-8")
+            for link in re.findall(r"\]\(([^)#]+)[^)]*\)", text):
+                if "://" not in link:
+                    with self.subTest(page=page.name, link=link):
+                        self.assertTrue((page.parent / link).exists())
+
+    def test_every_event_is_logged_somewhere(self):
+        code = "".join(
+            path.read_text(encoding="utf-8")
+            for path in PACKAGE.rglob("*.py")
+            if path.name != "events.py"
+        )
+        names = re.findall(
+            r"^([A-Z_]+) = define\(",
+            (PACKAGE / "telemetry" / "events.py").read_text(encoding="utf-8"),
+            re.MULTILINE,
+        )
+        for name in names:
+            with self.subTest(event=name):
+                self.assertGreater(code.count(f"events.{name}"), 0)
--- a/wisteriawood/zones/membership.py
+++ b/wisteriawood/zones/membership.py
@@ -59,6 +59,7 @@
     __slots__ = (
         "_platform",
         "_reachable",
+        "_was_held",
         "_renewal_due",
         "_version",
         "_watched_at_s",
@@ -78,6 +79,7 @@
     ):
         self._platform = platform
         self._reachable = True
+        self._was_held = False
         self._renewal_due = anyio.Event()
         self._version = 0
         self._watched_at_s: float | None = None
@@ -153,9 +155,18 @@
         while not self.superseded.is_set():
             self._renewal_due = anyio.Event()
             await self._try(self.renew)
+            self._log_term()
             with anyio.move_on_after(RENEW_PERIOD_S[self.own.role]):
                 await self._renewal_due.wait()
 
+    def _log_term(self) -> None:
+        is_held = self.is_confirmed()
+        if is_held and not self._was_held:
+            _LOG.log(events.TERM_HELD)
+        elif self._was_held and not is_held:
+            _LOG.log(events.TERM_LOST, reason="not confirmed in time")
+        self._was_held = is_held
+
     def renew_soon(self) -> None:
         """Have the own row written at once, as it has changed."""
         self._renewal_due.set()
