--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from wisteriawood.contracts import drains as drain_contracts
 from wisteriawood.contracts import holdings
 from wisteriawood.contracts import requests
 from wisteriawood import errors
@@ -15,12 +16,14 @@
 from wisteriawood.machines import run_once
 from wisteriawood.machines import services
 from wisteriawood.machines import slot_clients
+from wisteriawood.machines import waiting_rooms
 from wisteriawood.policies import registry
 from wisteriawood.policies import routing
 from wisteriawood.policies.routing import base
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import metrics
 from wisteriawood.telemetry import spans
+from wisteriawood.zones import drains
 from wisteriawood.zones import followers
 from wisteriawood.zones import membership
 from wisteriawood.zones import peering
@@ -50,12 +53,15 @@
         "_dispatcher",
         "_policy",
         "_run_once",
+        "_serving",
         "_rng",
         "configuration",
         "counters",
+        "drains",
         "is_draining",
         "membership",
         "peering",
+        "room",
         "services",
         "slot_client",
         "stopped",
@@ -79,15 +85,7 @@
     ):
         registry.load_modules(routing)
         self.membership = membership.Membership(platform=platform, own=member)
-        self.peering = peering.Peering(
-            members=self.membership,
-            machine=self,
-            dial_peer=dial_peer,
-            addresses=peer_addresses,
-        )
-        self.configuration = followers.Follower(
-            platform=platform, links=self.peering
-        )
+        self._join_peers(platform, dial_peer, peer_addresses)
         self.counters = counters
         self.tracer = tracer
         self.services: dict[tuple[str, str], services.Service] = {}
@@ -98,6 +96,7 @@
             dial_target=dial_target,
             get_service=self.service,
             on_late_answer=self._take_late_answer,
+            get_usual_s=self._usual_deadline_s,
         )
         self.targets = self.slot_client.targets
         self._run_once = run_once.RunOnce(
@@ -110,12 +109,37 @@
             services=self.services, tracer=tracer
         )
         self._policy = policy
+        self._serving = 0
         self._rng = rng
+        self.room = waiting_rooms.WaitingRoom()
+
+    def _join_peers(
+        self,
+        platform: platforms.Platform,
+        dial_peer: typing.Callable,
+        peer_addresses: typing.Sequence[str],
+    ) -> None:
+        self.peering = peering.Peering(
+            members=self.membership,
+            machine=self,
+            dial_peer=dial_peer,
+            addresses=peer_addresses,
+        )
+        self.configuration = followers.Follower(
+            platform=platform, links=self.peering
+        )
+        self.drains = drains.Drains(
+            platform=platform,
+            kind=drain_contracts.DrainKind.ENTRY,
+            name=self.membership.own.name,
+        )
 
     def not_ready(self) -> str:
         """Return why the entry host is not ready; empty if it is."""
         if self.is_draining:
             return "draining"
+        if self.drains.is_ordered(self.membership.own.name):
+            return "draining: an operator has ordered it"
         if self.configuration.not_ready():
             return self.configuration.not_ready()
         if not self.targets:
@@ -128,10 +152,13 @@
             group.start_soon(self.membership.run)
             group.start_soon(self.peering.run)
             group.start_soon(self.configuration.run)
+            group.start_soon(self.drains.run)
             group.start_soon(self.slot_client.run)
             group.start_soon(self._tend_services)
+            group.start_soon(self._follow_quotas)
             group.start_soon(self._run_once.run)
             await self.stopping.wait()
+            await self._finish_requests()
             is_released = await self.slot_client.release()
             await self._run_once.settle()
             group.cancel_scope.cancel()
@@ -139,11 +166,34 @@
             await self._say_gone()
         self.stopped.set()
 
+    async def _follow_quotas(self) -> None:
+        while True:
+            changed = self.configuration.changed
+            quotas = {
+                name: team.quota
+                for name, team in self.configuration.current.teams.items()
+            }
+            self.room.set_quotas(
+                weights={name: quota.share for name, quota in quotas.items()},
+                limits={
+                    name: quota.requests_in_flight
+                    for name, quota in quotas.items()
+                    if quota.requests_in_flight is not None
+                },
+            )
+            await changed.wait()
+
+    async def _finish_requests(self) -> None:
+        with anyio.move_on_after(slot_clients.RELEASE_TIMEOUT_S):
+            while self._serving:
+                await anyio.sleep(TEND_PERIOD_S)
+
     async def _tend_services(self) -> None:
         while True:
             await anyio.sleep(TEND_PERIOD_S)
             for service in self.services.values():
                 service.tend()
+            self.counters.waiting.set(self.room.usage.waiting)
 
     async def _say_gone(self) -> None:
         """Tell the table that all slots have been returned."""
@@ -154,6 +204,12 @@
             except errors.PlatformError as exc:
                 _LOG.log(events.PLATFORM_LOST, reason=str(exc))
 
+    def _usual_deadline_s(self) -> float:
+        """Return the longest deadline that the configuration gives."""
+        if self.configuration.not_ready():
+            return requests.LONGEST_REQUEST_S
+        return self.configuration.current.longest_deadline_s()
+
     def _take_late_answer(
         self, request: requests.Request, answer: requests.Answer
     ) -> None:
@@ -165,7 +221,13 @@
         service = self.services.get((team, name))
         if service is None:
             policy = base.ROUTING.get(self._policy)(rng=self._rng)
-            service = services.Service(team=team, name=name, policy=policy)
+            service = services.Service(
+                team=team,
+                name=name,
+                policy=policy,
+                room=self.room,
+                rng=self._rng,
+            )
             self.services[team, name] = service
         return service
 
@@ -208,6 +270,15 @@
         return answer
 
     async def _run(self, request: requests.Request) -> requests.Answer:
+        self._serving += 1
+        try:
+            return await self._run_by_class(request)
+        finally:
+            self._serving -= 1
+
+    async def _run_by_class(
+        self, request: requests.Request
+    ) -> requests.Answer:
         dispatch = self._dispatcher.dispatch
         if request.request_class == requests.RequestClass.RUN_ONCE:
             return await self._run_once.serve(request, dispatch)
--- a/wisteriawood/machines/waiting_rooms.py
+++ b/wisteriawood/machines/waiting_rooms.py
@@ -15,7 +15,7 @@
 DEFAULT_PLACES = 1000
 DEFAULT_PLACES_BYTES = 16 * 1024 * 1024
 DEFAULT_WEIGHT = 1.0
-OTHERS = ""
+OTHERS = "*"
 
 _SEQUENCE = itertools.count()
 
@@ -117,9 +117,11 @@
 
     def share(self, request: requests.Request) -> TeamShare:
         """Return the share from which a request is served."""
-        name = request.caller or request.team
-        if name not in self._weights:
-            name = OTHERS
+        if not request.share:
+            # Once and for all: the weights may change while it is in flight.
+            caller = request.caller or request.team
+            request.share = caller if caller in self._weights else OTHERS
+        name = request.share
         found = self._shares.get(name)
         if found is None:
             weight = self._weights.get(name, DEFAULT_WEIGHT)
@@ -131,6 +133,11 @@
         """Return the shares of all teams seen."""
         return list(self._shares.values())
 
+    def refresh_weights(self) -> None:
+        """Use the weights as they are now."""
+        for share in self._shares.values():
+            share.weight = self._weights.get(share.name, DEFAULT_WEIGHT)
+
     def add(self, waiter: Waiter) -> None:
         """Let a request wait."""
         self.share(waiter.request).waiters.add(waiter)
@@ -205,13 +212,23 @@
 class WaitingRoom:
     """Places for waiting requests, shared by the services of a host.
 
+    It also keeps each team within its limit of requests in flight.
+
     Args:
         places: Most requests that wait at once.
         places_bytes: Most bytes of bodies that wait at once.
         weights: Weight of each team that owns services or calls them.
     """
 
-    __slots__ = ("_queues", "places", "places_bytes", "usage", "weights")
+    __slots__ = (
+        "_in_flight",
+        "_queues",
+        "limits",
+        "places",
+        "places_bytes",
+        "usage",
+        "weights",
+    )
 
     def __init__(
         self,
@@ -223,7 +240,9 @@
         self.places = places
         self.places_bytes = places_bytes
         self.usage = Usage()
-        self.weights = {} if weights is None else weights
+        self.weights = dict(weights or {})
+        self.limits: dict[str, int] = {}
+        self._in_flight: dict[str, int] = {}
         self._queues: dict[str, list[WaitingQueue]] = {}
 
     def open_queue(self, *, team: str) -> WaitingQueue:
@@ -232,6 +251,40 @@
         self._queues.setdefault(team, []).append(queue)
         return queue
 
+    def set_quotas(
+        self,
+        *,
+        weights: typing.Mapping[str, float],
+        limits: typing.Mapping[str, int],
+    ) -> None:
+        """Take over other quotas, as a new configuration has them.
+
+        Args:
+            weights: Weight of each team that owns services or calls them.
+            limits: Most requests in flight to the services of a team.
+        """
+        self.limits = dict(limits)
+        self.weights.clear()
+        self.weights.update(weights)
+        for queue in itertools.chain.from_iterable(self._queues.values()):
+            queue.refresh_weights()
+
+    def limit(self, team: str) -> float:
+        """Return how many requests to a team's services may be in flight."""
+        return self.limits.get(team, math.inf)
+
+    def may_take(self, team: str) -> bool:
+        """Tell whether a team is below its limit."""
+        return self._in_flight.get(team, 0) < self.limit(team)
+
+    def take(self, team: str) -> None:
+        """Count one more request in flight."""
+        self._in_flight[team] = self._in_flight.get(team, 0) + 1
+
+    def give_back(self, team: str) -> None:
+        """Count one request in flight less."""
+        self._in_flight[team] -= 1
+
     def take_overflow(self) -> list[Waiter]:
         """Take out what is over the places, from the fullest team first.
 
--- a/wisteriawood/policies/throttling/step_down.py
+++ b/wisteriawood/policies/throttling/step_down.py
@@ -27,6 +27,7 @@
         acted_s: Monotonic time of the newest order.
         slow_s: Monotonic time since which services are slowed; 0 if not.
         calm_s: Monotonic time since which they are calm; 0 if not.
+        worst: Greatest excess while calm.
         released_s: Monotonic time of the newest release.
         hold_s: Seconds of calm that a release takes.
     """
@@ -34,6 +35,7 @@
     acted_s: float = -1e9
     slow_s: float = 0.0
     calm_s: float = 0.0
+    worst: float = 0.0
     released_s: float = -1e9
     hold_s: float = FIRST_CALM_S
 
@@ -64,7 +66,10 @@
             state.calm_s = 0.0
         elif view.excess < CALM_EXCESS:
             state.slow_s = 0.0
-            state.calm_s = state.calm_s or now_s
+            if not state.calm_s:
+                state.calm_s = now_s
+                state.worst = 0.0
+        state.worst = max(state.worst, view.excess)
         if now_s - state.acted_s < SETTLE_S:
             return base.Verdict()
         if state.slow_s and view.excess > 1.0:
@@ -77,17 +82,19 @@
         if view.now_s - state.released_s < RELAPSE_S:
             state.hold_s = min(2 * state.hold_s, MAX_CALM_S)
             state.released_s = -1e9
-        left = [
+        worth = [
             culprit
             for culprit in view.culprits
-            if culprit.share > LEAST_SHARE and culprit.harm > 0
+            if culprit.present_harm() >= base.LEAST_HARM
         ]
+        left = [culprit for culprit in worth if culprit.share > LEAST_SHARE]
         if left:
             state.acted_s = view.now_s
             return base.Verdict(throttles=_steps(left, view.excess))
-        if view.culprits and view.now_s - state.slow_s >= EVICT_AFTER_S:
+        if worth and view.now_s - state.slow_s >= EVICT_AFTER_S:
             state.acted_s = view.now_s
             return base.Verdict(evict=True)
+        # What slows the services is none of the batch jobs here.
         return base.Verdict()
 
     def _release(self, state: State, view: base.WorkerView) -> base.Verdict:
@@ -96,14 +103,16 @@
             state.hold_s = max(FIRST_CALM_S, state.hold_s / 2)
             state.calm_s = view.now_s
             return base.Verdict()
-        least = min(throttled, key=lambda found: found.harm * found.share)
+        least = min(throttled, key=base.Culprit.present_harm)
         share = min(1.0, least.share / STEP)
         added = least.harm * (share - least.share)
-        if math.log(max(view.excess, 0.01)) + added > 0:
-            # The services would be slowed again.
+        if math.log(max(state.worst, 0.01)) + added > 0:
+            # The services would be slowed again; wait as long once more.
+            state.calm_s = view.now_s
+            state.worst = 0.0
             return base.Verdict()
         state.acted_s = state.released_s = view.now_s
-        state.calm_s = 0.0
+        state.calm_s = state.worst = 0.0
         return base.Verdict(
             throttles=[base.Throttle(task=least.task, share=share)]
         )
@@ -113,9 +122,7 @@
     """Return one step for each of the worst jobs, as many as it takes."""
     wanted = math.log(excess)
     steps = []
-    for culprit in sorted(
-        left, key=lambda found: found.harm * found.share, reverse=True
-    ):
+    for culprit in sorted(left, key=base.Culprit.present_harm, reverse=True):
         if steps and wanted <= 0:
             break
         share = max(LEAST_SHARE, culprit.share * STEP)
--- a/wisteriawood/standins/worlds.py
+++ b/wisteriawood/standins/worlds.py
@@ -210,7 +210,7 @@
         self, process: processes.Process, scope: anyio.CancelScope
     ) -> None:
         while process.is_alive:
-            await anyio.sleep(0.1)
+            await anyio.sleep(0.5)
         scope.cancel()
 
     async def _run(
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -1,16 +1,30 @@
 """Builders of test data."""
 
 import functools
+import random
 
 import anyio
 import trio.testing
 
+from wisteriawood.contracts import grants
 from wisteriawood.contracts import holdings
 from wisteriawood.contracts import requests
 from wisteriawood.contracts import resources
 from wisteriawood.contracts import tasks
+from wisteriawood import errors
 from wisteriawood.links import platforms
+from wisteriawood.links import workers as worker_links
+from wisteriawood.machines import allocators
+from wisteriawood.machines import dispatchers
+from wisteriawood.machines import services
+from wisteriawood.machines import targets
+from wisteriawood.machines import waiting_rooms
+from wisteriawood.machines import workers
+from wisteriawood.policies import registry
+from wisteriawood.policies import routing
+from wisteriawood.policies.routing import base as routing_base
 from wisteriawood.standins import worlds
+from wisteriawood.telemetry import spans
 
 GIB = 1024**3
 
@@ -132,3 +146,148 @@
         )
         for name in names
     }
+
+
+class FakeLink:
+    """A link to a target; its switches say how it answers."""
+
+    __slots__ = (
+        "is_frozen",
+        "refusals",
+        "refuses",
+        "sent",
+        "service_s",
+        "status",
+    )
+
+    def __init__(self, *, service_s=0.01):
+        self.is_frozen = False
+        self.refusals = 0
+        self.refuses = False
+        self.sent = []
+        self.service_s = service_s
+        self.status = 200
+
+    async def send(self, request, *, timeout_s):
+        """Answer, refuse or stay silent."""
+        if self.refuses:
+            self.refusals += 1
+            raise errors.RequestNotRunError(reason="refused")
+        self.sent.append(request.id)
+        if self.is_frozen or self.service_s > timeout_s:
+            await anyio.sleep(timeout_s)
+            raise errors.RequestUnknownError(reason="no answer in time")
+        await anyio.sleep(self.service_s)
+        return requests.Answer(request_id=request.id, status=self.status)
+
+    async def aclose(self):
+        """Do nothing."""
+
+
+def make_target(*, id="target-1", slots=8, link=None):
+    """Return a target as an entry host sees it."""
+    grant = grants.SlotGrant(
+        target=id,
+        address=f"{id}:1",
+        team="vitrinenklima",
+        service="humidity",
+        slots=slots,
+    )
+    return targets.Target(
+        grant=grant, grantor="linz-a-1", link=link or FakeLink()
+    )
+
+
+def make_service(*, targets=(), policy="least-in-flight", **fields):
+    """Return a service with its targets."""
+    registry.load_modules(routing)
+    rng = make_rng()
+    service = services.Service(
+        team="vitrinenklima",
+        name="humidity",
+        policy=routing_base.ROUTING.get(policy)(rng=rng),
+        rng=rng,
+        **fields,
+    )
+    service.targets.update((target.id, target) for target in targets)
+    return service
+
+
+def make_dispatcher(service):
+    """Return a dispatcher to one service."""
+    return dispatchers.Dispatcher(
+        services={(service.team, service.name): service},
+        tracer=spans.Tracer(service="test"),
+    )
+
+
+def make_room(*, weights=None, **fields):
+    """Return places for waiting requests."""
+    return waiting_rooms.WaitingRoom(weights=weights, **fields)
+
+
+def make_rng():
+    """Return a source of random numbers that repeats itself."""
+    return random.Random(1)
+
+
+def make_worker(*, name="worker-1", rack="rack-1", link=None, **fields):
+    """Return a worker as its scheduler sees it, known and empty."""
+    values = {
+        "address": f"{name}:1",
+        "capacity": make_resources(cores=64.0, memory_bytes=250 * GIB),
+    }
+    values.update(fields)
+    worker = workers.Worker(name=name, rack=rack, link=link, **values)
+    worker.is_known = True
+    return worker
+
+
+def make_workers(count, *, rack_size=8, **fields):
+    """Return workers in racks."""
+    return [
+        make_worker(
+            name=f"worker-{number}",
+            rack=f"rack-{number // rack_size}",
+            **fields,
+        )
+        for number in range(count)
+    ]
+
+
+def make_allocator(found=(), *, seed=1, **fields):
+    """Return an allocator that knows some workers."""
+    allocator = allocators.Allocator(rng=random.Random(seed), **fields)
+    allocator.refresh(found, now_s=0.0)
+    return allocator
+
+
+def enqueue(allocator, spec, *, now_s=0.0):
+    """Let a task wait and return its entry in the queue."""
+    task = tasks.Task(spec=spec, zone="linz-a")
+    return allocator.queue.add(task, version=1, now_s=now_s)
+
+
+def place_on(worker, spec, *, counted=None):
+    """Put a running task on a worker and return its placement."""
+    placement = workers.Placement(
+        task=tasks.Task(
+            spec=spec, zone="linz-a", state=tasks.TaskState.RUNNING
+        ),
+        version=1,
+        counted=counted or spec.needs,
+        is_committed=True,
+    )
+    worker.add(placement)
+    return placement
+
+
+def make_usage(spec, *, speed=1.0, measured_s=0.0, used=None):
+    """Return a usage report of a task."""
+    return worker_links.UsageReport(
+        task=spec.id,
+        attempt=1,
+        used=used or spec.needs,
+        speed=speed,
+        measured_s=measured_s,
+    )
