Prove a silent entry host dead by its refused connection

A new holder of a rack waited for the whole horizon (900 s) for an entry host that had been killed with the scheduler before it, and raised no grant until then: the surviving entry host kept half of the slots. The grantor now dials the entry hosts that it waits for; a refused connection ends the wait after the longest deadline (60 s).

--- a/wisteriawood/machines/grantors.py
+++ b/wisteriawood/machines/grantors.py
@@ -15,6 +15,7 @@
 from wisteriawood.zones import membership
 
 REVIEW_PERIOD_S = 0.25
+SILENCE_S = 2.0
 TAKE_BACK_S = terms.SLOT_TERM_S + terms.DRIFT_MARGIN_S
 
 _LOG = events.Logger(name=__name__)
@@ -69,6 +70,26 @@
             self.review()
             await anyio.sleep(REVIEW_PERIOD_S)
 
+    def silent_members(self) -> list[holdings.MemberRow]:
+        """Return the entry hosts that hold slots and say nothing."""
+        now_s = anyio.current_time()
+        waits = {
+            incarnation
+            for book in self.books.values()
+            for incarnation in book.unanswered_until_s or ()
+        }
+        silent = [
+            holder.member
+            for holder in self.holders.values()
+            if now_s - holder.updated_s > SILENCE_S
+        ]
+        listed = [
+            sighting.member
+            for sighting in self._members.sightings.values()
+            if sighting.member.incarnation in waits
+        ]
+        return silent + listed
+
     def review(self) -> None:
         """Bring the books up to date with the racks and the clock."""
         now_s = anyio.current_time()
--- a/wisteriawood/machines/schedulers.py
+++ b/wisteriawood/machines/schedulers.py
@@ -23,6 +23,7 @@
 from wisteriawood.machines import keepers
 from wisteriawood.machines import leases
 from wisteriawood.machines import placers
+from wisteriawood.machines import probers
 from wisteriawood.machines import racks
 from wisteriawood.machines import transitions
 from wisteriawood.machines import workers
@@ -59,6 +60,7 @@
     __slots__ = (
         "_dial_worker",
         "_group",
+        "_prober",
         "canceller",
         "commits",
         "configuration",
@@ -107,6 +109,9 @@
         self.grantor = grantors.Grantor(
             members=self.membership, held=self.racks, stopping=self.stopping
         )
+        self._prober = probers.Prober(
+            grantor=self.grantor, dial_peer=dial_peer
+        )
         self.canceller = cancels.Canceller(scheduler=self)
         self._dial_worker = dial_worker
         self._group: abc.TaskGroup | None = None
--- a/wisteriawood/tests/slots_tests.py
+++ b/wisteriawood/tests/slots_tests.py
@@ -96,3 +96,16 @@
             self.assertEqual(0, sum(_slots(world)))
 
         builders.run_world(_check)
+
+    def test_successor_proves_a_killed_entry_host_dead(self):
+        async def _check(world):
+            await _zone(world)
+            (grantor,) = [
+                name for name in NAMES if world.schedulers[name].racks
+            ]
+            world.processes[f"scheduler/{grantor}"].kill()
+            world.processes[f"entry/{NAMES[0]}"].kill()
+            await anyio.sleep(85)
+            self.assertEqual(8, _slots(world)[1])
+
+        builders.run_world(_check)
