Wait out the horizon for an entry host that is cut from its new grantor

A successor that had a link to an entry host before it claimed the rack took its silence for the end of the successor's own grants, and cut the wait for its answer from 900 s to 60 s. The entry host, cut off from the successor only and knowing its old grantor dead, kept its slots to the horizon: slots_tests.test_successor_waits_for_an_entry_host_cut_from_it found [4, 8] of 8 slots after 200 s, and [4, 4] now. Only proof of death or a row that says gone ends the wait.

--- a/wisteriawood/machines/grantors.py
+++ b/wisteriawood/machines/grantors.py
@@ -148,7 +148,7 @@
             if member.state == holdings.HostState.GONE:
                 # It has returned all that it held.
                 for book in self.books.values():
-                    book.quarantine(member.incarnation, until_s=now_s)
+                    book.end_wait(member.incarnation, until_s=now_s)
 
     def _may_take_back(self, holder: slot_books.Holder, now_s: float) -> bool:
         silent_s = now_s - holder.updated_s
@@ -184,7 +184,7 @@
         if holder is not None:
             self._end(holder, until_s=until_s)
         for book in self.books.values():
-            book.quarantine(member.incarnation, until_s=until_s)
+            book.end_wait(member.incarnation, until_s=until_s)
 
     async def serve(
         self, hello: messages.Hello, channel: channels.Channel
--- a/wisteriawood/machines/schedulers.py
+++ b/wisteriawood/machines/schedulers.py
@@ -159,6 +159,7 @@
             async with anyio.create_task_group() as acting:
                 self._group = acting
                 acting.start_soon(self.grantor.run)
+                acting.start_soon(self._prober.run)
                 acting.start_soon(self.keeper.run)
                 acting.start_soon(self.placer.run)
                 acting.start_soon(self.canceller.run)
--- a/wisteriawood/machines/slot_books.py
+++ b/wisteriawood/machines/slot_books.py
@@ -90,6 +90,15 @@
             share = target.shares.get(holder)
             if share is not None:
                 share.until_s = min(share.until_s, until_s)
+
+    def end_wait(self, holder: str, *, until_s: float) -> None:
+        """Wait no longer for the answer of a holder that can't come.
+
+        Args:
+            holder: Incarnation of the entry host.
+            until_s: Monotonic time at which its last request has ended.
+        """
+        self.quarantine(holder, until_s=until_s)
         waits = self.unanswered_until_s or {}
         if holder in waits:
             waits[holder] = min(waits[holder], until_s)
--- a/wisteriawood/tests/slots_tests.py
+++ b/wisteriawood/tests/slots_tests.py
@@ -109,3 +109,17 @@
             self.assertEqual(8, _slots(world)[1])
 
         builders.run_world(_check)
+
+    def test_successor_waits_for_an_entry_host_cut_from_it(self):
+        async def _check(world):
+            await _zone(world)
+            (grantor,) = [
+                name for name in NAMES if world.schedulers[name].racks
+            ]
+            (successor,) = set(NAMES) - {grantor}
+            world.processes[f"scheduler/{grantor}"].kill()
+            world.cut(f"entry/{NAMES[0]}", f"scheduler/{successor}")
+            await anyio.sleep(200)
+            self.assertEqual([4, 4], _slots(world))
+
+        builders.run_world(_check)
