--- /dev/null
+++ b/wisteriawood/bench/slots.py
@@ -0,0 +1,163 @@
+"""What slot contracts cost: bytes and processor time."""
+
+import time
+
+import anyio
+
+from wisteriawood.bench import base
+from wisteriawood.contracts import holdings
+from wisteriawood.contracts import requests
+from wisteriawood.links.codecs import cbor
+from wisteriawood.machines import entry_hosts
+from wisteriawood.machines import grantors
+from wisteriawood.machines import racks
+from wisteriawood.machines import slot_books
+from wisteriawood.machines import slot_clients
+from wisteriawood.machines import targets
+from wisteriawood.standins import platforms
+from wisteriawood.telemetry import metrics
+from wisteriawood.telemetry import spans
+from wisteriawood.zones import membership
+
+SIZES = (35, 350)
+ROUNDS = 200
+REPORTS_PER_S = 1 / slot_clients.REPORT_PERIOD_S
+LIMIT_BYTES_PER_S = 5000.0
+SLOTS = 8
+
+
+class SilentTarget:
+    """A link to a target that is never called."""
+
+    __slots__ = ()
+
+    async def send(
+        self, request: requests.Request, *, timeout_s: float
+    ) -> requests.Answer:
+        """Answer at once."""
+        return requests.Answer(request_id=request.id)
+
+    async def aclose(self) -> None:
+        """Do nothing."""
+
+
+def _member(name: str, role: holdings.Role) -> holdings.MemberRow:
+    return holdings.MemberRow(
+        name=name,
+        role=role,
+        zone="linz-a",
+        incarnation=f"{role}-{name}",
+        peer_address=f"{name}:1",
+    )
+
+
+def _make_rack(size: int) -> racks.Rack:
+    holding = holdings.RackHolding(
+        zone="linz-a", rack="rack-1", holder="s", epoch=1
+    )
+    rack = racks.Rack(holding=holding, version=1)
+    for number in range(size):
+        name = f"target-{number}.1"
+        rack.targets[name] = targets.TargetSlots(
+            id=name,
+            address=f"10.0.0.{number % 250}:8000",
+            team="kroupa",
+            service="gloves",
+            slots=SLOTS,
+            since_epoch=1,
+        )
+    return rack
+
+
+async def _make_pair(
+    size: int,
+) -> tuple[grantors.Grantor, slot_clients.SlotClient]:
+    platform = platforms.MemoryPlatform()
+    member = _member("e", holdings.Role.ENTRY)
+    entry = entry_hosts.EntryHost(
+        platform=platform,
+        member=member,
+        counters=metrics.EntryMetrics(),
+        tracer=spans.Tracer(service="bench"),
+        rng=None,
+        dial_target=lambda *, address, connections: SilentTarget(),
+    )
+    own = _member("s", holdings.Role.SCHEDULER)
+    members = membership.Membership(platform=platform, own=own)
+    await entry.membership.renew()
+    await members.renew()
+    await members.watch()
+    grantor = grantors.Grantor(
+        members=members,
+        held={"rack-1": _make_rack(size)},
+        stopping=anyio.Event(),
+    )
+    return grantor, entry.slot_client
+
+
+def _exchange(
+    grantor: grantors.Grantor,
+    client: slot_clients.SlotClient,
+    session: slot_clients.Session,
+    holder: slot_books.Holder,
+    sequence: int,
+) -> tuple[float, float, int]:
+    """Play one round; return both ends' seconds and all bytes."""
+    started_s = time.process_time()
+    now_s = anyio.current_time()
+    report = cbor.encode(client.report(session, sequence, now_s))
+    reported_s = time.process_time()
+    update = cbor.encode(grantor.answer(holder, cbor.decode(report)))
+    answered_s = time.process_time()
+    client.adopt(session, cbor.decode(update), now_s)
+    adopted_s = time.process_time()
+    entry_s = adopted_s - answered_s + reported_s - started_s
+    return entry_s, answered_s - reported_s, len(report) + len(update)
+
+
+async def _measure(size: int) -> list[base.Measure]:
+    grantor, client = await _make_pair(size)
+    member = _member("e", holdings.Role.ENTRY)
+    holder = grantor.open(member)
+    session = slot_clients.Session(
+        grantor=_member("s", holdings.Role.SCHEDULER)
+    )
+    rounds = [
+        _exchange(grantor, client, session, holder, sequence)
+        for sequence in range(1, ROUNDS + 4)
+    ]
+    first_bytes = sum(size_bytes for _e, _g, size_bytes in rounds[:3])
+    quiet = rounds[3:]
+    entry_us = 1e6 * sum(entry_s for entry_s, _g, _b in quiet) / len(quiet)
+    grantor_us = 1e6 * sum(s for _e, s, _b in quiet) / len(quiet)
+    quiet_bytes = sum(size_bytes for _e, _g, size_bytes in quiet) / len(quiet)
+    area = f"slots/{size}-targets"
+    return [
+        base.Measure(
+            name=f"{area}/first-grants",
+            value=first_bytes / size,
+            unit="B/target",
+        ),
+        base.Measure(
+            name=f"{area}/quiet-link",
+            value=quiet_bytes * REPORTS_PER_S,
+            unit="B/s",
+            at_most=LIMIT_BYTES_PER_S,
+        ),
+        base.Measure(
+            name=f"{area}/entry-host",
+            value=entry_us * REPORTS_PER_S,
+            unit="us/s",
+        ),
+        base.Measure(
+            name=f"{area}/grantor",
+            value=grantor_us * REPORTS_PER_S,
+            unit="us/s",
+        ),
+    ]
+
+
+@base.BENCHES.register("slots")
+def run() -> list[base.Measure]:
+    """Measure one link between an entry host and a grantor."""
+    return [measure for size in SIZES for measure in anyio.run(_measure, size)]
--- a/wisteriawood/machines/slot_clients.py
+++ b/wisteriawood/machines/slot_clients.py
@@ -185,17 +185,24 @@
         while True:
             sequence += 1
             sent_s = anyio.current_time()
-            await channel.send(self._report(session, sequence, sent_s))
+            await channel.send(self.report(session, sequence, sent_s))
             update = await _receive(channel)
             if update.sequence != sequence:
                 raise errors.MessageError("an update answers another report")
-            self._adopt(session, update, sent_s)
+            self.adopt(session, update, sent_s)
             if not session.answers:
                 await anyio.sleep(REPORT_PERIOD_S)
 
-    def _report(
+    def report(
         self, session: Session, sequence: int, now_s: float
     ) -> messages.SlotReport:
+        """Return what to tell a grantor next.
+
+        Args:
+            session: The link to it.
+            sequence: Number of the report on the link.
+            now_s: Monotonic time in seconds.
+        """
         report = messages.SlotReport(
             sequence=sequence,
             answers=session.answers,
@@ -235,9 +242,16 @@
                 changed[name] = session.demand[name] = demand
         return changed
 
-    def _adopt(
+    def adopt(
         self, session: Session, update: messages.SlotUpdate, sent_s: float
     ) -> None:
+        """Take a grantor's answer to a report.
+
+        Args:
+            session: The link to it.
+            update: The answer.
+            sent_s: Monotonic time just before the report was sent.
+        """
         for name in update.withdrawn:
             session.racks.discard(name)
             rack = self.racks.get(name)
