--- a/wisteriawood/standins/worlds.py
+++ b/wisteriawood/standins/worlds.py
@@ -12,7 +12,6 @@
 from wisteriawood import errors
 from wisteriawood.links import channels
 from wisteriawood.links import platforms as platform_links
-from wisteriawood.links import targets as target_links
 from wisteriawood.machines import entry_hosts
 from wisteriawood.machines import schedulers
 from wisteriawood.standins import platforms
@@ -211,7 +210,7 @@
         self, process: processes.Process, scope: anyio.CancelScope
     ) -> None:
         while process.is_alive:
-            await anyio.sleep(0.1)
+            await anyio.sleep(0.5)
         scope.cancel()
 
     async def _run(
