Submit the proof's extra tasks each in a class of its own

Cause: since the first tasks of a class are measured before more start, twelve tasks of one class no longer fill the workers, and the proof that adopted tasks are counted could not fail with its mechanism off. Ruled out: learned memory (a smaller size changed nothing). With classes of their own, the proof fails without the count (a worker over its cores) and passes with it; the cell is as strict as before.

--- a/wisteriawood/tests/faults/task_faults.py
+++ b/wisteriawood/tests/faults/task_faults.py
@@ -493,7 +493,12 @@
 @FAULTS.register("scheduler killed while more is submitted")
 async def _killed_under_load(cell):
     _kill(cell)
-    specs = [builders.make_spec(id=f"more-{number}") for number in range(12)]
+    # Each of a class of its own, or the first ones would be waited for to
+    # learn the class, and no worker would fill up.
+    specs = [
+        builders.make_spec(id=f"more-{number}", task_class=f"class-{number}")
+        for number in range(12)
+    ]
     cell.task_ids.extend(spec.id for spec in specs)
     await jobs.submit(cell.world.platform, specs, zone="linz-a")
 
