Log a lost peer once, not at each redial

A peer named in the settings that is away was logged each second, as the demo's events showed (51 lines peer-lost for one killed host and a shutdown). The event is now written when the reason changes.

Measured: peering, configuration, commands, questionnaire, docs, path, callers and configuration fault tests, 72 run, all passed.

--- a/wisteriawood/zones/peering.py
+++ b/wisteriawood/zones/peering.py
@@ -231,6 +231,7 @@
 
     async def _keep(self, address: str) -> None:
         """Keep the link to one peer while it is wanted, straight down."""
+        told = ""
         while address in self._wanted or address in self._addresses:
             name = self._names.get(address, "")
             if name and name < member_key(self._members.own):
@@ -240,10 +241,14 @@
             if peer is not None:
                 await peer.closed.wait()
                 continue
+            reason = ""
             try:
                 await self._dial(address)
             except errors.LinkError as exc:
-                _LOG.log(events.PEER_LOST, peer=address, reason=str(exc))
+                reason = str(exc)
+            if reason and reason != told:
+                _LOG.log(events.PEER_LOST, peer=address, reason=reason)
+            told = reason
             await anyio.sleep(REDIAL_PERIOD_S)
         self._kept.discard(address)
 
