--- a/wisteriawood/bench/slots.py
+++ b/wisteriawood/bench/slots.py
@@ -8,6 +8,7 @@
 from wisteriawood.contracts import holdings
 from wisteriawood.contracts import requests
 from wisteriawood.links.codecs import cbor
+from wisteriawood.links import peers
 from wisteriawood.machines import entry_hosts
 from wisteriawood.machines import grantors
 from wisteriawood.machines import racks
@@ -91,6 +92,7 @@
         members=members,
         held={"rack-1": _make_rack(size)},
         stopping=anyio.Event(),
+        dial_peer=peers.connect,
     )
     return grantor, entry.slot_client
 
--- a/wisteriawood/machines/schedulers.py
+++ b/wisteriawood/machines/schedulers.py
@@ -7,6 +7,7 @@
 import anyio
 from anyio import abc
 
+from wisteriawood.contracts import drains as drain_contracts
 from wisteriawood.contracts import holdings
 from wisteriawood.contracts import resources
 from wisteriawood.contracts import tasks
@@ -23,13 +24,13 @@
 from wisteriawood.machines import keepers
 from wisteriawood.machines import leases
 from wisteriawood.machines import placers
-from wisteriawood.machines import probers
 from wisteriawood.machines import racks
 from wisteriawood.machines import transitions
 from wisteriawood.machines import workers
 from wisteriawood.policies.placement import base
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import metrics
+from wisteriawood.zones import drains
 from wisteriawood.zones import followers
 from wisteriawood.zones import membership
 from wisteriawood.zones import peering
@@ -60,11 +61,11 @@
     __slots__ = (
         "_dial_worker",
         "_group",
-        "_prober",
         "canceller",
         "commits",
         "configuration",
         "counters",
+        "drains",
         "grantor",
         "keeper",
         "membership",
@@ -97,6 +98,9 @@
         self.configuration = followers.Follower(
             platform=platform, links=self.peering
         )
+        self.drains = drains.Drains(
+            platform=platform, kind=drain_contracts.DrainKind.WORKER
+        )
         self.commits = commits.GroupCommit(
             platform=platform, counters=counters
         )
@@ -107,10 +111,10 @@
         self.stopping = anyio.Event()
         self.stopped = anyio.Event()
         self.grantor = grantors.Grantor(
-            members=self.membership, held=self.racks, stopping=self.stopping
-        )
-        self._prober = probers.Prober(
-            grantor=self.grantor, dial_peer=dial_peer
+            members=self.membership,
+            held=self.racks,
+            stopping=self.stopping,
+            dial_peer=dial_peer,
         )
         self.canceller = cancels.Canceller(scheduler=self)
         self._dial_worker = dial_worker
@@ -155,11 +159,11 @@
             group.start_soon(self.membership.run)
             group.start_soon(self.peering.run)
             group.start_soon(self.configuration.run)
+            group.start_soon(self.drains.run)
             group.start_soon(self.commits.run)
             async with anyio.create_task_group() as acting:
                 self._group = acting
                 acting.start_soon(self.grantor.run)
-                acting.start_soon(self._prober.run)
                 acting.start_soon(self.keeper.run)
                 acting.start_soon(self.placer.run)
                 acting.start_soon(self.canceller.run)
--- a/wisteriawood/machines/services.py
+++ b/wisteriawood/machines/services.py
@@ -14,8 +14,9 @@
 from wisteriawood.machines import service_times
 from wisteriawood.machines import targets
 from wisteriawood.machines import waiting_rooms
+from wisteriawood.policies import registry
+from wisteriawood.policies import retrying as retrying_policies
 from wisteriawood.policies.retrying import base as retrying_base
-from wisteriawood.policies.retrying import budgeted
 from wisteriawood.policies.routing import base as routing_base
 from wisteriawood.telemetry import events
 
@@ -49,8 +50,8 @@
         team: Team that owns it.
         name: Name of the service.
         policy: Chooses among the targets with a free slot.
-        retrying: Says whether failed requests are retried; by default
-            within a budget.
+        retrying: Says whether failed requests are retried; None for the
+            default policy.
         room: Places for waiting requests, shared with other services.
         rng: Source of random numbers.
     """
@@ -86,7 +87,10 @@
         self.targets: dict[str, targets.Target] = {}
         self.times = service_times.ServiceTimes()
         rng = rng or random.Random()
-        self.retrying = retrying or budgeted.Budgeted(rng=rng)
+        registry.load_modules(retrying_policies)
+        self.retrying = retrying or retrying_base.RETRYING.get(
+            retrying_base.DEFAULT
+        )(rng=rng)
         self.outliers = outliers.OutlierWatch(rng=rng)
         self._rescuable: dict[str, set[anyio.CancelScope]] = {}
         self._room = room or waiting_rooms.WaitingRoom()
@@ -99,13 +103,18 @@
         """Number of requests that wait for a slot."""
         return len(self._queue)
 
+    def shares(self) -> list[waiting_rooms.TeamShare]:
+        """Return what each calling team waits for and has in flight."""
+        return self._queue.shares()
+
     def slots(self) -> int:
-        """Return the slots granted on targets that take requests."""
-        return sum(
+        """Return the slots that the team may fill at once."""
+        granted = sum(
             target.grant.slots
             for target in self.targets.values()
             if not target.grant.leaving
         )
+        return min(granted, self._room.limit(self.team))
 
     async def acquire(
         self,
@@ -157,6 +166,7 @@
             ending: How the attempt ended.
         """
         self._queue.share(request).in_flight -= 1
+        self._room.give_back(self.team)
         target.give_back(is_done=ending.is_done, until_s=ending.until_s)
         if not math.isnan(ending.latency_s):
             self.times.observe(ending.latency_s)
@@ -250,41 +260,55 @@
             scope.cancel()
 
     def _usable(
-        self, request: requests.Request
+        self, request: requests.Request, tried: frozenset[str]
     ) -> typing.Iterable[targets.Target]:
         """Return the targets that a request may go to."""
         out = self.outliers.out(targets_count=len(self.targets))
         if not out:
             return self.targets.values()
         if request.request_class == requests.RequestClass.REPEATABLE:
-            now_s = anyio.current_time()
             for target_id in out:
-                target = self.targets.get(target_id)
-                if (
-                    target is not None
-                    and target.has_free_slot()
-                    and self.outliers.is_probe_due(target_id, now_s=now_s)
-                ):
-                    return [target]
+                if target_id not in tried and self._is_probe_due(target_id):
+                    return [self.targets[target_id]]
         return [t for t in self.targets.values() if t.id not in out]
 
+    def _is_probe_due(self, target_id: str) -> bool:
+        target = self.targets.get(target_id)
+        return (
+            target is not None
+            and target.has_free_slot()
+            and self.outliers.is_probe_due(
+                target_id, now_s=anyio.current_time()
+            )
+        )
+
     def _choose(
         self, request: requests.Request, tried: frozenset[str], *, queued: int
     ) -> targets.Target | None:
+        if not self._room.may_take(self.team):
+            return None
         free = []
         busy = []
-        for target in self._usable(request):
-            (free if target.has_free_slot() else busy).append(target)
+        for target in self._usable(request, tried):
+            grant = target.grant
+            if target.in_flight >= grant.slots or grant.leaving:
+                busy.append(target)
+            else:
+                free.append(target)
         if tried:
             free = [t for t in free if t.id not in tried] or free
-        if not free:
-            return None
-        return self.policy.choose(free, busy=busy, queued=queued)
+        while free:
+            target = self.policy.choose(free, busy=busy, queued=queued)
+            if target is None or target.has_free_slot():
+                return target
+            free.remove(target)
+        return None
 
     def _take(
         self, request: requests.Request, target: targets.Target
     ) -> targets.Target:
         target.take()
+        self._room.take(self.team)
         self._queue.share(request).in_flight += 1
         return target
 
--- a/wisteriawood/policies/placement/least_harm.py
+++ b/wisteriawood/policies/placement/least_harm.py
@@ -9,7 +9,9 @@
 from wisteriawood.policies import interference
 from wisteriawood.policies.placement import base
 
-SAMPLE = 16
+SAMPLE = 12
+# More for services, which are few, so that they spread evenly over racks.
+SERVICE_SAMPLE = 64
 # Slowdown of a service that a team of weight 1 allows.
 ALLOWED_SLOWDOWN = 1.08
 # Weight of a batch job that uses a whole worker, against one service.
@@ -17,7 +19,7 @@
 # Cost of another instance of a group on one worker, by the square of those
 # there, and of one in the same rack.
 SAME_WORKER_COST = 0.04
-SAME_RACK_COST = 0.05
+SAME_RACK_COST = 0.4
 # Cost of a first service on a worker: batch that is noisy can't go there.
 FIRST_SERVICE_COST = 0.3
 # Cost of a whole worker's load of batch where no services are, so that
@@ -72,7 +74,9 @@
         self, request: base.Request, index: indexes.WorkerIndex
     ) -> indexes.Entry:
         """Return the worker with the least harm, of a sample."""
-        fitting = request.sample(index, SAMPLE)
+        is_batch = request.spec.kind == tasks.TaskKind.BATCH
+        count = SAMPLE if is_batch else SERVICE_SAMPLE
+        fitting = request.sample(index, count)
         best, least = None, math.inf
         for entry in fitting:
             cost = self._cost(request, entry, index)
@@ -102,12 +106,14 @@
         load = request.needs.cores / entry.worker.capacity.cores
         load *= request.share
         name = indexes.class_of(spec)
+        harm = self._estimates.harm
+        now_s = request.now_s
         own = 0.0
         batch_loss = 0.0
         cost = 0.0
         for other in entry.neighbours.values():
-            own += self._harm(name, other.name, request) * other.load
-            added = self._harm(other.name, name, request) * load
+            own += harm(name, other.name, now_s) * other.load
+            added = harm(other.name, name, now_s) * load
             pressure = self._pressure(entry, other, request)
             if other.kind == tasks.TaskKind.BATCH:
                 weight = self._quotas.of(other.team).throughput_weight
@@ -175,9 +181,6 @@
             + SAME_RACK_COST * in_rack
         )
 
-    def _harm(self, victim: str, other: str, request: base.Request) -> float:
-        return self._estimates.harm(victim, other, request.now_s)
-
     def _pressure(
         self,
         entry: indexes.Entry,
@@ -191,6 +194,7 @@
                 load = other.load
                 if other is victim:
                     load -= load / other.count
-                found += self._harm(victim.name, other.name, request) * load
+                harm = self._estimates.harm
+                found += harm(victim.name, other.name, request.now_s) * load
             entry.pressures[victim.name] = found
         return found
--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -187,6 +187,9 @@
     "A worker refused a start command.",
     "Check the worker and its clock.",
 )
+HOST_DRAINED = define(
+    1812, "host-drained", "An operator has ordered a host to drain."
+)
 PEER_MESSAGE_IGNORED = define(
     1810,
     "peer-message-ignored",
@@ -221,3 +224,15 @@
     "The record of a run-once request was changed by another.",
     "Nothing, if it had expired; else report it as a fault.",
 )
+ENTRY_HOST_DEAD = define(
+    1650,
+    "entry-host-dead",
+    "A silent entry host's machine refuses connections; its slots move on.",
+    "Check why the process ended.",
+)
+SCHEDULER_DEAD = define(
+    1651,
+    "scheduler-dead",
+    "A silent scheduler's machine refuses connections; others take its racks.",
+    "Check why the process ended.",
+)
