Look for the zombie start itself in the proof of verified racks

Cause: with the newer takeover the start of attempt 1 after attempt 2 shows as 'attempt 1 ran twice', no longer as an overlap; the check names that breach now.

--- a/wisteriawood/tests/faults/proofs_tests.py
+++ b/wisteriawood/tests/faults/proofs_tests.py
@@ -164,7 +164,7 @@
             mock.patch.object(
                 schedulers.Scheduler, "has_authority", _confirmed_only
             ),
-            breach="while",
+            breach="attempt 1 ran twice",
         )
 
     def test_assignments_are_written_before_the_start(self):
