Tell schedulers which instances answer callers slowly

Cause: entry hosts knew which instances were slower than their peers, and the monitor of interference had a place for it, but nothing joined the two: placement saw the lagging usage reports only. Now slot reports carry the slowdowns of slow targets. Before: no call of observe_latency in the running daemons; after: path_tests shows one slowed instance of four told, and no other. The scheduler's status says why the longest waiting tasks wait.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,10 @@
 bench: $(VENV)/installed
 	$(BIN)/python -m wisteriawood.bench
 
+capacity: $(VENV)/installed
+	$(BIN)/python -m wisteriawood.bench.capacity > docs/CAPACITY.new
+	mv docs/CAPACITY.new docs/CAPACITY.md
+
 events: $(VENV)/installed
 	$(BIN)/python -m wisteriawood.telemetry.catalogue > docs/events.md
 
--- a/wisteriawood/links/messages.py
+++ b/wisteriawood/links/messages.py
@@ -76,6 +76,7 @@
         answers: Claims answered; the holdings of these racks are whole.
         holdings: Holdings that changed since the last report.
         demand: Slots that it could fill, by team/service; those changed.
+        slowdowns: Latency of slow targets against that of their peers.
         is_draining: Whether it returns what it holds.
     """
 
@@ -85,6 +86,7 @@
         default_factory=list
     )
     demand: dict[str, float] = dataclasses.field(default_factory=dict)
+    slowdowns: dict[str, float] = dataclasses.field(default_factory=dict)
     is_draining: bool = False
 
 
--- a/wisteriawood/machines/grantors.py
+++ b/wisteriawood/machines/grantors.py
@@ -34,6 +34,8 @@
         members: Membership of the scheduler.
         held: Racks that the scheduler holds, by name.
         stopping: Set once the scheduler stops.
+        on_slowdown: Takes how much slower a target answers an entry
+            host than its peers do.
         dial_peer: Opens a channel to the peer at an address.
     """
 
@@ -41,6 +43,7 @@
         "_held",
         "_listed",
         "_members",
+        "_on_slowdown",
         "_probes",
         "_quarantines",
         "_stopping",
@@ -54,11 +57,13 @@
         members: membership.Membership,
         held: dict[str, racks.Rack],
         stopping: anyio.Event,
+        on_slowdown: typing.Callable[[str, float], None],
         dial_peer: typing.Callable,
     ):
         self._members = members
         self._held = held
         self._stopping = stopping
+        self._on_slowdown = on_slowdown
         self._listed: dict[str, holdings.MemberRow] = {}
         self._probes = probes.Prober(
             dial_peer=dial_peer,
@@ -291,6 +296,8 @@
         incarnation = holder.member.incarnation
         holder.is_draining = report.is_draining
         holder.demand.update(report.demand)
+        for target, slowdown in report.slowdowns.items():
+            self._on_slowdown(target, slowdown)
         for answer in report.answers:
             book = self.books.get(answer.rack)
             if book is None:
--- a/wisteriawood/machines/schedulers.py
+++ b/wisteriawood/machines/schedulers.py
@@ -36,6 +36,7 @@
 from wisteriawood.zones import peering
 
 WORKER_PERIOD_S = 1.0
+REASONS_SHOWN = 100
 # Least pause between two rounds with a worker, so that one inventory
 # serves many starts.
 ROUND_PAUSE_S = 0.1
@@ -115,6 +116,7 @@
             members=self.membership,
             held=self.racks,
             stopping=self.stopping,
+            on_slowdown=self.placer.observe_latency,
             dial_peer=dial_peer,
         )
         self.canceller = cancels.Canceller(scheduler=self)
@@ -288,6 +290,16 @@
             return await self.peering.welcome(hello, channel)
         await self.grantor.serve(hello, channel)
 
+    def _waiting_reasons(self) -> dict[str, str]:
+        """Return why the tasks wait that have waited longest."""
+        longest = sorted(
+            self.placer.pending.items(), key=lambda item: item[1].since_s
+        )
+        return {
+            task: self.placer.explain(task)
+            for task, _waiting in longest[:REASONS_SHOWN]
+        }
+
     def status(self) -> dict[str, typing.Any]:
         """Return what operators see of this scheduler."""
         return {
@@ -295,6 +307,7 @@
             "ready": self.not_ready() or "ready",
             "config_version": self.configuration.version,
             "pending": len(self.placer.pending),
+            "waiting": self._waiting_reasons(),
             "racks": [
                 {
                     "rack": rack.holding.rack,
--- a/wisteriawood/machines/services.py
+++ b/wisteriawood/machines/services.py
@@ -195,6 +195,7 @@
     def tend(self) -> None:
         """Do what is due by time alone; called several times a second."""
         now_s = anyio.current_time()
+        self.policy.tend()
         for target_id in self.outliers.known():
             if target_id not in self.targets:
                 self.outliers.forget(target_id)
--- a/wisteriawood/machines/slot_clients.py
+++ b/wisteriawood/machines/slot_clients.py
@@ -223,8 +223,25 @@
                 report.holdings.append(holding)
                 session.reported[target.id] = holding
         report.demand = self._demand(session)
+        report.slowdowns = self._slowdowns(session)
         return report
 
+    def _slowdowns(self, session: Session) -> dict[str, float]:
+        """Return how much slower than their peers the slow targets are."""
+        names = {
+            (target.grant.team, target.grant.service)
+            for target in self.targets.values()
+        }
+        return {
+            target_id: round(slowdown, 2)
+            for team, name in names
+            for target_id, slowdown in self._get_service(team, name)
+            .policy.slowdowns()
+            .items()
+            if target_id in self.targets
+            and self.targets[target_id].rack.name in session.racks
+        }
+
     def _demand(self, session: Session) -> dict[str, float]:
         """Return the demands that changed, and remember all."""
         found: dict[str, float] = {}
--- a/wisteriawood/policies/routing/base.py
+++ b/wisteriawood/policies/routing/base.py
@@ -33,6 +33,12 @@
             latency_s: Time that the request took at the target.
         """
 
+    def slowdowns(self) -> dict[str, float]:
+        """Return how many times slower than its peers each slow target is."""
+
+    def tend(self) -> None:
+        """Do what is due by time alone; called several times a second."""
+
     def forget(self, target_id: str) -> None:
         """Drop what is known of a target that has left.
 
@@ -41,6 +47,19 @@
         """
 
 
+class ComparesNothing:
+    """Part of the policies that do not compare targets."""
+
+    __slots__ = ()
+
+    def slowdowns(self) -> dict[str, float]:
+        """Return nothing: no target is known to be slow."""
+        return {}
+
+    def tend(self) -> None:
+        """Do nothing: nothing that was learned fades."""
+
+
 class RoutingFactory(typing.Protocol):
     """Makes a routing policy."""
 
--- a/wisteriawood/policies/routing/interference_aware.py
+++ b/wisteriawood/policies/routing/interference_aware.py
@@ -81,6 +81,10 @@
             return None
         return best
 
+    def tend(self) -> None:
+        """Let what was learned fade while no requests come."""
+        self._compare()
+
     def slowdowns(self) -> dict[str, float]:
         """Return how many times slower than its peers each slow target is."""
         return dict(self._slow)
--- a/wisteriawood/policies/routing/latency_aware.py
+++ b/wisteriawood/policies/routing/latency_aware.py
@@ -9,7 +9,7 @@
 
 
 @base.ROUTING.register("latency-aware")
-class LatencyAware:
+class LatencyAware(base.ComparesNothing):
     """Chooses the least product of mean latency and requests in flight.
 
     Args:
--- a/wisteriawood/policies/routing/least_in_flight.py
+++ b/wisteriawood/policies/routing/least_in_flight.py
@@ -7,7 +7,7 @@
 
 
 @base.ROUTING.register("least-in-flight")
-class LeastInFlight:
+class LeastInFlight(base.ComparesNothing):
     """Chooses the target with the fewest requests in flight.
 
     Args:
--- a/wisteriawood/policies/routing/random_target.py
+++ b/wisteriawood/policies/routing/random_target.py
@@ -7,7 +7,7 @@
 
 
 @base.ROUTING.register("random")
-class RandomTarget:
+class RandomTarget(base.ComparesNothing):
     """Chooses any target with a free slot.
 
     Args:
--- a/wisteriawood/policies/routing/round_robin.py
+++ b/wisteriawood/policies/routing/round_robin.py
@@ -7,7 +7,7 @@
 
 
 @base.ROUTING.register("round-robin")
-class RoundRobin:
+class RoundRobin(base.ComparesNothing):
     """Goes through the targets by id and skips those without a free slot.
 
     Args:
--- a/wisteriawood/policies/routing/two_choices.py
+++ b/wisteriawood/policies/routing/two_choices.py
@@ -7,7 +7,7 @@
 
 
 @base.ROUTING.register("two-choices")
-class TwoChoices:
+class TwoChoices(base.ComparesNothing):
     """Chooses the target with fewer requests in flight out of two.
 
     Args:
--- a/wisteriawood/tests/path_tests.py
+++ b/wisteriawood/tests/path_tests.py
@@ -1,6 +1,7 @@
 """The whole path in virtual time."""
 
 import unittest
+from unittest import mock
 
 import anyio
 
@@ -8,6 +9,7 @@
 from wisteriawood.contracts import requests
 from wisteriawood.contracts import tasks
 from wisteriawood.links import jobs
+from wisteriawood.machines import monitors
 from wisteriawood.tests import builders
 
 
@@ -84,3 +86,34 @@
                 self.assertEqual(tasks.TaskState.FINISHED, task.state)
 
         builders.run_world(_check)
+
+    def test_slow_instance_is_told_to_the_scheduler(self):
+        async def _check(world):
+            for number in range(1, 5):
+                world.add_worker(
+                    builders.make_worker_host(name=f"worker-{number}")
+                )
+            world.add_scheduler(builders.make_member())
+            entry = world.add_entry(
+                builders.make_member(role=holdings.Role.ENTRY)
+            )
+            specs = [
+                builders.make_spec(
+                    id=f"service-{number}", kind=tasks.TaskKind.SERVICE
+                )
+                for number in range(4)
+            ]
+            await jobs.submit(world.platform, specs, zone="linz-a")
+            await anyio.sleep(30)
+            self.assertEqual(4, len(world.targets))
+            world.targets["service-0.1:1"].faults.slow_s = 0.1
+            with mock.patch.object(
+                monitors.Monitor, "observe_latency"
+            ) as observe:
+                for number in range(200):
+                    await entry.serve(builders.make_request(id=str(number)))
+                await anyio.sleep(2)
+            told = {call.args[0] for call in observe.call_args_list}
+            self.assertEqual({"service-0"}, told)
+
+        builders.run_world(_check)
