Load no certificates for links over plain HTTP

Cause: each link to a worker or target made a TLS context with all root certificates, 60 ms and most of the memory of a link. Links to the platform over https verify as before.

--- a/wisteriawood/links/platforms.py
+++ b/wisteriawood/links/platforms.py
@@ -180,7 +180,12 @@
     __slots__ = ("_client",)
 
     def __init__(self, *, url: str, timeout_s: float = CALL_TIMEOUT_S):
-        self._client = httpx.AsyncClient(base_url=url, timeout=timeout_s)
+        self._client = httpx.AsyncClient(
+            base_url=url,
+            timeout=timeout_s,
+            # Over plain HTTP no certificates need to be loaded.
+            verify=url.startswith("https:"),
+        )
 
     async def _call(self, method: str, path: str, **options) -> httpx.Response:
         try:
--- a/wisteriawood/links/targets.py
+++ b/wisteriawood/links/targets.py
@@ -80,6 +80,8 @@
                 max_keepalive_connections=connections,
             ),
             trust_env=False,
+            # Over plain HTTP no certificates need to be loaded.
+            verify=False,
         )
         for name in DEFAULT_HEADERS:
             # Only the caller says what it accepts.
--- a/wisteriawood/links/workers.py
+++ b/wisteriawood/links/workers.py
@@ -164,7 +164,11 @@
 
     def __init__(self, *, address: str, timeout_s: float = CALL_TIMEOUT_S):
         self._client = httpx.AsyncClient(
-            base_url=f"http://{address}", timeout=timeout_s
+            base_url=f"http://{address}",
+            timeout=timeout_s,
+            trust_env=False,
+            # Over plain HTTP no certificates need to be loaded.
+            verify=False,
         )
 
     async def _call(
