--- a/wisteriawood/machines/attempts.py
+++ b/wisteriawood/machines/attempts.py
@@ -21,7 +21,7 @@
 
 # A round that takes longer ends early, so that leases are renewed in time.
 ROUND_MAX_S = 3.0
-USAGE_PERIOD_S = 1.0
+USAGE_PERIOD_S = 2.0
 # Time for which a service instance that is to leave may end its requests.
 SERVICE_DRAIN_S = 5.0
 MAX_REFUSALS = 3
--- a/wisteriawood/machines/cancels.py
+++ b/wisteriawood/machines/cancels.py
@@ -17,7 +17,7 @@
 if typing.TYPE_CHECKING:
     from wisteriawood.machines import schedulers
 
-CANCEL_PERIOD_S = 0.5
+CANCEL_PERIOD_S = 1.0
 # Rounds after which a request that nobody has carried out is looked into.
 LOOK_UP_ROUNDS = 4
 
--- a/wisteriawood/machines/slot_clients.py
+++ b/wisteriawood/machines/slot_clients.py
@@ -24,7 +24,7 @@
 REPORT_PERIOD_S = 0.5
 ANSWER_TIMEOUT_S = 2.0
 REDIAL_PERIOD_S = 0.5
-REVIEW_PERIOD_S = 0.1
+REVIEW_PERIOD_S = 0.25
 # How long before the end of a term the table is asked for the grantor.
 ENQUIRY_S = 3.0
 # Part of the demand that is kept from one report to the next.
--- a/wisteriawood/standins/demos.py
+++ b/wisteriawood/standins/demos.py
@@ -8,6 +8,7 @@
 import anyio
 import msgspec
 
+from wisteriawood.config import questionnaire
 from wisteriawood.contracts import resources
 from wisteriawood.contracts import tasks
 from wisteriawood.links import configurations
@@ -29,6 +30,8 @@
 SERVICES_PER_ZONE = 2
 GIB = 1024**3
 
+EXAMPLES = pathlib.Path(questionnaire.__file__).parent / "examples"
+
 Say = typing.Callable[[str], None]
 
 
@@ -117,13 +120,11 @@
         return await self._finish()
 
     async def _configure(self) -> None:
-        document = {
-            "teams": {
-                self._team: {
-                    "services": {self._service: {"deadline_ms": 5000}}
-                }
-            },
-        }
+        answers = questionnaire.read_file(
+            file=str(EXAMPLES / f"{self._team}.json")
+        )
+        outcome = questionnaire.build(answers)
+        document = questionnaire.merge({"teams": {}}, outcome)
         platform = self._cluster.platform()
         await configurations.apply(platform, document, base=0, author="demo")
         await platform.aclose()
