--- a/wisteriawood/standins/daemons.py
+++ b/wisteriawood/standins/daemons.py
@@ -58,6 +58,47 @@
     await _serve_until_told(target.make_app(), address)
 
 
+class TargetServers:
+    """Serves the targets of a worker's services, each on a free port.
+
+    Args:
+        host: Address that they listen on.
+        ports: Their ports.
+    """
+
+    __slots__ = ("_count", "_free", "_host", "served")
+
+    def __init__(self, *, host: str, ports: list[int]):
+        self._count = len(ports)
+        self._free = list(ports)
+        self._host = host
+        self.served: list[targets.StandinTarget] = []
+
+    async def serve(self, attempt: workers.Attempt) -> None:
+        """Serve the target of an attempt until it stops.
+
+        Args:
+            attempt: The attempt; it learns the address.
+        """
+        target = targets.StandinTarget(
+            name=attempt.spec.id,
+            slots=attempt.spec.slots,
+            service_s=float(attempt.spec.arguments.get("service_s", 0.01)),
+        )
+        self.served.append(target)
+        port = self._free.pop(0)
+        attempt.address = f"{self._host}:{port}"
+        await https.serve_until(
+            target.make_app(), attempt.address, attempt.stop
+        )
+        self._free.append(port)
+
+    async def wait_until_stopped(self) -> None:
+        """Wait until no target is served."""
+        while len(self._free) < self._count:
+            await anyio.sleep(PORT_PERIOD_S)
+
+
 async def run_worker(
     *,
     name: str,
@@ -76,36 +117,18 @@
         target_ports: Ports for the targets that it serves.
     """
     host = address.rsplit(":", 1)[0]
-    free_ports = list(target_ports)
-    served: list[targets.StandinTarget] = []
-
-    async def _serve_target(attempt: workers.Attempt) -> None:
-        target = targets.StandinTarget(
-            name=attempt.spec.id,
-            slots=attempt.spec.slots,
-            service_s=float(attempt.spec.arguments.get("service_s", 0.01)),
-        )
-        served.append(target)
-        port = free_ports.pop(0)
-        target_address = f"{host}:{port}"
-        attempt.address = target_address
-        await https.serve_until(
-            target.make_app(), target_address, attempt.stop
-        )
-        free_ports.append(port)
-
+    servers = TargetServers(host=host, ports=target_ports)
     worker = workers.StandinWorker(
         name=name,
         capacity=capacity,
         objects=platforms.HttpPlatform(url=platform_url),
-        serve_target=_serve_target,
+        serve_target=servers.serve,
     )
+    app = workers.WorkerApp(worker=worker, served=servers.served).make_app()
     async with anyio.create_task_group() as group:
         group.start_soon(worker.run)
-        app = workers.WorkerApp(worker=worker, served=served).make_app()
         await _serve_until_told(app, address)
         for attempt in worker.attempts.values():
             attempt.stop.set()
-        while len(free_ports) < len(target_ports):
-            await anyio.sleep(PORT_PERIOD_S)
+        await servers.wait_until_stopped()
         group.cancel_scope.cancel()
--- a/wisteriawood/tests/pages_tests.py
+++ b/wisteriawood/tests/pages_tests.py
@@ -4,6 +4,7 @@
 import re
 import unittest
 
+from wisteriawood.bench import capacity
 from wisteriawood.telemetry import catalogue
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -19,6 +20,12 @@
             catalogue.render(), page, "write it anew: make events"
         )
 
+    def test_capacity_is_worked_out_from_the_slopes(self):
+        page = (DOCS / "CAPACITY.md").read_text(encoding="utf-8")
+        self.assertEqual(
+            capacity.render(), page, "work it out anew: make capacity"
+        )
+
     def test_links_between_pages_lead_somewhere(self):
         pages = [ROOT / "README.md", *DOCS.rglob("*.md")]
         for page in pages:
