Give routing policies one base; bound the size of answers

Cause: four policies repeated the same constructor and empty methods; and an answer of any size was gathered in memory, where a daemon has 64 MB. An answer over 8 MiB is now unknown with the reason, never cut: its test fails without the bound (the whole body came back) and passes with it.

--- a/wisteriawood/bench/capacity.py
+++ b/wisteriawood/bench/capacity.py
@@ -136,38 +136,45 @@
     ]
 
 
-def _scheduler_lines(slopes: Slopes) -> list[Line]:
+def _scheduler_cores(slopes: Slopes) -> float:
+    """Return the processor time of one scheduler, in % of a core."""
     schedulers = _entry_hosts()
-    workers = WORKERS / schedulers
-    tasks = TASKS / schedulers
-    starts = STARTS_PER_S / schedulers
-    targets = TARGETS / schedulers
     grantor_us = (
         slopes.get("slots/350-targets/grantor")
         - slopes.get("slots/35-targets/grantor")
     ) / 315.0
-    links = schedulers / ZONES
-    cores = (
+    links = TARGETS / schedulers * schedulers / ZONES
+    return (
         slopes.get("control/scheduler/processor")
-        + workers * slopes.get("control/worker/processor")
-        + 100 * starts * slopes.get("recovery/starts/cpu-per-start")
-        + 100 * grantor_us * targets * links / 1e6
+        + WORKERS / schedulers * slopes.get("control/worker/processor")
+        + 100
+        * (STARTS_PER_S / schedulers)
+        * slopes.get("recovery/starts/cpu-per-start")
+        + 100 * grantor_us * links / 1e6
     )
-    memory = (
-        slopes.get("control/scheduler/memory")
-        + (
-            workers * slopes.get("tasks/memory/index-per-worker")
-            + tasks * slopes.get("recovery/starts/memory-per-task")
-            + targets * slopes.get("slots/350-targets/first-grants")
-        )
-        / 1e6
+
+
+def _scheduler_memory_mb(slopes: Slopes) -> float:
+    """Return the memory of one scheduler."""
+    bytes_of_all = (
+        WORKERS * slopes.get("tasks/memory/index-per-worker")
+        + TASKS * slopes.get("recovery/starts/memory-per-task")
+        + TARGETS * slopes.get("slots/350-targets/first-grants")
     )
+    own_mb = bytes_of_all / _entry_hosts() / 1e6
+    return slopes.get("control/scheduler/memory") + own_mb
+
+
+def _scheduler_lines(slopes: Slopes) -> list[Line]:
+    schedulers = _entry_hosts()
     return [
         Line(
             role="scheduler",
-            what=f"processor time, {workers:.0f} workers, {tasks:.0f} tasks, "
-            f"{targets:.0f} targets, {links:.0f} entry hosts",
-            value=cores,
+            what=f"processor time, {WORKERS / schedulers:.0f} workers, "
+            f"{TASKS / schedulers:.0f} tasks, "
+            f"{TARGETS / schedulers:.0f} targets, "
+            f"{schedulers / ZONES:.0f} entry hosts",
+            value=_scheduler_cores(slopes),
             unit="% core",
             limit=MAX_CORES_PERCENT,
             mechanism="racks spread over all entry hosts; one renewal a "
@@ -176,7 +183,7 @@
         Line(
             role="scheduler",
             what="resident memory",
-            value=memory,
+            value=_scheduler_memory_mb(slopes),
             unit="MB",
             limit=MAX_MEMORY_MB,
             mechanism="one record a task, slotted; no copy of the table",
@@ -184,7 +191,7 @@
         Line(
             role="scheduler",
             what="starts at the peak, each",
-            value=starts,
+            value=STARTS_PER_S / schedulers,
             unit="1/s",
             mechanism="group commit of up to 200 changes",
         ),
@@ -272,6 +279,12 @@
             limit=MAX_READS,
             mechanism="each daemon polls for itself",
         ),
+    ]
+
+
+def _other_lines(slopes: Slopes) -> list[Line]:
+    change_rate = CHANGES_PER_DAY / DAY_S
+    return [
         Line(
             role="object store",
             what="checkpoints, if each job is evicted once a day",
@@ -333,6 +346,7 @@
         *_scheduler_lines(slopes),
         *_worker_lines(slopes),
         *_table_lines(slopes),
+        *_other_lines(slopes),
     ]
     rows = "\n".join(line.render() for line in lines)
     return f"{_HEAD}{rows}\n\n{_breaks(slopes, lines)}"
--- a/wisteriawood/links/targets.py
+++ b/wisteriawood/links/targets.py
@@ -25,6 +25,7 @@
         "upgrade",
     }
 )
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 DEFAULT_HEADERS = ("accept", "accept-encoding", "connection", "user-agent")
 
 
@@ -38,6 +39,21 @@
     )
 
 
+async def _read_body(response: httpx.Response) -> bytes:
+    chunks = []
+    size_bytes = 0
+    async for chunk in response.aiter_raw():
+        size_bytes += len(chunk)
+        if size_bytes > MAX_ANSWER_BYTES:
+            raise errors.RequestUnknownError(
+                reason=f"the target's answer is over {MAX_ANSWER_BYTES} "
+                "bytes; have the service answer in parts",
+                status=502,
+            )
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
 class TargetLink(typing.Protocol):
     """What a target can be asked; the users' bench can stand in here."""
 
@@ -117,9 +133,7 @@
                 ),
                 extensions={"trace": _check_time},
             ) as response:
-                body = b"".join(
-                    [chunk async for chunk in response.aiter_raw()]
-                )
+                body = await _read_body(response)
         except (
             httpx.ConnectError,
             httpx.ConnectTimeout,
--- a/wisteriawood/policies/routing/base.py
+++ b/wisteriawood/policies/routing/base.py
@@ -47,10 +47,20 @@
         """
 
 
-class ComparesNothing:
-    """Part of the policies that do not compare targets."""
+class BasePolicy:
+    """What the policies share: they learn nothing, unless they say so.
 
-    __slots__ = ()
+    Args:
+        rng: Source of random numbers.
+    """
+
+    __slots__ = ("_rng",)
+
+    def __init__(self, *, rng: random.Random):
+        self._rng = rng
+
+    def observe(self, target: targets.Target, *, latency_s: float) -> None:
+        """Learn nothing."""
 
     def slowdowns(self) -> dict[str, float]:
         """Return nothing: no target is known to be slow."""
@@ -59,6 +69,9 @@
     def tend(self) -> None:
         """Do nothing: nothing that was learned fades."""
 
+    def forget(self, target_id: str) -> None:
+        """Drop nothing."""
+
 
 class RoutingFactory(typing.Protocol):
     """Makes a routing policy."""
--- a/wisteriawood/policies/routing/latency_aware.py
+++ b/wisteriawood/policies/routing/latency_aware.py
@@ -9,7 +9,7 @@
 
 
 @base.ROUTING.register("latency-aware")
-class LatencyAware(base.ComparesNothing):
+class LatencyAware(base.BasePolicy):
     """Chooses the least product of mean latency and requests in flight.
 
     Args:
@@ -19,6 +19,7 @@
     __slots__ = ("_mean_s",)
 
     def __init__(self, *, rng: random.Random):
+        super().__init__(rng=rng)
         self._mean_s: dict[str, float] = {}
 
     def choose(
--- a/wisteriawood/policies/routing/least_in_flight.py
+++ b/wisteriawood/policies/routing/least_in_flight.py
@@ -1,23 +1,18 @@
 """Routing to the target with the fewest own requests in flight."""
 
-import random
-
 from wisteriawood.machines import targets
 from wisteriawood.policies.routing import base
 
 
 @base.ROUTING.register("least-in-flight")
-class LeastInFlight(base.ComparesNothing):
+class LeastInFlight(base.BasePolicy):
     """Chooses the target with the fewest requests in flight.
 
     Args:
         rng: Breaks ties.
     """
 
-    __slots__ = ("_rng",)
-
-    def __init__(self, *, rng: random.Random):
-        self._rng = rng
+    __slots__ = ()
 
     def choose(
         self,
@@ -31,9 +26,3 @@
         return self._rng.choice(
             [target for target in free if target.in_flight == fewest]
         )
-
-    def observe(self, target: targets.Target, *, latency_s: float) -> None:
-        """Learn nothing."""
-
-    def forget(self, target_id: str) -> None:
-        """Drop nothing."""
--- a/wisteriawood/policies/routing/round_robin.py
+++ b/wisteriawood/policies/routing/round_robin.py
@@ -7,7 +7,7 @@
 
 
 @base.ROUTING.register("round-robin")
-class RoundRobin(base.ComparesNothing):
+class RoundRobin(base.BasePolicy):
     """Goes through the targets by id and skips those without a free slot.
 
     Args:
@@ -17,6 +17,7 @@
     __slots__ = ("_last_id",)
 
     def __init__(self, *, rng: random.Random):
+        super().__init__(rng=rng)
         self._last_id = ""
 
     def choose(
@@ -31,9 +32,3 @@
         chosen = min(later or free, key=lambda target: target.id)
         self._last_id = chosen.id
         return chosen
-
-    def observe(self, target: targets.Target, *, latency_s: float) -> None:
-        """Learn nothing."""
-
-    def forget(self, target_id: str) -> None:
-        """Drop nothing."""
--- a/wisteriawood/policies/routing/two_choices.py
+++ b/wisteriawood/policies/routing/two_choices.py
@@ -1,23 +1,18 @@
 """Routing to the less loaded of two targets taken at random."""
 
-import random
-
 from wisteriawood.machines import targets
 from wisteriawood.policies.routing import base
 
 
 @base.ROUTING.register("two-choices")
-class TwoChoices(base.ComparesNothing):
+class TwoChoices(base.BasePolicy):
     """Chooses the target with fewer requests in flight out of two.
 
     Args:
         rng: Takes the two.
     """
 
-    __slots__ = ("_rng",)
-
-    def __init__(self, *, rng: random.Random):
-        self._rng = rng
+    __slots__ = ()
 
     def choose(
         self,
@@ -30,9 +25,3 @@
         one = self._rng.choice(free)
         other = self._rng.choice(free)
         return other if other.in_flight < one.in_flight else one
-
-    def observe(self, target: targets.Target, *, latency_s: float) -> None:
-        """Learn nothing."""
-
-    def forget(self, target_id: str) -> None:
-        """Drop nothing."""
--- a/wisteriawood/tests/callers_tests.py
+++ b/wisteriawood/tests/callers_tests.py
@@ -124,6 +124,17 @@
         with self.assertRaises(errors.RequestUnknownError):
             self.send(target, body=b"mine")
 
+    def test_answer_over_the_limit_is_never_passed_on_cut(self):
+        target = target_standins.StandinTarget(name="t", slots=8)
+        body = b"x" * (targets.MAX_ANSWER_BYTES + 1)
+        with self.assertRaises(errors.RequestUnknownError):
+            self.send(target, body=body)
+
+    def test_answer_at_the_limit_is_whole(self):
+        target = target_standins.StandinTarget(name="t", slots=8)
+        body = b"x" * targets.MAX_ANSWER_BYTES
+        self.assertEqual(body, self.send(target, body=body).body)
+
     def test_path_of_two_slashes_stays_on_the_target(self):
         target = target_standins.StandinTarget(name="t", slots=8)
         answer = self.send(target, path="//elsewhere/x", body=b"mine")
