Explain why a task waits by asking the schedulers of its zone

Cause: the reason is kept by the scheduler, without a write for each round, and nothing outside the process could read it: explain said that the task had not been looked at yet. Now each scheduler publishes where it serves operators and answers /waiting/TASK; explain asks those of the zone and passes over one that is dead.

--- a/wisteriawood/commands/explain.py
+++ b/wisteriawood/commands/explain.py
@@ -8,9 +8,13 @@
 
 from wisteriawood.commands import base
 from wisteriawood.commands import times
+from wisteriawood.contracts import holdings
+from wisteriawood.contracts import keys
 from wisteriawood.contracts import tasks
 from wisteriawood import errors
+from wisteriawood.links.codecs import rows
 from wisteriawood.links import jobs
+from wisteriawood.links import operators
 from wisteriawood.links import platforms
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import records
@@ -139,8 +143,29 @@
 async def _find(url: str, task_id: str) -> tasks.Task | None:
     platform = platforms.HttpPlatform(url=url)
     try:
-        return await jobs.find(platform, task_id)
+        task = await jobs.find(platform, task_id)
+        if task.state in tasks.WAITING_STATES:
+            task.reason = await _ask_why(platform, task) or task.reason
+        return task
     except errors.NotFoundError:
         return None
     finally:
         await platform.aclose()
+
+
+async def _ask_why(platform: platforms.Platform, task: tasks.Task) -> str:
+    """Return what the schedulers of the task's zone say; empty if nothing."""
+    prefix = keys.members(holdings.Role.SCHEDULER)
+    for row in await platforms.scan_all(platform, prefix):
+        member = rows.from_value(row.value, holdings.MemberRow)
+        if member.zone != task.zone or not member.operator_address:
+            continue
+        try:
+            reason = await operators.ask_why(
+                address=member.operator_address, task=task.spec.id
+            )
+        except errors.LinkError:
+            continue
+        if reason:
+            return reason
+    return ""
--- a/wisteriawood/contracts/holdings.py
+++ b/wisteriawood/contracts/holdings.py
@@ -32,6 +32,7 @@
         region: Its region.
         incarnation: Random id of this start of the process.
         peer_address: Address at which peers dial it, as host:port.
+        operator_address: Where it serves operators, as host:port.
         state: Whether it accepts work.
         renewals: Count of renewals, so that each one changes the row.
         renewed_unix_s: Wall time of the renewal, for operators to read.
@@ -51,6 +52,7 @@
     region: str = ""
     incarnation: str
     peer_address: str
+    operator_address: str = ""
     state: HostState = HostState.LIVE
     renewals: int = 0
     renewed_unix_s: float = 0.0
--- a/wisteriawood/links/operators.py
+++ b/wisteriawood/links/operators.py
@@ -1,24 +1,66 @@
 """HTTP front end for operators: health, metrics and status."""
 
+import dataclasses
 import typing
 
+import httpx
 import prometheus_client
 from starlette import applications
 from starlette import requests
 from starlette import responses
 from starlette import routing
 
+from wisteriawood import errors
 from wisteriawood.links.codecs import rows
 from wisteriawood.telemetry import metrics
 
+ASK_TIMEOUT_S = 2.0
+
 Status = typing.Callable[[], typing.Any]
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Waiting:
+    """What a scheduler says of a task that may wait.
+
+    Attributes:
+        reason: Why it waits; empty if it does not wait there.
+    """
+
+    reason: str
+
+
+async def ask_why(*, address: str, task: str) -> str:
+    """Ask a scheduler why a task waits.
+
+    Args:
+        address: Where the scheduler serves operators, as host:port.
+        task: Id of the task.
+
+    Returns:
+        The reason; empty if it does not wait there.
+
+    Raises:
+        LinkClosedError: The scheduler does not answer.
+    """
+    async with httpx.AsyncClient(
+        timeout=ASK_TIMEOUT_S, trust_env=False, verify=False
+    ) as client:
+        try:
+            response = await client.get(f"http://{address}/waiting/{task}")
+        except httpx.HTTPError as exc:
+            raise errors.LinkClosedError(
+                f"the scheduler at {address} does not answer"
+            ) from exc
+    return rows.from_json(response.content, Waiting).reason
+
+
 def make_app(
     *,
     registry: prometheus_client.CollectorRegistry,
     ready: typing.Callable[[], str],
     status: Status,
+    explain: typing.Callable[[str], str] | None = None,
 ) -> applications.Starlette:
     """Return the application that serves operators.
 
@@ -26,6 +68,8 @@
         registry: Metrics of the daemon.
         ready: Returns why the daemon is not ready; empty if it is.
         status: Returns a record with the daemon's state.
+        explain: Returns why a task waits; empty if it does not. None
+            where the daemon has no tasks.
     """
 
     async def _healthz(_request: requests.Request) -> responses.Response:
@@ -48,11 +92,19 @@
             rows.to_json(status()), media_type="application/json"
         )
 
+    async def _show_waiting(request: requests.Request) -> responses.Response:
+        reason = explain(request.path_params["task"]) if explain else ""
+        return responses.Response(
+            rows.to_json(Waiting(reason=reason)),
+            media_type="application/json",
+        )
+
     return applications.Starlette(
         routes=[
             routing.Route("/healthz", _healthz),
             routing.Route("/readyz", _readyz),
             routing.Route("/metrics", _show_metrics),
             routing.Route("/status", _show_status),
+            routing.Route("/waiting/{task}", _show_waiting),
         ]
     )
--- a/wisteriawood/machines/daemons.py
+++ b/wisteriawood/machines/daemons.py
@@ -46,6 +46,7 @@
         region=config.region,
         incarnation=uuid.uuid4().hex,
         peer_address=config.peer_address,
+        operator_address=config.operator_address,
     )
 
 
@@ -180,6 +181,7 @@
         registry=counters.registry,
         ready=scheduler.not_ready,
         status=scheduler.status,
+        explain=scheduler.placer.explain,
     )
     async with _daemon(config, holdings.Role.SCHEDULER, _drain) as group:
         async with peers.serve(
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -8,10 +8,12 @@
 
 from wisteriawood.contracts import grants
 from wisteriawood.contracts import holdings
+from wisteriawood.contracts import keys
 from wisteriawood.contracts import requests
 from wisteriawood.contracts import resources
 from wisteriawood.contracts import tasks
 from wisteriawood import errors
+from wisteriawood.links.codecs import rows
 from wisteriawood.links import platforms
 from wisteriawood.links import workers as worker_links
 from wisteriawood.machines import allocators
@@ -291,3 +293,10 @@
         speed=speed,
         measured_s=measured_s,
     )
+
+
+async def put_member(platform, member):
+    """Write a member row into a table."""
+    key = keys.member(member.role, member.name)
+    write = platforms.Write(key=key, value=rows.to_value(member))
+    await platform.commit(platforms.Transaction(writes=[write]))
