Trace the hops of a task: its assignment and its start

The trace context of an assignment goes on with the start command, so that a worker can continue it.

--- a/wisteriawood/links/operators.py
+++ b/wisteriawood/links/operators.py
@@ -16,6 +16,7 @@
 
 ASK_TIMEOUT_S = 2.0
 
+Explain = typing.Callable[[str], str]
 Status = typing.Callable[[], typing.Any]
 
 
@@ -55,12 +56,23 @@
     return rows.from_json(response.content, Waiting).reason
 
 
+def _waiting_handler(explain: Explain | None) -> typing.Callable:
+    async def _show_waiting(request: requests.Request) -> responses.Response:
+        reason = explain(request.path_params["task"]) if explain else ""
+        return responses.Response(
+            rows.to_json(Waiting(reason=reason)),
+            media_type="application/json",
+        )
+
+    return _show_waiting
+
+
 def make_app(
     *,
     registry: prometheus_client.CollectorRegistry,
     ready: typing.Callable[[], str],
     status: Status,
-    explain: typing.Callable[[str], str] | None = None,
+    explain: Explain | None = None,
 ) -> applications.Starlette:
     """Return the application that serves operators.
 
@@ -92,19 +104,12 @@
             rows.to_json(status()), media_type="application/json"
         )
 
-    async def _show_waiting(request: requests.Request) -> responses.Response:
-        reason = explain(request.path_params["task"]) if explain else ""
-        return responses.Response(
-            rows.to_json(Waiting(reason=reason)),
-            media_type="application/json",
-        )
-
     return applications.Starlette(
         routes=[
             routing.Route("/healthz", _healthz),
             routing.Route("/readyz", _readyz),
             routing.Route("/metrics", _show_metrics),
             routing.Route("/status", _show_status),
-            routing.Route("/waiting/{task}", _show_waiting),
+            routing.Route("/waiting/{task}", _waiting_handler(explain)),
         ]
     )
--- a/wisteriawood/links/workers.py
+++ b/wisteriawood/links/workers.py
@@ -34,6 +34,7 @@
         lease_s: Seconds it may run without a renewal.
         not_after_s: Latest time of the worker's clock to start at.
         checkpoint: Object key to resume from; empty to start anew.
+        traceparent: W3C trace context of the order.
     """
 
     spec: tasks.TaskSpec
@@ -41,6 +42,7 @@
     lease_s: float
     not_after_s: float
     checkpoint: str = ""
+    traceparent: str = ""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/wisteriawood/machines/attempts.py
+++ b/wisteriawood/machines/attempts.py
@@ -196,7 +196,14 @@
             checkpoint=placement.task.checkpoint,
         )
         try:
-            is_started = await self._worker.link.start(command)
+            with self._scheduler.tracer.span(
+                "start",
+                traceparent=placement.traceparent,
+                task=command.spec.id,
+                attempt=command.attempt,
+                worker=self._worker.name,
+            ) as command.traceparent:
+                is_started = await self._worker.link.start(command)
         except errors.PlatformError:
             # The worker can't read the checkpoint; it is asked again.
             return
--- a/wisteriawood/machines/daemons.py
+++ b/wisteriawood/machines/daemons.py
@@ -164,11 +164,15 @@
         config: Settings of the daemon.
     """
     counters = metrics.SchedulerMetrics()
+    tracer = spans.Tracer(
+        service=f"scheduler/{config.name}", path=config.trace_file
+    )
     scheduler = schedulers.Scheduler(
         platform=platforms.HttpPlatform(url=config.platform_url),
         member=make_member(config, holdings.Role.SCHEDULER),
         counters=counters,
         rng=random.Random(config.seed),
+        tracer=tracer,
         policy=config.placement_policy or placement_base.DEFAULT,
     )
 
@@ -194,3 +198,4 @@
                 scheduler.stopped,
             )
             await scheduler.run()
+    tracer.close()
--- a/wisteriawood/machines/schedulers.py
+++ b/wisteriawood/machines/schedulers.py
@@ -30,6 +30,7 @@
 from wisteriawood.policies.placement import base
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import metrics
+from wisteriawood.telemetry import spans
 from wisteriawood.zones import drains
 from wisteriawood.zones import followers
 from wisteriawood.zones import membership
@@ -55,6 +56,7 @@
         member: Own member row.
         counters: Metrics of the daemon.
         rng: Source of random numbers.
+        tracer: Makes the spans.
         dial_worker: Opens the link to the worker at an address.
         dial_peer: Opens the channel to the peer at an address.
         policy: Name of the placement policy.
@@ -78,6 +80,7 @@
         "racks",
         "stopped",
         "stopping",
+        "tracer",
     )
 
     def __init__(
@@ -87,12 +90,14 @@
         member: holdings.MemberRow,
         counters: metrics.SchedulerMetrics,
         rng: random.Random,
+        tracer: spans.Tracer,
         dial_worker=worker_links.HttpWorker,
         dial_peer=peers.connect,
         policy: str = base.DEFAULT,
     ):
         self.platform = platform
         self.counters = counters
+        self.tracer = tracer
         self.membership = membership.Membership(platform=platform, own=member)
         self.peering = peering.Peering(
             members=self.membership, machine=self, dial_peer=dial_peer
@@ -268,7 +273,10 @@
         try:
             if rack is None or not self.has_authority(rack):
                 raise errors.TransactionConflictError("the rack is not held")
-            await transitions.assign(self, rack, worker, placement)
+            with self.tracer.span(
+                "assign", task=task_id, worker=worker.name
+            ) as placement.traceparent:
+                await transitions.assign(self, rack, worker, placement)
         except errors.PlatformError:
             worker.remove(task_id)
             return
--- a/wisteriawood/machines/workers.py
+++ b/wisteriawood/machines/workers.py
@@ -34,6 +34,7 @@
         change: Change of state that waits for its commit, if any.
         changed: The task as it will be once that is committed.
         is_ending: Whether that change takes the task from the worker.
+        traceparent: W3C trace context of the assignment.
     """
 
     task: tasks.Task
@@ -53,6 +54,7 @@
     change: commits.Change | None = None
     changed: tasks.Task | None = None
     is_ending: bool = False
+    traceparent: str = ""
 
     def is_unwanted(self) -> bool:
         """Tell whether the task is to leave the worker."""
--- a/wisteriawood/standins/clusters.py
+++ b/wisteriawood/standins/clusters.py
@@ -265,6 +265,7 @@
             {
                 "peer_address": pair.scheduler_peer_address,
                 "operator_address": pair.scheduler_operator_address,
+                "trace_file": str(self.folder / f"scheduler-{name}.spans"),
             },
         )
 
--- a/wisteriawood/standins/workers.py
+++ b/wisteriawood/standins/workers.py
@@ -48,6 +48,7 @@
         stopped_s: Monotonic time of its end; 0 while it runs.
         resumed_from: Checkpoint that it resumed from.
         end: How it ended.
+        traceparent: Trace context of the order to start.
         needs: Resources that it was given.
         is_told: Whether a command stopped it, not its lease.
     """
@@ -58,6 +59,7 @@
     stopped_s: float = 0.0
     resumed_from: str = ""
     end: str = ""
+    traceparent: str = ""
     needs: resources.Resources = resources.NOTHING
     is_told: bool = False
 
@@ -168,6 +170,7 @@
                 attempt=command.attempt,
                 started_s=now_s,
                 resumed_from=command.checkpoint,
+                traceparent=command.traceparent,
                 needs=command.spec.needs,
             ),
         )
--- a/wisteriawood/standins/worlds.py
+++ b/wisteriawood/standins/worlds.py
@@ -230,6 +230,7 @@
             member=member,
             counters=metrics.SchedulerMetrics(),
             rng=random.Random(self.seed),
+            tracer=spans.Tracer(service=process.name),
             dial_worker=functools.partial(self._dial_worker, process),
             dial_peer=functools.partial(self._dial_peer, process),
         )
--- a/wisteriawood/tests/path_tests.py
+++ b/wisteriawood/tests/path_tests.py
@@ -34,7 +34,7 @@
 
     def test_batch_job_finishes(self):
         async def _check(world):
-            world.add_worker(builders.make_worker_host())
+            worker = world.add_worker(builders.make_worker_host())
             world.add_scheduler(builders.make_member())
             spec = builders.make_spec(run_s=60.0)
             await jobs.submit(world.platform, [spec], zone="linz-a")
@@ -42,6 +42,10 @@
             task = await jobs.find(world.platform, spec.id)
             self.assertEqual(tasks.TaskState.FINISHED, task.state)
             self.assertEqual(1, task.attempt)
+            self.assertRegex(
+                worker.records[0].traceparent,
+                "^00-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}$",
+            )
 
         builders.run_world(_check)
 
