--- a/wisteriawood/bench/tasks.py
+++ b/wisteriawood/bench/tasks.py
@@ -20,6 +20,7 @@
 from wisteriawood.links import platforms
 from wisteriawood.machines import allocators
 from wisteriawood.machines import workers
+from wisteriawood.standins import processes
 from wisteriawood.standins import worlds
 
 SECONDS = 400
@@ -264,8 +265,8 @@
         # Every call takes as long as the users' zones are apart.
         world.delays_s["scheduler/linz-a-1", host.address] = 0.003
         world.delays_s[host.address, "scheduler/linz-a-1"] = 0.003
-    world.delays_s["scheduler/linz-a-1", worlds.PLATFORM] = 0.003
-    world.delays_s[worlds.PLATFORM, "scheduler/linz-a-1"] = 0.003
+    world.delays_s["scheduler/linz-a-1", processes.PLATFORM] = 0.003
+    world.delays_s[processes.PLATFORM, "scheduler/linz-a-1"] = 0.003
     world.add_scheduler(
         holdings.MemberRow(
             name="linz-a-1",
