Set the gauges of slots and requests; drop what nothing calls

Cause, found on reading the whole change: the gauges of slots held and of requests in flight were exposed and never set, so they always read 0; a gauge of tasks, an error, a set of states, a question's parser and a method of the grantor had no caller. The gauges are set where that of waiting requests is, the rest is gone. The new assertion on slots held gives 0 of 8 without the change and 8 with it.

--- a/wisteriawood/config/questions/base.py
+++ b/wisteriawood/config/questions/base.py
@@ -54,13 +54,6 @@
         return text
 
 
-def read_yes_no(text: str) -> typing.Any:
-    """Return the answer to a question that takes yes or no."""
-    return {"yes": True, "y": True, "no": False, "n": False}.get(
-        text.strip().lower(), text
-    )
-
-
 def read_numbers(text: str) -> typing.Any:
     """Return the answer to a question that takes NAME=NUMBER pairs."""
     pairs = [pair.partition("=") for pair in read_names(text)]
--- a/wisteriawood/contracts/tasks.py
+++ b/wisteriawood/contracts/tasks.py
@@ -29,9 +29,6 @@
 
 
 WAITING_STATES = frozenset({TaskState.PENDING, TaskState.EVICTED})
-PLACED_STATES = frozenset(
-    {TaskState.ASSIGNED, TaskState.RUNNING, TaskState.STOPPING}
-)
 ENDED_STATES = frozenset(
     {
         TaskState.FINISHED,
--- a/wisteriawood/errors.py
+++ b/wisteriawood/errors.py
@@ -129,9 +129,5 @@
         super().__init__(reason)
 
 
-class AuthorityError(WisteriawoodError):
-    """The holder's term has ended, so it may not gain or move anything."""
-
-
 class PlacementError(WisteriawoodError):
     """A task can't be placed; the message says why."""
--- a/wisteriawood/machines/entry_hosts.py
+++ b/wisteriawood/machines/entry_hosts.py
@@ -193,7 +193,13 @@
             await anyio.sleep(TEND_PERIOD_S)
             for service in self.services.values():
                 service.tend()
-            self.counters.waiting.set(self.room.usage.waiting)
+            self._set_gauges()
+
+    def _set_gauges(self) -> None:
+        held = self.targets.values()
+        self.counters.waiting.set(self.room.usage.waiting)
+        self.counters.in_flight.set(sum(t.in_flight for t in held))
+        self.counters.slots_held.set(sum(t.grant.slots for t in held))
 
     async def _say_gone(self) -> None:
         """Tell the table that all slots have been returned."""
--- a/wisteriawood/machines/grantors.py
+++ b/wisteriawood/machines/grantors.py
@@ -384,17 +384,3 @@
                 if not holder.is_draining
             },
         )
-
-    def is_idle(self, rack: str, target: str) -> bool:
-        """Tell whether no entry host can have a request at a target.
-
-        Args:
-            rack: Name of its rack.
-            target: Id of the target.
-        """
-        book = self.books.get(rack)
-        return (
-            book is not None
-            and book.is_counted()
-            and book.target(target).counted() == 0
-        )
--- a/wisteriawood/telemetry/metrics.py
+++ b/wisteriawood/telemetry/metrics.py
@@ -71,7 +71,6 @@
         "placements",
         "racks_held",
         "registry",
-        "tasks",
         "transitions",
     )
 
@@ -87,12 +86,6 @@
             "Racks that this scheduler holds.",
             registry=self.registry,
         )
-        self.tasks = prometheus_client.Gauge(
-            "wisteriawood_tasks",
-            "Tasks on the racks held, by state.",
-            ["state"],
-            registry=self.registry,
-        )
         self.commits = prometheus_client.Counter(
             "wisteriawood_commits",
             "Transactions committed to the table.",
--- a/wisteriawood/tests/path_tests.py
+++ b/wisteriawood/tests/path_tests.py
@@ -62,6 +62,13 @@
                 for name in ("linz-a-1", "linz-a-2")
             ]
             await anyio.sleep(10)
+            slots = [
+                entry.counters.registry.get_sample_value(
+                    "wisteriawood_slots_held"
+                )
+                for entry in entries
+            ]
+            self.assertEqual(8, sum(slots))
             async with anyio.create_task_group() as group:
                 for number in range(40):
                     request = builders.make_request(
