--- /dev/null
+++ b/wisteriawood/cells/cells.py
@@ -0,0 +1,379 @@
+"""A cell in the hands of its holder: its jobs and its workers."""
+
+import time
+import typing
+
+import anyio
+from anyio import abc
+
+from wisteriawood.cells import claims
+from wisteriawood.cells import ledgers
+from wisteriawood.cells import placers
+from wisteriawood.cells import progress
+from wisteriawood.cells import runs
+from wisteriawood.cells import tables
+from wisteriawood.cells import workers
+from wisteriawood import errors
+from wisteriawood.jobs import jobs
+from wisteriawood.jobs import tasks
+from wisteriawood.links import runners
+from wisteriawood.links import stores
+from wisteriawood.policies.spreading import base as spreading
+from wisteriawood.telemetry import events
+from wisteriawood.telemetry import job_metrics
+
+_LOG = events.Logger(name=__name__)
+
+
+class Cell:
+    """What the holder of a cell knows and decides.
+
+    Args:
+        claim: The claim under which the cell is held.
+        store: The store.
+        policy: Chooses the worker of each run.
+        counters: Metrics.
+
+    Attributes:
+        jobs: All jobs of the cell, by id.
+        fleet: The workers, by id.
+        orphans: Runs on workers that the directory does not list, by
+            worker.
+    """
+
+    __slots__ = (
+        "_group",
+        "_placer",
+        "_waiting",
+        "claim",
+        "counters",
+        "fleet",
+        "jobs",
+        "ledger",
+        "orphans",
+        "store",
+    )
+
+    def __init__(
+        self,
+        *,
+        claim: claims.Claim,
+        store: stores.Store,
+        policy: spreading.SpreadingPolicy,
+        counters: job_metrics.JobMetrics,
+    ):
+        self.claim = claim
+        self.store = store
+        self.counters = counters
+        self.jobs: dict[str, jobs.Job] = {}
+        self.fleet: dict[str, workers.Worker] = {}
+        self.orphans: dict[str, list[runs.Run]] = {}
+        self.ledger = ledgers.Ledger(
+            store=store,
+            claim_at=tables.claim_row(claim.cell),
+            claim_version=claim.version,
+        )
+        self._placer = placers.Placer(policy=policy)
+        self._waiting: dict[str, tuple[jobs.Job, list[list[tasks.Task]]]] = {}
+        self._group: abc.TaskGroup | None = None
+
+    @property
+    def name(self) -> str:
+        """Name of the cell."""
+        return self.claim.cell
+
+    def open(self, group: abc.TaskGroup) -> None:
+        """Begin to work.
+
+        Args:
+            group: Runs what follows from decisions.
+        """
+        self._group = group
+
+    def add_job(self, job: jobs.Job) -> None:
+        """Take a job on.
+
+        Args:
+            job: The job, new or read from the store.
+        """
+        age_s = time.time() - job.spec.accepted_unix_ms / 1000
+        job.accepted_at_s = anyio.current_time() - max(0.0, age_s)
+        self.jobs[job.id] = job
+        if not job.is_ended() and job.open_due(time.time() * 1000):
+            self.counters.ready.inc()
+        self.refresh(job)
+
+    def refresh(self, job: jobs.Job) -> None:
+        """Find out which tasks of a job may start.
+
+        Args:
+            job: The job.
+        """
+        waiting = progress.waiting_steps(job)
+        if waiting:
+            self._waiting[job.id] = (job, waiting)
+        else:
+            self._waiting.pop(job.id, None)
+
+    def open_occurrences(self) -> None:
+        """Open the occurrences of timed jobs that are due."""
+        now_unix_ms = time.time() * 1000
+        for job in self.jobs.values():
+            if job.spec.is_timed() and not job.is_ended():
+                if job.open_due(now_unix_ms):
+                    self.refresh(job)
+
+    def place(self) -> None:
+        """Assign waiting tasks, write the rows and start the runs."""
+        if not self._waiting or self._group is None:
+            return
+        assigned = self._placer.place(
+            self._waiting, self.fleet.values(), anyio.current_time()
+        )
+        if not assigned:
+            return
+        batches = []
+        for job in {run.job.id: run.job for _worker, run in assigned}.values():
+            if job.state is jobs.JobState.QUEUED:
+                job.state = jobs.JobState.RUNNING
+            self.refresh(job)
+            batches.append(self.ledger.mark(job))
+        self._group.start_soon(self._launch, assigned, batches)
+
+    async def _launch(
+        self,
+        assigned: list[tuple[workers.Worker, runs.Run]],
+        batches: list[ledgers.Batch],
+    ) -> None:
+        await self.ledger.save(batches)
+        for worker, run in assigned:
+            if run.is_current() and not run.is_stopping:
+                worker.orders.send_nowait(run)
+
+    def end_run(
+        self,
+        worker: workers.Worker,
+        run: runs.Run,
+        outcome: tasks.Outcome,
+        checkpoint: str = "",
+    ) -> ledgers.Batch | None:
+        """Take in that a run is surely not on its worker any more.
+
+        Args:
+            worker: The worker.
+            run: The run.
+            outcome: How it ended.
+            checkpoint: Its last checkpoint; empty for the last reported.
+
+        Returns:
+            The batch with which the change is written; None if there is
+            none.
+        """
+        now_s = anyio.current_time()
+        worker.free(run)
+        self.counters.ends.labels(outcome=outcome).inc()
+        if outcome in (tasks.Outcome.DONE, tasks.Outcome.FAILED):
+            has_failed = outcome is tasks.Outcome.FAILED
+            if worker.note_end(run, has_failed, now_s):
+                _LOG.log(
+                    events.RUN_WORKER_PROBATION,
+                    worker=worker.id,
+                    until_s=round(worker.avoided_until_s - now_s, 1),
+                )
+        if not run.is_current():
+            return None
+        return self.settle_end(
+            run.job, run.task, outcome, checkpoint or run.checkpoint
+        )
+
+    def settle_end(
+        self,
+        job: jobs.Job,
+        task: tasks.Task,
+        outcome: tasks.Outcome,
+        checkpoint: str,
+    ) -> ledgers.Batch:
+        """Take the end of a task's newest run into its job.
+
+        Args:
+            job: The job.
+            task: The task.
+            outcome: How the run ended.
+            checkpoint: Its last checkpoint.
+
+        Returns:
+            The batch with which the change is written.
+        """
+        was_ended = job.is_ended()
+        if was_ended:
+            task.release(tasks.Phase.WAITING)
+        else:
+            progress.end_run(job, task, outcome, checkpoint)
+        if outcome is not tasks.Outcome.DONE:
+            _LOG.log(
+                events.RUN_ENDED,
+                task=tasks.task_name(job.id, task),
+                run=task.run,
+                outcome=outcome,
+                failures=task.failures,
+            )
+        if job.is_ended() and not was_ended:
+            self.close_job(job, job.state)
+        self.refresh(job)
+        return self.ledger.mark(job)
+
+    def close_job(self, job: jobs.Job, state: jobs.JobState) -> ledgers.Batch:
+        """End a job and stop what still runs of it.
+
+        Args:
+            job: The job.
+            state: Its final state.
+
+        Returns:
+            The batch with which the end is written.
+        """
+        job.state = state
+        job.ended_unix_ms = int(time.time() * 1000)
+        self.counters.jobs_ended.labels(state=state).inc()
+        _LOG.log(
+            events.JOB_ENDED,
+            job=job.id,
+            queue=job.spec.queue.name,
+            state=state,
+            age_s=round(anyio.current_time() - job.accepted_at_s, 3),
+            objective_s=round(job.objective_s, 3),
+        )
+        for worker in self.fleet.values():
+            for run in list(worker.runs.values()):
+                if run.job is job:
+                    self.stop_run(worker, run)
+        self.refresh(job)
+        return self.ledger.mark(job)
+
+    def stop_run(self, worker: workers.Worker, run: runs.Run) -> None:
+        """Order a run to stop; its end tells when it has.
+
+        Args:
+            worker: The worker.
+            run: The run.
+        """
+        if run.is_stopping:
+            return
+        run.is_stopping = True
+        if run.was_sent:
+            worker.orders.send_nowait(run)
+            return
+        # Nothing has left for the worker, so nothing can begin there.
+        batch = self.end_run(worker, run, tasks.Outcome.STOPPED)
+        del batch
+
+    def stop_unknown(
+        self, worker: workers.Worker, active: runners.ActiveRun
+    ) -> None:
+        """Stop a run that no row explains.
+
+        Args:
+            worker: The worker.
+            active: What the worker says of it.
+        """
+        if self._group is not None:
+            self._group.start_soon(self._send_stop, worker, active)
+
+    async def _send_stop(
+        self, worker: workers.Worker, active: runners.ActiveRun
+    ) -> None:
+        try:
+            await worker.link.stop(active.task_name, active.run, worker.token)
+        except runners.FencedError as exc:
+            raise tables.CellLostError(
+                "the worker has a newer holder"
+            ) from exc
+        except errors.LinkError as exc:
+            # The next report lists the run again.
+            _LOG.log(
+                events.RUN_STOP_UNANSWERED,
+                worker=worker.id,
+                task=active.task_name,
+                cause=str(exc),
+            )
+
+    def send_pace(self, worker: workers.Worker, run: runs.Run) -> None:
+        """Tell a worker at what share of its speed a run may work.
+
+        Args:
+            worker: The worker.
+            run: The run.
+        """
+        if self._group is not None:
+            self._group.start_soon(self._send_pace, worker, run)
+
+    async def _send_pace(self, worker: workers.Worker, run: runs.Run) -> None:
+        try:
+            await worker.link.pace(
+                run.name, run.number, run.pace_percent, worker.token
+            )
+        except runners.FencedError as exc:
+            raise tables.CellLostError(
+                "the worker has a newer holder"
+            ) from exc
+        except errors.LinkError as exc:
+            # While the strain lasts, the next look sends the next step.
+            _LOG.log(
+                events.PACE_UNANSWERED,
+                worker=worker.id,
+                task=run.name,
+                cause=str(exc),
+            )
+
+    def cancel_job(self, job_id: str) -> None:
+        """Carry out the cancellation of a job.
+
+        Args:
+            job_id: Id of the job.
+        """
+        job = self.jobs.get(job_id)
+        if job is None or job.is_ended():
+            return
+        self.close_job(job, jobs.JobState.CANCELED)
+
+    def now_unix_ms(self) -> float:
+        """Return the wall time in milliseconds."""
+        return time.time() * 1000
+
+    def has_runs(self, job: jobs.Job) -> bool:
+        """Tell whether a run of a job may be on a worker.
+
+        Args:
+            job: The job.
+        """
+        return any(
+            run.job is job
+            for worker in self.fleet.values()
+            for run in worker.runs.values()
+        )
+
+    def pending_by_queue(self) -> dict[str, int]:
+        """Return the numbers of jobs of which no task has started."""
+        counts: dict[str, int] = {}
+        for job in self.jobs.values():
+            if job.state is jobs.JobState.QUEUED and not job.spec.is_timed():
+                queue = job.spec.queue.name
+                counts[queue] = counts.get(queue, 0) + 1
+        return counts
+
+    def waiting_count(self) -> int:
+        """Return how many tasks could start but have no worker."""
+        return sum(
+            len(step)
+            for _job, found in self._waiting.values()
+            for step in found
+        )
+
+    def load_report(self) -> dict[str, typing.Any]:
+        """Return what other hosts need to know of the cell's load."""
+        return {
+            "epoch": self.claim.epoch,
+            "pending": self.pending_by_queue(),
+            "waiting": self.waiting_count(),
+            "workers": len(self.fleet),
+        }
--- /dev/null
+++ b/wisteriawood/cells/holders.py
@@ -0,0 +1,322 @@
+"""Holding a cell: read its rows, follow its hand-ins and its workers."""
+
+import typing
+
+import anyio
+from anyio import abc
+
+from wisteriawood.cells import cells
+from wisteriawood.cells import claims
+from wisteriawood.cells import followers
+from wisteriawood.cells import guards
+from wisteriawood.cells import leases
+from wisteriawood.cells import ledgers
+from wisteriawood.cells import orders
+from wisteriawood.cells import runs
+from wisteriawood.cells import tables
+from wisteriawood.cells import workers
+from wisteriawood import errors
+from wisteriawood.jobs import jobs
+from wisteriawood.jobs import tasks
+from wisteriawood.links.codecs import jobs as codec
+from wisteriawood.links import feeds
+from wisteriawood.links import runners
+from wisteriawood.links import stores
+from wisteriawood.telemetry import events
+
+_LOG = events.Logger(name=__name__)
+# Tokens of one epoch; each restart of a worker takes one.
+TOKENS_PER_EPOCH = 1000
+TICK_S = 0.25
+# A holder that can't reach the store renews leases for so long.
+RENEW_WITHOUT_STORE_S = 12.0
+REMOVE_PERIOD_TICKS = 40
+
+Dial = typing.Callable[[runners.Registration], runners.RunLink]
+
+
+class Holder:
+    """Works for one cell as long as its claim stands.
+
+    Args:
+        cell: The cell.
+        zones: All availability zones, sorted.
+        dial: Opens the link to a worker.
+        lease_s: Length of the workers' leases.
+        keep_s: Time for which the state of an ended job can be asked.
+        former_may_live: Whether the holder before may still renew leases.
+    """
+
+    __slots__ = (
+        "_began_at_s",
+        "_dial",
+        "_former_lapsed_at_s",
+        "_group",
+        "_guard",
+        "_keep_s",
+        "_lease_s",
+        "_ticks",
+        "_zones",
+        "cell",
+        "fleet_known",
+        "is_open",
+    )
+
+    def __init__(
+        self,
+        *,
+        cell: cells.Cell,
+        zones: list[str],
+        dial: Dial,
+        lease_s: float,
+        keep_s: float,
+        former_may_live: bool,
+    ):
+        self.cell = cell
+        self._zones = zones
+        self._dial = dial
+        self._lease_s = lease_s
+        self._keep_s = keep_s
+        lapse_s = lease_s * leases.CLOCK_DRIFT + leases.MARGIN_S
+        if former_may_live:
+            lapse_s += RENEW_WITHOUT_STORE_S
+        self._former_lapsed_at_s = anyio.current_time() + lapse_s
+        self._group: abc.TaskGroup | None = None
+        self._began_at_s = anyio.current_time()
+        self._guard = guards.Guard(cell=cell)
+        self._ticks = 0
+        self.fleet_known: dict[str, runners.Registration] = {}
+        self.is_open = False
+
+    def age_s(self) -> float:
+        """Return for how long the cell has been held."""
+        return anyio.current_time() - self._began_at_s
+
+    async def run(self) -> None:
+        """Work for the cell until cancelled.
+
+        Raises:
+            CellLostError: Another host holds the cell now.
+        """
+        began_at_s = anyio.current_time()
+        after = await self._load()
+        try:
+            async with anyio.create_task_group() as group:
+                self._group = group
+                self.cell.open(group)
+                for bucket in self._zones:
+                    group.start_soon(self.cell.ledger.write, bucket)
+                feed = feeds.Feed(
+                    store=self.cell.store,
+                    table=tables.specs_table(
+                        tables.zone_of_cell(self.cell.name)
+                    ),
+                    take=self._take_handins,
+                    after=after,
+                )
+                group.start_soon(feed.run)
+                self.is_open = True
+                self.update_fleet(self.fleet_known)
+                took_s = anyio.current_time() - began_at_s
+                self.cell.counters.takeover_s.observe(took_s)
+                _LOG.log(
+                    events.CELL_OPENED,
+                    cell=self.cell.name,
+                    epoch=self.cell.claim.epoch,
+                    jobs=len(self.cell.jobs),
+                    workers=len(self.cell.fleet),
+                    took_s=round(took_s, 3),
+                )
+                await self._tick_forever()
+        finally:
+            self.is_open = False
+            self.cell.ledger.close()
+            with anyio.CancelScope(shield=True):
+                for worker in list(self.cell.fleet.values()):
+                    await worker.link.aclose()
+
+    async def _load(self) -> int:
+        """Read the cell's jobs; return from where to follow hand-ins."""
+        name = self.cell.name
+        table = tables.specs_table(tables.zone_of_cell(name))
+        while True:
+            try:
+                handed_in = await stores.read_table(self.cell.store, table)
+                progress = await stores.read_table(
+                    self.cell.store, tables.JOBS
+                )
+                break
+            except errors.PlatformError as exc:
+                _LOG.log(events.CELL_LOAD_FAILED, cell=name, cause=str(exc))
+                await anyio.sleep(feeds.RETRY_DELAY_S)
+        states = {row.at.key: row for row in progress.rows}
+        for row in handed_in.rows:
+            if not row.at.key.endswith(tables.CANCEL_SUFFIX):
+                self._load_job(row, states.get(row.at.key))
+        self._take_cancels(handed_in.rows)
+        return handed_in.version
+
+    def _load_job(
+        self, row: stores.StoredRow, state: stores.StoredRow | None
+    ) -> None:
+        try:
+            cell, spec = codec.spec_from_bytes(row.value or b"")
+            if cell != self.cell.name:
+                return
+            if state is None:
+                raise errors.MessageError("the job's progress is missing")
+            job = codec.job_from_bytes(spec, row.at.part, state.value or b"")
+        except errors.MessageError as exc:
+            _LOG.log(events.JOB_ROW_UNREADABLE, job=row.at.key, cause=str(exc))
+            return
+        job.version = state.version
+        self.cell.add_job(job)
+        now_s = anyio.current_time()
+        for task in job.all_tasks():
+            if task.phase is tasks.Phase.ASSIGNED:
+                run = runs.Run(job=job, task=task, assigned_at_s=now_s)
+                self.cell.orphans.setdefault(task.worker_id, []).append(run)
+
+    def _take_handins(
+        self, rows: list[stores.StoredRow], is_whole: bool
+    ) -> None:
+        """Take in new jobs and cancellations.
+
+        Args:
+            rows: Rows of the zone's table.
+            is_whole: Whether they are the whole table.
+        """
+        del is_whole
+        for row in rows:
+            if row.value is None or row.at.key in self.cell.jobs:
+                continue
+            if not row.at.key.endswith(tables.CANCEL_SUFFIX):
+                self._take_job(row)
+        self._take_cancels(rows)
+        self.cell.place()
+
+    def _take_job(self, row: stores.StoredRow) -> None:
+        try:
+            cell, spec = codec.spec_from_bytes(row.value or b"")
+        except errors.MessageError as exc:
+            _LOG.log(events.JOB_ROW_UNREADABLE, job=row.at.key, cause=str(exc))
+            return
+        if cell != self.cell.name:
+            return
+        job = jobs.Job(spec=spec, cell=cell, bucket=row.at.part)
+        # Both rows of a job are written in one transaction, so they have
+        # one version until the holder writes.
+        job.version = row.version
+        self.cell.add_job(job)
+
+    def _take_cancels(self, rows: list[stores.StoredRow]) -> None:
+        for row in rows:
+            if row.value is not None and row.at.key.endswith(
+                tables.CANCEL_SUFFIX
+            ):
+                self.cell.cancel_job(
+                    row.at.key.removesuffix(tables.CANCEL_SUFFIX)
+                )
+
+    def update_fleet(self, fleet: dict[str, runners.Registration]) -> None:
+        """Take in the workers that the directory lists for the cell.
+
+        Args:
+            fleet: The workers by id.
+        """
+        self.fleet_known = fleet
+        if not self.is_open:
+            return
+        for worker_id, found in fleet.items():
+            worker = self.cell.fleet.get(worker_id)
+            if worker is None:
+                self._add_worker(found)
+                continue
+            worker.update(found)
+        for worker_id, worker in self.cell.fleet.items():
+            if worker_id not in fleet and not worker.is_gone:
+                worker.is_gone = True
+                _LOG.log(
+                    events.RUN_WORKER_DELISTED,
+                    worker=worker_id,
+                    runs=len(worker.runs),
+                )
+        self.cell.place()
+
+    def _add_worker(self, found: runners.Registration) -> None:
+        cell = self.cell
+        worker = workers.Worker(
+            registration=found,
+            link=self._dial(found),
+            token=cell.claim.epoch * TOKENS_PER_EPOCH,
+            lease=leases.Lease(
+                length_s=self._lease_s, lapsed_at_s=self._former_lapsed_at_s
+            ),
+        )
+        cell.fleet[worker.id] = worker
+        followers.adopt_runs(worker, cell.orphans.pop(worker.id, []))
+        group = self._group
+        group.start_soon(followers.Follower(cell=cell, worker=worker).run)
+        for _number in range(orders.CONNECTIONS):
+            group.start_soon(orders.OrderSender(cell=cell, worker=worker).run)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await anyio.sleep(TICK_S)
+            self._ticks += 1
+            self.cell.open_occurrences()
+            self._drop_orphans()
+            self._guard.look()
+            self.cell.place()
+            if self._ticks % REMOVE_PERIOD_TICKS == 0:
+                await self._remove_old()
+
+    def _drop_orphans(self) -> None:
+        """Give up runs on workers that were never seen, after the lease."""
+        if anyio.current_time() < self._former_lapsed_at_s:
+            return
+        for worker_id in list(self.cell.orphans):
+            for run in self.cell.orphans.pop(worker_id):
+                _LOG.log(
+                    events.RUN_DROPPED,
+                    worker=worker_id,
+                    task=run.name,
+                    run=run.number,
+                    cause="worker never listed, lease lapsed",
+                )
+                if run.is_current():
+                    self.cell.settle_end(
+                        run.job, run.task, tasks.Outcome.LAPSED, ""
+                    )
+
+    async def _remove_old(self) -> None:
+        """Remove the rows of one job whose state need not be kept."""
+        now_unix_ms = self.cell.now_unix_ms()
+        for job in list(self.cell.jobs.values()):
+            if not job.is_ended() or self.cell.has_runs(job):
+                continue
+            if now_unix_ms - job.ended_unix_ms < self._keep_s * 1000:
+                continue
+            keys = [
+                tables.job_row(job.bucket, job.id),
+                tables.spec_row(job.cell, job.bucket, job.id),
+                tables.cancel_row(job.cell, job.bucket, job.id),
+            ]
+            del self.cell.jobs[job.id]
+            await ledgers.remove(self.cell.store, job, keys)
+
+
+def former_may_live(
+    before: claims.Claim | None, beats: dict[str, claims.HostBeat]
+) -> bool:
+    """Tell whether the holder before may still renew leases.
+
+    Args:
+        before: The claim before; None if there was none.
+        beats: Newest heartbeats of the hosts.
+    """
+    if before is None or not before.row.holder:
+        return False
+    beat = beats.get(before.row.holder)
+    # The host runs another process now, so the former one has ended.
+    return beat is None or beat.incarnation == before.row.incarnation
--- /dev/null
+++ b/wisteriawood/cells/placers.py
@@ -0,0 +1,182 @@
+"""Which waiting task goes to which worker, and in what order."""
+
+import typing
+
+from wisteriawood.cells import progress
+from wisteriawood.cells import runs
+from wisteriawood.cells import workers
+from wisteriawood.jobs import jobs
+from wisteriawood.jobs import specs
+from wisteriawood.jobs import tasks
+from wisteriawood.policies.spreading import base
+
+# Jobs in a row without room after which a pass ends; bounds its time.
+MAX_MISSES = 24
+# Beyond this multiple of its objective a job is worth nothing any more.
+WORTHLESS_X = 3.0
+
+
+def urgency(job: jobs.Job, now_s: float) -> tuple:
+    """Return the place of a job in the order of starts; lower goes first.
+
+    Standing jobs lose something at each moment they don't run. Jobs that
+    can't meet their objective any more come after those that can.
+
+    Args:
+        job: The job.
+        now_s: Monotonic time.
+    """
+    age_s = now_s - job.accepted_at_s
+    is_worthless = age_s > WORTHLESS_X * job.objective_s
+    is_late = age_s > job.objective_s
+    if job.is_standing() or job.spec.is_timed():
+        return (0, job.spec.queue.priority, job.accepted_at_s, job.id)
+    rank = 3 if is_worthless else 2 if is_late else 1
+    due_s = job.accepted_at_s + job.objective_s
+    return (rank, job.spec.queue.priority, due_s, job.id)
+
+
+class Placer:
+    """Gives waiting tasks workers.
+
+    Args:
+        policy: Chooses among the workers that have room.
+    """
+
+    __slots__ = ("_policy",)
+
+    def __init__(self, *, policy: base.SpreadingPolicy):
+        self._policy = policy
+
+    def place(
+        self,
+        waiting: dict[str, tuple[jobs.Job, list[list[tasks.Task]]]],
+        fleet: typing.Collection[workers.Worker],
+        now_s: float,
+    ) -> list[tuple[workers.Worker, runs.Run]]:
+        """Assign what can be assigned now.
+
+        Args:
+            waiting: Jobs with tasks that may start, by id.
+            fleet: The workers of the cell.
+            now_s: Monotonic time.
+
+        Returns:
+            The runs assigned; the rows of their jobs are to be written
+            before they are started.
+        """
+        usable = [worker for worker in fleet if worker.is_usable(now_s)]
+        if not usable:
+            return []
+        found: list[tuple[workers.Worker, runs.Run]] = []
+        misses = 0
+        ordered = sorted(
+            waiting.values(), key=lambda entry: urgency(entry[0], now_s)
+        )
+        for job, steps in ordered:
+            placed = 0
+            for step_tasks in steps:
+                placed += self._place_step(
+                    job, step_tasks, usable, found, now_s
+                )
+            misses = 0 if placed else misses + 1
+            if misses >= MAX_MISSES:
+                break
+        return found
+
+    def _place_step(
+        self,
+        job: jobs.Job,
+        step_tasks: list[tasks.Task],
+        usable: list[workers.Worker],
+        found: list[tuple[workers.Worker, runs.Run]],
+        now_s: float,
+    ) -> int:
+        step = job.step_of(step_tasks[0])
+        if step.is_gang:
+            return self._place_gang(job, step_tasks, usable, found, now_s)
+        placed = 0
+        for task in step_tasks:
+            worker = self._choose(job, task, step, usable)
+            if worker is None:
+                break
+            found.append((worker, _assign(job, task, worker, now_s)))
+            placed += 1
+        return placed
+
+    def _choose(
+        self,
+        job: jobs.Job,
+        task: tasks.Task,
+        step: specs.StepSpec,
+        usable: list[workers.Worker],
+    ) -> workers.Worker | None:
+        candidates = [
+            worker
+            for worker in usable
+            if worker.has_room(step)
+            and (
+                not step.required_label
+                or step.required_label in worker.registration.labels
+            )
+            and (
+                not step.most_per_worker
+                or worker.spread_count(task, job.id) < step.most_per_worker
+            )
+        ]
+        if step.near_rack:
+            near = [
+                worker
+                for worker in candidates
+                if worker.registration.rack == step.near_rack
+            ]
+            candidates = near or candidates
+        return self._policy.choose(candidates, step) if candidates else None
+
+    def _place_gang(
+        self,
+        job: jobs.Job,
+        step_tasks: list[tasks.Task],
+        usable: list[workers.Worker],
+        found: list[tuple[workers.Worker, runs.Run]],
+        now_s: float,
+    ) -> int:
+        """Assign all members of a gang, on one rack if that can be."""
+        step = job.step_of(step_tasks[0])
+        racks: list[list[workers.Worker]] = [usable]
+        if step.is_same_rack:
+            names = sorted({w.registration.rack for w in usable})
+            racks = [
+                [w for w in usable if w.registration.rack == name]
+                for name in names
+            ] + [usable]
+        number = progress.next_run(step_tasks)
+        for rack in racks:
+            placed: list[tuple[workers.Worker, runs.Run]] = []
+            for task in step_tasks:
+                worker = self._choose(job, task, step, rack)
+                if worker is None:
+                    break
+                run = _assign(job, task, worker, now_s, number=number)
+                placed.append((worker, run))
+            if len(placed) == len(step_tasks):
+                found.extend(placed)
+                return len(placed)
+            for worker, run in placed:
+                worker.free(run)
+                run.task.release(tasks.Phase.WAITING)
+                run.task.run = number - 1
+        return 0
+
+
+def _assign(
+    job: jobs.Job,
+    task: tasks.Task,
+    worker: workers.Worker,
+    now_s: float,
+    number: int = 0,
+) -> runs.Run:
+    task.assign(worker_id=worker.id, run=number or task.run + 1)
+    run = runs.Run(job=job, task=task, assigned_at_s=now_s)
+    worker.take(run)
+    return run
--- /dev/null
+++ b/wisteriawood/cells/tables.py
@@ -0,0 +1,84 @@
+"""Where the rows of cells and jobs are in the store."""
+
+import hashlib
+
+from wisteriawood import errors
+from wisteriawood.links import stores
+
+JOBS = "jobs"
+CLAIMS = "cells"
+HOSTS = "hosts"
+CANCEL_SUFFIX = "~cancel"
+
+
+class CellLostError(errors.WisteriawoodError):
+    """The cell has another holder, or this one must let go of it."""
+
+
+def bucket_of(job_id: str, zones: list[str]) -> str:
+    """Return the partition that keeps a job.
+
+    Every host computes the same, so a repeated hand-in finds the job.
+
+    Args:
+        job_id: Id of the job.
+        zones: All availability zones, sorted.
+    """
+    digest = hashlib.blake2b(job_id.encode(), digest_size=4).digest()
+    return zones[int.from_bytes(digest, "big") % len(zones)]
+
+
+def cell_name(service: str, zone: str) -> str:
+    """Return the name of the cell of a service in a zone.
+
+    Args:
+        service: The service.
+        zone: The availability zone.
+    """
+    return f"{service}@{zone}"
+
+
+def zone_of_cell(cell: str) -> str:
+    """Return the zone of a cell."""
+    return cell.rpartition("@")[2]
+
+
+def service_of_cell(cell: str) -> str:
+    """Return the service of a cell."""
+    return cell.rpartition("@")[0]
+
+
+def specs_table(zone: str) -> str:
+    """Return the table of the jobs handed to the cells of a zone.
+
+    Args:
+        zone: The availability zone.
+    """
+    return f"specs-{zone}"
+
+
+def job_row(bucket: str, job_id: str) -> stores.RowKey:
+    """Return where a job's progress is."""
+    return stores.RowKey(table=JOBS, part=bucket, key=job_id)
+
+
+def spec_row(cell: str, bucket: str, job_id: str) -> stores.RowKey:
+    """Return where a job's specification is."""
+    table = specs_table(zone_of_cell(cell))
+    return stores.RowKey(table=table, part=bucket, key=job_id)
+
+
+def cancel_row(cell: str, bucket: str, job_id: str) -> stores.RowKey:
+    """Return where the cancellation of a job is."""
+    table = specs_table(zone_of_cell(cell))
+    return stores.RowKey(table=table, part=bucket, key=job_id + CANCEL_SUFFIX)
+
+
+def claim_row(cell: str) -> stores.RowKey:
+    """Return where the claim of a cell is."""
+    return stores.RowKey(table=CLAIMS, part=zone_of_cell(cell), key=cell)
+
+
+def host_row(host: str) -> stores.RowKey:
+    """Return where the heartbeat of a host is."""
+    return stores.RowKey(table=HOSTS, key=host)
--- /dev/null
+++ b/wisteriawood/cells/workers.py
@@ -0,0 +1,252 @@
+"""A worker as the holder of its cell knows it."""
+
+import math
+
+import anyio
+
+from wisteriawood.cells import leases
+from wisteriawood.cells import runs
+from wisteriawood.jobs import specs
+from wisteriawood.jobs import tasks
+from wisteriawood.links import runners
+
+# Failures in a row, over at least two jobs, that put a worker on probation.
+PROBATION_FAILURES = 4
+# Time on probation; doubled each time, up to the longest.
+PROBATION_S = 4.0
+MAX_PROBATION_S = 30.0
+# A worker that refused a start is left alone for this time.
+REFUSAL_PAUSE_S = 0.5
+# A worker whose last answer is older gets no new runs.
+FRESH_S = 2.5
+
+
+class Worker:
+    """A worker with the runs that may be on it.
+
+    Args:
+        registration: What the directory says of it.
+        link: Calls to it.
+        token: Fencing token of the holder.
+        lease: Its lease.
+
+    Attributes:
+        runs: Runs that may be there, by task name.
+        acknowledged: Number of the last end that is in the store.
+        seen: Number of the last end that was taken in.
+        born_unix_ms: Start of the life that we know; 0 before an answer.
+        answered_at_s: When it last answered; 0 before.
+        is_gone: Whether the directory no longer lists it.
+    """
+
+    __slots__ = (
+        "_failed_jobs",
+        "_failures",
+        "_probations",
+        "acknowledged",
+        "answered_at_s",
+        "avoided_until_s",
+        "born_unix_ms",
+        "filler_millicores",
+        "free_memory_mb",
+        "free_accelerators",
+        "free_millicores",
+        "is_gone",
+        "lease",
+        "link",
+        "orders",
+        "orders_out",
+        "registration",
+        "runs",
+        "seen",
+        "speed",
+        "token",
+    )
+
+    def __init__(
+        self,
+        *,
+        registration: runners.Registration,
+        link: runners.RunLink,
+        token: int,
+        lease: leases.Lease,
+    ):
+        self.registration = registration
+        self.link = link
+        self.token = token
+        self.lease = lease
+        self.runs: dict[str, runs.Run] = {}
+        self.acknowledged = 0
+        self.seen = 0
+        self.born_unix_ms = 0
+        self.answered_at_s = 0.0
+        self.is_gone = False
+        self.avoided_until_s = 0.0
+        self.filler_millicores = 0
+        self.free_millicores = registration.cpu_millicores
+        self.free_memory_mb = registration.memory_mb
+        self.free_accelerators = registration.accelerators
+        self.speed = 1.0
+        self._failures = 0
+        self._failed_jobs: set[str] = set()
+        self._probations = 0
+        # Orders are few and short; the rooms of the worker bound them.
+        self.orders, self.orders_out = anyio.create_memory_object_stream[
+            runs.Run
+        ](math.inf)
+
+    @property
+    def id(self) -> str:
+        """Id of the worker."""
+        return self.registration.worker_id
+
+    def update(self, found: runners.Registration) -> None:
+        """Take in what the directory says now.
+
+        Args:
+            found: The worker in the directory.
+        """
+        held = self.registration
+        self.free_millicores += found.cpu_millicores - held.cpu_millicores
+        self.free_memory_mb += found.memory_mb - held.memory_mb
+        self.free_accelerators += found.accelerators - held.accelerators
+        self.registration = found
+        self.is_gone = False
+
+    def take(self, run: runs.Run) -> None:
+        """Take the room of a run.
+
+        Args:
+            run: The run.
+        """
+        self.runs[run.name] = run
+        self._count(run.step, 1)
+
+    def free(self, run: runs.Run) -> None:
+        """Give back the room of a run that is surely not there.
+
+        Args:
+            run: The run.
+        """
+        if self.runs.get(run.name) is run:
+            del self.runs[run.name]
+            self._count(run.step, -1)
+
+    def _count(self, step: specs.StepSpec, sign: int) -> None:
+        if step.is_filler:
+            self.filler_millicores += sign * step.cpu_millicores
+        else:
+            self.free_millicores -= sign * step.cpu_millicores
+        self.free_memory_mb -= sign * step.memory_mb
+        self.free_accelerators -= sign * step.accelerators
+
+    def has_room(self, step: specs.StepSpec) -> bool:
+        """Tell whether a task of a step fits beside what may be there.
+
+        Args:
+            step: The step.
+        """
+        if step.memory_mb > self.free_memory_mb:
+            return False
+        if step.accelerators > self.free_accelerators:
+            return False
+        return step.is_filler or step.cpu_millicores <= self.free_millicores
+
+    def can_ever_hold(self, step: specs.StepSpec) -> bool:
+        """Tell whether an empty worker like this could run a task.
+
+        Args:
+            step: The step.
+        """
+        held = self.registration
+        return (
+            step.cpu_millicores <= held.cpu_millicores
+            and step.memory_mb <= held.memory_mb
+            and step.accelerators <= held.accelerators
+            and (not step.required_label or step.required_label in held.labels)
+        )
+
+    def is_usable(self, now_s: float) -> bool:
+        """Tell whether new runs may be sent here.
+
+        Args:
+            now_s: Monotonic time.
+        """
+        return (
+            not self.is_gone
+            and not self.registration.is_draining
+            and self.born_unix_ms > 0
+            and now_s - self.answered_at_s <= FRESH_S
+            and now_s >= self.avoided_until_s
+        )
+
+    def spread_count(self, run_of: tasks.Task, job_id: str) -> int:
+        """Return how many tasks of the same step and occurrence are here.
+
+        Args:
+            run_of: A task of the step.
+            job_id: Its job.
+        """
+        return sum(
+            1
+            for run in self.runs.values()
+            if run.job.id == job_id
+            and run.task.step == run_of.step
+            and run.task.occurrence == run_of.occurrence
+        )
+
+    def lease_for_start(self, now_s: float) -> int:
+        """Return the end of the lease that goes out with a start.
+
+        Args:
+            now_s: Monotonic time.
+
+        Returns:
+            A renewed lease while the worker answers, else the last one.
+        """
+        if now_s - self.answered_at_s <= FRESH_S:
+            return self.lease.grant(now_s)
+        return self.lease.granted_until_ms
+
+    def pressed_count(self) -> int:
+        """Return how many tasks with a bound on their tail are here."""
+        return sum(
+            1 for run in self.runs.values() if run.step.tail_target_ms > 0
+        )
+
+    def note_refusal(self, now_s: float) -> None:
+        """Leave the worker alone for a moment after it refused a start.
+
+        Args:
+            now_s: Monotonic time.
+        """
+        self.avoided_until_s = max(
+            self.avoided_until_s, now_s + REFUSAL_PAUSE_S
+        )
+
+    def note_end(self, run: runs.Run, has_failed: bool, now_s: float) -> bool:
+        """Learn from the end of a run whether the worker is sound.
+
+        Args:
+            run: The run.
+            has_failed: Whether it failed.
+            now_s: Monotonic time.
+
+        Returns:
+            Whether the worker is now on probation.
+        """
+        if not has_failed:
+            self._failures = 0
+            self._failed_jobs.clear()
+            self._probations = 0
+            return False
+        self._failures += 1
+        self._failed_jobs.add(run.job.id)
+        if self._failures < PROBATION_FAILURES or len(self._failed_jobs) < 2:
+            return False
+        length_s = min(PROBATION_S * 2**self._probations, MAX_PROBATION_S)
+        self._probations += 1
+        self.avoided_until_s = now_s + length_s
+        # The next failure after the probation renews it.
+        self._failures = PROBATION_FAILURES - 1
+        return True
--- /dev/null
+++ b/wisteriawood/jobs/jobs.py
@@ -0,0 +1,167 @@
+"""A job and its progress."""
+
+import enum
+import typing
+
+from wisteriawood.jobs import specs
+from wisteriawood.jobs import tasks
+
+
+class JobState(enum.StrEnum):
+    """States of a job that callers see."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELED = "canceled"
+
+
+ENDED_STATES = frozenset(
+    {JobState.COMPLETED, JobState.FAILED, JobState.CANCELED}
+)
+
+# Occurrences whose tasks are kept at a time; bounds the size of a row.
+MAX_OPEN_OCCURRENCES = 16
+
+
+class Job:
+    """A job with the tasks of its open occurrences.
+
+    Args:
+        spec: What was handed in.
+        cell: Name of the cell that runs it.
+        bucket: Partition of the store that keeps it.
+
+    Attributes:
+        state: What callers see.
+        ended_unix_ms: Wall time of its end; 0 before.
+        occurrences: Tasks by occurrence and step.
+        next_occurrence: Number of the next occurrence to open.
+        occurrences_done: Occurrences whose tasks are all done.
+        version: Version of its row in the store.
+        done_at_s: Monotonic time of its end in this process.
+    """
+
+    __slots__ = (
+        "accepted_at_s",
+        "bucket",
+        "cell",
+        "ended_unix_ms",
+        "next_occurrence",
+        "objective_s",
+        "occurrences",
+        "occurrences_done",
+        "spec",
+        "state",
+        "version",
+    )
+
+    def __init__(self, *, spec: specs.JobSpec, cell: str, bucket: str):
+        self.spec = spec
+        self.cell = cell
+        self.bucket = bucket
+        self.state = JobState.QUEUED
+        self.ended_unix_ms = 0
+        self.occurrences: dict[int, list[list[tasks.Task]]] = {}
+        self.next_occurrence = 0
+        self.occurrences_done = 0
+        self.version = 0
+        self.accepted_at_s = 0.0
+        self.objective_s = (
+            spec.queue.stretch * specs.chain_ms(spec) + spec.queue.target_ms
+        ) / 1000.0
+
+    @property
+    def id(self) -> str:
+        """Id of the job."""
+        return self.spec.id
+
+    def is_ended(self) -> bool:
+        """Tell whether nothing of the job runs any more."""
+        return self.state in ENDED_STATES
+
+    def is_standing(self) -> bool:
+        """Tell whether the job lasts until it is cancelled."""
+        return any(step.is_standing for step in self.spec.steps)
+
+    def step_of(self, task: tasks.Task) -> specs.StepSpec:
+        """Return the step of a task."""
+        return self.spec.steps[task.step]
+
+    def all_tasks(self) -> typing.Iterator[tasks.Task]:
+        """Yield the tasks of all open occurrences."""
+        for steps in self.occurrences.values():
+            for step in steps:
+                yield from step
+
+    def open_occurrence(self, number: int) -> None:
+        """Make the tasks of an occurrence.
+
+        Args:
+            number: Number of the occurrence.
+        """
+        self.occurrences[number] = [
+            [
+                tasks.Task(occurrence=number, step=step, index=index)
+                for index in range(spec.task_count)
+            ]
+            for step, spec in enumerate(self.spec.steps)
+        ]
+
+    def open_due(self, now_unix_ms: float) -> bool:
+        """Open the occurrences that are due.
+
+        Args:
+            now_unix_ms: Wall time.
+
+        Returns:
+            Whether one was opened.
+        """
+        count = max(1, self.spec.occurrence_count)
+        was_opened = False
+        while (
+            self.next_occurrence < count
+            and len(self.occurrences) < MAX_OPEN_OCCURRENCES
+            and self.spec.due_unix_ms(self.next_occurrence) <= now_unix_ms
+        ):
+            self.open_occurrence(self.next_occurrence)
+            self.next_occurrence += 1
+            was_opened = True
+        return was_opened
+
+    def is_step_done(self, occurrence: int, step: int) -> bool:
+        """Tell whether all tasks of a step are done.
+
+        Args:
+            occurrence: Number of the occurrence.
+            step: Number of the step.
+        """
+        return all(
+            task.phase is tasks.Phase.DONE
+            for task in self.occurrences[occurrence][step]
+        )
+
+    def ready_steps(self) -> typing.Iterator[list[tasks.Task]]:
+        """Yield the tasks of each step that may run."""
+        if self.is_ended():
+            return
+        for number, steps in self.occurrences.items():
+            for position, found in enumerate(steps):
+                after = self.spec.steps[position].after
+                if all(self.is_step_done(number, i) for i in after):
+                    yield found
+
+    def close_done(self) -> None:
+        """Drop occurrences that are done, and complete the job after all."""
+        for number in list(self.occurrences):
+            steps = range(len(self.spec.steps))
+            if all(self.is_step_done(number, step) for step in steps):
+                del self.occurrences[number]
+                self.occurrences_done += 1
+        if self.occurrences_done >= max(1, self.spec.occurrence_count):
+            self.state = JobState.COMPLETED
+
+    def has_started(self) -> bool:
+        """Tell whether a task of the job has been assigned."""
+        return self.state is not JobState.QUEUED
--- /dev/null
+++ b/wisteriawood/jobs/specs.py
@@ -0,0 +1,102 @@
+"""What a caller asks for when handing in a job."""
+
+import dataclasses
+
+from wisteriawood.jobs import queues
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class StepSpec:
+    """A step of a job: a number of equal tasks.
+
+    Attributes:
+        task_count: How many tasks the step has.
+        cpu_millicores: Processor that each task asks for.
+        memory_mb: Memory that each task asks for.
+        accelerators: Accelerators that each task asks for.
+        expected_run_ms: Rough estimate of a task's run time.
+        after: Numbers of the earlier steps that must be done first.
+        is_checkpointing: Whether a task can resume from a checkpoint.
+        is_gang: Whether the tasks work only all together.
+        is_same_rack: Whether a gang works best on one rack.
+        required_label: Label that a worker must have; empty for any.
+        near_rack: Rack where the data lies; empty for none.
+        most_per_worker: Most tasks of the step on one worker; 0 for any.
+        is_speculative: Whether copies of a task may run in parallel.
+        is_standing: Whether the tasks run until the job is cancelled.
+        image: What the tasks run; tasks of one image behave alike.
+        tail_target_ms: Bound of a serving task's response times; 0: none.
+        is_filler: Whether the tasks use only processor that is left over.
+        most_missing: Tasks that we may take away at the same time.
+    """
+
+    task_count: int
+    cpu_millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    expected_run_ms: int = 0
+    after: list[int] = dataclasses.field(default_factory=list)
+    is_checkpointing: bool = False
+    is_gang: bool = False
+    is_same_rack: bool = False
+    required_label: str = ""
+    near_rack: str = ""
+    most_per_worker: int = 0
+    is_speculative: bool = False
+    is_standing: bool = False
+    image: str = ""
+    tail_target_ms: float = 0.0
+    is_filler: bool = False
+    most_missing: int = 0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class JobSpec:
+    """A job as it was handed in, with the rules of its queue.
+
+    Attributes:
+        id: Id that the caller chose.
+        queue: The queue, as configured when the job was handed in.
+        payload: Text handed to the workers untouched.
+        steps: The steps.
+        occurrence_count: How often the steps run; 0 for once, at once.
+        first_due_unix_ms: Wall time at which the first occurrence is due.
+        interval_ms: Time between occurrences.
+        accepted_unix_ms: Wall time at which the job was handed in.
+    """
+
+    id: str
+    queue: queues.Queue
+    payload: str = ""
+    steps: list[StepSpec]
+    occurrence_count: int = 0
+    first_due_unix_ms: int = 0
+    interval_ms: int = 0
+    accepted_unix_ms: int = 0
+
+    def is_timed(self) -> bool:
+        """Tell whether the steps run at set times."""
+        return self.occurrence_count > 0
+
+    def due_unix_ms(self, occurrence: int) -> int:
+        """Return the wall time at which an occurrence may start.
+
+        Args:
+            occurrence: Its number, from 0.
+        """
+        if not self.is_timed():
+            return 0
+        return self.first_due_unix_ms + occurrence * self.interval_ms
+
+
+def chain_ms(spec: JobSpec) -> int:
+    """Return the run time of the longest chain of steps, as estimated.
+
+    Args:
+        spec: The job.
+    """
+    ends_ms: list[int] = []
+    for step in spec.steps:
+        before_ms = max((ends_ms[i] for i in step.after), default=0)
+        ends_ms.append(before_ms + step.expected_run_ms)
+    return max(ends_ms, default=0)
--- a/wisteriawood/links/clients.py
+++ b/wisteriawood/links/clients.py
@@ -92,7 +92,9 @@
         path: str,
         *,
         params: dict[str, typing.Any] | None = None,
+        headers: list[tuple[str, str]] | None = None,
         content: bytes = b"",
+        timeout: httpx.Timeout | None = None,
     ) -> httpx.Response:
         """Send a request and return the response with its whole body.
 
@@ -100,14 +102,18 @@
             method: HTTP method.
             path: Path, percent-encoded.
             params: Query.
+            headers: Header fields.
             content: Body.
+            timeout: Limits of this call; None for those of the client.
 
         Raises:
             HTTPError: The call failed, as httpx tells it.
         """
         if params:
             path = f"{path}?{httpx.QueryParams(params)}"
-        async with self.stream(method, path, content=content) as response:
+        async with self.stream(
+            method, path, headers=headers, content=content, timeout=timeout
+        ) as response:
             await response.aread()
             return response
 
--- a/wisteriawood/links/https.py
+++ b/wisteriawood/links/https.py
@@ -12,7 +12,7 @@
 
 
 async def serve_until(
-    app: typing.Any, address: str, stopping: anyio.Event
+    app: typing.Any, address: str | list[str], stopping: anyio.Event
 ) -> None:
     """Serve an ASGI application until it is told to stop.
 
@@ -20,11 +20,11 @@
 
     Args:
         app: The application.
-        address: Address to listen on, as host:port.
+        address: Address to listen on, as host:port; or several.
         stopping: Set to stop.
     """
     config = hypercorn_config.Config()
-    config.bind = [address]
+    config.bind = [address] if isinstance(address, str) else address
     config.accesslog = None
     config.errorlog = None
     config.graceful_timeout = GRACEFUL_TIMEOUT_S
--- /dev/null
+++ b/wisteriawood/machines/intakes.py
@@ -0,0 +1,213 @@
+"""Taking jobs in: hand-ins, cancellations and questions of callers."""
+
+import anyio
+
+from wisteriawood.cells import tables
+from wisteriawood import errors
+from wisteriawood.jobs import jobs
+from wisteriawood.jobs import queues
+from wisteriawood.jobs import specs
+from wisteriawood.links.codecs import jobs as codec
+from wisteriawood.links import stores
+from wisteriawood.machines import job_hosts
+from wisteriawood.telemetry import events
+
+_LOG = events.Logger(name=__name__)
+# A caller that was refused since the store is away comes back after this.
+STORE_RETRY_S = 1.0
+# Longest time for which a hand-in is tried before the caller is told.
+HANDIN_TIMEOUT_S = 2.0
+
+
+class Intake:
+    """Answers callers on one host.
+
+    Args:
+        host: The host.
+    """
+
+    __slots__ = ("_host",)
+
+    def __init__(self, *, host: job_hosts.JobHost):
+        self._host = host
+
+    def find_queue(self, host_name: str, path: str) -> queues.Queue:
+        """Return the queue of a caller's request.
+
+        Args:
+            host_name: Host that the request names.
+            path: Path of the request.
+
+        Raises:
+            RequestNotRunError: There is no configuration yet.
+            NotFoundError: There is no such queue.
+        """
+        if self._host.queues is None:
+            raise errors.RequestNotRunError(
+                reason="this host has no configuration yet; try another",
+                retry_after_s=STORE_RETRY_S,
+            )
+        return self._host.queues.find(host_name, path)
+
+    async def submit(self, spec: specs.JobSpec, timeout_s: float) -> None:
+        """Take a job in; it is stored on return.
+
+        A job that is known already stays the one that it was.
+
+        Args:
+            spec: The job.
+            timeout_s: Time for which the caller waits.
+
+        Raises:
+            RequestNotRunError: The job was not taken in and never runs.
+            RequestUnknownError: The job may have been taken in.
+        """
+        began_at_s = anyio.current_time()
+        spec.accepted_unix_ms = self._host.now_unix_ms()
+        bucket = tables.bucket_of(spec.id, self._host.zones)
+        cell = self._choose_cell(spec, bucket)
+        job = jobs.Job(spec=spec, cell=cell, bucket=bucket)
+        at = tables.job_row(bucket, spec.id)
+        change = stores.Change(
+            expected={at: 0},
+            writes={
+                at: codec.job_to_bytes(job),
+                tables.spec_row(cell, bucket, spec.id): codec.spec_to_bytes(
+                    spec, cell
+                ),
+            },
+        )
+        outcome = "accepted"
+        try:
+            await stores.commit_settled(
+                self._host.store,
+                change,
+                give_up_at_s=began_at_s + min(timeout_s, HANDIN_TIMEOUT_S),
+            )
+        except stores.ChangeConflictError:
+            outcome = "repeated"
+        except errors.TransactionUnknownError as exc:
+            outcome = "unknown"
+            raise errors.RequestUnknownError(
+                reason="the store did not say whether the job is stored"
+            ) from exc
+        except errors.PlatformError as exc:
+            outcome = "refused"
+            raise errors.RequestNotRunError(
+                reason=f"the job can't be stored now: {exc}",
+                retry_after_s=STORE_RETRY_S,
+            ) from exc
+        finally:
+            took_s = anyio.current_time() - began_at_s
+            self._host.counters.handins.labels(outcome=outcome).inc()
+            self._host.counters.accepted_s.observe(took_s)
+            _LOG.log(
+                events.JOB_HANDED_IN,
+                job=spec.id,
+                queue=spec.queue.name,
+                cell=cell,
+                outcome=outcome,
+                took_s=round(took_s, 3),
+            )
+
+    def _choose_cell(self, spec: specs.JobSpec, bucket: str) -> str:
+        """Return the cell that runs a job.
+
+        It is the one of the zone that the job's id leads to, unless that
+        has no worker or its holder is silent.
+        """
+        service = spec.queue.service
+        zones = self._host.zones
+        start = zones.index(bucket)
+        ordered = zones[start:] + zones[:start]
+        near = self._host.zone_of_racks(
+            {step.near_rack for step in spec.steps if step.near_rack}
+        )
+        if near:
+            ordered = [near] + [zone for zone in ordered if zone != near]
+        names = [tables.cell_name(service, zone) for zone in ordered]
+        manned = [name for name in names if self._host.has_workers(name)]
+        lively = self._host.members.lively_cells()
+        for name in manned:
+            if name in lively:
+                return name
+        return (manned or names)[0]
+
+    async def _read(self, job_id: str) -> tuple[str, jobs.JobState]:
+        bucket = tables.bucket_of(job_id, self._host.zones)
+        try:
+            page = await self._host.store.read(tables.JOBS, bucket, key=job_id)
+        except errors.PlatformError as exc:
+            raise errors.RequestNotRunError(
+                reason=f"the store can't be read now: {exc}",
+                retry_after_s=STORE_RETRY_S,
+            ) from exc
+        if not page.rows:
+            raise errors.NotFoundError(f"there is no job {job_id}")
+        return codec.summary_from_bytes(page.rows[0].value or b"")
+
+    async def state(self, job_id: str) -> jobs.JobState:
+        """Return the state of a job.
+
+        Args:
+            job_id: Id of the job.
+
+        Raises:
+            NotFoundError: There is no such job.
+            RequestNotRunError: The store can't be read.
+        """
+        _cell, state = await self._read(job_id)
+        return state
+
+    async def cancel(self, job_id: str, timeout_s: float) -> None:
+        """Have a job cancelled; the order is stored on return.
+
+        Args:
+            job_id: Id of the job.
+            timeout_s: Time for which the caller waits.
+
+        Raises:
+            NotFoundError: There is no such job.
+            RequestNotRunError: The order could not be stored.
+            RequestUnknownError: The order may have been stored.
+        """
+        cell, state = await self._read(job_id)
+        if state in jobs.ENDED_STATES:
+            return
+        bucket = tables.bucket_of(job_id, self._host.zones)
+        at = tables.cancel_row(cell, bucket, job_id)
+        change = stores.Change(expected={at: 0}, writes={at: b"{}"})
+        outcome = "accepted"
+        try:
+            await stores.commit_settled(
+                self._host.store,
+                change,
+                give_up_at_s=anyio.current_time()
+                + min(timeout_s, HANDIN_TIMEOUT_S),
+            )
+        except stores.ChangeConflictError:
+            outcome = "repeated"
+        except errors.TransactionUnknownError as exc:
+            outcome = "unknown"
+            raise errors.RequestUnknownError(
+                reason="the store did not say whether the order is stored"
+            ) from exc
+        except errors.PlatformError as exc:
+            outcome = "refused"
+            raise errors.RequestNotRunError(
+                reason=f"the order can't be stored now: {exc}",
+                retry_after_s=STORE_RETRY_S,
+            ) from exc
+        finally:
+            _LOG.log(
+                events.JOB_CANCEL_ASKED, job=job_id, cell=cell, outcome=outcome
+            )
+
+    def pending(self, queue: queues.Queue) -> int:
+        """Return how many jobs of a queue have not begun.
+
+        Args:
+            queue: The queue.
+        """
+        loads = self._host.members.all_loads().values()
+        return sum(load["pending"].get(queue.name, 0) for load in loads)
--- /dev/null
+++ b/wisteriawood/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: only translates between its words and ours."""
--- /dev/null
+++ b/wisteriawood/platform/bodies.py
@@ -0,0 +1,104 @@
+"""Bodies of callers' requests, as the product's types."""
+
+import msgspec
+
+from wisteriawood import errors
+from wisteriawood.jobs import queues
+from wisteriawood.jobs import specs
+
+MAX_STEPS = 100
+MAX_TASKS = 10_000
+
+
+class _Step(msgspec.Struct):
+    count: int = 1
+    # Thousandths of a core.
+    cpu: int = 0
+    mem_mb: int = 0
+    gpus: int = 0
+    est_runtime_ms: float = 0
+    after: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    # One label that the worker must have.
+    constraints: str = ""
+    # Rack on which the data lies.
+    affinity: str = ""
+    # Most tasks of the step on one worker.
+    anti_affinity: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0
+    fills: bool = False
+    # Tasks that may be away at the same time by our own orders.
+    may_miss: int = 0
+
+
+class _Job(msgspec.Struct):
+    steps: list[_Step]
+    task_spec: str = ""
+    repeat_count: int = 0
+    start_at_ms: int = 0
+    interval_ms: int = 0
+
+
+def decode_job(job_id: str, queue: queues.Queue, data: bytes) -> specs.JobSpec:
+    """Return the job that a body describes.
+
+    Args:
+        job_id: Id that the caller chose.
+        queue: The queue.
+        data: The body.
+
+    Raises:
+        UsageError: The body is no job; the message says why.
+    """
+    try:
+        job = msgspec.json.decode(data, type=_Job)
+    except msgspec.DecodeError as exc:
+        raise errors.UsageError(f"the body is no job: {exc}") from exc
+    _check(job)
+    return specs.JobSpec(
+        id=job_id,
+        queue=queue,
+        payload=job.task_spec,
+        steps=[_decode_step(step) for step in job.steps],
+        occurrence_count=job.repeat_count,
+        first_due_unix_ms=job.start_at_ms,
+        interval_ms=job.interval_ms,
+    )
+
+
+def _check(job: _Job) -> None:
+    if not 0 < len(job.steps) <= MAX_STEPS:
+        raise errors.UsageError(f"give 1 to {MAX_STEPS} steps")
+    for number, step in enumerate(job.steps):
+        if not 0 < step.count <= MAX_TASKS:
+            raise errors.UsageError(f"give 1 to {MAX_TASKS} tasks a step")
+        if any(not 0 <= before < number for before in step.after):
+            raise errors.UsageError("a step may only follow earlier steps")
+
+
+def _decode_step(step: _Step) -> specs.StepSpec:
+    return specs.StepSpec(
+        task_count=step.count,
+        cpu_millicores=step.cpu,
+        memory_mb=step.mem_mb,
+        accelerators=step.gpus,
+        expected_run_ms=int(step.est_runtime_ms),
+        after=step.after,
+        is_checkpointing=step.checkpointing,
+        is_gang=step.gang,
+        is_same_rack=step.same_rack,
+        required_label=step.constraints,
+        near_rack=step.affinity,
+        most_per_worker=step.anti_affinity,
+        is_speculative=step.speculative,
+        is_standing=step.long_running,
+        image=step.image,
+        tail_target_ms=step.target_ms,
+        is_filler=step.fills,
+        most_missing=step.may_miss,
+    )
--- /dev/null
+++ b/wisteriawood/platform/fronts.py
@@ -0,0 +1,160 @@
+"""HTTP front of a job host for callers and for the balancer."""
+
+import math
+import re
+import typing
+
+import msgspec
+
+from wisteriawood import errors
+from wisteriawood.jobs import queues
+from wisteriawood.machines import intakes
+from wisteriawood.machines import job_hosts
+from wisteriawood.platform import bodies
+from wisteriawood.telemetry import events
+from wisteriawood.telemetry import metrics
+
+_LOG = events.Logger(name=__name__)
+READY_PATH = "/v1/ready"
+METRICS_PATH = "/metrics"
+DEADLINE_HEADER = b"x-deadline-ms"
+_JOB_ID = re.compile(r"[0-9a-f]{16}")
+JSON_TYPE = (b"content-type", b"application/json")
+
+Answer = tuple[int, typing.Any, float]
+
+
+class Front:
+    """Answers HTTP requests by the product's intake.
+
+    Args:
+        host: The job host.
+        intake: Answers callers.
+
+    Attributes:
+        max_body_bytes: Largest body that is read.
+    """
+
+    __slots__ = ("_host", "_intake", "max_body_bytes")
+
+    def __init__(self, *, host: job_hosts.JobHost, intake: intakes.Intake):
+        self._host = host
+        self._intake = intake
+        self.max_body_bytes = 262144
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Answer one request; called by the server."""
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+            return
+        status, body, retry_after_s = await self._answer(scope, receive)
+        headers = [JSON_TYPE]
+        if retry_after_s:
+            after = str(math.ceil(retry_after_s)).encode()
+            headers.append((b"retry-after", after))
+        if self._host.is_draining:
+            headers.append((b"connection", b"close"))
+        if not isinstance(body, bytes):
+            body = msgspec.json.encode(body)
+        headers.append((b"content-length", str(len(body)).encode()))
+        await send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers,
+            }
+        )
+        await send({"type": "http.response.body", "body": body})
+
+    async def _answer(self, scope, receive) -> Answer:
+        path = scope["path"]
+        if path == READY_PATH:
+            reason = self._host.not_ready()
+            return (503 if reason else 200, {"reason": reason}, 0)
+        if path == METRICS_PATH:
+            return 200, metrics.render(self._host.counters.registry), 0
+        try:
+            return await self._answer_caller(scope, receive, path)
+        except errors.NotFoundError as exc:
+            return 404, {"error": str(exc)}, 0
+        except errors.RequestNotRunError as exc:
+            answer = (exc.http_status, {"error": str(exc)}, exc.retry_after_s)
+        except errors.RequestUnknownError as exc:
+            answer = (exc.http_status, {"error": str(exc)}, 0)
+        except errors.UsageError as exc:
+            answer = (400, {"error": str(exc)}, 0)
+        except errors.MessageError as exc:
+            answer = (500, {"error": str(exc)}, 0)
+        _LOG.log(
+            events.REQUEST_REFUSED,
+            method=scope["method"],
+            path=path,
+            status=answer[0],
+            cause=answer[1]["error"],
+        )
+        return answer
+
+    async def _answer_caller(self, scope, receive, path: str) -> Answer:
+        headers = dict(scope["headers"])
+        host_name = headers.get(b"host", b"").decode("latin-1")
+        queue = self._intake.find_queue(host_name.partition(":")[0], path)
+        job_id = path[len(queue.prefix) :]
+        method = scope["method"]
+        if method == "GET" and not job_id:
+            return 200, {"pending": self._intake.pending(queue)}, 0
+        if not _JOB_ID.fullmatch(job_id):
+            if method == "POST":
+                raise errors.UsageError("a job's id has 16 hexadecimal digits")
+            return 410, {}, 0
+        timeout_s = _timeout_s(headers, queue)
+        if method == "POST":
+            data = await self._read_body(receive)
+            spec = bodies.decode_job(job_id, queue, data)
+            await self._intake.submit(spec, timeout_s)
+            return 200, {}, 0
+        try:
+            if method == "GET":
+                state = await self._intake.state(job_id)
+                return 200, {"state": state}, 0
+            if method == "DELETE":
+                await self._intake.cancel(job_id, timeout_s)
+                return 200, {}, 0
+        except errors.NotFoundError:
+            return 410, {}, 0
+        return 405, {"error": "use GET, POST or DELETE"}, 0
+
+    async def _read_body(self, receive) -> bytes:
+        chunks = []
+        size_bytes = 0
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise errors.UsageError("the body ended early")
+            chunk = message.get("body", b"")
+            size_bytes += len(chunk)
+            if size_bytes > self.max_body_bytes:
+                raise errors.RequestNotRunError(
+                    reason=f"the body is over {self.max_body_bytes} bytes",
+                    status=413,
+                    retry_after_s=0,
+                )
+            chunks.append(chunk)
+            if not message.get("more_body"):
+                return b"".join(chunks)
+
+
+def _timeout_s(headers: dict[bytes, bytes], queue: queues.Queue) -> float:
+    """Return for how long the caller waits."""
+    text = headers.get(DEADLINE_HEADER, b"")
+    waits_ms = queue.timeout_ms
+    if text.isdigit() and len(text) < 9:
+        waits_ms = min(waits_ms, int(text))
+    return waits_ms / 1000
+
+
+async def _serve_lifespan(receive, send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
--- /dev/null
+++ b/wisteriawood/platform/settings.py
@@ -0,0 +1,108 @@
+"""The settings file of the platform, as far as a job host uses it."""
+
+import os
+
+import msgspec
+
+from wisteriawood import errors
+
+PATH_VARIABLE = "WISTERIAWOOD_SETTINGS"
+DEFAULT_PATH = "/etc/wisteriawood/node.json"
+
+
+class Addresses(msgspec.Struct, kw_only=True):
+    """Addresses to listen on.
+
+    Attributes:
+        front: For callers.
+        ready: For the balancer's question whether the host is ready.
+    """
+
+    front: str
+    ready: str
+
+
+class StoreAccess(msgspec.Struct, kw_only=True):
+    """Where the store is, and what it takes.
+
+    Attributes:
+        address: Its address.
+        tx_ms: Time that a transaction takes.
+    """
+
+    address: str
+    tx_ms: float = 8.0
+
+
+class CloudAccess(msgspec.Struct, kw_only=True):
+    """Where machines are moved and serviced.
+
+    Attributes:
+        address: Its address.
+        duty_per_s: Orders that it takes a second, from all hosts.
+    """
+
+    address: str = ""
+    duty_per_s: float = 0.0
+
+
+class Bounds(msgspec.Struct, kw_only=True):
+    """Bounds of the deployment.
+
+    Attributes:
+        hold_max_ms: Longest lease of a worker.
+        status_s: Time for which the state of an ended job can be asked.
+        grace_s: Time between the order to stop and the kill.
+    """
+
+    hold_max_ms: int = 6000
+    status_s: float = 120
+    grace_s: float = 6
+
+
+class Settings(msgspec.Struct, kw_only=True):
+    """Settings of one host.
+
+    Attributes:
+        node_name: Name of the host.
+        zone: Its availability zone.
+        zones: Region of each zone.
+        listen_addrs: Addresses to listen on.
+        platform: The store.
+        cloud_api: The service that moves machines.
+        advice: Address of the advice service; None for none.
+        contracts: Parts of the rules that are in force.
+        bounds: Bounds of the deployment.
+    """
+
+    node_name: str
+    zone: str
+    zones: dict[str, str]
+    listen_addrs: Addresses
+    platform: StoreAccess
+    cloud_api: CloudAccess | None = None
+    advice: str | None = None
+    contracts: list[str] = []
+    bounds: Bounds = msgspec.field(default_factory=Bounds)
+
+
+def load(path: str = "") -> Settings:
+    """Return the settings that the environment names.
+
+    Args:
+        path: Name of the file; empty for the one of the environment.
+
+    Raises:
+        SettingsError: The file can't be read or lacks a field.
+    """
+    path = path or os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
+    try:
+        with open(path, "rb") as stream:
+            return msgspec.json.decode(stream.read(), type=Settings)
+    except (OSError, msgspec.DecodeError) as exc:
+        raise errors.SettingsError(
+            file=path,
+            path="$",
+            found=str(exc),
+            remedy="give the platform's settings file of this host",
+        ) from exc
--- /dev/null
+++ b/wisteriawood/platform/store_client.py
@@ -0,0 +1,236 @@
+"""Calls to the platform's metadata store."""
+
+import base64
+import binascii
+
+import anyio
+import httpx
+import msgspec
+
+from wisteriawood import errors
+from wisteriawood.links import clients
+from wisteriawood.links import stores
+
+# Bounds of the time that a call may take, and its factor on the usual.
+MIN_TIMEOUT_S = 0.35
+MAX_TIMEOUT_S = 2.5
+TIMEOUT_X = 6.0
+# Weight of the newest call in the usual time.
+NEWEST_WEIGHT = 0.2
+CONNECT_TIMEOUT_S = 0.5
+PAGE_ROWS = 500
+CONNECTIONS = 16
+
+
+class _Row(msgspec.Struct):
+    table: str = ""
+    part: str = ""
+    key: str = ""
+    value: str = ""
+    ver: int = 0
+    deleted: bool = False
+
+
+class _Answer(msgspec.Struct):
+    rows: list[_Row] = []
+    parts: list[str] = []
+    has_more: bool = False
+    ver: int = 0
+
+
+def _decode_row(row: _Row) -> stores.StoredRow:
+    at = stores.RowKey(table=row.table, part=row.part, key=row.key)
+    if row.deleted or row.ver == 0:
+        return stores.StoredRow(at=at, value=None, version=row.ver)
+    try:
+        value = base64.b64decode(row.value, validate=True)
+    except (binascii.Error, ValueError):
+        # Bytes that no reader understands name nothing; each reader logs.
+        value = b""
+    return stores.StoredRow(at=at, value=value, version=row.ver)
+
+
+def _encode_change(change: stores.Change) -> bytes:
+    expected = [
+        {"table": at.table, "part": at.part, "key": at.key, "ver": version}
+        for at, version in change.expected.items()
+    ]
+    kept = [
+        {
+            "table": at.table,
+            "part": at.part,
+            "key": at.key,
+            "value": base64.b64encode(value).decode("ascii"),
+        }
+        for at, value in change.writes.items()
+        if value is not None
+    ]
+    removed = [
+        {"table": at.table, "part": at.part, "key": at.key}
+        for at, value in change.writes.items()
+        if value is None
+    ]
+    return msgspec.json.encode(
+        {"expected_rev": expected, "set_keys": kept, "remove": removed}
+    )
+
+
+class TableStore:
+    """The store over HTTP, behind the product's interface.
+
+    Args:
+        address: Address of the store, as host:port.
+    """
+
+    __slots__ = ("_client", "_usual_s")
+
+    def __init__(self, *, address: str):
+        self._client = clients.Client(
+            url=f"http://{address}",
+            timeout_s=MAX_TIMEOUT_S,
+            connections=CONNECTIONS,
+        )
+        self._usual_s = MIN_TIMEOUT_S / TIMEOUT_X
+
+    def _timeout_s(self) -> float:
+        return min(
+            max(TIMEOUT_X * self._usual_s, MIN_TIMEOUT_S), MAX_TIMEOUT_S
+        )
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        params: dict | None = None,
+        content: bytes = b"",
+        wait_s: float = 0.0,
+    ) -> httpx.Response:
+        timeout_s = self._timeout_s()
+        began_at_s = anyio.current_time()
+        try:
+            response = await self._client.request(
+                method,
+                path,
+                params=params,
+                content=content,
+                timeout=httpx.Timeout(
+                    timeout_s + wait_s, connect=CONNECT_TIMEOUT_S
+                ),
+            )
+        except httpx.TimeoutException:
+            # A slow store gets more time at the next call.
+            self._usual_s = min(2 * self._usual_s, MAX_TIMEOUT_S / TIMEOUT_X)
+            raise
+        if not wait_s:
+            took_s = anyio.current_time() - began_at_s
+            self._usual_s += NEWEST_WEIGHT * (took_s - self._usual_s)
+        return response
+
+    async def commit(self, change: stores.Change) -> int:
+        """Commit a change and return the version of its rows."""
+        try:
+            response = await self._call(
+                "POST", "/v1/rows-tx", content=_encode_change(change)
+            )
+        except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
+            raise errors.PlatformUnavailableError(
+                f"the store can't be reached: {exc!r}"
+            ) from exc
+        except httpx.HTTPError as exc:
+            raise errors.TransactionUnknownError(
+                f"the store did not answer a change: {exc!r}"
+            ) from exc
+        if response.status_code == 412:
+            answer = self._decode(response)
+            raise stores.ChangeConflictError(
+                rows=[_decode_row(row) for row in answer.rows]
+            )
+        if response.status_code in (429, 503):
+            raise errors.PlatformUnavailableError(
+                f"the store refused a change with {response.status_code}"
+            )
+        if response.status_code != 200:
+            raise errors.TransactionUnknownError(
+                f"the store answered a change with {response.status_code}: "
+                f"{response.text[:200]}"
+            )
+        return self._decode(response).ver
+
+    def _decode(self, response: httpx.Response) -> _Answer:
+        try:
+            return msgspec.json.decode(response.content, type=_Answer)
+        except msgspec.DecodeError as exc:
+            raise errors.TransactionUnknownError(
+                f"the store's answer can't be read: {exc}"
+            ) from exc
+
+    async def _get(
+        self, path: str, params: dict, *, wait_s: float = 0.0
+    ) -> _Answer:
+        try:
+            response = await self._call(
+                "GET", path, params=params, wait_s=wait_s
+            )
+        except httpx.HTTPError as exc:
+            raise errors.PlatformUnavailableError(
+                f"the store does not answer: {exc!r}"
+            ) from exc
+        if response.status_code == 410:
+            raise stores.HistoryLostError("the store forgot its history")
+        if response.status_code != 200:
+            raise errors.PlatformUnavailableError(
+                f"the store answered {response.status_code}"
+            )
+        return self._decode(response)
+
+    async def read(
+        self, table: str, part: str, *, key: str = ""
+    ) -> stores.Page:
+        """Return the rows of a partition, or one of them."""
+        params = {"table": table, "part": part}
+        if key:
+            answer = await self._get(
+                "/v1/rows-get", params | {"from": key, "limit": 1}
+            )
+            rows = [_decode_row(row) for row in answer.rows if row.key == key]
+            return stores.Page(rows=rows, version=answer.ver)
+        found: dict[str, stores.StoredRow] = {}
+        version = 0
+        while True:
+            answer = await self._get(
+                "/v1/rows-get", params | {"limit": PAGE_ROWS}
+            )
+            # A later page may be newer; a feed starts from the first.
+            version = version or answer.ver
+            found.update({row.key: _decode_row(row) for row in answer.rows})
+            if not answer.has_more or not answer.rows:
+                return stores.Page(rows=list(found.values()), version=version)
+            # The range begins with this key, so its row comes again.
+            params["from"] = answer.rows[-1].key
+
+    async def parts(self, table: str) -> list[str]:
+        """Return the partitions of a table."""
+        found: list[str] = []
+        params = {"table": table}
+        while True:
+            answer = await self._get("/v1/rows-parts", params)
+            found.extend(answer.parts)
+            if not answer.has_more or not answer.parts:
+                return found
+            params["after"] = answer.parts[-1]
+
+    async def feed(self, table: str, after: int, wait_s: float) -> stores.Page:
+        """Return the rows that changed after a version."""
+        answer = await self._get(
+            "/v1/rows-feed",
+            {"table": table, "after": after, "wait_ms": int(wait_s * 1000)},
+            wait_s=wait_s,
+        )
+        return stores.Page(
+            rows=[_decode_row(row) for row in answer.rows], version=answer.ver
+        )
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
--- /dev/null
+++ b/wisteriawood/platform/worker_client.py
@@ -0,0 +1,201 @@
+"""Orders to a worker of the platform."""
+
+import httpx
+import msgspec
+
+from wisteriawood import errors
+from wisteriawood.jobs import tasks
+from wisteriawood.links import clients
+from wisteriawood.links import runners
+
+CALL_TIMEOUT_S = 0.8
+# What an answer may take beyond the time that the worker was told to wait.
+RENEW_TIMEOUT_S = 0.8
+CONNECT_TIMEOUT_S = 0.5
+CONNECTIONS = 4
+
+_REASONS = {
+    "fence": runners.StartAnswer.FENCED,
+    "old": runners.StartAnswer.OLD_RUN,
+    "late": runners.StartAnswer.TOO_LATE,
+    "room": runners.StartAnswer.NO_ROOM,
+    "ticket": runners.StartAnswer.NO_TICKET,
+}
+
+
+class _Refusal(msgspec.Struct):
+    reason: str = ""
+
+
+class _Report(msgspec.Struct):
+    clock_ms: int
+    # [task, run, checkpoint, percent, tail or processor in use]
+    active: list[list] = []
+    # [number, task, run, how, checkpoint]
+    finished: list[list] = []
+    # Unix milliseconds of the start of this life of the worker.
+    born: int = 0
+
+
+class WorkerClient:
+    """Calls to one worker over HTTP.
+
+    Args:
+        registration: The worker in the directory.
+    """
+
+    __slots__ = ("_client", "_headers")
+
+    def __init__(self, *, registration: runners.Registration):
+        self._client = clients.Client(
+            url=f"http://{registration.address}",
+            timeout_s=CALL_TIMEOUT_S,
+            connections=CONNECTIONS,
+        )
+        self._headers = [
+            ("content-type", "application/json"),
+            ("x-expect-instance", registration.worker_id),
+        ]
+
+    async def _call(
+        self, path: str, body: dict, timeout_s: float = CALL_TIMEOUT_S
+    ) -> httpx.Response:
+        try:
+            response = await self._client.request(
+                "POST",
+                path,
+                headers=self._headers,
+                content=msgspec.json.encode(body),
+                timeout=httpx.Timeout(timeout_s, connect=CONNECT_TIMEOUT_S),
+            )
+        except httpx.HTTPError as exc:
+            raise errors.LinkClosedError(
+                f"the worker does not answer: {exc!r}"
+            ) from exc
+        if response.status_code == 421:
+            raise runners.OtherLifeError("another worker answers here")
+        return response
+
+    async def _order(self, path: str, body: dict) -> None:
+        """Send an order whose refusal can only mean a newer holder."""
+        response = await self._call(path, body)
+        if response.status_code == 200:
+            return
+        if _reason(response) == "fence":
+            raise runners.FencedError("the worker has seen a higher token")
+        if response.status_code == 409:
+            # The run is not there any more; the next report tells.
+            return
+        raise errors.LinkClosedError(
+            f"the worker answered {response.status_code}"
+        )
+
+    async def start(self, order: runners.StartOrder) -> runners.StartAnswer:
+        """Start a run."""
+        body = {
+            "task": order.task_name,
+            "run": order.run,
+            "task_spec": order.payload,
+            "deadline_ms": order.lease_until_ms,
+            "fencing_token": order.token,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        response = await self._call("/v1/run-start", body)
+        if response.status_code == 200:
+            return runners.StartAnswer.STARTED
+        if response.status_code in (429, 503):
+            return runners.StartAnswer.UNHEALTHY
+        return _REASONS.get(_reason(response), runners.StartAnswer.REFUSED)
+
+    async def stop(self, task_name: str, run: int, token: int) -> None:
+        """Stop a run."""
+        await self._order(
+            "/v1/run-stop",
+            {"task": task_name, "run": run, "fencing_token": token},
+        )
+
+    async def pace(
+        self, task_name: str, run: int, percent: int, token: int
+    ) -> None:
+        """Let a run work at a share of its speed."""
+        await self._order(
+            "/v1/pace",
+            {
+                "task": task_name,
+                "run": run,
+                "percent": percent,
+                "fencing_token": token,
+            },
+        )
+
+    async def renew(
+        self,
+        *,
+        token: int,
+        acknowledged: int,
+        lease_until_ms: int,
+        wait_ms: int,
+    ) -> runners.RunReport:
+        """Renew the lease, acknowledge ends and return the runs."""
+        body = {"fencing_token": token, "last_seen": acknowledged}
+        if lease_until_ms:
+            body["deadline_ms"] = lease_until_ms
+        if wait_ms:
+            body["wait_ms"] = wait_ms
+        response = await self._call(
+            "/v1/hold", body, RENEW_TIMEOUT_S + wait_ms / 1000
+        )
+        if _reason(response) == "fence":
+            raise runners.FencedError("the worker has seen a higher token")
+        if response.status_code != 200:
+            raise errors.LinkClosedError(
+                f"the worker answered {response.status_code}"
+            )
+        try:
+            return _decode_report(response.content)
+        except (msgspec.DecodeError, ValueError, TypeError) as exc:
+            raise errors.MessageError(f"bad report: {exc}") from exc
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+
+def _reason(response: httpx.Response) -> str:
+    if response.status_code != 409:
+        return ""
+    try:
+        return msgspec.json.decode(response.content, type=_Refusal).reason
+    except msgspec.DecodeError:
+        return ""
+
+
+def _decode_report(data: bytes) -> runners.RunReport:
+    report = msgspec.json.decode(data, type=_Report)
+    return runners.RunReport(
+        born_unix_ms=report.born or 1,
+        clock_ms=report.clock_ms,
+        active=[
+            runners.ActiveRun(
+                task_name=row[0],
+                run=row[1],
+                checkpoint=row[2] or "",
+                percent=row[3] if len(row) > 3 else 0,
+                signal=row[4] if len(row) > 4 else 0,
+            )
+            for row in report.active
+        ],
+        ended=[
+            runners.EndedRun(
+                number=row[0],
+                task_name=row[1],
+                run=row[2],
+                outcome=tasks.Outcome(row[3]),
+                checkpoint=row[4] or "",
+            )
+            for row in report.finished
+        ],
+    )
--- /dev/null
+++ b/wisteriawood/policies/spreading/__init__.py
@@ -0,0 +1,1 @@
+"""Policies that choose the worker of a run."""
--- /dev/null
+++ b/wisteriawood/policies/spreading/first_fit.py
@@ -0,0 +1,19 @@
+"""Spreading to the first worker that has room."""
+
+from wisteriawood.cells import workers
+from wisteriawood.jobs import specs
+from wisteriawood.policies.spreading import base
+
+
+@base.POLICIES.register("first-fit")
+class FirstFit:
+    """Takes the worker that comes first by id."""
+
+    __slots__ = ()
+
+    def choose(
+        self, candidates: list[workers.Worker], step: specs.StepSpec
+    ) -> workers.Worker | None:
+        """Return the first worker by id."""
+        del step
+        return min(candidates, key=lambda worker: worker.id)
