--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -31,6 +31,7 @@
 # A holder that can't reach the store renews leases for so long.
 RENEW_WITHOUT_STORE_S = 12.0
 REMOVE_PERIOD_TICKS = 40
+LOAD_PERIOD_TICKS = 8
 
 Dial = typing.Callable[[runners.Registration], runners.RunLink]
 
@@ -268,9 +269,29 @@
             self._drop_orphans()
             self._guard.look()
             self.cell.place()
+            if self._ticks % LOAD_PERIOD_TICKS == 0:
+                self._log_load()
             if self._ticks % REMOVE_PERIOD_TICKS == 0:
                 await self._remove_old()
 
+    def _log_load(self) -> None:
+        """Write down how full the workers are."""
+        _LOG.log(
+            events.CELL_LOAD,
+            cell=self.cell.name,
+            waiting=self.cell.waiting_count(),
+            workers={
+                worker.id: [
+                    worker.pressed_count(),
+                    len(worker.runs),
+                    worker.free_millicores // 1000,
+                    worker.filler_millicores // 1000,
+                    worker.free_memory_mb // 1024,
+                ]
+                for worker in self.cell.fleet.values()
+            },
+        )
+
     def _drop_orphans(self) -> None:
         """Give up runs on workers that were never seen, after the lease."""
         if anyio.current_time() < self._former_lapsed_at_s:
--- a/wisteriawood/policies/spreading/base.py
+++ b/wisteriawood/policies/spreading/base.py
@@ -6,7 +6,7 @@
 from wisteriawood.jobs import specs
 from wisteriawood.policies import registry
 
-DEFAULT = "least-pressed"
+DEFAULT = "apart"
 
 
 class SpreadingPolicy(typing.Protocol):
--- a/wisteriawood/policies/spreading/least_pressed.py
+++ b/wisteriawood/policies/spreading/least_pressed.py
@@ -11,7 +11,7 @@
 SERVING_PENALTY_MILLICORES = 8000
 
 
-@base.POLICIES.register(base.DEFAULT)
+@base.POLICIES.register("least-pressed")
 class LeastPressed:
     """Takes the worker that leaves each run the most processor.
 
--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -396,3 +396,9 @@
 SETTINGS_RELOADED = define(
     2307, "settings-reloaded", "The settings file has changed."
 )
+CELL_LOAD = define(
+    2112,
+    "cell-load",
+    "How full a cell is: for each worker its serving tasks, runs, free "
+    "cores, cores that fillers ask for, and free memory in GiB.",
+)
