Learn which fillers disturb which serving tasks; place and pace by it

Cause: a trace of all reports shows that one filler image in a few disturbs a given serving image about thirty times as much as the rest, and that serving tasks use about two fifths of what they reserve.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -9,6 +9,7 @@
 from wisteriawood.cells import claims
 from wisteriawood.cells import ledgers
 from wisteriawood.cells import placers
+from wisteriawood.cells import pressure
 from wisteriawood.cells import progress
 from wisteriawood.cells import runs
 from wisteriawood.cells import tables
@@ -45,6 +46,7 @@
         "_group",
         "_placer",
         "_waiting",
+        "book",
         "claim",
         "counters",
         "fleet",
@@ -73,7 +75,8 @@
             claim_at=tables.claim_row(claim.cell),
             claim_version=claim.version,
         )
-        self._placer = placers.Placer(policy=policy)
+        self.book = pressure.PressureBook()
+        self._placer = placers.Placer(policy=policy, book=self.book)
         self._waiting: dict[str, tuple[jobs.Job, list[list[tasks.Task]]]] = {}
         self._group: abc.TaskGroup | None = None
 
@@ -376,4 +379,5 @@
             "pending": self.pending_by_queue(),
             "waiting": self.waiting_count(),
             "workers": len(self.fleet),
+            "pressure": self.book.tell(),
         }
--- a/wisteriawood/cells/followers.py
+++ b/wisteriawood/cells/followers.py
@@ -132,6 +132,7 @@
                 and run.settled_at_s < sent_at_s
             ):
                 self._cell.end_run(worker, run, tasks.Outcome.LAPSED)
+        worker.learn(self._cell.book, now_s)
         self._cell.place()
         if worker.seen > worker.acknowledged:
             self._saving.append((batches, worker.seen))
--- a/wisteriawood/cells/guards.py
+++ b/wisteriawood/cells/guards.py
@@ -9,16 +9,19 @@
 
 _LOG = events.Logger(name=__name__)
 # Share of its bound at which a tail calls for a step down.
-ALARM_SHARE = 0.85
-# Share of its bound below which fillers may step up again.
-CALM_SHARE = 0.6
-# Factor of a step down, and the lowest share before a filler stands still.
-STEP_DOWN = 0.5
-LOWEST_PERCENT = 20
-STEP_UP_PERCENT = 20
-# Time between two steps on one worker; the tail covers half a second.
-STEP_PERIOD_S = 0.7
-CALM_PERIOD_S = 1.5
+ALARM_STRAIN = 0.85
+# Strain that a step down aims at, and up to which fillers step up again.
+AIM_STRAIN = 0.7
+# Time between two looks at one worker; a tail covers half a second.
+STEP_PERIOD_S = 0.6
+# Time of calm before fillers step up.
+CALM_PERIOD_S = 1.2
+STEP_UP_PERCENT = 25
+# A filler that may only work below this share is stopped, if it can
+# resume elsewhere from a checkpoint.
+MOVE_BELOW_PERCENT = 30
+# Time for which a filler stands still before it is moved.
+MOVE_AFTER_S = 0.5
 
 
 class Guard:
@@ -38,6 +41,9 @@
         """Step fillers down or up where the tails call for it."""
         now_s = anyio.current_time()
         for worker in self._cell.fleet.values():
+            since_s = now_s - self._stepped_at_s.get(worker.id, 0.0)
+            if since_s < STEP_PERIOD_S or not worker.is_fresh(now_s):
+                continue
             fillers = [
                 run
                 for run in worker.runs.values()
@@ -45,60 +51,104 @@
                 and run.is_confirmed
                 and not run.is_stopping
             ]
-            if not fillers or now_s - worker.answered_at_s > STEP_PERIOD_S * 3:
+            if not fillers:
                 continue
-            strain = _strain(worker)
-            since_s = now_s - self._stepped_at_s.get(worker.id, 0.0)
-            if strain >= ALARM_SHARE and since_s >= STEP_PERIOD_S:
-                self._step(worker, fillers, strain, is_down=True)
-            elif strain < CALM_SHARE and since_s >= CALM_PERIOD_S:
-                slowed = [run for run in fillers if run.pace_percent < 100]
-                if slowed:
-                    self._step(worker, slowed, strain, is_down=False)
-
-    def _step(
+            strained = _most_strained(worker)
+            if strained is None:
+                self._step_up(worker, fillers, "")
+                continue
+            strain = strained.strain()
+            if strain >= ALARM_STRAIN:
+                self._step_down(worker, fillers, strained)
+            elif strain < AIM_STRAIN and since_s >= CALM_PERIOD_S:
+                self._step_up(worker, fillers, strained.step.image)
+
+    def _step_down(
         self,
         worker: workers.Worker,
         fillers: list[runs.Run],
-        strain: float,
-        *,
-        is_down: bool,
+        strained: runs.Run,
     ) -> None:
-        self._stepped_at_s[worker.id] = anyio.current_time()
+        """Slow the fillers that add most, until the tail should hold."""
+        book = self._cell.book
+        image = strained.step.image
+        excess = strained.strain() - AIM_STRAIN
+        parts = []
         for run in fillers:
-            percent = _next_percent(run.pace_percent, strain, is_down)
-            if percent == run.pace_percent:
+            share = worker.share_of(run)
+            added = book.weight(image, run.step.image) * share
+            parts.append((added, run))
+        parts.sort(key=lambda part: (-part[0], part[1].name))
+        for added, run in parts:
+            if excess <= 0 or added <= 0:
+                break
+            keep = max(0.0, 1.0 - excess / added)
+            percent = int(run.pace_percent * keep)
+            excess -= added * (1 - keep)
+            self._set(worker, run, percent, "tail")
+        self._note(worker, strained.strain(), fillers)
+        self._move_stopped(worker, fillers)
+
+    def _step_up(
+        self, worker: workers.Worker, fillers: list[runs.Run], image: str
+    ) -> None:
+        """Let slowed fillers work faster, as far as the tails allow."""
+        slowed = [run for run in fillers if run.pace_percent < 100]
+        if not slowed:
+            return
+        book = self._cell.book
+        run = min(
+            slowed,
+            key=lambda run: (book.weight(image, run.step.image), run.name),
+        )
+        percent = min(100, run.pace_percent + STEP_UP_PERCENT)
+        if image:
+            share = run.step.cpu_millicores / worker.capacity_millicores()
+            added = book.weight(image, run.step.image) * share
+            added *= (percent - run.pace_percent) / 100
+            shares = worker.filler_shares()
+            if book.strain(image, shares) + added > AIM_STRAIN:
+                return
+        self._set(worker, run, percent, "calm")
+        self._note(worker, 0.0, fillers)
+
+    def _move_stopped(
+        self, worker: workers.Worker, fillers: list[runs.Run]
+    ) -> None:
+        """Stop slowed fillers that lose little by going elsewhere."""
+        for run in fillers:
+            if run.pace_percent >= MOVE_BELOW_PERCENT:
                 continue
-            run.pace_percent = percent
-            self._cell.counters.paces.labels(
-                cause="tail" if is_down else "calm"
-            ).inc()
-            self._cell.send_pace(worker, run)
+            if run.step.is_checkpointing:
+                self._cell.counters.paces.labels(cause="move").inc()
+                self._cell.stop_run(worker, run)
+
+    def _set(
+        self, worker: workers.Worker, run: runs.Run, percent: int, cause: str
+    ) -> None:
+        if percent == run.pace_percent:
+            return
+        run.pace_percent = percent
+        run.paced_at_s = anyio.current_time()
+        self._stepped_at_s[worker.id] = run.paced_at_s
+        self._cell.counters.paces.labels(cause=cause).inc()
+        self._cell.send_pace(worker, run)
+
+    def _note(
+        self, worker: workers.Worker, strain: float, fillers: list[runs.Run]
+    ) -> None:
         _LOG.log(
             events.FILLERS_PACED,
             worker=worker.id,
             strain=round(strain, 2),
-            fillers=len(fillers),
-            percent=min(run.pace_percent for run in fillers),
+            fillers={run.name: run.pace_percent for run in fillers},
         )
 
 
-def _strain(worker: workers.Worker) -> float:
-    """Return the highest tail of a worker as a share of its bound."""
-    return max(
-        (
-            run.signal / run.step.tail_target_ms
-            for run in worker.runs.values()
-            if run.step.tail_target_ms > 0 and run.is_confirmed
-        ),
-        default=0.0,
-    )
-
-
-def _next_percent(percent: int, strain: float, is_down: bool) -> int:
-    if not is_down:
-        return min(100, percent + STEP_UP_PERCENT)
-    lower = int(percent * STEP_DOWN)
-    if strain >= 1.0 and percent <= LOWEST_PERCENT:
-        return 0
-    return max(lower, LOWEST_PERCENT) if strain < 1.0 else lower
+def _most_strained(worker: workers.Worker) -> runs.Run | None:
+    serving = [
+        run
+        for run in worker.runs.values()
+        if run.step.tail_target_ms > 0 and run.is_confirmed
+    ]
+    return max(serving, key=lambda run: run.strain(), default=None)
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -282,7 +282,7 @@
             waiting=self.cell.waiting_count(),
             workers={
                 worker.id: [
-                    worker.pressed_count(),
+                    sum(worker.serving_images().values()),
                     len(worker.runs),
                     worker.free_millicores // 1000,
                     worker.filler_millicores // 1000,
--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from wisteriawood.cells import pressure
 from wisteriawood.cells import progress
 from wisteriawood.cells import runs
 from wisteriawood.cells import workers
@@ -41,12 +42,16 @@
 
     Args:
         policy: Chooses among the workers that have room.
+        book: What is known of how fillers disturb serving tasks.
     """
 
-    __slots__ = ("_policy",)
+    __slots__ = ("_book", "_policy")
 
-    def __init__(self, *, policy: base.SpreadingPolicy):
+    def __init__(
+        self, *, policy: base.SpreadingPolicy, book: pressure.PressureBook
+    ):
         self._policy = policy
+        self._book = book
 
     def place(
         self,
@@ -131,7 +136,9 @@
                 if worker.registration.rack == step.near_rack
             ]
             candidates = near or candidates
-        return self._policy.choose(candidates, step) if candidates else None
+        if not candidates:
+            return None
+        return self._policy.choose(candidates, step, self._book)
 
     def _place_gang(
         self,
--- a/wisteriawood/cells/runs.py
+++ b/wisteriawood/cells/runs.py
@@ -88,3 +88,7 @@
             self.task.run == self.number
             and self.task.phase is tasks.Phase.ASSIGNED
         )
+
+    def strain(self) -> float:
+        """Return the tail latency as a share of its bound."""
+        return self.signal / self.step.tail_target_ms
--- a/wisteriawood/cells/workers.py
+++ b/wisteriawood/cells/workers.py
@@ -5,6 +5,7 @@
 import anyio
 
 from wisteriawood.cells import leases
+from wisteriawood.cells import pressure
 from wisteriawood.cells import runs
 from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
@@ -17,6 +18,10 @@
 MAX_PROBATION_S = 30.0
 # A worker that refused a start is left alone for this time.
 REFUSAL_PAUSE_S = 0.5
+# Part of what serving tasks ask for that they use, with some headroom.
+SERVING_USE_SHARE = 0.6
+# Time that a tail takes to show a change of the fillers.
+SETTLING_S = 0.55
 # A worker whose last answer is older gets no new runs.
 FRESH_S = 2.5
 
@@ -43,6 +48,7 @@
         "_failed_jobs",
         "_failures",
         "_probations",
+        "_serving_millicores",
         "acknowledged",
         "answered_at_s",
         "avoided_until_s",
@@ -83,6 +89,7 @@
         self.is_gone = False
         self.avoided_until_s = 0.0
         self.filler_millicores = 0
+        self._serving_millicores = 0
         self.free_millicores = registration.cpu_millicores
         self.free_memory_mb = registration.memory_mb
         self.free_accelerators = registration.accelerators
@@ -137,6 +144,8 @@
             self.filler_millicores += sign * step.cpu_millicores
         else:
             self.free_millicores -= sign * step.cpu_millicores
+        if step.tail_target_ms > 0:
+            self._serving_millicores += sign * step.cpu_millicores
         self.free_memory_mb -= sign * step.memory_mb
         self.free_accelerators -= sign * step.accelerators
 
@@ -176,7 +185,7 @@
             not self.is_gone
             and not self.registration.is_draining
             and self.born_unix_ms > 0
-            and now_s - self.answered_at_s <= FRESH_S
+            and self.is_fresh(now_s)
             and now_s >= self.avoided_until_s
         )
 
@@ -204,15 +213,94 @@
         Returns:
             A renewed lease while the worker answers, else the last one.
         """
-        if now_s - self.answered_at_s <= FRESH_S:
+        if self.is_fresh(now_s):
             return self.lease.grant(now_s)
         return self.lease.granted_until_ms
 
-    def pressed_count(self) -> int:
+    def is_fresh(self, now_s: float) -> bool:
+        """Tell whether the worker answered lately.
+
+        Args:
+            now_s: Monotonic time.
+        """
+        return now_s - self.answered_at_s <= FRESH_S
+
+    def capacity_millicores(self) -> int:
+        """Return the processor of the worker."""
+        return max(1, self.registration.cpu_millicores)
+
+    def left_over(self) -> float:
+        """Return the processor that nothing here is expected to use.
+
+        Serving tasks use a part of what they ask for, on average.
+        """
+        unused = (1 - SERVING_USE_SHARE) * self._serving_millicores
+        left = self.free_millicores + unused - self.filler_millicores
+        return left * self.speed
+
+    def serving_images(self) -> dict[str, int]:
         """Return how many tasks with a bound on their tail are here."""
-        return sum(
-            1 for run in self.runs.values() if run.step.tail_target_ms > 0
-        )
+        found: dict[str, int] = {}
+        for run in self.runs.values():
+            if run.step.tail_target_ms > 0:
+                found[run.step.image] = found.get(run.step.image, 0) + 1
+        return found
+
+    def share_of(self, run: runs.Run) -> float:
+        """Return the share of the processor at which a filler works.
+
+        Args:
+            run: The filler.
+        """
+        share = run.step.cpu_millicores / self.capacity_millicores()
+        return share * run.pace_percent / 100
+
+    def filler_shares(self) -> dict[str, float]:
+        """Return the shares of the processor of the fillers, by image."""
+        found: dict[str, float] = {}
+        for run in self.runs.values():
+            if run.step.is_filler and not run.is_stopping:
+                share = found.get(run.step.image, 0.0)
+                found[run.step.image] = share + self.share_of(run)
+        return found
+
+    def strain_with(
+        self, step: specs.StepSpec, book: pressure.PressureBook
+    ) -> float:
+        """Return the highest strain to expect beside one more filler.
+
+        Args:
+            step: Step of the filler.
+            book: What is known of how fillers disturb serving tasks.
+        """
+        images = self.serving_images()
+        if not images:
+            return 0.0
+        shares = self.filler_shares()
+        share = step.cpu_millicores / self.capacity_millicores()
+        shares[step.image] = shares.get(step.image, 0.0) + share
+        return max(book.strain(image, shares) for image in images)
+
+    def learn(self, book: pressure.PressureBook, now_s: float) -> None:
+        """Learn from the tails in the newest report.
+
+        Args:
+            book: Where it is kept.
+            now_s: Monotonic time.
+        """
+        shares: dict[str, float] = {}
+        for run in self.runs.values():
+            if not run.step.is_filler:
+                continue
+            changed_at_s = max(run.started_at_s, run.paced_at_s)
+            if not run.is_confirmed or now_s - changed_at_s < SETTLING_S:
+                # The tail still covers the time before.
+                return
+            share = shares.get(run.step.image, 0.0)
+            shares[run.step.image] = share + self.share_of(run)
+        for run in self.runs.values():
+            if run.step.tail_target_ms > 0 and run.signal > 0:
+                book.learn(run.step.image, shares, run.strain())
 
     def note_refusal(self, now_s: float) -> None:
         """Leave the worker alone for a moment after it refused a start.
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -213,12 +213,23 @@
             await anyio.sleep(LOOK_PERIOD_S)
             if self.is_draining or not self.members.claim_feed.heard_at_s:
                 continue
+            self._share_knowledge()
             for cell in self._wanted_cells():
                 if cell in self._holders:
                     self._check_held(cell)
                 elif await self._should_claim(cell):
                     await self._claim(cell)
 
+    def _share_knowledge(self) -> None:
+        """Tell each held cell what the others of its service learned."""
+        loads = self.members.all_loads()
+        for name, holder in self._holders.items():
+            service = tables.service_of_cell(name)
+            for other, load in loads.items():
+                if other == name or tables.service_of_cell(other) != service:
+                    continue
+                holder.cell.book.hear(load.get("pressure", {}))
+
     def _check_held(self, cell: str) -> None:
         """Let go of a cell that another host holds, or should."""
         claim = self.members.claims.get(cell)
--- a/wisteriawood/policies/spreading/first_fit.py
+++ b/wisteriawood/policies/spreading/first_fit.py
@@ -1,5 +1,6 @@
 """Spreading to the first worker that has room."""
 
+from wisteriawood.cells import pressure
 from wisteriawood.cells import workers
 from wisteriawood.jobs import specs
 from wisteriawood.policies.spreading import base
@@ -12,8 +13,11 @@
     __slots__ = ()
 
     def choose(
-        self, candidates: list[workers.Worker], step: specs.StepSpec
+        self,
+        candidates: list[workers.Worker],
+        step: specs.StepSpec,
+        book: pressure.PressureBook,
     ) -> workers.Worker | None:
         """Return the first worker by id."""
-        del step
+        del step, book
         return min(candidates, key=lambda worker: worker.id)
--- a/wisteriawood/policies/spreading/least_pressed.py
+++ b/wisteriawood/policies/spreading/least_pressed.py
@@ -1,43 +1,64 @@
-"""Spreading to the worker on which a run is pressed least."""
+"""Spreading to the worker on which runs disturb each other least."""
 
+from wisteriawood.cells import pressure
 from wisteriawood.cells import workers
 from wisteriawood.jobs import specs
 from wisteriawood.policies.spreading import base
 
 # Share of its processor that a filler must find left over to be started.
-FILLER_MIN_SHARE = 0.5
-# Processor by which a filler prefers a worker without a serving task, in
-# thousandths of a core; about one filler's share.
-SERVING_PENALTY_MILLICORES = 8000
+FILLER_MIN_SHARE = 0.9
+# Strain that a filler may bring the serving tasks beside it to.
+MAX_STRAIN = 0.75
 
 
-@base.POLICIES.register("least-pressed")
+@base.POLICIES.register(base.DEFAULT)
 class LeastPressed:
-    """Takes the worker that leaves each run the most processor.
+    """Puts fillers where serving tasks hold out, and groups those.
 
-    Fillers look for processor that is left over and keep away from
-    serving tasks; all others keep away from fillers.
+    Serving tasks of one image go together, so that fillers which disturb
+    that image find other workers free of it.
     """
 
     __slots__ = ()
 
     def choose(
-        self, candidates: list[workers.Worker], step: specs.StepSpec
+        self,
+        candidates: list[workers.Worker],
+        step: specs.StepSpec,
+        book: pressure.PressureBook,
     ) -> workers.Worker | None:
         """Return the least pressed worker, or None to wait."""
-        best = max(candidates, key=lambda worker: self._room(worker, step))
-        if step.is_filler and not self._is_enough(best, step):
-            return None
-        return best
-
-    def _room(
-        self, worker: workers.Worker, step: specs.StepSpec
-    ) -> tuple[float, str]:
-        room = worker.free_millicores - worker.filler_millicores
         if step.is_filler:
-            room -= SERVING_PENALTY_MILLICORES * worker.pressed_count()
-        return room * worker.speed, worker.id
+            return _choose_for_filler(candidates, step, book)
+        if step.tail_target_ms > 0:
+            return min(candidates, key=lambda w: _serving_order(w, step, book))
+        return max(candidates, key=lambda w: (w.left_over(), w.id))
 
-    def _is_enough(self, worker: workers.Worker, step: specs.StepSpec) -> bool:
-        left = worker.free_millicores - worker.filler_millicores
-        return left >= FILLER_MIN_SHARE * step.cpu_millicores
+
+def _choose_for_filler(
+    candidates: list[workers.Worker],
+    step: specs.StepSpec,
+    book: pressure.PressureBook,
+) -> workers.Worker | None:
+    best = None
+    best_order: tuple = ()
+    for worker in candidates:
+        left = worker.left_over()
+        if left < FILLER_MIN_SHARE * step.cpu_millicores:
+            continue
+        strain = worker.strain_with(step, book)
+        if strain > MAX_STRAIN:
+            continue
+        order = (left - strain * step.cpu_millicores, worker.id)
+        if best is None or order > best_order:
+            best, best_order = worker, order
+    return best
+
+
+def _serving_order(
+    worker: workers.Worker, step: specs.StepSpec, book: pressure.PressureBook
+) -> tuple:
+    strain = book.strain(step.image, worker.filler_shares())
+    alike = worker.serving_images().get(step.image, 0)
+    is_mixed = bool(worker.serving_images()) and not alike
+    return (strain > MAX_STRAIN, is_mixed, -alike, strain, worker.id)
