--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -372,10 +372,29 @@
             for step in found
         )
 
+    def _wanted_millicores(self) -> tuple[int, int]:
+        """Return the processor that waiting tasks and fillers ask for."""
+        reserved = fillers = 0
+        for job, steps in self._waiting.values():
+            for step_tasks in steps:
+                step = job.step_of(step_tasks[0])
+                wanted = step.cpu_millicores * len(step_tasks)
+                if step.is_filler:
+                    fillers += wanted
+                else:
+                    reserved += wanted
+        return reserved, fillers
+
     def load_report(self) -> dict[str, typing.Any]:
         """Return what other hosts need to know of the cell's load."""
+        now_s = anyio.current_time()
+        usable = [w for w in self.fleet.values() if w.is_usable(now_s)]
+        reserved, fillers = self._wanted_millicores()
         return {
             "epoch": self.claim.epoch,
+            "capacity": sum(w.capacity_millicores() for w in usable),
+            "free": sum(w.free_millicores for w in usable) - reserved,
+            "left": int(sum(w.left_over() for w in usable)) - fillers,
             "pending": self.pending_by_queue(),
             "waiting": self.waiting_count(),
             "workers": len(self.fleet),
--- a/wisteriawood/cells/followers.py
+++ b/wisteriawood/cells/followers.py
@@ -165,6 +165,9 @@
                 self._stop_unknown(active)
                 continue
             listed.add(run.name)
+            if run.job.is_ended() and not run.is_stopping:
+                # A holder before this one has not got round to the stop.
+                self._cell.stop_run(worker, run)
             if not run.is_confirmed:
                 run.is_confirmed = True
                 run.started_at_s = now_s
--- a/wisteriawood/cells/guards.py
+++ b/wisteriawood/cells/guards.py
@@ -12,6 +12,11 @@
 ALARM_STRAIN = 0.85
 # Strain that a step down aims at, and up to which fillers step up again.
 AIM_STRAIN = 0.7
+# Time over its bound after which all fillers beside a task stand still;
+# far inside the four seconds that count as harm.
+MAX_OVER_S = 1.2
+# Time for which no filler starts beside a task that was over its bound.
+PAUSE_AFTER_OVER_S = 3.0
 # Time between two looks at one worker; a tail covers half a second.
 STEP_PERIOD_S = 0.6
 # Time of calm before fillers step up.
@@ -31,37 +36,57 @@
         cell: The cell.
     """
 
-    __slots__ = ("_cell", "_stepped_at_s")
+    __slots__ = ("_cell", "_over_since_s", "_stepped_at_s")
 
     def __init__(self, *, cell: cells.Cell):
         self._cell = cell
+        self._over_since_s: dict[str, float] = {}
         self._stepped_at_s: dict[str, float] = {}
 
     def look(self) -> None:
         """Step fillers down or up where the tails call for it."""
         now_s = anyio.current_time()
         for worker in self._cell.fleet.values():
-            since_s = now_s - self._stepped_at_s.get(worker.id, 0.0)
-            if since_s < STEP_PERIOD_S or not worker.is_fresh(now_s):
-                continue
-            fillers = [
-                run
-                for run in worker.runs.values()
-                if run.step.is_filler
-                and run.is_confirmed
-                and not run.is_stopping
-            ]
-            if not fillers:
-                continue
-            strained = _most_strained(worker)
-            if strained is None:
-                self._step_up(worker, fillers, "")
-                continue
-            strain = strained.strain()
-            if strain >= ALARM_STRAIN:
-                self._step_down(worker, fillers, strained)
-            elif strain < AIM_STRAIN and since_s >= CALM_PERIOD_S:
-                self._step_up(worker, fillers, strained.step.image)
+            self._look_at(worker, now_s)
+
+    def _look_at(self, worker: workers.Worker, now_s: float) -> None:
+        strained = _most_strained(worker)
+        strain = strained.strain() if strained else 0.0
+        if strain < 1.0:
+            self._over_since_s.pop(worker.id, None)
+            over_s = 0.0
+        else:
+            over_s = now_s - self._over_since_s.setdefault(worker.id, now_s)
+        fillers = [
+            run
+            for run in worker.runs.values()
+            if run.step.is_filler and run.is_confirmed and not run.is_stopping
+        ]
+        if over_s >= MAX_OVER_S:
+            worker.no_fillers_until_s = now_s + PAUSE_AFTER_OVER_S
+            self._halt(worker, fillers, strain)
+            return
+        since_s = now_s - self._stepped_at_s.get(worker.id, 0.0)
+        if not fillers or since_s < STEP_PERIOD_S:
+            return
+        if strained is None:
+            self._step_up(worker, fillers, "")
+        elif strain >= ALARM_STRAIN:
+            self._step_down(worker, fillers, strained)
+        elif strain < AIM_STRAIN and since_s >= CALM_PERIOD_S:
+            self._step_up(worker, fillers, strained.step.image)
+
+    def _halt(
+        self, worker: workers.Worker, fillers: list[runs.Run], strain: float
+    ) -> None:
+        """Let all fillers of a worker stand still, or go elsewhere."""
+        moving = [run for run in fillers if run.pace_percent > 0]
+        if not moving:
+            return
+        for run in moving:
+            self._set(worker, run, 0, "halt")
+        self._note(worker, strain, fillers)
+        self._move_stopped(worker, fillers)
 
     def _step_down(
         self,
--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -102,7 +102,7 @@
             return self._place_gang(job, step_tasks, usable, found, now_s)
         placed = 0
         for task in step_tasks:
-            worker = self._choose(job, task, step, usable)
+            worker = self._choose(job, task, step, usable, now_s)
             if worker is None:
                 break
             found.append((worker, _assign(job, task, worker, now_s)))
@@ -115,11 +115,13 @@
         task: tasks.Task,
         step: specs.StepSpec,
         usable: list[workers.Worker],
+        now_s: float,
     ) -> workers.Worker | None:
         candidates = [
             worker
             for worker in usable
             if worker.has_room(step)
+            and not (step.is_filler and now_s < worker.no_fillers_until_s)
             and (
                 not step.required_label
                 or step.required_label in worker.registration.labels
@@ -161,7 +163,7 @@
         for rack in racks:
             placed: list[tuple[workers.Worker, runs.Run]] = []
             for task in step_tasks:
-                worker = self._choose(job, task, step, rack)
+                worker = self._choose(job, task, step, rack, now_s)
                 if worker is None:
                     break
                 run = _assign(job, task, worker, now_s, number=number)
--- a/wisteriawood/cells/workers.py
+++ b/wisteriawood/cells/workers.py
@@ -42,6 +42,7 @@
         born_unix_ms: Start of the life that we know; 0 before an answer.
         answered_at_s: When it last answered; 0 before.
         is_gone: Whether the directory no longer lists it.
+        no_fillers_until_s: Monotonic time before which no filler starts.
     """
 
     __slots__ = (
@@ -60,6 +61,7 @@
         "is_gone",
         "lease",
         "link",
+        "no_fillers_until_s",
         "orders",
         "orders_out",
         "registration",
@@ -88,6 +90,7 @@
         self.answered_at_s = 0.0
         self.is_gone = False
         self.avoided_until_s = 0.0
+        self.no_fillers_until_s = 0.0
         self.filler_millicores = 0
         self._serving_millicores = 0
         self.free_millicores = registration.cpu_millicores
@@ -264,6 +267,17 @@
                 found[run.step.image] = share + self.share_of(run)
         return found
 
+    def strain_now(self) -> float:
+        """Return the highest strain that was last reported."""
+        return max(
+            (
+                run.strain()
+                for run in self.runs.values()
+                if run.step.tail_target_ms > 0 and run.is_confirmed
+            ),
+            default=0.0,
+        )
+
     def strain_with(
         self, step: specs.StepSpec, book: pressure.PressureBook
     ) -> float:
--- a/wisteriawood/links/stores.py
+++ b/wisteriawood/links/stores.py
@@ -15,6 +15,8 @@
 SETTLE_MAX_DELAY_S = 0.5
 # Rows that one transaction may name; the platform's bound is 100.
 MAX_ENTRIES = 90
+# Time for which a change that was never sent is tried again for a caller.
+UNSENT_PATIENCE_S = 0.3
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -163,6 +165,7 @@
     """
     was_sent = False
     delay_s = SETTLE_DELAY_S
+    began_at_s = anyio.current_time()
     while True:
         try:
             return await store.commit(change)
@@ -175,7 +178,10 @@
         except errors.PlatformUnavailableError:
             pass
         if give_up_at_s is not None:
-            if anyio.current_time() + delay_s >= give_up_at_s:
+            until_s = give_up_at_s
+            if not was_sent:
+                until_s = min(until_s, began_at_s + UNSENT_PATIENCE_S)
+            if anyio.current_time() + delay_s >= until_s:
                 if was_sent:
                     raise errors.TransactionUnknownError(
                         "the store did not acknowledge a change in time"
--- a/wisteriawood/machines/intakes.py
+++ b/wisteriawood/machines/intakes.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from wisteriawood.cells import balancers
 from wisteriawood.cells import tables
 from wisteriawood import errors
 from wisteriawood.jobs import jobs
@@ -26,10 +27,11 @@
         host: The host.
     """
 
-    __slots__ = ("_host",)
+    __slots__ = ("_balancer", "_host")
 
     def __init__(self, *, host: job_hosts.JobHost):
         self._host = host
+        self._balancer = balancers.Balancer()
 
     def find_queue(self, host_name: str, path: str) -> queues.Queue:
         """Return the queue of a caller's request.
@@ -63,6 +65,7 @@
             RequestUnknownError: The job may have been taken in.
         """
         began_at_s = anyio.current_time()
+        self._check_store()
         spec.accepted_unix_ms = self._host.now_unix_ms()
         bucket = tables.bucket_of(spec.id, self._host.zones)
         cell = self._choose_cell(spec, bucket)
@@ -110,11 +113,20 @@
                 took_s=round(took_s, 3),
             )
 
+    def _check_store(self) -> None:
+        """Refuse at once while the store is known to be away."""
+        if self._host.is_store_away():
+            raise errors.RequestNotRunError(
+                reason="the store does not answer this host",
+                retry_after_s=STORE_RETRY_S,
+            )
+
     def _choose_cell(self, spec: specs.JobSpec, bucket: str) -> str:
         """Return the cell that runs a job.
 
-        It is the one of the zone that the job's id leads to, unless that
-        has no worker or its holder is silent.
+        It is the one in which the job finds most room, among those with
+        workers whose holders were heard lately; near its data, if it
+        names a rack.
         """
         service = spec.queue.service
         zones = self._host.zones
@@ -128,12 +140,15 @@
         names = [tables.cell_name(service, zone) for zone in ordered]
         manned = [name for name in names if self._host.has_workers(name)]
         lively = self._host.members.lively_cells()
-        for name in manned:
-            if name in lively:
-                return name
-        return (manned or names)[0]
+        open_cells = [name for name in manned if name in lively]
+        if not open_cells:
+            return (manned or names)[0]
+        if near and open_cells[0] == names[0]:
+            return names[0]
+        return self._balancer.choose(open_cells, lively, spec)
 
     async def _read(self, job_id: str) -> tuple[str, jobs.JobState]:
+        self._check_store()
         bucket = tables.bucket_of(job_id, self._host.zones)
         try:
             page = await self._host.store.read(tables.JOBS, bucket, key=job_id)
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -31,6 +31,8 @@
 # Time after its start in which a host leaves unclaimed cells of other
 # zones to their own hosts.
 FAR_START_S = 3.0
+# Time for which the workers of a far cell must have been reached.
+FAR_REACH_S = 1.2
 # Time for which a host of a cell's own zone must have been lively before
 # a holder in another zone gives the cell back.
 GIVE_BACK_S = 2.0
@@ -39,6 +41,9 @@
 HELD_DELAY_S = 0.3
 PROBE_TIMEOUT_S = 0.6
 PROBES = 3
+# Time without an answer of the store after which callers are refused at
+# once; the feed asks several times in it.
+STORE_AWAY_S = 1.0
 # Time within which a store call must have worked for a host to be ready.
 READY_STORE_S = 2.5
 
@@ -66,6 +71,7 @@
         "_keep_s",
         "_lease_s",
         "_policy",
+        "_reached_at_s",
         "_scopes",
         "_started_at_s",
         "counters",
@@ -107,6 +113,7 @@
         self.is_draining = False
         self._fleet: dict[str, runners.Registration] = {}
         self._fleet_read_at_s = 0.0
+        self._reached_at_s: dict[str, float] = {}
         self._holders: dict[str, holders.Holder] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._group: abc.TaskGroup | None = None
@@ -168,6 +175,12 @@
         ]
         return max(sorted(set(zones)), key=zones.count, default="")
 
+    def is_store_away(self) -> bool:
+        """Tell whether the store has not answered for a while."""
+        feed = self.members.beat_feed
+        lost_s = anyio.current_time() - feed.heard_at_s
+        return not feed.steady_since_s and lost_s > STORE_AWAY_S
+
     def not_ready(self) -> str:
         """Return why the host takes no new connections; empty if it does."""
         if self.is_draining:
@@ -217,8 +230,8 @@
             for cell in self._wanted_cells():
                 if cell in self._holders:
                     self._check_held(cell)
-                elif await self._should_claim(cell):
-                    await self._claim(cell)
+                else:
+                    await self._consider(cell)
 
     def _share_knowledge(self) -> None:
         """Tell each held cell what the others of its service learned."""
@@ -249,25 +262,41 @@
         if steady_s > GIVE_BACK_S and self._group is not None:
             self._group.start_soon(self.release, cell)
 
-    async def _should_claim(self, cell: str) -> bool:
-        claim = self.members.claims.get(cell)
-        zone = tables.zone_of_cell(cell)
+    async def _consider(self, cell: str) -> None:
+        """Claim a cell if it is free and this host should have it."""
+        before = self.members.claims.get(cell)
         extra_s = HELD_DELAY_S * len(self._holders)
-        silence_s = members.SILENCE_S + extra_s
-        if zone == self.zone:
-            if claim is None:
-                return True
-            return self.members.is_holder_gone(claim, silence_s)
+        if tables.zone_of_cell(cell) == self.zone:
+            silence_s = members.SILENCE_S + extra_s
+            if before is None or self.members.is_holder_gone(
+                before, silence_s
+            ):
+                await self._claim(cell, before)
+            return
+        if not self._is_far_cell_free(cell, before, extra_s):
+            self._reached_at_s.pop(cell, None)
+            return
+        if not await self._reaches(cell):
+            self._reached_at_s.pop(cell, None)
+            return
+        # A zone that was cut off gets time to show that its own hosts live.
+        now_s = anyio.current_time()
+        first_s = self._reached_at_s.setdefault(cell, now_s)
+        if now_s - first_s >= FAR_REACH_S:
+            await self._claim(cell, before)
+
+    def _is_far_cell_free(
+        self, cell: str, before: claims.Claim | None, extra_s: float
+    ) -> bool:
+        """Tell whether a cell of another zone has no holder at all."""
         age_s = anyio.current_time() - self._started_at_s
         if age_s < FAR_START_S + extra_s or not self._fleet_of(cell):
             return False
-        if self.members.lively_hosts(zone):
+        if self.members.lively_hosts(tables.zone_of_cell(cell)):
             return False
-        if claim is not None and not self.members.is_holder_gone(
-            claim, FAR_SILENCE_S + extra_s
-        ):
-            return False
-        return await self._reaches(cell)
+        return before is None or self.members.is_holder_gone(
+            before, FAR_SILENCE_S + extra_s
+        )
 
     async def _reaches(self, cell: str) -> bool:
         """Tell whether a worker of a cell answers this host."""
@@ -291,8 +320,7 @@
                 await link.aclose()
         return False
 
-    async def _claim(self, cell: str) -> None:
-        before = self.members.claims.get(cell)
+    async def _claim(self, cell: str, before: claims.Claim | None) -> None:
         beats = {
             name: member.beat for name, member in self.members.members.items()
         }
@@ -349,13 +377,14 @@
     async def release(self, cell: str) -> None:
         """Let go of a cell, so that another host claims it at once.
 
+        Leases are renewed until the store has taken the release.
+
         Args:
             cell: The cell.
         """
         holder = self._holders.get(cell)
         if holder is None:
             return
-        self._scopes[cell].cancel()
         try:
             claim = await claims.claim_cell(
                 self.store,
@@ -367,6 +396,8 @@
         except errors.PlatformError as exc:
             _LOG.log(events.RELEASE_FAILED, cell=cell, cause=str(exc))
             return
+        if self._holders.get(cell) is holder:
+            self._scopes[cell].cancel()
         self.members.note_claim(claim)
         _LOG.log(events.CELL_RELEASED, cell=cell, epoch=claim.epoch)
 
--- a/wisteriawood/policies/spreading/least_pressed.py
+++ b/wisteriawood/policies/spreading/least_pressed.py
@@ -47,7 +47,7 @@
         if left < FILLER_MIN_SHARE * step.cpu_millicores:
             continue
         strain = worker.strain_with(step, book)
-        if strain > MAX_STRAIN:
+        if max(strain, worker.strain_now()) > MAX_STRAIN:
             continue
         order = (left - strain * step.cpu_millicores, worker.id)
         if best is None or order > best_order:
