--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -151,7 +151,7 @@
         await self.ledger.save(batches)
         for worker, run in assigned:
             if run.is_current() and not run.is_stopping:
-                worker.orders.send_nowait(run)
+                worker.order(run)
 
     def end_run(
         self,
@@ -264,7 +264,7 @@
             return
         run.is_stopping = True
         if run.was_sent:
-            worker.orders.send_nowait(run)
+            worker.order(run)
             return
         # Nothing has left for the worker, so nothing can begin there.
         batch = self.end_run(worker, run, tasks.Outcome.STOPPED)
--- a/wisteriawood/cells/followers.py
+++ b/wisteriawood/cells/followers.py
@@ -230,7 +230,7 @@
         worker = self._worker
         self._drop_runs("worker left")
         self._cell.fleet.pop(worker.id, None)
-        worker.orders.close()
+        worker.close()
         _LOG.log(events.RUN_WORKER_GONE, worker=worker.id)
 
 
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -134,6 +134,7 @@
             self.cell.ledger.close()
             with anyio.CancelScope(shield=True):
                 for worker in list(self.cell.fleet.values()):
+                    worker.close()
                     await worker.link.aclose()
 
     async def _load(self) -> int:
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -15,6 +15,8 @@
 # Time without a new heartbeat after which a host counts as silent: three
 # heartbeats and the rest of the feed.
 SILENCE_S = 2.6
+# Time after a claim by which the heartbeat of its holder must show it.
+MISMATCH_S = 1.8
 # A beat this old still tells that a cell's holder works.
 LIVELY_S = 2.0
 # Rest of the feed of heartbeats, so that several come in one answer.
@@ -48,6 +50,7 @@
 
     __slots__ = (
         "_count",
+        "_noted_at_s",
         "_store",
         "beat_feed",
         "claim_feed",
@@ -65,6 +68,7 @@
     ):
         self._store = store
         self._count = 0
+        self._noted_at_s: dict[str, float] = {}
         self.name = name
         self.zone = zone
         self.incarnation = incarnation
@@ -105,6 +109,7 @@
         known = self.claims.get(claim.cell)
         if known is None or known.version < claim.version:
             self.claims[claim.cell] = claim
+            self._noted_at_s[claim.cell] = anyio.current_time()
 
     def _take_beats(
         self, rows: list[stores.StoredRow], is_whole: bool
@@ -149,13 +154,29 @@
             claim: The claim.
             silence_s: Silence that the caller asks for.
         """
-        if not claim.row.holder:
+        if not claim.row.holder or claim.row.holder == self.name:
+            # This process would know if it worked for the cell.
             return True
-        member = self.members.get(claim.row.holder)
-        if member and member.beat.incarnation != claim.row.incarnation:
+        if self._has_restarted(claim):
             return True
         return self.silence_s(claim.row.holder) > silence_s
 
+    def _has_restarted(self, claim: claims.Claim) -> bool:
+        """Tell whether the holder's host runs a newer process by now.
+
+        A heartbeat may be older than the claim; only one that was seen
+        after it, or still stands a while after both, tells.
+        """
+        member = self.members.get(claim.row.holder)
+        if member is None:
+            return False
+        if member.beat.incarnation == claim.row.incarnation:
+            return False
+        noted_at_s = self._noted_at_s.get(claim.cell, 0.0)
+        if member.changed_at_s > noted_at_s:
+            return True
+        return anyio.current_time() - noted_at_s > MISMATCH_S
+
     def lively_cells(self) -> dict[str, dict]:
         """Return the loads of the cells whose holders were heard lately."""
         now_s = anyio.current_time()
--- a/wisteriawood/cells/orders.py
+++ b/wisteriawood/cells/orders.py
@@ -30,10 +30,11 @@
         worker: The worker.
     """
 
-    __slots__ = ("_cell", "_worker")
+    __slots__ = ("_cell", "_orders", "_worker")
 
     def __init__(self, *, cell: cells.Cell, worker: workers.Worker):
         self._cell = cell
+        self._orders = worker.orders_out.clone()
         self._worker = worker
 
     async def run(self) -> None:
@@ -43,18 +44,22 @@
             CellLostError: Another holder commands the worker.
         """
         try:
-            async for run in self._worker.orders_out.clone():
-                if not self._is_there(run):
-                    continue
-                if run.is_stopping:
-                    await self._stop(run)
-                else:
-                    await self._start(run)
+            with self._orders:
+                async for run in self._orders:
+                    await self._obey(run)
         except runners.FencedError as exc:
             raise tables.CellLostError(
                 f"worker {self._worker.id} has a newer holder"
             ) from exc
 
+    async def _obey(self, run: runs.Run) -> None:
+        if not self._is_there(run):
+            return
+        if run.is_stopping:
+            await self._stop(run)
+        else:
+            await self._start(run)
+
     def _is_there(self, run: runs.Run) -> bool:
         """Tell whether the run may be on the worker or come there."""
         return self._worker.runs.get(run.name) is run
@@ -140,7 +145,7 @@
         # An earlier try without an answer may still take effect.
         run.is_settled = False
         run.is_stopping = True
-        worker.orders.send_nowait(run)
+        worker.order(run)
 
     async def _stop(self, run: runs.Run) -> None:
         while self._is_there(run):
--- a/wisteriawood/cells/pressure.py
+++ b/wisteriawood/cells/pressure.py
@@ -23,6 +23,9 @@
 SHARE_FLOOR = 0.0015
 # Strains above are alike; one heavy filler reaches them already.
 MAX_STRAIN = 4.0
+# Weight from which a filler image counts as heavy beside a serving image:
+# a usual filler alone takes it past its bound.
+HEAVY_WEIGHT = 5.0
 # Pairs told to other hosts; bounds the heartbeat.
 MAX_TOLD = 120
 
@@ -77,6 +80,18 @@
         )
         return self._bases.get(serving, PRIOR_BASE) + added
 
+    def heavy_fillers(self, serving: str) -> frozenset[str]:
+        """Return the filler images that a serving image can't bear.
+
+        Args:
+            serving: Image of the serving task.
+        """
+        return frozenset(
+            filler
+            for (image, filler), pair in self._pairs.items()
+            if image == serving and pair.weight >= HEAVY_WEIGHT
+        )
+
     def learn(self, serving: str, shares: Shares, strain: float) -> None:
         """Learn from the strain of a serving task.
 
--- a/wisteriawood/cells/workers.py
+++ b/wisteriawood/cells/workers.py
@@ -42,6 +42,7 @@
         born_unix_ms: Start of the life that we know; 0 before an answer.
         answered_at_s: When it last answered; 0 before.
         is_gone: Whether the directory no longer lists it.
+        is_over: Whether the life of the worker is over for its holder.
         no_fillers_until_s: Monotonic time before which no filler starts.
     """
 
@@ -59,6 +60,7 @@
         "free_accelerators",
         "free_millicores",
         "is_gone",
+        "is_over",
         "lease",
         "link",
         "no_fillers_until_s",
@@ -89,6 +91,7 @@
         self.born_unix_ms = 0
         self.answered_at_s = 0.0
         self.is_gone = False
+        self.is_over = False
         self.avoided_until_s = 0.0
         self.no_fillers_until_s = 0.0
         self.filler_millicores = 0
@@ -105,6 +108,21 @@
             runs.Run
         ](math.inf)
 
+    def order(self, run: runs.Run) -> None:
+        """Have a run started, or stopped if that was decided.
+
+        Args:
+            run: The run.
+        """
+        if not self.is_over:
+            self.orders.send_nowait(run)
+
+    def close(self) -> None:
+        """End the queue of orders."""
+        self.is_over = True
+        self.orders.close()
+        self.orders_out.close()
+
     @property
     def id(self) -> str:
         """Id of the worker."""
@@ -249,6 +267,16 @@
                 found[run.step.image] = found.get(run.step.image, 0) + 1
         return found
 
+    def shut_out(self, book: pressure.PressureBook) -> frozenset[str]:
+        """Return the filler images that a serving task here can't bear.
+
+        Args:
+            book: What is known of how fillers disturb serving tasks.
+        """
+        return frozenset().union(
+            *(book.heavy_fillers(image) for image in self.serving_images())
+        )
+
     def share_of(self, run: runs.Run) -> float:
         """Return the share of the processor at which a filler works.
 
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -154,6 +154,10 @@
             if found.service == service and found.zone == zone
         }
 
+    def open_cells(self) -> list[str]:
+        """Return the cells that this host works for."""
+        return [name for name, h in self._holders.items() if h.is_open]
+
     def has_workers(self, cell: str) -> bool:
         """Tell whether the directory lists a worker of a cell.
 
--- a/wisteriawood/platform/store_client.py
+++ b/wisteriawood/platform/store_client.py
@@ -80,15 +80,22 @@
 
     Args:
         address: Address of the store, as host:port.
+        transport: Carries the calls; None for one of its own.
     """
 
     __slots__ = ("_client", "_usual_s")
 
-    def __init__(self, *, address: str):
+    def __init__(
+        self,
+        *,
+        address: str,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ):
         self._client = clients.Client(
             url=f"http://{address}",
             timeout_s=MAX_TIMEOUT_S,
             connections=CONNECTIONS,
+            transport=transport,
         )
         self._usual_s = MIN_TIMEOUT_S / TIMEOUT_X
 
--- a/wisteriawood/platform/worker_client.py
+++ b/wisteriawood/platform/worker_client.py
@@ -42,15 +42,22 @@
 
     Args:
         registration: The worker in the directory.
+        transport: Carries the calls; None for one of its own.
     """
 
     __slots__ = ("_client", "_headers")
 
-    def __init__(self, *, registration: runners.Registration):
+    def __init__(
+        self,
+        *,
+        registration: runners.Registration,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ):
         self._client = clients.Client(
             url=f"http://{registration.address}",
             timeout_s=CALL_TIMEOUT_S,
             connections=CONNECTIONS,
+            transport=transport,
         )
         self._headers = [
             ("content-type", "application/json"),
--- a/wisteriawood/policies/spreading/least_pressed.py
+++ b/wisteriawood/policies/spreading/least_pressed.py
@@ -58,7 +58,18 @@
 def _serving_order(
     worker: workers.Worker, step: specs.StepSpec, book: pressure.PressureBook
 ) -> tuple:
+    """Order workers by what a serving task there would take from fillers."""
     strain = book.strain(step.image, worker.filler_shares())
-    alike = worker.serving_images().get(step.image, 0)
-    is_mixed = bool(worker.serving_images()) and not alike
-    return (strain > MAX_STRAIN, is_mixed, -alike, strain, worker.id)
+    images = worker.serving_images()
+    shut_out = worker.shut_out(book)
+    newly = len(book.heavy_fillers(step.image) - shut_out)
+    alike = images.get(step.image, 0)
+    is_mixed = bool(images) and not alike
+    return (
+        strain > MAX_STRAIN,
+        newly * worker.left_over(),
+        is_mixed,
+        -alike,
+        strain,
+        worker.id,
+    )
--- /dev/null
+++ b/wisteriawood/standins/stores.py
@@ -0,0 +1,177 @@
+"""A partitioned store in memory, with the faults of a real one."""
+
+import anyio
+
+from wisteriawood import errors
+from wisteriawood.links import stores
+
+CALL_S = 0.004
+COMMIT_S = 0.012
+TIMEOUT_S = 0.35
+
+
+class MemoryStore:
+    """Rows, their versions and the history of changes.
+
+    Attributes:
+        is_down: Whether calls are refused.
+        cut_hosts: Hosts that get no answer.
+        lost_answers: Commits to come whose answer is lost.
+        late_s: Time after which a commit without answer takes effect.
+        commits: Commits that took effect.
+    """
+
+    __slots__ = (
+        "_changed",
+        "_history",
+        "_history_from",
+        "commits",
+        "cut_hosts",
+        "is_down",
+        "late_s",
+        "lost_answers",
+        "rows",
+        "version",
+    )
+
+    def __init__(self):
+        self.rows: dict[stores.RowKey, stores.StoredRow] = {}
+        self.version = 0
+        self.is_down = False
+        self.cut_hosts: set[str] = set()
+        self.lost_answers = 0
+        self.late_s = 0.0
+        self.commits = 0
+        self._history: list[stores.StoredRow] = []
+        self._history_from = 0
+        self._changed = anyio.Event()
+
+    def link(self, host: str) -> "MemoryStoreLink":
+        """Return the store as a host sees it.
+
+        Args:
+            host: Name of the host.
+        """
+        return MemoryStoreLink(store=self, host=host)
+
+    def apply(self, change: stores.Change) -> int:
+        """Apply a change and return the version of its rows.
+
+        Raises:
+            ChangeConflictError: A condition did not hold.
+        """
+        parts = {at.part for at in (*change.expected, *change.writes)}
+        if len(parts) > 1:
+            raise ValueError(f"a transaction over several parts: {parts}")
+        found = [
+            self.rows.get(at, stores.StoredRow(at=at, value=None, version=0))
+            for at in change.expected
+        ]
+        if any(row.version != change.expected[row.at] for row in found):
+            raise stores.ChangeConflictError(rows=found)
+        self.version += 1
+        self.commits += 1
+        for at, value in change.writes.items():
+            row = stores.StoredRow(at=at, value=value, version=self.version)
+            self.rows[at] = row
+            self._history.append(row)
+            if value is None:
+                del self.rows[at]
+        self._changed.set()
+        self._changed = anyio.Event()
+        return self.version
+
+    def forget_history(self) -> None:
+        """Drop the history, as after a compaction."""
+        self._history.clear()
+        self._history_from = self.version
+
+    def changes(self, table: str, after: int) -> list[stores.StoredRow]:
+        """Return the changes of a table after a version.
+
+        Raises:
+            HistoryLostError: The history does not reach back so far.
+        """
+        if after < self._history_from:
+            raise stores.HistoryLostError("the history is gone")
+        return [
+            row
+            for row in self._history
+            if row.version > after and row.at.table == table
+        ]
+
+    async def wait(self) -> None:
+        """Wait for the next change."""
+        await self._changed.wait()
+
+
+class MemoryStoreLink:
+    """The store as one host sees it.
+
+    Args:
+        store: The store.
+        host: Name of the host.
+    """
+
+    __slots__ = ("_host", "_store")
+
+    def __init__(self, *, store: MemoryStore, host: str):
+        self._store = store
+        self._host = host
+
+    async def _arrive(self, call_s: float) -> None:
+        if self._host in self._store.cut_hosts:
+            await anyio.sleep(TIMEOUT_S)
+            raise errors.PlatformUnavailableError("no answer")
+        await anyio.sleep(call_s)
+        if self._store.is_down:
+            raise errors.PlatformUnavailableError("the store is down")
+
+    async def commit(self, change: stores.Change) -> int:
+        """Commit a change and return the version of its rows."""
+        store = self._store
+        await self._arrive(COMMIT_S)
+        if store.lost_answers > 0:
+            store.lost_answers -= 1
+            await anyio.sleep(store.late_s)
+            try:
+                store.apply(change)
+            finally:
+                await anyio.sleep(TIMEOUT_S)
+            raise errors.TransactionUnknownError("the answer was lost")
+        return store.apply(change)
+
+    async def read(
+        self, table: str, part: str, *, key: str = ""
+    ) -> stores.Page:
+        """Return the rows of a partition, or one of them."""
+        await self._arrive(CALL_S)
+        rows = [
+            row
+            for at, row in self._store.rows.items()
+            if at.table == table
+            and at.part == part
+            and (not key or at.key == key)
+        ]
+        rows.sort(key=lambda row: row.at.key)
+        return stores.Page(rows=rows, version=self._store.version)
+
+    async def parts(self, table: str) -> list[str]:
+        """Return the partitions of a table."""
+        await self._arrive(CALL_S)
+        return sorted(
+            {at.part for at in self._store.rows if at.table == table}
+        )
+
+    async def feed(self, table: str, after: int, wait_s: float) -> stores.Page:
+        """Return the rows that changed after a version."""
+        await self._arrive(CALL_S)
+        found = self._store.changes(table, after)
+        with anyio.move_on_after(wait_s):
+            while not found:
+                await self._store.wait()
+                found = self._store.changes(table, after)
+        if self._host in self._store.cut_hosts or self._store.is_down:
+            raise errors.PlatformUnavailableError("no answer")
+        version = self._store.version
+        return stores.Page(rows=found, version=version)
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -25,10 +25,12 @@
 from wisteriawood.policies import registry
 from wisteriawood.policies import routing
 from wisteriawood.policies.routing import base as routing_base
+from wisteriawood.standins import job_worlds
 from wisteriawood.standins import worlds
 from wisteriawood.telemetry import spans
 
 GIB = 1024**3
+NotRunError = errors.RequestNotRunError
 
 
 # Trio shuffles tasks that are ready at once; the same order on each run
@@ -48,6 +50,18 @@
     )
 
 
+def run_job_world(function, **fields):
+    """Run an async function on a new world of jobs in virtual time."""
+
+    async def _main():
+        async with anyio.create_task_group() as group:
+            world = job_worlds.JobWorld(group=group, **fields)
+            await function(world)
+            group.cancel_scope.cancel()
+
+    run_virtual(_main)
+
+
 def run_world(function, *, seed=1):
     """Run an async function on a new world in virtual time."""
 
@@ -306,3 +320,8 @@
     key = keys.member(member.role, member.name)
     write = platforms.Write(key=key, value=rows.to_value(member))
     await platform.commit(platforms.Transaction(writes=[write]))
+
+
+async def pause(time_s):
+    """Let virtual time pass."""
+    await anyio.sleep(time_s)
--- /dev/null
+++ b/wisteriawood/tests/cells_tests.py
@@ -0,0 +1,239 @@
+"""Tests of cells: takeover, lost answers, cancels and single runs."""
+
+import unittest
+
+import anyio
+
+from wisteriawood.jobs import jobs
+from wisteriawood.jobs import specs
+from wisteriawood.tests import builders
+
+JOB = "0123456789abcdef"
+
+
+def _step(**fields):
+    return specs.StepSpec(
+        **({"task_count": 2, "cpu_millicores": 2000} | fields)
+    )
+
+
+class SingleRunCase(unittest.TestCase):
+    """Checks that no task ran twice at once or after it was done."""
+
+    def check_single_runs(self, world):
+        ends = world.ends()
+        for name, starts in world.starts().items():
+            done = [
+                at_s
+                for _run, outcome, at_s in ends.get(name, [])
+                if outcome == "done"
+            ]
+            self.assertLessEqual(len(done), 1, name)
+            for (_run, _at, _w), (_next, at_s, _w2) in zip(
+                sorted(starts), sorted(starts)[1:]
+            ):
+                over = [
+                    end_s
+                    for run, _outcome, end_s in ends.get(name, [])
+                    if run == _run
+                ]
+                is_dead = any(w.is_dead for w in world.workers.values())
+                self.assertTrue(is_dead or min(over, default=0) <= at_s, name)
+
+
+class JobTests(SingleRunCase):
+    def test_steps_run_one_after_the_other(self):
+        async def _check(world):
+            await anyio.sleep(2)
+            await world.submit(JOB, [_step(), _step(after=[0])])
+            await world.wait_for(JOB, jobs.JobState.COMPLETED)
+            starts, ends = world.starts(), world.ends()
+            first_done_s = max(ends[f"{JOB}.0.0.{i}"][0][2] for i in (0, 1))
+            for index in (0, 1):
+                began_s = starts[f"{JOB}.0.1.{index}"][0][1]
+                self.assertGreaterEqual(began_s, first_done_s)
+            self.check_single_runs(world)
+
+        builders.run_job_world(_check)
+
+    def test_a_failing_job_fails_after_its_attempts(self):
+        async def _check(world):
+            world.failing = set(world.workers)
+            await anyio.sleep(2)
+            await world.submit(JOB, [_step(task_count=1)])
+            await world.wait_for(JOB, jobs.JobState.FAILED)
+            self.assertEqual(len(world.starts()[f"{JOB}.0.0.0"]), 2)
+
+        builders.run_job_world(_check)
+
+    def test_a_repeated_hand_in_stays_one_job(self):
+        async def _check(world):
+            await anyio.sleep(2)
+            for host in list(world.hosts):
+                await world.submit(JOB, [_step()], host)
+            await world.wait_for(JOB, jobs.JobState.COMPLETED)
+            self.assertEqual(sum(map(len, world.starts().values())), 2)
+
+        builders.run_job_world(_check)
+
+    def test_a_lost_answer_of_the_store_is_settled(self):
+        async def _check(world):
+            await anyio.sleep(2)
+            world.store.lost_answers = 3
+            world.store.late_s = 0.2
+            await world.submit(JOB, [_step()])
+            await world.wait_for(JOB, jobs.JobState.COMPLETED)
+            self.check_single_runs(world)
+
+        builders.run_job_world(_check)
+
+    def test_hand_ins_are_refused_at_once_while_the_store_is_away(self):
+        async def _check(world):
+            await anyio.sleep(2)
+            world.store.is_down = True
+            await anyio.sleep(4)
+            began_at_s = anyio.current_time()
+            with self.assertRaises(builders.NotRunError):
+                await world.submit(JOB, [_step()])
+            self.assertLess(anyio.current_time() - began_at_s, 0.1)
+
+        builders.run_job_world(_check)
+
+
+class TakeoverTests(SingleRunCase):
+    def test_tasks_outlive_a_killed_holder(self):
+        async def _check(world):
+            await anyio.sleep(2)
+            world.work_s[JOB] = 12.0
+            await world.submit(JOB, [_step(task_count=6)])
+            await anyio.sleep(1)
+            for cell in ("shop@a", "shop@b"):
+                world.kill_host(world.holder_of(cell))
+            await world.wait_for(JOB, jobs.JobState.COMPLETED)
+            for starts in world.starts().values():
+                self.assertEqual(len(starts), 1)
+
+        builders.run_job_world(_check)
+
+    def test_a_cancel_during_a_takeover_is_carried_out(self):
+        """Seen as UNASKED on a day that ends with all hosts killed."""
+
+        async def _check(world):
+            await anyio.sleep(2)
+            world.work_s[JOB] = 100.0
+            await world.submit(JOB, [_step(task_count=4)])
+            await anyio.sleep(1)
+            for cell in ("shop@a", "shop@b"):
+                world.kill_host(world.holder_of(cell))
+            await world.intake().cancel(JOB, 3.0)
+            await anyio.sleep(5)
+            self.assertFalse(
+                any(worker.runs for worker in world.workers.values())
+            )
+
+        builders.run_job_world(_check)
+
+    def test_all_hosts_restarted_at_once_leave_no_cell_without_a_holder(self):
+        """Seen as LOST: a claim was stolen on a stale heartbeat."""
+
+        async def _check(world):
+            await anyio.sleep(3)
+            names = {name: host.zone for name, host in world.hosts.items()}
+            for name in names:
+                world.kill_host(name)
+            await anyio.sleep(0.5)
+            for name, zone in names.items():
+                world.start_host(name, zone)
+            await anyio.sleep(4)
+            for cell in ("shop@a", "shop@b"):
+                self.assertTrue(world.holder_of(cell), cell)
+            await world.submit(JOB, [_step(task_count=6)])
+            await world.wait_for(JOB, jobs.JobState.COMPLETED, 5.0)
+
+        builders.run_job_world(_check)
+
+    def test_a_holder_cut_from_the_store_is_succeeded(self):
+        async def _check(world):
+            await anyio.sleep(2)
+            world.work_s[JOB] = 10.0
+            await world.submit(JOB, [_step(task_count=6)])
+            await anyio.sleep(1)
+            former = world.holder_of("shop@a")
+            world.store.cut_hosts.add(former)
+            await anyio.sleep(5)
+            holders = [
+                name
+                for name, host in world.hosts.items()
+                if "shop@a" in host.open_cells()
+            ]
+            self.assertEqual(len(holders), 1)
+            self.assertNotEqual(holders[0], former)
+            await world.wait_for(JOB, jobs.JobState.COMPLETED, host=holders[0])
+            for starts in world.starts().values():
+                self.assertEqual(len(starts), 1)
+
+        builders.run_job_world(_check)
+
+    def test_a_zone_without_hosts_is_served_from_another(self):
+        async def _check(world):
+            await anyio.sleep(2)
+            for name in ("host-a-0", "host-a-1"):
+                world.kill_host(name)
+            await anyio.sleep(9)
+            self.assertTrue(world.holder_of("shop@a"))
+            world.start_host("host-a-0", "a")
+            await anyio.sleep(6)
+            self.assertEqual(world.holder_of("shop@a"), "host-a-0")
+
+        builders.run_job_world(_check)
+
+
+class WorkerFaultTests(SingleRunCase):
+    def test_a_restarted_worker_loses_its_runs_only(self):
+        async def _check(world):
+            await anyio.sleep(2)
+            world.work_s[JOB] = 5.0
+            await world.submit(JOB, [_step(task_count=6)])
+            await anyio.sleep(1)
+            victim = next(w for w in world.workers.values() if w.runs)
+            lost = set(victim.runs)
+            victim.crash()
+            victim.restart()
+            await world.wait_for(JOB, jobs.JobState.COMPLETED)
+            for name, starts in world.starts().items():
+                self.assertEqual(len(starts), 2 if name in lost else 1)
+
+        builders.run_job_world(_check)
+
+    def test_runs_of_a_silent_worker_move_after_its_lease(self):
+        async def _check(world):
+            await anyio.sleep(2)
+            world.work_s[JOB] = 30.0
+            await world.submit(JOB, [_step(task_count=6)])
+            await anyio.sleep(1)
+            victim = next(w for w in world.workers.values() if w.runs)
+            name = next(iter(victim.runs))
+            victim.cut_from.update(world.hosts)
+            cut_at_s = anyio.current_time()
+            await anyio.sleep(12)
+            starts = sorted(world.starts()[name])
+            self.assertEqual(len(starts), 2)
+            lapsed_s = [e[2] for e in world.ends()[name] if e[1] == "lapsed"]
+            self.assertGreaterEqual(starts[1][1], lapsed_s[0])
+            self.assertLess(starts[1][1] - cut_at_s, 9.0)
+
+        builders.run_job_world(_check)
+
+    def test_a_start_carried_out_late_runs_once(self):
+        async def _check(world):
+            await anyio.sleep(2)
+            world.work_s[JOB] = 3.0
+            for worker in world.workers.values():
+                worker.unanswered = 2
+                worker.late_s = 4.0
+            await world.submit(JOB, [_step(task_count=4)])
+            await world.wait_for(JOB, jobs.JobState.COMPLETED)
+            await anyio.sleep(10)
+            self.check_single_runs(world)
+
+        builders.run_job_world(_check)
--- /dev/null
+++ b/wisteriawood/tests/platform_tests.py
@@ -0,0 +1,324 @@
+"""Tests of the adapter to the users' platform, over its wire in memory."""
+
+import json
+import unittest
+
+import httpx
+
+from wisteriawood import errors
+from wisteriawood.jobs import queues
+from wisteriawood.jobs import tasks
+from wisteriawood.links import runners
+from wisteriawood.links import stores
+from wisteriawood.platform import bodies
+from wisteriawood.platform import directory
+from wisteriawood.platform import fronts
+from wisteriawood.platform import standins
+from wisteriawood.platform import store_client
+from wisteriawood.platform import worker_client
+from wisteriawood.standins import runners as run_standins
+from wisteriawood.standins import stores as store_standins
+from wisteriawood.tests import builders
+
+AT = stores.RowKey(table="t", part="p", key="k")
+QUEUE = queues.Queue(name="q")
+WORKER = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "state": "ready",
+    "capacity": {"cpu": 4000, "mem_mb": 1024, "gpus": 1},
+    "labels": ["kind", "rack-1"],
+    "sequence": 4,
+}
+
+
+def _store_pair():
+    wire = standins.WireStore(store=store_standins.MemoryStore())
+    client = store_client.TableStore(
+        address="store:80", transport=httpx.ASGITransport(wire)
+    )
+    return wire, client
+
+
+class StoreTests(unittest.TestCase):
+    def test_commit_read_and_feed(self):
+        async def _check():
+            _wire, client = _store_pair()
+            change = stores.Change(expected={AT: 0}, writes={AT: b"\x00v"})
+            version = await client.commit(change)
+            page = await client.read("t", "p", key="k")
+            self.assertEqual(page.rows[0].value, b"\x00v")
+            self.assertEqual(page.rows[0].version, version)
+            self.assertEqual((await client.read("t", "p", key="j")).rows, [])
+            self.assertEqual(len((await client.feed("t", 0, 0.1)).rows), 1)
+            removal = stores.Change(writes={AT: None})
+            removed = await client.commit(removal)
+            page = await client.feed("t", version, 0.1)
+            self.assertIsNone(page.rows[0].value)
+            self.assertEqual(page.version, removed)
+
+        builders.run_virtual(_check)
+
+    def test_a_conflict_tells_the_rows(self):
+        async def _check():
+            _wire, client = _store_pair()
+            await client.commit(stores.Change(writes={AT: b"1"}))
+            with self.assertRaises(stores.ChangeConflictError) as caught:
+                await client.commit(
+                    stores.Change(expected={AT: 0}, writes={AT: b"2"})
+                )
+            self.assertEqual(caught.exception.rows[0].value, b"1")
+
+        builders.run_virtual(_check)
+
+    def test_refusals_say_that_nothing_was_done(self):
+        async def _check():
+            wire, client = _store_pair()
+            for status in (429, 503):
+                wire.status = status
+                with self.assertRaises(errors.PlatformUnavailableError):
+                    await client.commit(stores.Change(writes={AT: b"1"}))
+            wire.status = 500
+            with self.assertRaises(errors.TransactionUnknownError):
+                await client.commit(stores.Change(writes={AT: b"1"}))
+
+        builders.run_virtual(_check)
+
+    def test_lost_history_is_told(self):
+        async def _check():
+            wire, client = _store_pair()
+            await client.commit(stores.Change(writes={AT: b"1"}))
+            wire._store.forget_history()
+            with self.assertRaises(stores.HistoryLostError):
+                await client.feed("t", 0, 0.1)
+
+        builders.run_virtual(_check)
+
+    def test_many_rows_come_in_pages(self):
+        async def _check():
+            wire, client = _store_pair()
+            for number in range(store_client.PAGE_ROWS * 2 + 3):
+                key = stores.RowKey(table="t", part="p", key=f"{number:05}")
+                wire._store.apply(stores.Change(writes={key: b"1"}))
+            page = await client.read("t", "p")
+            self.assertEqual(len(page.rows), store_client.PAGE_ROWS * 2 + 3)
+
+        builders.run_virtual(_check)
+
+
+class WorkerTests(unittest.TestCase):
+    def _pair(self, expected="w"):
+        found = runners.Registration(
+            worker_id=expected, service="s", address="w:80", zone="a"
+        )
+        worker = run_standins.MemoryWorker(
+            registration=found, work_s=lambda _name: 1.0
+        )
+        wire = standins.WireWorker(worker=worker, worker_id="w")
+        client = worker_client.WorkerClient(
+            registration=found, transport=httpx.ASGITransport(wire)
+        )
+        return worker, client
+
+    def _order(self, **fields):
+        defaults = {
+            "task_name": "j.0.0.0",
+            "run": 1,
+            "payload": "p",
+            "lease_until_ms": 5000,
+            "token": 7,
+        }
+        return runners.StartOrder(**(defaults | fields))
+
+    async def _renew(self, client, **fields):
+        defaults = {
+            "token": 7,
+            "acknowledged": 0,
+            "lease_until_ms": 0,
+            "wait_ms": 0,
+        }
+        return await client.renew(**(defaults | fields))
+
+    def test_orders_and_reports(self):
+        async def _check():
+            worker, client = self._pair()
+            started = await client.start(self._order())
+            self.assertIs(started, runners.StartAnswer.STARTED)
+            await client.pace("j.0.0.0", 1, 40, 7)
+            report = await self._renew(client)
+            self.assertEqual(report.active[0].percent, 40)
+            await client.stop("j.0.0.0", 1, 7)
+            report = await self._renew(client)
+            self.assertIs(report.ended[0].outcome, tasks.Outcome.STOPPED)
+            self.assertEqual(report.born_unix_ms, worker.born_unix_ms)
+            report = await self._renew(client, acknowledged=1)
+            self.assertEqual(report.ended, [])
+
+        builders.run_virtual(_check)
+
+    def test_refusals(self):
+        async def _check():
+            _worker, client = self._pair()
+            answer = await client.start(self._order(lease_until_ms=0))
+            self.assertIs(answer, runners.StartAnswer.TOO_LATE)
+            await client.stop("j.0.0.0", 1, 7)
+            answer = await client.start(self._order())
+            self.assertIs(answer, runners.StartAnswer.OLD_RUN)
+            answer = await client.start(self._order(token=1))
+            self.assertIs(answer, runners.StartAnswer.FENCED)
+            with self.assertRaises(runners.FencedError):
+                await self._renew(client, token=1)
+            with self.assertRaises(runners.FencedError):
+                await client.stop("j.0.0.0", 1, 1)
+
+        builders.run_virtual(_check)
+
+    def test_another_life_is_told(self):
+        async def _check():
+            _worker, client = self._pair(expected="former")
+            with self.assertRaises(runners.OtherLifeError):
+                await self._renew(client)
+
+        builders.run_virtual(_check)
+
+
+class DirectoryTests(unittest.TestCase):
+    def test_a_worker(self):
+        found = directory.decode_worker(
+            "w", json.dumps(WORKER).encode(), {"s"}
+        )
+        self.assertEqual(found.rack, "rack-1")
+        self.assertEqual(found.cpu_millicores, 4000)
+        self.assertFalse(found.is_draining)
+
+    def test_entries_that_name_no_worker(self):
+        for fields in (
+            {"state": "strange"},
+            {"service": "other"},
+            {"capacity": "much"},
+            {"address": 5},
+        ):
+            data = json.dumps(WORKER | fields).encode()
+            with self.assertRaises(errors.MessageError):
+                directory.decode_worker("w", data, {"s"})
+        for data in (b"", b"\xff\xfe", b"[]", b"{}"):
+            with self.assertRaises(errors.MessageError):
+                directory.decode_worker("w", data, set())
+
+    def test_a_configuration(self):
+        table, max_bytes = directory.decode_configuration(
+            json.dumps(
+                {
+                    "version": 7,
+                    "routes": [
+                        {
+                            "name": "r",
+                            "hostname": "h",
+                            "prefix": "/p/",
+                            "service": "s",
+                            "attempts": 4,
+                            "stretch": 1.5,
+                            "target_duration_ms": 250,
+                        },
+                        {"name": "r2", "hostname": "h", "prefix": "/p/q/"},
+                    ],
+                    "limits": {"max_body_bytes": 9},
+                }
+            ).encode()
+        )
+        self.assertEqual((table.version, max_bytes), (7, 9))
+        self.assertEqual(table.find("h", "/p/1").name, "r")
+        self.assertEqual(table.find("h", "/p/q/1").name, "r2")
+        with self.assertRaises(errors.NotFoundError):
+            table.find("other", "/p/1")
+
+
+class BodyTests(unittest.TestCase):
+    def test_a_job(self):
+        body = {
+            "task_spec": "text",
+            "steps": [
+                {"count": 2, "cpu": 500, "fills": True, "image": "i"},
+                {"after": [0], "long_running": True, "target_ms": 5},
+            ],
+        }
+        spec = bodies.decode_job("id", QUEUE, json.dumps(body).encode())
+        self.assertTrue(spec.steps[0].is_filler)
+        self.assertTrue(spec.steps[1].is_standing)
+        self.assertEqual(spec.steps[1].after, [0])
+
+    def test_bodies_that_are_no_job(self):
+        for body in (
+            b"",
+            b"{}",
+            b'{"steps": []}',
+            b'{"steps": [{"after": [0]}]}',
+            b'{"steps": [{"count": 0}]}',
+            b'{"steps": [{"count": "x"}]}',
+        ):
+            with self.assertRaises(errors.UsageError):
+                bodies.decode_job("id", QUEUE, body)
+
+
+class FrontTests(unittest.TestCase):
+    JOB = "/p/0123456789abcdef"
+
+    async def _client(self, world):
+        name = min(world.hosts)
+        host = world.hosts[name]
+        table = queues.QueueTable(
+            version=2,
+            queues=[
+                queues.Queue(
+                    name="q", host_name="h", prefix="/p/", service="shop"
+                )
+            ],
+        )
+        host.use_queues(table)
+        front = fronts.Front(host=host, intake=world.intake(name))
+        return httpx.AsyncClient(
+            transport=httpx.ASGITransport(front), base_url="http://h"
+        )
+
+    def test_the_life_of_a_job(self):
+        async def _check(world):
+            client = await self._client(world)
+            await builders.pause(3)
+            body = {"steps": [{"count": 1, "cpu": 100}]}
+            answer = await client.get(self.JOB)
+            self.assertEqual(answer.status_code, 410)
+            answer = await client.post(self.JOB, json=body)
+            self.assertEqual(answer.status_code, 200)
+            await builders.pause(3)
+            answer = await client.get(self.JOB)
+            self.assertEqual(answer.json(), {"state": "completed"})
+            answer = await client.delete(self.JOB)
+            self.assertEqual(answer.status_code, 200)
+            answer = await client.get("/p/")
+            self.assertEqual(answer.json(), {"pending": 0})
+            answer = await client.get("/other/")
+            self.assertEqual(answer.status_code, 404)
+            answer = await client.post(self.JOB, content=b"?")
+            self.assertEqual(answer.status_code, 400)
+            answer = await client.post(self.JOB, content=b"x" * 300000)
+            self.assertEqual(answer.status_code, 413)
+            answer = await client.get("/v1/ready")
+            self.assertEqual(answer.status_code, 200)
+
+        builders.run_job_world(_check)
+
+    def test_a_refusal_says_when_to_come_back(self):
+        async def _check(world):
+            client = await self._client(world)
+            await builders.pause(3)
+            world.store.is_down = True
+            await builders.pause(4)
+            body = {"steps": [{"count": 1, "cpu": 100}]}
+            answer = await client.post(self.JOB, json=body)
+            self.assertEqual(answer.status_code, 503)
+            self.assertGreaterEqual(int(answer.headers["retry-after"]), 1)
+            answer = await client.get("/v1/ready")
+            self.assertEqual(answer.status_code, 503)
+
+        builders.run_job_world(_check)
