Lend standing tasks to cells that have room

Ruled out: a worker's rows missing, an order lost: the task waited without any refusal. Test: LendingTests.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -8,6 +8,7 @@
 
 from wisteriawood.cells import claims
 from wisteriawood.cells import ledgers
+from wisteriawood.cells import lending
 from wisteriawood.cells import placers
 from wisteriawood.cells import pressure
 from wisteriawood.cells import progress
@@ -46,6 +47,7 @@
         "_group",
         "_placer",
         "_waiting",
+        "_waiting_since_s",
         "book",
         "claim",
         "counters",
@@ -78,6 +80,7 @@
         self.book = pressure.PressureBook()
         self._placer = placers.Placer(policy=policy, book=self.book)
         self._waiting: dict[str, tuple[jobs.Job, list[list[tasks.Task]]]] = {}
+        self._waiting_since_s: dict[str, float] = {}
         self._group: abc.TaskGroup | None = None
 
     @property
@@ -215,7 +218,7 @@
         if outcome is not tasks.Outcome.DONE:
             _LOG.log(
                 events.RUN_ENDED,
-                task=tasks.task_name(job.id, task),
+                task=job.task_name(task),
                 run=task.run,
                 outcome=outcome,
                 failures=task.failures,
@@ -251,7 +254,7 @@
                 if run.job is job:
                     self.stop_run(worker, run)
         self.refresh(job)
-        return self.ledger.mark(job)
+        return self.ledger.mark(job, lending.cancel_lent(job))
 
     def stop_run(self, worker: workers.Worker, run: runs.Run) -> None:
         """Order a run to stop; its end tells when it has.
@@ -372,6 +375,50 @@
             for step in found
         )
 
+    def lend_waiting(self, loads: dict[str, dict]) -> None:
+        """Hand standing tasks that find no room to cells that have some.
+
+        Args:
+            loads: What the holders of the other cells last told.
+        """
+        now_s = anyio.current_time()
+        for job, steps in list(self._waiting.values()):
+            for step_tasks in steps:
+                step = job.step_of(step_tasks[0])
+                if not step.is_standing or step.is_gang:
+                    continue
+                if not self._has_waited(step_tasks[0], job, now_s):
+                    continue
+                cell = lending.choose_cell(loads, step)
+                if not cell:
+                    continue
+                task = step_tasks[0]
+                extras = lending.lend(job, task, cell)
+                _LOG.log(
+                    events.TASK_LENT,
+                    task=job.task_name(task),
+                    cell=self.name,
+                    to=cell,
+                )
+                self.ledger.mark(job, extras)
+                self.refresh(job)
+                return
+
+    def _has_waited(
+        self, task: tasks.Task, job: jobs.Job, now_s: float
+    ) -> bool:
+        """Tell whether a task has found no room for a while."""
+        name = job.task_name(task)
+        since_s = self._waiting_since_s.setdefault(name, now_s)
+        if now_s - since_s > 2 * lending.WAIT_S:
+            # It ran in between.
+            self._waiting_since_s[name] = now_s
+            return False
+        if now_s - since_s < lending.WAIT_S:
+            return False
+        del self._waiting_since_s[name]
+        return True
+
     def _wanted_millicores(self) -> tuple[int, int]:
         """Return the processor that waiting tasks and fillers ask for."""
         reserved = fillers = 0
@@ -394,6 +441,7 @@
             "epoch": self.claim.epoch,
             "capacity": sum(w.capacity_millicores() for w in usable),
             "free": sum(w.free_millicores for w in usable) - reserved,
+            "largest": max((w.free_millicores for w in usable), default=0),
             "left": int(sum(w.left_over() for w in usable)) - fillers,
             "pending": self.pending_by_queue(),
             "waiting": self.waiting_count(),
--- a/wisteriawood/cells/ledgers.py
+++ b/wisteriawood/cells/ledgers.py
@@ -21,14 +21,16 @@
 
     Attributes:
         jobs: The jobs by id.
+        extras: Further rows that are written with them.
         done: Set once they are in the store, or the ledger is closed.
         is_saved: Whether they are in the store.
     """
 
-    __slots__ = ("done", "is_saved", "jobs")
+    __slots__ = ("done", "extras", "is_saved", "jobs")
 
     def __init__(self):
         self.jobs: dict[str, jobs.Job] = {}
+        self.extras: dict[str, dict[stores.RowKey, bytes | None]] = {}
         self.done = anyio.Event()
         self.is_saved = False
 
@@ -70,16 +72,23 @@
         self._is_closed = False
         self.commits = 0
 
-    def mark(self, job: jobs.Job) -> Batch:
+    def mark(
+        self,
+        job: jobs.Job,
+        extras: dict[stores.RowKey, bytes | None] | None = None,
+    ) -> Batch:
         """Have a job's row written soon; return the batch that does it.
 
         Args:
             job: The job.
+            extras: Rows of the same partition that are written with it.
         """
         batch = self._batches.get(job.bucket)
         if batch is None:
             batch = self._batches[job.bucket] = Batch()
         batch.jobs[job.id] = job
+        if extras:
+            batch.extras.setdefault(job.id, {}).update(extras)
         wake = self._wake.get(job.bucket)
         if wake is not None:
             wake.set()
@@ -118,25 +127,16 @@
             if bucket not in self._batches:
                 self._wake[bucket] = anyio.Event()
                 await self._wake[bucket].wait()
-            batch = self._take(bucket)
+            batch = self._batches.pop(bucket)
             try:
                 await self._write_batch(bucket, batch)
             finally:
                 batch.done.set()
 
-    def _take(self, bucket: str) -> Batch:
-        """Return the next batch, leaving what is too much for later."""
-        batch = self._batches.pop(bucket)
-        if len(batch.jobs) <= MAX_JOBS:
-            return batch
-        # Those who wait for the rest wait for this batch too, which is
-        # done only after all of its parts are.
-        return batch
-
     async def _write_batch(self, bucket: str, batch: Batch) -> None:
         waiting = list(batch.jobs.values())
         while waiting:
-            change, taken = self._change(bucket, waiting)
+            change, taken = self._change(bucket, waiting, batch.extras)
             try:
                 version = await stores.commit_settled(self._store, change)
             except stores.ChangeConflictError as exc:
@@ -155,7 +155,10 @@
         batch.is_saved = True
 
     def _change(
-        self, bucket: str, waiting: list[jobs.Job]
+        self,
+        bucket: str,
+        waiting: list[jobs.Job],
+        extras: dict[str, dict[stores.RowKey, bytes | None]],
     ) -> tuple[stores.Change, list[jobs.Job]]:
         change = stores.Change()
         if self._claim_at.part == bucket:
@@ -166,10 +169,12 @@
             at = tables.job_row(bucket, job.id)
             data = codec.job_to_bytes(job)
             size_bytes += len(data)
-            if taken and size_bytes > MAX_BYTES:
+            rows = len(change.writes) + len(extras.get(job.id, {}))
+            if taken and (size_bytes > MAX_BYTES or rows > MAX_JOBS):
                 break
             change.expected[at] = job.version
             change.writes[at] = data
+            change.writes.update(extras.get(job.id, {}))
             taken.append(job)
         return change, taken
 
--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -117,6 +117,7 @@
         usable: list[workers.Worker],
         now_s: float,
     ) -> workers.Worker | None:
+        step_name = job.task_name(task).rpartition(".")[0] + "."
         candidates = [
             worker
             for worker in usable
@@ -128,7 +129,7 @@
             )
             and (
                 not step.most_per_worker
-                or worker.spread_count(task, job.id) < step.most_per_worker
+                or worker.spread_count(step_name) < step.most_per_worker
             )
         ]
         if step.near_rack:
--- a/wisteriawood/cells/runs.py
+++ b/wisteriawood/cells/runs.py
@@ -57,7 +57,7 @@
         self.job = job
         self.task = task
         self.step: specs.StepSpec = job.step_of(task)
-        self.name = tasks.task_name(job.id, task)
+        self.name = job.task_name(task)
         self.number = task.run
         self.assigned_at_s = assigned_at_s
         self.started_at_s = 0.0
--- a/wisteriawood/cells/workers.py
+++ b/wisteriawood/cells/workers.py
@@ -8,7 +8,6 @@
 from wisteriawood.cells import pressure
 from wisteriawood.cells import runs
 from wisteriawood.jobs import specs
-from wisteriawood.jobs import tasks
 from wisteriawood.links import runners
 
 # Failures in a row, over at least two jobs, that put a worker on probation.
@@ -210,20 +209,13 @@
             and now_s >= self.avoided_until_s
         )
 
-    def spread_count(self, run_of: tasks.Task, job_id: str) -> int:
-        """Return how many tasks of the same step and occurrence are here.
+    def spread_count(self, step_name: str) -> int:
+        """Return how many tasks of a step and occurrence are here.
 
         Args:
-            run_of: A task of the step.
-            job_id: Its job.
+            step_name: What their names have in common.
         """
-        return sum(
-            1
-            for run in self.runs.values()
-            if run.job.id == job_id
-            and run.task.step == run_of.step
-            and run.task.occurrence == run_of.occurrence
-        )
+        return sum(1 for name in self.runs if name.startswith(step_name))
 
     def lease_for_start(self, now_s: float) -> int:
         """Return the end of the lease that goes out with a start.
--- a/wisteriawood/jobs/jobs.py
+++ b/wisteriawood/jobs/jobs.py
@@ -61,7 +61,9 @@
         self.spec = spec
         self.cell = cell
         self.bucket = bucket
-        self.state = JobState.QUEUED
+        # A lent task belongs to a job that has begun.
+        is_lent = bool(spec.lent_task)
+        self.state = JobState.RUNNING if is_lent else JobState.QUEUED
         self.ended_unix_ms = 0
         self.occurrences: dict[int, list[list[tasks.Task]]] = {}
         self.next_occurrence = 0
@@ -77,6 +79,19 @@
         """Id of the job."""
         return self.spec.id
 
+    @property
+    def origin_id(self) -> str:
+        """Id under which the job was handed in, also for a lent task."""
+        return self.spec.lent_task.partition(".")[0] or self.spec.id
+
+    def task_name(self, task: tasks.Task) -> str:
+        """Return the name under which workers know a task.
+
+        Args:
+            task: The task.
+        """
+        return self.spec.lent_task or tasks.task_name(self.id, task)
+
     def is_ended(self) -> bool:
         """Tell whether nothing of the job runs any more."""
         return self.state in ENDED_STATES
@@ -108,6 +123,10 @@
             ]
             for step, spec in enumerate(self.spec.steps)
         ]
+        for step in self.occurrences[number]:
+            for task in step:
+                task.run = self.spec.runs_before
+                task.checkpoint = self.spec.checkpoint
 
     def open_due(self, now_unix_ms: float) -> bool:
         """Open the occurrences that are due.
--- a/wisteriawood/jobs/specs.py
+++ b/wisteriawood/jobs/specs.py
@@ -63,6 +63,10 @@
         first_due_unix_ms: Wall time at which the first occurrence is due.
         interval_ms: Time between occurrences.
         accepted_unix_ms: Wall time at which the job was handed in.
+        lent_task: Name of the only task, on workers, if another cell has
+            lent it; empty for a job as it was handed in.
+        runs_before: Runs that the lent task had before.
+        checkpoint: From where the lent task resumes; empty for the start.
     """
 
     id: str
@@ -73,6 +77,9 @@
     first_due_unix_ms: int = 0
     interval_ms: int = 0
     accepted_unix_ms: int = 0
+    lent_task: str = ""
+    runs_before: int = 0
+    checkpoint: str = ""
 
     def is_timed(self) -> bool:
         """Tell whether the steps run at set times."""
--- a/wisteriawood/jobs/tasks.py
+++ b/wisteriawood/jobs/tasks.py
@@ -9,6 +9,8 @@
     WAITING = 0
     ASSIGNED = 1
     DONE = 2
+    # Handed to another cell, as a job of its own.
+    LENT = 3
 
 
 class Outcome(enum.StrEnum):
@@ -84,7 +86,7 @@
     """Return the name under which workers know a task.
 
     Args:
-        job_id: Id of its job.
+        job_id: Id of the job that was handed in.
         task: The task.
     """
     return f"{job_id}.{task.occurrence}.{task.step}.{task.index}"
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -239,12 +239,15 @@
 
     def _share_knowledge(self) -> None:
         """Tell each held cell what the others of its service learned."""
-        loads = self.members.all_loads()
+        loads = self.members.lively_cells()
         for name, holder in self._holders.items():
             service = tables.service_of_cell(name)
-            for other, load in loads.items():
-                if other == name or tables.service_of_cell(other) != service:
-                    continue
+            holder.other_loads = {
+                other: load
+                for other, load in loads.items()
+                if other != name and tables.service_of_cell(other) == service
+            }
+            for load in holder.other_loads.values():
                 holder.cell.book.hear(load.get("pressure", {}))
 
     def _check_held(self, cell: str) -> None:
--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -396,6 +396,11 @@
 SETTINGS_RELOADED = define(
     2307, "settings-reloaded", "The settings file has changed."
 )
+TASK_LENT = define(
+    2113,
+    "task-lent",
+    "A standing task found no room in its cell and was handed to another.",
+)
 CELL_LOAD = define(
     2112,
     "cell-load",
--- a/wisteriawood/tests/cells_tests.py
+++ b/wisteriawood/tests/cells_tests.py
@@ -237,3 +237,58 @@
             self.check_single_runs(world)
 
         builders.run_job_world(_check)
+
+
+class LendingTests(SingleRunCase):
+    def _steps(self):
+        return [
+            _step(
+                task_count=3,
+                cpu_millicores=9000,
+                is_standing=True,
+                most_per_worker=1,
+            )
+        ]
+
+    def test_a_standing_task_without_room_runs_in_another_cell(self):
+        """Seen as LOST on trouble-3: one full zone, room in the others."""
+
+        async def _check(world):
+            await anyio.sleep(2)
+            world.work_s[JOB] = 1000.0
+            await world.submit(JOB, self._steps())
+            await anyio.sleep(2)
+            victim = next(w for w in world.workers.values() if w.runs)
+            name = next(iter(victim.runs))
+            victim.crash()
+            await anyio.sleep(10)
+            self.assertEqual(len(world.starts()[name]), 2)
+            zones = {start[2][2] for start in world.starts()[name]}
+            self.assertEqual(zones, {"a", "b"})
+            await world.intake().cancel(JOB, 3.0)
+            await anyio.sleep(2)
+            self.assertFalse(
+                any(worker.runs for worker in world.workers.values())
+            )
+
+        builders.run_job_world(_check)
+
+    def test_a_lent_task_outlives_all_hosts(self):
+        async def _check(world):
+            await anyio.sleep(2)
+            world.work_s[JOB] = 1000.0
+            await world.submit(JOB, self._steps())
+            await anyio.sleep(2)
+            victim = next(w for w in world.workers.values() if w.runs)
+            victim.crash()
+            await anyio.sleep(10)
+            names = {name: host.zone for name, host in world.hosts.items()}
+            for name in names:
+                world.kill_host(name)
+            for name, zone in names.items():
+                world.start_host(name, zone)
+            await anyio.sleep(5)
+            running = [n for w in world.workers.values() for n in w.runs]
+            self.assertEqual(sorted(running), sorted(world.starts()))
+
+        builders.run_job_world(_check)
--- a/wisteriawood/tests/members_tests.py
+++ b/wisteriawood/tests/members_tests.py
@@ -7,8 +7,8 @@
 from wisteriawood.cells import claims
 from wisteriawood.cells import members
 from wisteriawood.cells import tables
-from wisteriawood.links import stores
 from wisteriawood.links.codecs import rows
+from wisteriawood.links import stores
 from wisteriawood.standins import stores as store_standins
 from wisteriawood.tests import builders
 
