Refuse at once what can't be done in time, and truly

A refusal leaves a row in the job's place, so that an earlier hand-in without an answer can't be stored after it. Tests: admission_tests.

--- a/wisteriawood/cells/balancers.py
+++ b/wisteriawood/cells/balancers.py
@@ -3,6 +3,7 @@
 import anyio
 
 from wisteriawood.jobs import specs
+from wisteriawood.policies.admission import base
 
 # Time until a heartbeat shows what this host has sent to a cell.
 SHOWN_AFTER_S = 1.6
@@ -18,12 +19,12 @@
     __slots__ = ("_sent",)
 
     def __init__(self):
-        self._sent: list[tuple[float, str, int, int]] = []
+        self._sent: list[tuple[float, str, specs.JobSpec]] = []
 
     def choose(
         self, cells: list[str], loads: dict[str, dict], spec: specs.JobSpec
-    ) -> str:
-        """Return the cell of a job.
+    ) -> tuple[str, base.CellView]:
+        """Return the cell with most room for a job, and how it stands.
 
         Args:
             cells: Cells to choose from, the preferred one first.
@@ -34,28 +35,44 @@
         self._sent = [
             sent for sent in self._sent if now_s - sent[0] < SHOWN_AFTER_S
         ]
+        views = {cell: self._view(cell, loads[cell]) for cell in cells}
         reserved, fillers = _demand(spec)
-        best = max(
-            cells,
-            key=lambda cell: self._room(cell, loads[cell], reserved, fillers),
+
+        def _room(cell: str) -> float:
+            view = views[cell]
+            if reserved >= fillers:
+                left = view.free_millicores - reserved
+            else:
+                left = view.left_millicores - fillers
+            return left / view.capacity_millicores
+
+        best = max(cells, key=_room)
+        return best, views[best]
+
+    def note_sent(self, cell: str, spec: specs.JobSpec) -> None:
+        """Count a job against its cell until a heartbeat shows it.
+
+        Args:
+            cell: The cell.
+            spec: The job.
+        """
+        self._sent.append((anyio.current_time(), cell, spec))
+
+    def _view(self, cell: str, load: dict) -> base.CellView:
+        view = base.CellView(
+            capacity_millicores=max(1, load.get("capacity", 1)),
+            free_millicores=load.get("free", 0),
+            left_millicores=load.get("left", 0),
+            backlog_millicore_s=load.get("backlog", 0),
+            rate_millicores=load.get("rate", 0),
         )
-        self._sent.append((now_s, best, reserved, fillers))
-        return best
-
-    def _room(
-        self, cell: str, load: dict, reserved: int, fillers: int
-    ) -> float:
-        """Return the share of a cell that stays free with a job in it."""
-        capacity = max(1, load.get("capacity", 1))
-        free = load.get("free", 0)
-        left = load.get("left", 0)
-        for _at_s, to, sent_reserved, sent_fillers in self._sent:
+        for _at_s, to, spec in self._sent:
             if to == cell:
-                free -= sent_reserved
-                left -= sent_reserved + sent_fillers
-        if reserved >= fillers:
-            return (free - reserved) / capacity
-        return (left - fillers) / capacity
+                reserved, fillers = _demand(spec)
+                view.free_millicores -= reserved
+                view.left_millicores -= reserved + fillers
+                view.backlog_millicore_s += specs.filler_millicore_s(spec)
+        return view
 
 
 def _demand(spec: specs.JobSpec) -> tuple[int, int]:
--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -1,5 +1,6 @@
 """A cell in the hands of its holder: its jobs and its workers."""
 
+import math
 import time
 import typing
 
@@ -17,6 +18,7 @@
 from wisteriawood.cells import workers
 from wisteriawood import errors
 from wisteriawood.jobs import jobs
+from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
 from wisteriawood.links import runners
 from wisteriawood.links import stores
@@ -25,6 +27,8 @@
 from wisteriawood.telemetry import job_metrics
 
 _LOG = events.Logger(name=__name__)
+# Time over which the rate of fillers is averaged.
+RATE_MEMORY_S = 4.0
 
 
 class Cell:
@@ -44,8 +48,11 @@
     """
 
     __slots__ = (
+        "_filler_done",
         "_group",
         "_placer",
+        "_rate",
+        "_rate_at_s",
         "_waiting",
         "_waiting_since_s",
         "book",
@@ -80,6 +87,9 @@
         self.book = pressure.PressureBook()
         self._placer = placers.Placer(policy=policy, book=self.book)
         self._waiting: dict[str, tuple[jobs.Job, list[list[tasks.Task]]]] = {}
+        self._filler_done = 0
+        self._rate = 0.0
+        self._rate_at_s = anyio.current_time()
         self._waiting_since_s: dict[str, float] = {}
         self._group: abc.TaskGroup | None = None
 
@@ -178,6 +188,8 @@
         now_s = anyio.current_time()
         worker.free(run)
         self.counters.ends.labels(outcome=outcome).inc()
+        if outcome is tasks.Outcome.DONE and run.step.is_filler:
+            self._filler_done += specs.step_millicore_s(run.step)
         if outcome in (tasks.Outcome.DONE, tasks.Outcome.FAILED):
             has_failed = outcome is tasks.Outcome.FAILED
             if worker.note_end(run, has_failed, now_s):
@@ -432,6 +444,28 @@
                     reserved += wanted
         return reserved, fillers
 
+    def _filler_backlog(self) -> int:
+        """Return the work of fillers that is not done, as estimated."""
+        return sum(
+            specs.step_millicore_s(job.step_of(task))
+            for job in self.jobs.values()
+            if not job.is_ended()
+            for task in job.all_tasks()
+            if task.phase is not tasks.Phase.DONE
+            and job.step_of(task).is_filler
+        )
+
+    def _filler_rate(self, now_s: float) -> float:
+        """Return the rate of work of fillers, as estimated."""
+        elapsed_s = now_s - self._rate_at_s
+        if elapsed_s > 0:
+            weight = 1 - math.exp(-elapsed_s / RATE_MEMORY_S)
+            newest = self._filler_done / elapsed_s
+            self._rate += weight * (newest - self._rate)
+            self._rate_at_s = now_s
+            self._filler_done = 0
+        return self._rate
+
     def load_report(self) -> dict[str, typing.Any]:
         """Return what other hosts need to know of the cell's load."""
         now_s = anyio.current_time()
@@ -442,6 +476,8 @@
             "capacity": sum(w.capacity_millicores() for w in usable),
             "free": sum(w.free_millicores for w in usable) - reserved,
             "largest": max((w.free_millicores for w in usable), default=0),
+            "backlog": self._filler_backlog(),
+            "rate": int(self._filler_rate(now_s)),
             "left": int(sum(w.left_over() for w in usable)) - fillers,
             "pending": self.pending_by_queue(),
             "waiting": self.waiting_count(),
--- a/wisteriawood/jobs/jobs.py
+++ b/wisteriawood/jobs/jobs.py
@@ -15,10 +15,17 @@
     COMPLETED = "completed"
     FAILED = "failed"
     CANCELED = "canceled"
+    # The job was not taken in; callers see no job.
+    REFUSED = "refused"
 
 
 ENDED_STATES = frozenset(
-    {JobState.COMPLETED, JobState.FAILED, JobState.CANCELED}
+    {
+        JobState.COMPLETED,
+        JobState.FAILED,
+        JobState.CANCELED,
+        JobState.REFUSED,
+    }
 )
 
 # Occurrences whose tasks are kept at a time; bounds the size of a row.
@@ -70,9 +77,7 @@
         self.occurrences_done = 0
         self.version = 0
         self.accepted_at_s = 0.0
-        self.objective_s = (
-            spec.queue.stretch * specs.chain_ms(spec) + spec.queue.target_ms
-        ) / 1000.0
+        self.objective_s = specs.objective_s(spec)
 
     @property
     def id(self) -> str:
--- a/wisteriawood/jobs/specs.py
+++ b/wisteriawood/jobs/specs.py
@@ -96,6 +96,38 @@
         return self.first_due_unix_ms + occurrence * self.interval_ms
 
 
+def step_millicore_s(step: StepSpec) -> int:
+    """Return the work of one task of a step, as estimated.
+
+    Args:
+        step: The step.
+    """
+    return step.cpu_millicores * step.expected_run_ms // 1000
+
+
+def filler_millicore_s(spec: JobSpec) -> int:
+    """Return the work of a job's fillers, as estimated.
+
+    Args:
+        spec: The job.
+    """
+    return sum(
+        step_millicore_s(step) * step.task_count
+        for step in spec.steps
+        if step.is_filler
+    )
+
+
+def objective_s(spec: JobSpec) -> float:
+    """Return the time in which a job should be done.
+
+    Args:
+        spec: The job.
+    """
+    queue = spec.queue
+    return (queue.stretch * chain_ms(spec) + queue.target_ms) / 1000
+
+
 def chain_ms(spec: JobSpec) -> int:
     """Return the run time of the longest chain of steps, as estimated.
 
--- a/wisteriawood/machines/intakes.py
+++ b/wisteriawood/machines/intakes.py
@@ -1,5 +1,7 @@
 """Taking jobs in: hand-ins, cancellations and questions of callers."""
 
+import collections
+
 import anyio
 
 from wisteriawood.cells import balancers
@@ -9,8 +11,12 @@
 from wisteriawood.jobs import queues
 from wisteriawood.jobs import specs
 from wisteriawood.links.codecs import jobs as codec
+from wisteriawood.links.codecs import rows
 from wisteriawood.links import stores
 from wisteriawood.machines import job_hosts
+from wisteriawood.policies import admission
+from wisteriawood.policies.admission import base
+from wisteriawood.policies import registry
 from wisteriawood.telemetry import events
 
 _LOG = events.Logger(name=__name__)
@@ -18,6 +24,10 @@
 STORE_RETRY_S = 1.0
 # Longest time for which a hand-in is tried before the caller is told.
 HANDIN_TIMEOUT_S = 2.0
+# Time for which the row of a refused job is kept; a change whose answer was
+# lost takes effect within seconds.
+REFUSED_S = 30.0
+REMOVE_PERIOD_S = 5.0
 
 
 class Intake:
@@ -25,13 +35,19 @@
 
     Args:
         host: The host.
+        policy: Name of the admission policy.
     """
 
-    __slots__ = ("_balancer", "_host")
+    __slots__ = ("_balancer", "_host", "_policy", "_refused")
 
-    def __init__(self, *, host: job_hosts.JobHost):
+    def __init__(self, *, host: job_hosts.JobHost, policy: str = base.DEFAULT):
         self._host = host
         self._balancer = balancers.Balancer()
+        self._refused: collections.deque[tuple[float, stores.RowKey, int]] = (
+            collections.deque()
+        )
+        registry.load_modules(admission)
+        self._policy = base.POLICIES.get(policy)()
 
     def find_queue(self, host_name: str, path: str) -> queues.Queue:
         """Return the queue of a caller's request.
@@ -65,30 +81,20 @@
             RequestUnknownError: The job may have been taken in.
         """
         began_at_s = anyio.current_time()
-        self._check_store()
-        spec.accepted_unix_ms = self._host.now_unix_ms()
-        bucket = tables.bucket_of(spec.id, self._host.zones)
-        cell = self._choose_cell(spec, bucket)
-        job = jobs.Job(spec=spec, cell=cell, bucket=bucket)
-        at = tables.job_row(bucket, spec.id)
-        change = stores.Change(
-            expected={at: 0},
-            writes={
-                at: codec.job_to_bytes(job),
-                tables.spec_row(cell, bucket, spec.id): codec.spec_to_bytes(
-                    spec, cell
-                ),
-            },
-        )
-        outcome = "accepted"
+        give_up_at_s = began_at_s + min(timeout_s, HANDIN_TIMEOUT_S)
+        outcome, cell = "unknown", ""
         try:
-            await stores.commit_settled(
-                self._host.store,
-                change,
-                give_up_at_s=began_at_s + min(timeout_s, HANDIN_TIMEOUT_S),
-            )
-        except stores.ChangeConflictError:
-            outcome = "repeated"
+            self._check_store()
+            spec.accepted_unix_ms = self._host.now_unix_ms()
+            bucket = tables.bucket_of(spec.id, self._host.zones)
+            cell, refusal = self._choose(spec, bucket)
+            if refusal is not None:
+                outcome = "overload"
+                await self._refuse(spec, cell, bucket, refusal, give_up_at_s)
+                outcome = "repeated"
+                return
+            outcome = await self._store(spec, cell, bucket, give_up_at_s)
+            self._balancer.note_sent(cell, spec)
         except errors.TransactionUnknownError as exc:
             outcome = "unknown"
             raise errors.RequestUnknownError(
@@ -101,17 +107,107 @@
                 retry_after_s=STORE_RETRY_S,
             ) from exc
         finally:
-            took_s = anyio.current_time() - began_at_s
-            self._host.counters.handins.labels(outcome=outcome).inc()
-            self._host.counters.accepted_s.observe(took_s)
-            _LOG.log(
-                events.JOB_HANDED_IN,
-                job=spec.id,
-                queue=spec.queue.name,
-                cell=cell,
-                outcome=outcome,
-                took_s=round(took_s, 3),
+            self._note_handin(spec, cell, outcome, began_at_s)
+
+    def _note_handin(
+        self, spec: specs.JobSpec, cell: str, outcome: str, began_at_s: float
+    ) -> None:
+        took_s = anyio.current_time() - began_at_s
+        self._host.counters.handins.labels(outcome=outcome).inc()
+        self._host.counters.accepted_s.observe(took_s)
+        _LOG.log(
+            events.JOB_HANDED_IN,
+            job=spec.id,
+            queue=spec.queue.name,
+            cell=cell,
+            outcome=outcome,
+            took_s=round(took_s, 3),
+        )
+
+    async def _store(
+        self,
+        spec: specs.JobSpec,
+        cell: str,
+        bucket: str,
+        give_up_at_s: float,
+    ) -> str:
+        """Store a job; return whether it was taken in or known before."""
+        job = jobs.Job(spec=spec, cell=cell, bucket=bucket)
+        at = tables.job_row(bucket, spec.id)
+        version = 0
+        while True:
+            change = stores.Change(
+                expected={at: version},
+                writes={
+                    at: codec.job_to_bytes(job),
+                    tables.spec_row(
+                        cell, bucket, spec.id
+                    ): codec.spec_to_bytes(spec, cell),
+                },
             )
+            try:
+                await stores.commit_settled(
+                    self._host.store, change, give_up_at_s=give_up_at_s
+                )
+            except stores.ChangeConflictError as exc:
+                version = _refused_version(exc.rows, at)
+                if version:
+                    continue
+                return "repeated"
+            return "accepted"
+
+    async def _refuse(
+        self,
+        spec: specs.JobSpec,
+        cell: str,
+        bucket: str,
+        refusal: base.Refusal,
+        give_up_at_s: float,
+    ) -> None:
+        """Refuse a job, unless it is stored already.
+
+        A row is left in its place, so that an earlier hand-in of the job
+        whose answer was lost can't be stored after the refusal.
+
+        Raises:
+            RequestNotRunError: The job is refused.
+        """
+        job = jobs.Job(spec=spec, cell=cell, bucket=bucket)
+        job.state = jobs.JobState.REFUSED
+        at = tables.job_row(bucket, spec.id)
+        change = stores.Change(
+            expected={at: 0}, writes={at: codec.job_to_bytes(job)}
+        )
+        try:
+            version = await stores.commit_settled(
+                self._host.store, change, give_up_at_s=give_up_at_s
+            )
+            self._refused.append((anyio.current_time(), at, version))
+        except stores.ChangeConflictError as exc:
+            if not _refused_version(exc.rows, at):
+                return
+        raise errors.RequestNotRunError(
+            reason=refusal.reason,
+            status=429,
+            retry_after_s=refusal.retry_after_s,
+        )
+
+    async def run(self) -> None:
+        """Remove the rows of jobs that were refused a while ago."""
+        while True:
+            await anyio.sleep(REMOVE_PERIOD_S)
+            now_s = anyio.current_time()
+            while self._refused and now_s - self._refused[0][0] > REFUSED_S:
+                _at_s, at, version = self._refused.popleft()
+                change = stores.Change(
+                    expected={at: version}, writes={at: None}
+                )
+                try:
+                    await self._host.store.commit(change)
+                except errors.PlatformError as exc:
+                    _LOG.log(
+                        events.JOB_NOT_REMOVED, job=at.key, cause=str(exc)
+                    )
 
     def _check_store(self) -> None:
         """Refuse at once while the store is known to be away."""
@@ -121,8 +217,30 @@
                 retry_after_s=STORE_RETRY_S,
             )
 
-    def _choose_cell(self, spec: specs.JobSpec, bucket: str) -> str:
-        """Return the cell that runs a job.
+    def _choose(
+        self, spec: specs.JobSpec, bucket: str
+    ) -> tuple[str, base.Refusal | None]:
+        """Return the cell that runs a job, or why it is refused there."""
+        cell, view = self._choose_cell(spec, bucket)
+        if view is None:
+            return cell, None
+        refusal = self._policy.check(spec, view)
+        if refusal is not None:
+            _LOG.log(
+                events.JOB_OVERLOAD,
+                job=spec.id,
+                queue=spec.queue.name,
+                cell=cell,
+                cause=refusal.reason,
+                retry_after_s=round(refusal.retry_after_s, 1),
+                view=rows.to_value(view),
+            )
+        return cell, refusal
+
+    def _choose_cell(
+        self, spec: specs.JobSpec, bucket: str
+    ) -> tuple[str, base.CellView | None]:
+        """Return the cell with most room for a job, and how it stands.
 
         It is the one in which the job finds most room, among those with
         workers whose holders were heard lately; near its data, if it
@@ -142,9 +260,9 @@
         lively = self._host.members.lively_cells()
         open_cells = [name for name in manned if name in lively]
         if not open_cells:
-            return (manned or names)[0]
+            return (manned or names)[0], None
         if near and open_cells[0] == names[0]:
-            return names[0]
+            open_cells = names[:1]
         return self._balancer.choose(open_cells, lively, spec)
 
     async def _read(self, job_id: str) -> tuple[str, jobs.JobState]:
@@ -159,7 +277,10 @@
             ) from exc
         if not page.rows:
             raise errors.NotFoundError(f"there is no job {job_id}")
-        return codec.summary_from_bytes(page.rows[0].value or b"")
+        cell, state = codec.summary_from_bytes(page.rows[0].value or b"")
+        if state is jobs.JobState.REFUSED:
+            raise errors.NotFoundError(f"there is no job {job_id}")
+        return cell, state
 
     async def state(self, job_id: str) -> jobs.JobState:
         """Return the state of a job.
@@ -226,3 +347,14 @@
         """
         loads = self._host.members.all_loads().values()
         return sum(load["pending"].get(queue.name, 0) for load in loads)
+
+
+def _refused_version(rows: list[stores.StoredRow], at: stores.RowKey) -> int:
+    """Return the version of a job's row if it says that it was refused."""
+    for row in rows:
+        if row.at != at or row.value is None:
+            continue
+        _cell, state = codec.summary_from_bytes(row.value)
+        if state is jobs.JobState.REFUSED:
+            return row.version
+    return 0
--- a/wisteriawood/platform/__main__.py
+++ b/wisteriawood/platform/__main__.py
@@ -43,6 +43,7 @@
         "_fleet",
         "_front",
         "_host",
+        "_intake",
         "_rows",
         "_served",
         "_stopping",
@@ -62,9 +63,8 @@
             lease_s=min(LEASE_S, config.bounds.hold_max_ms / 1000),
             keep_s=config.bounds.status_s + KEEP_MARGIN_S,
         )
-        self._front = fronts.Front(
-            host=self._host, intake=intakes.Intake(host=self._host)
-        )
+        self._intake = intakes.Intake(host=self._host)
+        self._front = fronts.Front(host=self._host, intake=self._intake)
         self._rows: dict[str, stores.StoredRow] = {}
         self._fleet: dict[str, runners.Registration] = {}
         self._stopping = anyio.Event()
@@ -159,6 +159,7 @@
             group.start_soon(writer.run)
             group.start_soon(self._serve)
             group.start_soon(self._host.run)
+            group.start_soon(self._intake.run)
             for table, take in (
                 (directory.OPERATOR_TABLE, self._take_operator),
                 (directory.WORKER_TABLE, self._take_workers),
--- /dev/null
+++ b/wisteriawood/policies/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Policies that decide whether a job is taken in."""
--- /dev/null
+++ b/wisteriawood/policies/admission/always.py
@@ -0,0 +1,18 @@
+"""Admission of all jobs."""
+
+from wisteriawood.jobs import specs
+from wisteriawood.policies.admission import base
+
+
+@base.POLICIES.register("always")
+class Always:
+    """Takes each job in; late ones wait."""
+
+    __slots__ = ()
+
+    def check(
+        self, spec: specs.JobSpec, view: base.CellView
+    ) -> base.Refusal | None:
+        """Return None."""
+        del spec, view
+        return None
--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -396,6 +396,12 @@
 SETTINGS_RELOADED = define(
     2307, "settings-reloaded", "The settings file has changed."
 )
+JOB_OVERLOAD = define(
+    2009,
+    "job-overload",
+    "A job is refused, as no cell can do it in time; its view tells why.",
+    "Add workers, or see who hands in more than usual.",
+)
 TASK_LENT = define(
     2113,
     "task-lent",
--- /dev/null
+++ b/wisteriawood/tests/admission_tests.py
@@ -0,0 +1,107 @@
+"""Tests of who is refused when more comes than can be done."""
+
+import unittest
+
+import anyio
+
+from wisteriawood.jobs import jobs
+from wisteriawood.jobs import queues
+from wisteriawood.jobs import specs
+from wisteriawood.policies.admission import base
+from wisteriawood.policies.admission import in_time
+from wisteriawood.tests import builders
+
+JOB = "0123456789abcdef"
+
+
+def _spec(**fields):
+    step = specs.StepSpec(
+        **(
+            {"task_count": 4, "cpu_millicores": 4000, "expected_run_ms": 2000}
+            | fields
+        )
+    )
+    queue = queues.Queue(name="q", service="shop", stretch=2.0, target_ms=1000)
+    return specs.JobSpec(id=JOB, queue=queue, steps=[step])
+
+
+class PolicyTests(unittest.TestCase):
+    """A burst of fillers, and standing jobs that fill a cell."""
+
+    def test_fillers_that_would_be_late_are_refused_at_once(self):
+        policy = in_time.InTime()
+        view = base.CellView(
+            capacity_millicores=64000,
+            backlog_millicore_s=60000,
+            rate_millicores=20000,
+        )
+        spec = _spec(is_filler=True)
+        self.assertIsNone(policy.check(spec, view))
+        view.backlog_millicore_s = 160000
+        refusal = policy.check(spec, view)
+        self.assertGreater(refusal.retry_after_s, 4)
+        self.assertLess(refusal.retry_after_s, 8)
+
+    def test_standing_jobs_leave_room_for_jobs_that_end(self):
+        policy = in_time.InTime()
+        spec = _spec(is_standing=True)
+        view = base.CellView(capacity_millicores=64000)
+        view.free_millicores = 23000
+        self.assertIsNone(policy.check(spec, view))
+        view.free_millicores = 22000
+        self.assertIsNotNone(policy.check(spec, view))
+        self.assertIsNone(policy.check(_spec(), view))
+
+
+class RefusalTests(unittest.TestCase):
+    """A refusal must be true, whatever came before it."""
+
+    def _fill(self, world):
+        class _Never:
+            def check(self, spec, view):
+                return base.Refusal(reason="full", retry_after_s=1.0)
+
+        intake = world.intake()
+        intake._policy = _Never()
+        return intake
+
+    def test_a_refused_job_is_not_stored_by_an_earlier_hand_in(self):
+        async def _check(world):
+            await anyio.sleep(2)
+            world.store.lost_answers = 1
+            world.store.late_s = 3.0
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._hand_in_unanswered, world)
+                await anyio.sleep(0.5)
+                with self.assertRaises(builders.NotRunError):
+                    await self._fill(world).submit(_spec(), 3.0)
+            await anyio.sleep(5)
+            self.assertEqual(world.starts(), {})
+
+        builders.run_job_world(_check)
+
+    async def _hand_in_unanswered(self, world):
+        with self.assertRaises(builders.UnknownError):
+            with anyio.fail_after(0.4):
+                await world.intake().submit(_spec(), 0.4)
+
+    def test_a_stored_job_is_not_refused_when_it_comes_again(self):
+        async def _check(world):
+            await anyio.sleep(2)
+            await world.intake().submit(_spec(), 3.0)
+            await self._fill(world).submit(_spec(), 3.0)
+            await world.wait_for(JOB, jobs.JobState.COMPLETED)
+
+        builders.run_job_world(_check)
+
+    def test_a_refused_job_may_come_back(self):
+        async def _check(world):
+            await anyio.sleep(2)
+            with self.assertRaises(builders.NotRunError):
+                await self._fill(world).submit(_spec(), 3.0)
+            with self.assertRaises(builders.NotFoundError):
+                await world.intake().state(JOB)
+            await world.intake().submit(_spec(), 3.0)
+            await world.wait_for(JOB, jobs.JobState.COMPLETED)
+
+        builders.run_job_world(_check)
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -30,7 +30,9 @@
 from wisteriawood.telemetry import spans
 
 GIB = 1024**3
+NotFoundError = errors.NotFoundError
 NotRunError = errors.RequestNotRunError
+UnknownError = (errors.RequestUnknownError, TimeoutError)
 
 
 # Trio shuffles tasks that are ready at once; the same order on each run
