--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -15,7 +15,7 @@
 MAX_MISSES = 24
 # Time after which a job of which nothing runs gets one task started where
 # it disturbs least; the guard slows it down as far as needed.
-STARVED_S = 1.0
+STARVED_S = 7.0
 # Beyond this multiple of its objective a job is worth nothing any more.
 WORTHLESS_X = 3.0
 
@@ -137,7 +137,11 @@
     ) -> int:
         """Place one filler where it disturbs least, however much that is."""
         step = job.step_of(task)
-        candidates = self._candidates(job, task, step, usable, 0.0)
+        candidates = [
+            worker
+            for worker in self._candidates(job, task, step, usable, 0.0)
+            if not any(run.is_kept for run in worker.runs.values())
+        ]
         if not candidates:
             return 0
         worker = min(
--- a/wisteriawood/policies/admission/in_time.py
+++ b/wisteriawood/policies/admission/in_time.py
@@ -11,8 +11,8 @@
 # is known of their rate.
 LEAST_RATE_SHARE = 0.25
 # A filler job is refused when it would take this multiple of its
-# objective; late results are of use up to three times the objective.
-LATEST_X = 2.0
+# objective; a result is of no use after that.
+LATEST_X = 3.0
 # Returns are spread over this time, by the ids of the jobs.
 SPREAD_S = 2.0
 
