--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -15,7 +15,10 @@
 MAX_MISSES = 24
 # Time after which a job of which nothing runs gets one task started where
 # it disturbs least; the guard slows it down as far as needed.
-STARVED_S = 7.0
+STARVED_S = 1.5
+# Share of the processor that must be free for that; a fuller cell needs
+# what it has for fillers that disturb less.
+STARVED_FREE_SHARE = 0.5
 # Beyond this multiple of its objective a job is worth nothing any more.
 WORTHLESS_X = 3.0
 
@@ -113,7 +116,12 @@
                 break
             found.append((worker, _assign(job, task, worker, now_s)))
             placed += 1
-        if not placed and step.is_filler and self._is_starved(job, now_s):
+        if (
+            not placed
+            and step.is_filler
+            and _is_half_free(usable)
+            and self._is_starved(job, now_s)
+        ):
             return self._place_starved(
                 job, step_tasks[0], usable, found, now_s
             )
@@ -240,6 +248,13 @@
         return 0
 
 
+def _is_half_free(usable: list[workers.Worker]) -> bool:
+    """Tell whether most of the processor is not reserved."""
+    free = sum(worker.free_millicores for worker in usable)
+    capacity = sum(worker.capacity_millicores() for worker in usable)
+    return free >= STARVED_FREE_SHARE * capacity
+
+
 def _assign(
     job: jobs.Job,
     task: tasks.Task,
--- a/wisteriawood/policies/admission/in_time.py
+++ b/wisteriawood/policies/admission/in_time.py
@@ -9,7 +9,7 @@
 STANDING_RETRY_S = 5.0
 # Share of its processor that a cell's fillers get at least, while nothing
 # is known of their rate.
-LEAST_RATE_SHARE = 0.25
+LEAST_RATE_SHARE = 0.35
 # A filler job is refused when it would take this multiple of its
 # objective; a result is of no use after that.
 LATEST_X = 3.0
