--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -45,6 +45,8 @@
         fleet: The workers, by id.
         orphans: Runs on workers that the directory does not list, by
             worker.
+        other_loads: What the holders of the service's other cells last
+            told, by cell.
     """
 
     __slots__ = (
@@ -62,6 +64,7 @@
         "jobs",
         "ledger",
         "orphans",
+        "other_loads",
         "store",
     )
 
@@ -78,6 +81,7 @@
         self.counters = counters
         self.jobs: dict[str, jobs.Job] = {}
         self.fleet: dict[str, workers.Worker] = {}
+        self.other_loads: dict[str, dict] = {}
         self.orphans: dict[str, list[runs.Run]] = {}
         self.ledger = ledgers.Ledger(
             store=store,
@@ -143,6 +147,7 @@
         """Assign waiting tasks, write the rows and start the runs."""
         if not self._waiting or self._group is None:
             return
+        self._placer.free_share = self._free_share()
         assigned = self._placer.place(
             self._waiting, self.fleet.values(), anyio.current_time()
         )
@@ -156,6 +161,16 @@
             batches.append(self.ledger.mark(job))
         self._group.start_soon(self._launch, assigned, batches)
 
+    def _free_share(self) -> float:
+        """Return the share of the service's processor that is free."""
+        fleet = self.fleet.values()
+        loads = self.other_loads.values()
+        free = sum(worker.free_millicores for worker in fleet)
+        free += sum(load.get("free", 0) for load in loads)
+        capacity = sum(worker.capacity_millicores() for worker in fleet)
+        capacity += sum(load.get("capacity", 0) for load in loads)
+        return free / max(1, capacity)
+
     async def _launch(
         self,
         assigned: list[tuple[workers.Worker, runs.Run]],
@@ -387,12 +402,8 @@
             for step in found
         )
 
-    def lend_waiting(self, loads: dict[str, dict]) -> None:
-        """Hand standing tasks that find no room to cells that have some.
-
-        Args:
-            loads: What the holders of the other cells last told.
-        """
+    def lend_waiting(self) -> None:
+        """Hand standing tasks that find no room to cells that have some."""
         now_s = anyio.current_time()
         for job, steps in list(self._waiting.values()):
             for step_tasks in steps:
@@ -401,7 +412,7 @@
                     continue
                 if not self._has_waited(step_tasks[0], job, now_s):
                     continue
-                cell = lending.choose_cell(loads, step)
+                cell = lending.choose_cell(self.other_loads, step)
                 if not cell:
                     continue
                 task = step_tasks[0]
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -61,7 +61,6 @@
         "cell",
         "fleet_known",
         "is_open",
-        "other_loads",
     )
 
     def __init__(
@@ -89,7 +88,6 @@
         self._ticks = 0
         self.fleet_known: dict[str, runners.Registration] = {}
         self.is_open = False
-        self.other_loads: dict[str, dict] = {}
 
     def age_s(self) -> float:
         """Return for how long the cell has been held."""
@@ -271,7 +269,7 @@
             self.cell.open_occurrences()
             self._drop_orphans()
             self._guard.look()
-            self.cell.lend_waiting(self.other_loads)
+            self.cell.lend_waiting()
             self.cell.place()
             if self._ticks % LOAD_PERIOD_TICKS == 0:
                 self._log_load()
--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -15,10 +15,10 @@
 MAX_MISSES = 24
 # Time after which a job of which nothing runs gets one task started where
 # it disturbs least; the guard slows it down as far as needed.
-STARVED_S = 1.5
-# Share of the processor that must be free for that; a fuller cell needs
-# what it has for fillers that disturb less.
-STARVED_FREE_SHARE = 0.5
+STARVED_S = 2.0
+# Share of the service's processor that must be free for that; a fuller one
+# needs what it has for fillers that disturb less.
+STARVED_FREE_SHARE = 0.4
 # Beyond this multiple of its objective a job is worth nothing any more.
 WORTHLESS_X = 3.0
 
@@ -49,9 +49,12 @@
     Args:
         policy: Chooses among the workers that have room.
         book: What is known of how fillers disturb serving tasks.
+
+    Attributes:
+        free_share: Share of the service's processor that is not reserved.
     """
 
-    __slots__ = ("_book", "_idle_since_s", "_policy")
+    __slots__ = ("_book", "_idle_since_s", "_policy", "free_share")
 
     def __init__(
         self, *, policy: base.SpreadingPolicy, book: pressure.PressureBook
@@ -59,6 +62,7 @@
         self._policy = policy
         self._book = book
         self._idle_since_s: dict[str, float] = {}
+        self.free_share = 1.0
 
     def place(
         self,
@@ -119,7 +123,7 @@
         if (
             not placed
             and step.is_filler
-            and _is_half_free(usable)
+            and self.free_share >= STARVED_FREE_SHARE
             and self._is_starved(job, now_s)
         ):
             return self._place_starved(
@@ -248,13 +252,6 @@
         return 0
 
 
-def _is_half_free(usable: list[workers.Worker]) -> bool:
-    """Tell whether most of the processor is not reserved."""
-    free = sum(worker.free_millicores for worker in usable)
-    capacity = sum(worker.capacity_millicores() for worker in usable)
-    return free >= STARVED_FREE_SHARE * capacity
-
-
 def _assign(
     job: jobs.Job,
     task: tasks.Task,
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -242,12 +242,12 @@
         loads = self.members.lively_cells()
         for name, holder in self._holders.items():
             service = tables.service_of_cell(name)
-            holder.other_loads = {
+            holder.cell.other_loads = {
                 other: load
                 for other, load in loads.items()
                 if other != name and tables.service_of_cell(other) == service
             }
-            for load in holder.other_loads.values():
+            for load in holder.cell.other_loads.values():
                 holder.cell.book.hear(load.get("pressure", {}))
 
     def _check_held(self, cell: str) -> None:
