--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -1,6 +1,5 @@
 """A cell in the hands of its holder: its jobs and its workers."""
 
-import math
 import time
 import typing
 
@@ -10,6 +9,7 @@
 from wisteriawood.cells import claims
 from wisteriawood.cells import ledgers
 from wisteriawood.cells import lending
+from wisteriawood.cells import meters
 from wisteriawood.cells import placers
 from wisteriawood.cells import pressure
 from wisteriawood.cells import progress
@@ -27,8 +27,6 @@
 from wisteriawood.telemetry import job_metrics
 
 _LOG = events.Logger(name=__name__)
-# Time over which the rate of fillers is averaged.
-RATE_MEMORY_S = 4.0
 
 
 class Cell:
@@ -50,11 +48,8 @@
     """
 
     __slots__ = (
-        "_filler_done",
         "_group",
         "_placer",
-        "_rate",
-        "_rate_at_s",
         "_waiting",
         "_waiting_since_s",
         "book",
@@ -63,6 +58,7 @@
         "fleet",
         "jobs",
         "ledger",
+        "meter",
         "orphans",
         "other_loads",
         "store",
@@ -91,9 +87,7 @@
         self.book = pressure.PressureBook()
         self._placer = placers.Placer(policy=policy, book=self.book)
         self._waiting: dict[str, tuple[jobs.Job, list[list[tasks.Task]]]] = {}
-        self._filler_done = 0
-        self._rate = 0.0
-        self._rate_at_s = anyio.current_time()
+        self.meter = meters.FillerMeter()
         self._waiting_since_s: dict[str, float] = {}
         self._group: abc.TaskGroup | None = None
 
@@ -164,11 +158,11 @@
     def _free_share(self) -> float:
         """Return the share of the service's processor that is free."""
         fleet = self.fleet.values()
-        loads = self.other_loads.values()
+        others = self.other_loads.values()
         free = sum(worker.free_millicores for worker in fleet)
-        free += sum(load.get("free", 0) for load in loads)
+        free += sum(load.get("free", 0) for load in others)
         capacity = sum(worker.capacity_millicores() for worker in fleet)
-        capacity += sum(load.get("capacity", 0) for load in loads)
+        capacity += sum(load.get("capacity", 0) for load in others)
         return free / max(1, capacity)
 
     async def _launch(
@@ -204,7 +198,7 @@
         worker.free(run)
         self.counters.ends.labels(outcome=outcome).inc()
         if outcome is tasks.Outcome.DONE and run.step.is_filler:
-            self._filler_done += specs.step_millicore_s(run.step)
+            self.meter.add(specs.step_millicore_s(run.step))
         if outcome in (tasks.Outcome.DONE, tasks.Outcome.FAILED):
             has_failed = outcome is tasks.Outcome.FAILED
             if worker.note_end(run, has_failed, now_s):
@@ -385,14 +379,13 @@
             for run in worker.runs.values()
         )
 
-    def pending_by_queue(self) -> dict[str, int]:
-        """Return the numbers of jobs of which no task has started."""
-        counts: dict[str, int] = {}
-        for job in self.jobs.values():
-            if job.state is jobs.JobState.QUEUED and not job.spec.is_timed():
-                queue = job.spec.queue.name
-                counts[queue] = counts.get(queue, 0) + 1
-        return counts
+    def waiting_steps(
+        self,
+    ) -> typing.Iterator[tuple[jobs.Job, list[tasks.Task]]]:
+        """Yield the tasks that could start but have no worker, by step."""
+        for job, steps in self._waiting.values():
+            for step_tasks in steps:
+                yield job, step_tasks
 
     def waiting_count(self) -> int:
         """Return how many tasks could start but have no worker."""
@@ -441,57 +434,3 @@
             return False
         del self._waiting_since_s[name]
         return True
-
-    def _wanted_millicores(self) -> tuple[int, int]:
-        """Return the processor that waiting tasks and fillers ask for."""
-        reserved = fillers = 0
-        for job, steps in self._waiting.values():
-            for step_tasks in steps:
-                step = job.step_of(step_tasks[0])
-                wanted = step.cpu_millicores * len(step_tasks)
-                if step.is_filler:
-                    fillers += wanted
-                else:
-                    reserved += wanted
-        return reserved, fillers
-
-    def _filler_backlog(self) -> int:
-        """Return the work of fillers that is not done, as estimated."""
-        return sum(
-            specs.step_millicore_s(job.step_of(task))
-            for job in self.jobs.values()
-            if not job.is_ended()
-            for task in job.all_tasks()
-            if task.phase is not tasks.Phase.DONE
-            and job.step_of(task).is_filler
-        )
-
-    def _filler_rate(self, now_s: float) -> float:
-        """Return the rate of work of fillers, as estimated."""
-        elapsed_s = now_s - self._rate_at_s
-        if elapsed_s > 0:
-            weight = 1 - math.exp(-elapsed_s / RATE_MEMORY_S)
-            newest = self._filler_done / elapsed_s
-            self._rate += weight * (newest - self._rate)
-            self._rate_at_s = now_s
-            self._filler_done = 0
-        return self._rate
-
-    def load_report(self) -> dict[str, typing.Any]:
-        """Return what other hosts need to know of the cell's load."""
-        now_s = anyio.current_time()
-        usable = [w for w in self.fleet.values() if w.is_usable(now_s)]
-        reserved, fillers = self._wanted_millicores()
-        return {
-            "epoch": self.claim.epoch,
-            "capacity": sum(w.capacity_millicores() for w in usable),
-            "free": sum(w.free_millicores for w in usable) - reserved,
-            "largest": max((w.free_millicores for w in usable), default=0),
-            "backlog": self._filler_backlog(),
-            "rate": int(self._filler_rate(now_s)),
-            "left": int(sum(w.left_over() for w in usable)) - fillers,
-            "pending": self.pending_by_queue(),
-            "waiting": self.waiting_count(),
-            "workers": len(self.fleet),
-            "pressure": self.book.tell(),
-        }
--- /dev/null
+++ b/wisteriawood/cells/loads.py
@@ -0,0 +1,68 @@
+"""What a holder tells the other hosts of its cell's load."""
+
+import typing
+
+import anyio
+
+from wisteriawood.cells import cells
+from wisteriawood.jobs import jobs
+from wisteriawood.jobs import specs
+from wisteriawood.jobs import tasks
+
+
+def _pending_by_queue(cell: cells.Cell) -> dict[str, int]:
+    """Return the numbers of jobs of which no task has started."""
+    counts: dict[str, int] = {}
+    for job in cell.jobs.values():
+        if job.state is jobs.JobState.QUEUED and not job.spec.is_timed():
+            queue = job.spec.queue.name
+            counts[queue] = counts.get(queue, 0) + 1
+    return counts
+
+
+def _wanted_millicores(cell: cells.Cell) -> tuple[int, int]:
+    """Return the processor that waiting tasks and fillers ask for."""
+    reserved = fillers = 0
+    for job, step_tasks in cell.waiting_steps():
+        step = job.step_of(step_tasks[0])
+        wanted = step.cpu_millicores * len(step_tasks)
+        if step.is_filler:
+            fillers += wanted
+        else:
+            reserved += wanted
+    return reserved, fillers
+
+
+def _filler_backlog(cell: cells.Cell) -> int:
+    """Return the work of fillers that is not done, as estimated."""
+    return sum(
+        specs.step_millicore_s(job.step_of(task))
+        for job in cell.jobs.values()
+        if not job.is_ended()
+        for task in job.all_tasks()
+        if task.phase is not tasks.Phase.DONE and job.step_of(task).is_filler
+    )
+
+
+def report(cell: cells.Cell) -> dict[str, typing.Any]:
+    """Return what other hosts need to know of a cell's load.
+
+    Args:
+        cell: The cell.
+    """
+    now_s = anyio.current_time()
+    usable = [w for w in cell.fleet.values() if w.is_usable(now_s)]
+    reserved, fillers = _wanted_millicores(cell)
+    return {
+        "epoch": cell.claim.epoch,
+        "capacity": sum(w.capacity_millicores() for w in usable),
+        "free": sum(w.free_millicores for w in usable) - reserved,
+        "largest": max((w.free_millicores for w in usable), default=0),
+        "backlog": _filler_backlog(cell),
+        "rate": cell.meter.rate_millicores(),
+        "left": int(sum(w.left_over() for w in usable)) - fillers,
+        "pending": _pending_by_queue(cell),
+        "waiting": cell.waiting_count(),
+        "workers": len(cell.fleet),
+        "pressure": cell.book.tell(),
+    }
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -11,6 +11,7 @@
 from wisteriawood.cells import cells
 from wisteriawood.cells import claims
 from wisteriawood.cells import holders
+from wisteriawood.cells import loads
 from wisteriawood.cells import members
 from wisteriawood.cells import tables
 from wisteriawood import errors
@@ -208,12 +209,12 @@
 
     async def _beat_forever(self) -> None:
         while True:
-            loads = {
-                name: holder.cell.load_report()
+            held = {
+                name: loads.report(holder.cell)
                 for name, holder in self._holders.items()
                 if holder.is_open
             }
-            await self.members.beat(loads)
+            await self.members.beat(held)
             await anyio.sleep(members.BEAT_S)
 
     def _wanted_cells(self) -> list[str]:
@@ -239,12 +240,12 @@
 
     def _share_knowledge(self) -> None:
         """Tell each held cell what the others of its service learned."""
-        loads = self.members.lively_cells()
+        lively = self.members.lively_cells()
         for name, holder in self._holders.items():
             service = tables.service_of_cell(name)
             holder.cell.other_loads = {
                 other: load
-                for other, load in loads.items()
+                for other, load in lively.items()
                 if other != name and tables.service_of_cell(other) == service
             }
             for load in holder.cell.other_loads.values():
--- a/wisteriawood/platform/bodies.py
+++ b/wisteriawood/platform/bodies.py
@@ -1,5 +1,7 @@
 """Bodies of callers' requests, as the product's types."""
 
+import dataclasses
+
 import msgspec
 
 from wisteriawood import errors
@@ -10,14 +12,15 @@
 MAX_TASKS = 10_000
 
 
-class _Step(msgspec.Struct):
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Step:
     count: int = 1
     # Thousandths of a core.
     cpu: int = 0
     mem_mb: int = 0
     gpus: int = 0
     est_runtime_ms: float = 0
-    after: list[int] = []
+    after: list[int] = dataclasses.field(default_factory=list)
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
@@ -36,7 +39,8 @@
     may_miss: int = 0
 
 
-class _Job(msgspec.Struct):
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Job:
     steps: list[_Step]
     task_spec: str = ""
     repeat_count: int = 0
--- a/wisteriawood/platform/directory.py
+++ b/wisteriawood/platform/directory.py
@@ -1,5 +1,7 @@
 """Rows that the operator and the workers write, as the product's types."""
 
+import dataclasses
+
 import msgspec
 
 from wisteriawood import errors
@@ -11,32 +13,36 @@
 CONFIGURATION_KEY = "config"
 
 
-class _Capacity(msgspec.Struct):
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Capacity:
     cpu: int = 0
     mem_mb: int = 0
     gpus: int = 0
 
 
-class _Worker(msgspec.Struct):
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Worker:
     service: str
     # Address of the worker's own interface.
     address: str
     zone: str
     state: str
-    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
+    capacity: _Capacity = dataclasses.field(default_factory=_Capacity)
     # The worker's kind, then its rack.
-    labels: list[str] = []
+    labels: list[str] = dataclasses.field(default_factory=list)
     remaining_ms: float = 0
     born: int = 0
 
 
-class _Advice(msgspec.Struct):
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Advice:
     decide_ms: float = 0
     each_ms: float = 0
     valid_ms: float = 0
 
 
-class _Route(msgspec.Struct):
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Route:
     name: str
     # Name that callers give in the header Host.
     hostname: str = ""
@@ -50,14 +56,16 @@
     advice: _Advice | None = None
 
 
-class _Limits(msgspec.Struct):
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Limits:
     max_body_bytes: int = 262144
 
 
-class _Configuration(msgspec.Struct):
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Configuration:
     version: int
-    routes: list[_Route] = []
-    limits: _Limits = msgspec.field(default_factory=_Limits)
+    routes: list[_Route] = dataclasses.field(default_factory=list)
+    limits: _Limits = dataclasses.field(default_factory=_Limits)
 
 
 def decode_worker(
--- a/wisteriawood/platform/settings.py
+++ b/wisteriawood/platform/settings.py
@@ -1,5 +1,6 @@
 """The settings file of the platform, as far as a job host uses it."""
 
+import dataclasses
 import os
 
 import msgspec
@@ -10,7 +11,8 @@
 DEFAULT_PATH = "/etc/wisteriawood/node.json"
 
 
-class Addresses(msgspec.Struct, kw_only=True):
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Addresses:
     """Addresses to listen on.
 
     Attributes:
@@ -22,7 +24,8 @@
     ready: str
 
 
-class StoreAccess(msgspec.Struct, kw_only=True):
+@dataclasses.dataclass(slots=True, kw_only=True)
+class StoreAccess:
     """Where the store is, and what it takes.
 
     Attributes:
@@ -34,7 +37,8 @@
     tx_ms: float = 8.0
 
 
-class CloudAccess(msgspec.Struct, kw_only=True):
+@dataclasses.dataclass(slots=True, kw_only=True)
+class CloudAccess:
     """Where machines are moved and serviced.
 
     Attributes:
@@ -46,7 +50,8 @@
     duty_per_s: float = 0.0
 
 
-class Bounds(msgspec.Struct, kw_only=True):
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Bounds:
     """Bounds of the deployment.
 
     Attributes:
@@ -60,7 +65,8 @@
     grace_s: float = 6
 
 
-class Settings(msgspec.Struct, kw_only=True):
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Settings:
     """Settings of one host.
 
     Attributes:
@@ -82,8 +88,8 @@
     platform: StoreAccess
     cloud_api: CloudAccess | None = None
     advice: str | None = None
-    contracts: list[str] = []
-    bounds: Bounds = msgspec.field(default_factory=Bounds)
+    contracts: list[str] = dataclasses.field(default_factory=list)
+    bounds: Bounds = dataclasses.field(default_factory=Bounds)
 
 
 def load(path: str = "") -> Settings:
--- a/wisteriawood/platform/store_client.py
+++ b/wisteriawood/platform/store_client.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import dataclasses
 
 import anyio
 import httpx
@@ -22,7 +23,8 @@
 CONNECTIONS = 16
 
 
-class _Row(msgspec.Struct):
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Row:
     table: str = ""
     part: str = ""
     key: str = ""
@@ -31,9 +33,10 @@
     deleted: bool = False
 
 
-class _Answer(msgspec.Struct):
-    rows: list[_Row] = []
-    parts: list[str] = []
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Answer:
+    rows: list[_Row] = dataclasses.field(default_factory=list)
+    parts: list[str] = dataclasses.field(default_factory=list)
     has_more: bool = False
     ver: int = 0
 
--- a/wisteriawood/platform/worker_client.py
+++ b/wisteriawood/platform/worker_client.py
@@ -1,5 +1,7 @@
 """Orders to a worker of the platform."""
 
+import dataclasses
+
 import httpx
 import msgspec
 
@@ -23,16 +25,18 @@
 }
 
 
-class _Refusal(msgspec.Struct):
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Refusal:
     reason: str = ""
 
 
-class _Report(msgspec.Struct):
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Report:
     clock_ms: int
     # [task, run, checkpoint, percent, tail or processor in use]
-    active: list[list] = []
+    active: list[list] = dataclasses.field(default_factory=list)
     # [number, task, run, how, checkpoint]
-    finished: list[list] = []
+    finished: list[list] = dataclasses.field(default_factory=list)
     # Unix milliseconds of the start of this life of the worker.
     born: int = 0
 
--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -349,16 +349,14 @@
     "run-unknown",
     "A worker lists a run that no row explains; it is stopped.",
 )
-RUN_START_REFUSED = define(
-    2213, "run-start-refused", "A worker refused a start."
-)
+RUN_START_REFUSED = define(2213, "run-refused", "A worker refused a start.")
 RUN_START_UNANSWERED = define(
     2214,
-    "run-start-unanswered",
+    "run-unanswered",
     "Starts were not answered; the run is stopped and goes elsewhere.",
 )
 RUN_STOP_UNANSWERED = define(
-    2215, "run-stop-unanswered", "A stop was not answered; it is sent again."
+    2215, "stop-unanswered", "A stop was not answered; it is sent again."
 )
 PACE_UNANSWERED = define(
     2216, "pace-unanswered", "A change of a filler's speed was not answered."
