--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -27,6 +27,8 @@
 from wisteriawood.telemetry import job_metrics
 
 _LOG = events.Logger(name=__name__)
+# Runs named in one log line of a pass; bounds its length.
+MAX_LOGGED_RUNS = 20
 
 
 class Cell:
@@ -147,6 +149,22 @@
         )
         if not assigned:
             return
+        _LOG.log(
+            events.RUNS_ASSIGNED,
+            cell=self.name,
+            epoch=self.claim.epoch,
+            runs=[
+                [
+                    run.name,
+                    run.number,
+                    worker.id,
+                    round(worker.free_millicores / 1000, 1),
+                ]
+                for worker, run in assigned[:MAX_LOGGED_RUNS]
+            ],
+            left_out=max(0, len(assigned) - MAX_LOGGED_RUNS),
+            waiting=self.waiting_count() - len(assigned),
+        )
         batches = []
         for job in {run.job.id: run.job for _worker, run in assigned}.values():
             if job.state is jobs.JobState.QUEUED:
--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -400,6 +400,12 @@
     "A job is refused, as no cell can do it in time; its view tells why.",
     "Add workers, or see who hands in more than usual.",
 )
+RUNS_ASSIGNED = define(
+    2218,
+    "runs-assigned",
+    "Tasks got workers: each task, its run, the worker and the cores that "
+    "stay free there.",
+)
 TASK_LENT = define(
     2113,
     "task-lent",
