--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -309,8 +309,7 @@
             worker.order(run)
             return
         # Nothing has left for the worker, so nothing can begin there.
-        batch = self.end_run(worker, run, tasks.Outcome.STOPPED)
-        del batch
+        self.end_run(worker, run, tasks.Outcome.STOPPED)
 
     def stop_unknown(
         self, worker: workers.Worker, active: runners.ActiveRun
--- a/wisteriawood/machines/intakes.py
+++ b/wisteriawood/machines/intakes.py
@@ -1,6 +1,8 @@
 """Taking jobs in: hand-ins, cancellations and questions of callers."""
 
 import collections
+import contextlib
+import typing
 
 import anyio
 
@@ -82,30 +84,25 @@
         """
         began_at_s = anyio.current_time()
         give_up_at_s = began_at_s + min(timeout_s, HANDIN_TIMEOUT_S)
-        outcome, cell = "unknown", ""
+        outcome, cell = "refused", ""
         try:
             self._check_store()
             spec.accepted_unix_ms = self._host.now_unix_ms()
             bucket = tables.bucket_of(spec.id, self._host.zones)
             cell, refusal = self._choose(spec, bucket)
-            if refusal is not None:
-                outcome = "overload"
-                await self._refuse(spec, cell, bucket, refusal, give_up_at_s)
-                outcome = "repeated"
-                return
-            outcome = await self._store(spec, cell, bucket, give_up_at_s)
+            with _answering_callers():
+                if refusal is not None:
+                    outcome = "overload"
+                    await self._refuse(
+                        spec, cell, bucket, refusal, give_up_at_s
+                    )
+                    outcome = "repeated"
+                    return
+                outcome = await self._store(spec, cell, bucket, give_up_at_s)
             self._balancer.note_sent(cell, spec)
-        except errors.TransactionUnknownError as exc:
+        except errors.RequestUnknownError:
             outcome = "unknown"
-            raise errors.RequestUnknownError(
-                reason="the store did not say whether the job is stored"
-            ) from exc
-        except errors.PlatformError as exc:
-            outcome = "refused"
-            raise errors.RequestNotRunError(
-                reason=f"the job can't be stored now: {exc}",
-                retry_after_s=STORE_RETRY_S,
-            ) from exc
+            raise
         finally:
             self._note_handin(spec, cell, outcome, began_at_s)
 
@@ -313,27 +310,19 @@
         bucket = tables.bucket_of(job_id, self._host.zones)
         at = tables.cancel_row(cell, bucket, job_id)
         change = stores.Change(expected={at: 0}, writes={at: b"{}"})
-        outcome = "accepted"
+        give_up_at_s = anyio.current_time() + min(timeout_s, HANDIN_TIMEOUT_S)
+        outcome = "refused"
         try:
-            await stores.commit_settled(
-                self._host.store,
-                change,
-                give_up_at_s=anyio.current_time()
-                + min(timeout_s, HANDIN_TIMEOUT_S),
-            )
+            with _answering_callers():
+                await stores.commit_settled(
+                    self._host.store, change, give_up_at_s=give_up_at_s
+                )
+            outcome = "accepted"
         except stores.ChangeConflictError:
             outcome = "repeated"
-        except errors.TransactionUnknownError as exc:
+        except errors.RequestUnknownError:
             outcome = "unknown"
-            raise errors.RequestUnknownError(
-                reason="the store did not say whether the order is stored"
-            ) from exc
-        except errors.PlatformError as exc:
-            outcome = "refused"
-            raise errors.RequestNotRunError(
-                reason=f"the order can't be stored now: {exc}",
-                retry_after_s=STORE_RETRY_S,
-            ) from exc
+            raise
         finally:
             _LOG.log(
                 events.JOB_CANCEL_ASKED, job=job_id, cell=cell, outcome=outcome
@@ -349,6 +338,29 @@
         return sum(load["pending"].get(queue.name, 0) for load in loads)
 
 
+@contextlib.contextmanager
+def _answering_callers() -> typing.Iterator[None]:
+    """Turn errors of the store into what a caller is told.
+
+    Raises:
+        RequestUnknownError: The change may take effect.
+        RequestNotRunError: It surely does not.
+    """
+    try:
+        yield
+    except stores.ChangeConflictError:
+        raise
+    except errors.TransactionUnknownError as exc:
+        raise errors.RequestUnknownError(
+            reason="the store did not say whether the change is stored"
+        ) from exc
+    except errors.PlatformError as exc:
+        raise errors.RequestNotRunError(
+            reason=f"nothing can be stored now: {exc}",
+            retry_after_s=STORE_RETRY_S,
+        ) from exc
+
+
 def _refused_version(rows: list[stores.StoredRow], at: stores.RowKey) -> int:
     """Return the version of a job's row if it says that it was refused."""
     for row in rows:
