--- /dev/null
+++ b/wisteriawood/cells/evacuations.py
@@ -0,0 +1,45 @@
+"""Taking runs off workers that drain, before they leave."""
+
+from wisteriawood.cells import cells
+from wisteriawood.cells import workers
+from wisteriawood.telemetry import events
+
+_LOG = events.Logger(name=__name__)
+
+
+def evacuate(cell: cells.Cell, now_s: float) -> None:
+    """Stop runs on draining workers that go on elsewhere without loss.
+
+    Standing tasks restart where there is room, one a worker at a time, and
+    tasks with checkpoints resume. All others may still be done in time.
+
+    Args:
+        cell: The cell.
+        now_s: Monotonic time.
+    """
+    others = [w for w in cell.fleet.values() if w.is_usable(now_s)]
+    for worker in cell.fleet.values():
+        if worker.registration.is_draining and not worker.is_gone:
+            _evacuate_worker(cell, worker, others)
+
+
+def _evacuate_worker(
+    cell: cells.Cell, worker: workers.Worker, others: list[workers.Worker]
+) -> None:
+    for run in list(worker.runs.values()):
+        if run.is_stopping or not run.is_confirmed:
+            continue
+        if not run.step.is_standing and not run.step.is_checkpointing:
+            continue
+        if not any(other.has_room(run.step) for other in others):
+            continue
+        _LOG.log(
+            events.RUN_EVACUATED,
+            worker=worker.id,
+            task=run.name,
+            run=run.number,
+            remaining_ms=worker.registration.remaining_ms,
+        )
+        cell.stop_run(worker, run)
+        if run.step.is_standing:
+            return
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -7,6 +7,7 @@
 
 from wisteriawood.cells import cells
 from wisteriawood.cells import claims
+from wisteriawood.cells import evacuations
 from wisteriawood.cells import followers
 from wisteriawood.cells import guards
 from wisteriawood.cells import leases
@@ -270,6 +271,7 @@
             self._drop_orphans()
             self._guard.look()
             self.cell.lend_waiting()
+            evacuations.evacuate(self.cell, anyio.current_time())
             self.cell.place()
             if self._ticks % LOAD_PERIOD_TICKS == 0:
                 self._log_load()
--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -406,6 +406,11 @@
     "Tasks got workers: each task, its run, the worker and the cores that "
     "stay free there.",
 )
+RUN_EVACUATED = define(
+    2219,
+    "run-evacuated",
+    "A run is stopped on a worker that drains, to go on elsewhere.",
+)
 TASK_LENT = define(
     2113,
     "task-lent",
--- a/wisteriawood/tests/cells_tests.py
+++ b/wisteriawood/tests/cells_tests.py
@@ -292,3 +292,26 @@
             self.assertEqual(sorted(running), sorted(world.starts()))
 
         builders.run_job_world(_check)
+
+
+class DrainTests(SingleRunCase):
+    def test_standing_tasks_leave_a_draining_worker_at_once(self):
+        """Seen in the report of scale-1: 30 runs lost with their worker."""
+
+        async def _check(world):
+            await anyio.sleep(2)
+            world.work_s[JOB] = 1000.0
+            await world.submit(JOB, [_step(is_standing=True)])
+            await anyio.sleep(1)
+            victim = next(w for w in world.workers.values() if w.runs)
+            name = next(iter(victim.runs))
+            victim.registration.is_draining = True
+            drained_at_s = anyio.current_time()
+            await anyio.sleep(2)
+            self.assertEqual(victim.runs, {})
+            newest = max(world.starts()[name])
+            self.assertNotEqual(newest[2], victim.registration.worker_id)
+            self.assertLess(newest[1] - drained_at_s, 1.0)
+            self.check_single_runs(world)
+
+        builders.run_job_world(_check)
