--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -45,6 +45,15 @@
     return event
 
 
+def message_type(event: Event) -> str:
+    """Return how an event is named in the log.
+
+    Args:
+        event: The event.
+    """
+    return f"W{event.number}:{event.name}"
+
+
 class Logger:
     """Logs events of one module.
 
@@ -60,7 +69,7 @@
     def log(self, event: Event, **fields: typing.Any) -> None:
         """Write one event with its fields."""
         eliot.log_message(
-            message_type=f"W{event.number}:{event.name}",
+            message_type=message_type(event),
             module=self.name,
             **fields,
         )
--- a/wisteriawood/telemetry/lines.py
+++ b/wisteriawood/telemetry/lines.py
@@ -9,6 +9,8 @@
 import eliot
 import msgspec
 
+from wisteriawood.telemetry import events
+
 WRITE_PERIOD_S = 0.25
 # Lines of one kind in a second; what is over is counted instead.
 LINES_PER_KIND_S = 40
@@ -75,7 +77,7 @@
             self._append(
                 {
                     "timestamp": time.time(),
-                    "message_type": "W2306:lines-left-out",
+                    "message_type": events.message_type(events.LINES_LEFT_OUT),
                     "counts": dict(self._left_out),
                     **self._fields,
                 }
