--- a/wisteriawood/telemetry/lines.py
+++ b/wisteriawood/telemetry/lines.py
@@ -73,7 +73,7 @@
 
     def flush(self) -> None:
         """Write what the descriptor takes now."""
-        if self._left_out:
+        if self._left_out and self._waiting_bytes <= MAX_WAITING_BYTES:
             self._append(
                 {
                     "timestamp": time.time(),
