--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -27,6 +27,8 @@
 from wisteriawood.telemetry import job_metrics
 
 _LOG = events.Logger(name=__name__)
+# Time without a new job after which starved fillers get their turn.
+CALM_S = 5.0
 # Runs named in one log line of a pass; bounds its length.
 MAX_LOGGED_RUNS = 20
 
@@ -43,6 +45,7 @@
     Attributes:
         jobs: All jobs of the cell, by id.
         fleet: The workers, by id.
+        handed_in_at_s: Monotonic time at which the newest job came.
         orphans: Runs on workers that the directory does not list, by
             worker.
         other_loads: What the holders of the service's other cells last
@@ -58,6 +61,7 @@
         "claim",
         "counters",
         "fleet",
+        "handed_in_at_s",
         "jobs",
         "ledger",
         "meter",
@@ -77,6 +81,7 @@
         self.claim = claim
         self.store = store
         self.counters = counters
+        self.handed_in_at_s = anyio.current_time()
         self.jobs: dict[str, jobs.Job] = {}
         self.fleet: dict[str, workers.Worker] = {}
         self.other_loads: dict[str, dict] = {}
@@ -90,7 +95,7 @@
         self._placer = placers.Placer(policy=policy, book=self.book)
         self._waiting: dict[str, tuple[jobs.Job, list[list[tasks.Task]]]] = {}
         self.meter = meters.FillerMeter()
-        self._waiting_since_s: dict[str, float] = {}
+        self._waiting_since_s: dict[str, tuple[float, float]] = {}
         self._group: abc.TaskGroup | None = None
 
     @property
@@ -115,6 +120,7 @@
         age_s = time.time() - job.spec.accepted_unix_ms / 1000
         job.accepted_at_s = anyio.current_time() - max(0.0, age_s)
         self.jobs[job.id] = job
+        self.handed_in_at_s = anyio.current_time()
         if not job.is_ended() and job.open_due(time.time() * 1000):
             self.counters.ready.inc()
         self.refresh(job)
@@ -143,7 +149,8 @@
         """Assign waiting tasks, write the rows and start the runs."""
         if not self._waiting or self._group is None:
             return
-        self._placer.free_share = self._free_share()
+        now_s = anyio.current_time()
+        self._placer.is_calm = now_s - self.handed_in_at_s >= CALM_S
         assigned = self._placer.place(
             self._waiting, self.fleet.values(), anyio.current_time()
         )
@@ -173,16 +180,6 @@
             batches.append(self.ledger.mark(job))
         self._group.start_soon(self._launch, assigned, batches)
 
-    def _free_share(self) -> float:
-        """Return the share of the service's processor that is free."""
-        fleet = self.fleet.values()
-        others = self.other_loads.values()
-        free = sum(worker.free_millicores for worker in fleet)
-        free += sum(load.get("free", 0) for load in others)
-        capacity = sum(worker.capacity_millicores() for worker in fleet)
-        capacity += sum(load.get("capacity", 0) for load in others)
-        return free / max(1, capacity)
-
     async def _launch(
         self,
         assigned: list[tuple[workers.Worker, runs.Run]],
@@ -415,39 +412,37 @@
     def lend_waiting(self) -> None:
         """Hand standing tasks that find no room to cells that have some."""
         now_s = anyio.current_time()
-        for job, steps in list(self._waiting.values()):
-            for step_tasks in steps:
-                step = job.step_of(step_tasks[0])
-                if not step.is_standing or step.is_gang:
-                    continue
-                if not self._has_waited(step_tasks[0], job, now_s):
-                    continue
-                cell = lending.choose_cell(self.other_loads, step)
-                if not cell:
-                    continue
-                task = step_tasks[0]
-                extras = lending.lend(job, task, cell)
-                _LOG.log(
-                    events.TASK_LENT,
-                    task=job.task_name(task),
-                    cell=self.name,
-                    to=cell,
-                )
-                self.ledger.mark(job, extras)
-                self.refresh(job)
-                return
+        lent = 0
+        for job, step_tasks in list(self.waiting_steps()):
+            task = step_tasks[0]
+            step = job.step_of(task)
+            if not step.is_standing or step.is_gang:
+                continue
+            if not self._has_waited(task, job, now_s):
+                continue
+            cell = lending.choose_cell(self.other_loads, step)
+            if not cell or lent >= lending.MAX_AT_ONCE:
+                continue
+            lent += 1
+            extras = lending.lend(job, task, cell)
+            self.other_loads[cell]["free"] -= step.cpu_millicores
+            _LOG.log(
+                events.TASK_LENT,
+                task=job.task_name(task),
+                cell=self.name,
+                to=cell,
+            )
+            self.ledger.mark(job, extras)
+            self.refresh(job)
 
     def _has_waited(
         self, task: tasks.Task, job: jobs.Job, now_s: float
     ) -> bool:
         """Tell whether a task has found no room for a while."""
         name = job.task_name(task)
-        since_s = self._waiting_since_s.setdefault(name, now_s)
-        if now_s - since_s > 2 * lending.WAIT_S:
+        since_s, seen_s = self._waiting_since_s.get(name, (now_s, now_s))
+        if now_s - seen_s > lending.WAIT_S:
             # It ran in between.
-            self._waiting_since_s[name] = now_s
-            return False
-        if now_s - since_s < lending.WAIT_S:
-            return False
-        del self._waiting_since_s[name]
-        return True
+            since_s = now_s
+        self._waiting_since_s[name] = (since_s, now_s)
+        return now_s - since_s >= lending.WAIT_S
--- a/wisteriawood/cells/lending.py
+++ b/wisteriawood/cells/lending.py
@@ -16,6 +16,8 @@
 
 # Time that a standing task waits for room in its own cell.
 WAIT_S = 0.8
+# Tasks lent in one look; the loads of the other cells are a second old.
+MAX_AT_ONCE = 4
 
 
 def choose_cell(loads: dict[str, dict], step: specs.StepSpec) -> str:
--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -16,9 +16,6 @@
 # Time after which a job of which nothing runs gets one task started where
 # it disturbs least; the guard slows it down as far as needed.
 STARVED_S = 2.0
-# Share of the service's processor that must be free for that; a fuller one
-# needs what it has for fillers that disturb less.
-STARVED_FREE_SHARE = 0.4
 # Beyond this multiple of its objective a job is worth nothing any more.
 WORTHLESS_X = 3.0
 
@@ -51,10 +48,11 @@
         book: What is known of how fillers disturb serving tasks.
 
     Attributes:
-        free_share: Share of the service's processor that is not reserved.
+        is_calm: Whether no job has come for a while; until then what can
+            still be in time needs the processor more.
     """
 
-    __slots__ = ("_book", "_idle_since_s", "_policy", "free_share")
+    __slots__ = ("_book", "_idle_since_s", "_policy", "is_calm")
 
     def __init__(
         self, *, policy: base.SpreadingPolicy, book: pressure.PressureBook
@@ -62,7 +60,7 @@
         self._policy = policy
         self._book = book
         self._idle_since_s: dict[str, float] = {}
-        self.free_share = 1.0
+        self.is_calm = True
 
     def place(
         self,
@@ -123,7 +121,7 @@
         if (
             not placed
             and step.is_filler
-            and self.free_share >= STARVED_FREE_SHARE
+            and self.is_calm
             and self._is_starved(job, now_s)
         ):
             return self._place_starved(
--- a/wisteriawood/tests/cells_tests.py
+++ b/wisteriawood/tests/cells_tests.py
@@ -5,6 +5,7 @@
 import anyio
 
 from wisteriawood.cells import lending
+from wisteriawood.cells import tables
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
 from wisteriawood.tests import builders
@@ -285,6 +286,33 @@
         step.cpu_millicores = 10000
         self.assertEqual(lending.choose_cell(loads, step), "")
 
+    def test_many_waiting_tasks_are_all_lent_soon(self):
+        """Seen as LOST on quiet-1 --seed 771047308218: some never were."""
+
+        async def _check(world):
+            await anyio.sleep(2)
+            world.work_s = {f"{n:016x}": 1000.0 for n in range(8)}
+            intake = world.intake()
+            for number in range(8):
+                spec = specs.JobSpec(
+                    id=f"{number:016x}",
+                    queue=world.queue,
+                    steps=[
+                        _step(
+                            task_count=1,
+                            cpu_millicores=9000,
+                            is_standing=True,
+                        )
+                    ],
+                )
+                bucket = tables.bucket_of(spec.id, world.zones)
+                await intake._store(spec, "shop@a", bucket, 1000.0)
+            await anyio.sleep(5)
+            running = [n for w in world.workers.values() for n in w.runs]
+            self.assertEqual(len(running), 8)
+
+        builders.run_job_world(_check, workers_per_zone=5)
+
     def test_a_lent_task_outlives_all_hosts(self):
         async def _check(world):
             await anyio.sleep(2)
