--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -16,6 +16,8 @@
 # Time after which a job of which nothing runs gets one task started where
 # it disturbs least; the guard slows it down as far as needed.
 STARVED_S = 2.0
+# Such tasks on one worker; together they stay below one at full speed.
+MAX_KEPT = 4
 # Beyond this multiple of its objective a job is worth nothing any more.
 WORTHLESS_X = 3.0
 
@@ -150,7 +152,7 @@
         candidates = [
             worker
             for worker in self._candidates(job, task, step, usable, 0.0)
-            if not any(run.is_kept for run in worker.runs.values())
+            if sum(run.is_kept for run in worker.runs.values()) < MAX_KEPT
         ]
         if not candidates:
             return 0
