--- a/wisteriawood/cells/guards.py
+++ b/wisteriawood/cells/guards.py
@@ -25,8 +25,6 @@
 # A filler that may only work below this share is stopped, if it can
 # resume elsewhere from a checkpoint.
 MOVE_BELOW_PERCENT = 30
-# Time for which a filler stands still before it is moved.
-MOVE_AFTER_S = 0.5
 
 
 class Guard:
--- a/wisteriawood/cells/progress.py
+++ b/wisteriawood/cells/progress.py
@@ -83,13 +83,3 @@
         group: The tasks.
     """
     return max(task.run for task in group) + 1
-
-
-def slack_s(job: jobs.Job, now_s: float) -> float:
-    """Return the time left until a job misses its objective.
-
-    Args:
-        job: The job.
-        now_s: Monotonic time.
-    """
-    return job.accepted_at_s + job.objective_s - now_s
--- a/wisteriawood/cells/workers.py
+++ b/wisteriawood/cells/workers.py
@@ -181,20 +181,6 @@
             return False
         return step.is_filler or step.cpu_millicores <= self.free_millicores
 
-    def can_ever_hold(self, step: specs.StepSpec) -> bool:
-        """Tell whether an empty worker like this could run a task.
-
-        Args:
-            step: The step.
-        """
-        held = self.registration
-        return (
-            step.cpu_millicores <= held.cpu_millicores
-            and step.memory_mb <= held.memory_mb
-            and step.accelerators <= held.accelerators
-            and (not step.required_label or step.required_label in held.labels)
-        )
-
     def is_usable(self, now_s: float) -> bool:
         """Tell whether new runs may be sent here.
 
--- a/wisteriawood/jobs/jobs.py
+++ b/wisteriawood/jobs/jobs.py
@@ -84,11 +84,6 @@
         """Id of the job."""
         return self.spec.id
 
-    @property
-    def origin_id(self) -> str:
-        """Id under which the job was handed in, also for a lent task."""
-        return self.spec.lent_task.partition(".")[0] or self.spec.id
-
     def task_name(self, task: tasks.Task) -> str:
         """Return the name under which workers know a task.
 
@@ -185,7 +180,3 @@
                 self.occurrences_done += 1
         if self.occurrences_done >= max(1, self.spec.occurrence_count):
             self.state = JobState.COMPLETED
-
-    def has_started(self) -> bool:
-        """Tell whether a task of the job has been assigned."""
-        return self.state is not JobState.QUEUED
