--- a/wisteriawood/cells/balancers.py
+++ b/wisteriawood/cells/balancers.py
@@ -1,5 +1,8 @@
 """Which cell a new job goes to."""
 
+import hashlib
+import math
+
 import anyio
 
 from wisteriawood.jobs import specs
@@ -9,11 +12,20 @@
 SHOWN_AFTER_S = 1.6
 
 
+# Share of a cell that counts as its room when it is full; keeps the choice
+# among full cells in order.
+MIN_ROOM = 0.001
+# Power of a cell's room in its chance to get a job.
+ROOM_POWER = 2
+
+
 class Balancer:
     """Sends jobs where they find most room, on one host.
 
     Heartbeats tell the room of each cell late, so what this host has sent
-    since then is taken off.
+    since then is taken off. What other hosts sent is not known: if all sent
+    jobs to the cell with most room, it would be full before a heartbeat
+    says so. So the id of a job draws the cell, and room only sets the odds.
     """
 
     __slots__ = ("_sent",)
@@ -24,7 +36,7 @@
     def choose(
         self, cells: list[str], loads: dict[str, dict], spec: specs.JobSpec
     ) -> tuple[str, base.CellView]:
-        """Return the cell with most room for a job, and how it stands.
+        """Return the cell that a job goes to, and how it stands.
 
         Args:
             cells: Cells to choose from, the preferred one first.
@@ -46,7 +58,14 @@
                 left = view.left_millicores - fillers
             return left / view.capacity_millicores
 
-        best = max(cells, key=_room)
+        def _order(cell: str) -> float:
+            room = max(_room(cell), 0.0) ** ROOM_POWER + MIN_ROOM
+            return -math.log(_draw(cell, spec.id)) / room
+
+        if max(map(_room, cells)) <= 0:
+            best = max(cells, key=_room)
+        else:
+            best = min(cells, key=_order)
         return best, views[best]
 
     def note_sent(self, cell: str, spec: specs.JobSpec) -> None:
@@ -75,6 +94,13 @@
         return view
 
 
+def _draw(cell: str, job_id: str) -> float:
+    """Return a number above 0 and up to 1, the same on each host."""
+    data = f"{cell}/{job_id}".encode()
+    digest = hashlib.blake2b(data, digest_size=4).digest()
+    return (int.from_bytes(digest, "big") + 1) / 2**32
+
+
 def _demand(spec: specs.JobSpec) -> tuple[int, int]:
     """Return the processor that the widest step of a job asks for."""
     reserved = fillers = 0
