--- a/wisteriawood/platform/__main__.py
+++ b/wisteriawood/platform/__main__.py
@@ -24,6 +24,9 @@
 # Longest lease asked for; a longer one delays the proof that a worker's
 # runs are over more than it helps them to outlive a change of holder.
 LEASE_S = 6.0
+# Rest of the feed of workers: each of them writes its entry every second or
+# so, and a draining one has to be known within two.
+WORKERS_PAUSE_S = 0.4
 # Time in which the balancer sees that the host is not ready any more.
 DRAIN_NOTICE_S = 1.2
 # Part of the grace after which requests in flight are no longer awaited.
@@ -160,11 +163,13 @@
             group.start_soon(self._serve)
             group.start_soon(self._host.run)
             group.start_soon(self._intake.run)
-            for table, take in (
-                (directory.OPERATOR_TABLE, self._take_operator),
-                (directory.WORKER_TABLE, self._take_workers),
+            for table, take, pause_s in (
+                (directory.OPERATOR_TABLE, self._take_operator, 0.0),
+                (directory.WORKER_TABLE, self._take_workers, WORKERS_PAUSE_S),
             ):
-                feed = feeds.Feed(store=self._store, table=table, take=take)
+                feed = feeds.Feed(
+                    store=self._store, table=table, take=take, pause_s=pause_s
+                )
                 group.start_soon(feed.run)
             await self._watch_signals()
             _LOG.log(events.DAEMON_STOPPED, name=self.config.node_name)
