Regroup serving tasks for waiting fillers, and watch fillers ahead

And most time over a bound came from heavy fillers started while a task's callers were few, or already there when a serving task came (141 and 30 of 190 s of workers). Now tasks that keep waiting fillers off a worker move, one at a time; heavy fillers reckon with the callers of the next 2.5 s; a new serving task counts before its first report; a tail near its bound is read every 400 ms.

--- a/wisteriawood/cells/followers.py
+++ b/wisteriawood/cells/followers.py
@@ -15,6 +15,9 @@
 _LOG = events.Logger(name=__name__)
 # Longest wait of one renewal; a third of the shortest lease stays spare.
 WAIT_MS = 1000
+# The same while a tail near its bound has to be watched.
+STRAINED_WAIT_MS = 400
+STRAINED = 0.8
 # How long a follower waits for a commit before it renews the lease again.
 SAVE_WAIT_S = 0.25
 # Rest between renewals while ends wait for their commit.
@@ -99,7 +102,7 @@
             token=token,
             acknowledged=worker.acknowledged,
             lease_until_ms=until_ms,
-            wait_ms=WAIT_MS if is_fresh and not self._saving else 0,
+            wait_ms=self._wait_ms() if is_fresh and not self._saving else 0,
         )
         now_s = anyio.current_time()
         worker.lease.read_clock(report.clock_ms, now_s)
@@ -117,6 +120,14 @@
             )
         self._take_in(report, sent_at_s)
 
+    def _wait_ms(self) -> int:
+        worker = self._worker
+        is_strained = worker.filler_millicores > 0 and any(
+            run.step.tail_target_ms > 0 and run.strain() >= STRAINED
+            for run in worker.runs.values()
+        )
+        return STRAINED_WAIT_MS if is_strained else WAIT_MS
+
     def _take_in(self, report: runners.RunReport, sent_at_s: float) -> None:
         worker = self._worker
         now_s = anyio.current_time()
--- a/wisteriawood/cells/guards.py
+++ b/wisteriawood/cells/guards.py
@@ -49,9 +49,8 @@
             self._look_at(worker, now_s)
 
     def _look_at(self, worker: workers.Worker, now_s: float) -> None:
-        strained = _most_strained(worker)
-        strain = strained.strain() if strained else 0.0
-        if strain < 1.0:
+        strained, load = self._most_strained(worker, now_s)
+        if load < pressure.BOUND_LOAD:
             self._over_since_s.pop(worker.id, None)
             over_s = 0.0
         else:
@@ -68,11 +67,34 @@
         since_s = now_s - self._stepped_at_s.get(worker.id, 0.0)
         if not fillers or since_s < STEP_PERIOD_S:
             return
-        if strained is not None and pressure.load_of(strain) >= ALARM_LOAD:
-            self._step_down(worker, fillers, strained)
+        if strained is not None and load >= ALARM_LOAD:
+            self._step_down(worker, fillers, strained, load)
         else:
             self._step_up(worker, fillers)
 
+    def _most_strained(
+        self, worker: workers.Worker, now_s: float
+    ) -> tuple[runs.Run | None, float]:
+        """Return the serving task with the highest load, and that load.
+
+        A task that has just started has no tail yet; what fillers there
+        are known to add to the load of its image counts instead.
+        """
+        shares = worker.filler_shares()
+        found: runs.Run | None = None
+        highest = 0.0
+        for run in worker.runs.values():
+            if run.step.tail_target_ms <= 0 or not run.is_confirmed:
+                continue
+            if run.signal > 0 and now_s - run.started_at_s >= workers.WARM_S:
+                load = pressure.load_of(run.strain())
+            else:
+                load = worker.own_load(run).mean
+                load += self._cell.book.added_load(run.step.image, shares)
+            if found is None or load > highest:
+                found, highest = run, load
+        return found, highest
+
     def _added(
         self, worker: workers.Worker, strained: runs.Run, run: runs.Run
     ) -> float:
@@ -111,9 +133,10 @@
         worker: workers.Worker,
         fillers: list[runs.Run],
         strained: runs.Run,
+        load: float,
     ) -> None:
         """Slow the fillers that add most, until the tail should hold."""
-        excess = pressure.load_of(strained.strain()) - AIM_LOAD
+        excess = load - AIM_LOAD
         parts = [(self._added(worker, strained, run), run) for run in fillers]
         parts.sort(key=lambda part: (-part[0], part[1].name))
         for added, run in parts:
@@ -189,12 +212,3 @@
             strain=round(strained.strain(), 2) if strained else 0.0,
             fillers={run.name: run.pace_percent for run in fillers},
         )
-
-
-def _most_strained(worker: workers.Worker) -> runs.Run | None:
-    serving = [
-        run
-        for run in worker.runs.values()
-        if run.step.tail_target_ms > 0 and run.is_confirmed
-    ]
-    return max(serving, key=lambda run: run.strain(), default=None)
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -13,6 +13,7 @@
 from wisteriawood.cells import leases
 from wisteriawood.cells import ledgers
 from wisteriawood.cells import orders
+from wisteriawood.cells import regrouping
 from wisteriawood.cells import runs
 from wisteriawood.cells import tables
 from wisteriawood.cells import workers
@@ -57,6 +58,7 @@
         "_guard",
         "_keep_s",
         "_lease_s",
+        "_regrouper",
         "_ticks",
         "_zones",
         "cell",
@@ -86,6 +88,7 @@
         self._group: abc.TaskGroup | None = None
         self._began_at_s = anyio.current_time()
         self._guard = guards.Guard(cell=cell)
+        self._regrouper = regrouping.Regrouper(cell=cell)
         self._ticks = 0
         self.fleet_known: dict[str, runners.Registration] = {}
         self.is_open = False
@@ -272,6 +275,7 @@
             self._guard.look()
             self.cell.lend_waiting()
             evacuations.evacuate(self.cell, anyio.current_time())
+            self._regrouper.look(anyio.current_time())
             self.cell.place()
             if self._ticks % LOAD_PERIOD_TICKS == 0:
                 self._log_load()
--- a/wisteriawood/cells/ledgers.py
+++ b/wisteriawood/cells/ledgers.py
@@ -10,6 +10,8 @@
 from wisteriawood.telemetry import events
 
 _LOG = events.Logger(name=__name__)
+# Time for which a transaction may be under way while the store works well.
+FLOWING_S = 0.3
 # Rows of one transaction; with the claim's row it stays in the bound.
 MAX_JOBS = stores.MAX_ENTRIES - 2
 # Bytes of one transaction; base64 makes a third more of the bound of 1 MB.
@@ -54,6 +56,7 @@
         "_is_closed",
         "_store",
         "_wake",
+        "_writing_since_s",
         "commits",
     )
 
@@ -70,6 +73,7 @@
         self._batches: dict[str, Batch] = {}
         self._wake: dict[str, anyio.Event] = {}
         self._is_closed = False
+        self._writing_since_s: dict[str, float] = {}
         self.commits = 0
 
     def mark(
@@ -108,6 +112,17 @@
             if not batch.is_saved:
                 raise tables.CellLostError("the cell has another holder")
 
+    def is_flowing(self, now_s: float) -> bool:
+        """Tell whether changes get into the store without delay.
+
+        Args:
+            now_s: Monotonic time.
+        """
+        return all(
+            now_s - since_s < FLOWING_S
+            for since_s in self._writing_since_s.values()
+        )
+
     def close(self) -> None:
         """Tell all who wait that nothing more is written."""
         self._is_closed = True
@@ -128,9 +143,11 @@
                 self._wake[bucket] = anyio.Event()
                 await self._wake[bucket].wait()
             batch = self._batches.pop(bucket)
+            self._writing_since_s[bucket] = anyio.current_time()
             try:
                 await self._write_batch(bucket, batch)
             finally:
+                del self._writing_since_s[bucket]
                 batch.done.set()
 
     async def _write_batch(self, bucket: str, batch: Batch) -> None:
--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -197,7 +197,7 @@
             worker
             for worker in usable
             if worker.has_room(step)
-            and not (step.is_filler and now_s < worker.no_fillers_until_s)
+            and worker.welcomes(step, now_s)
             and (
                 not step.required_label
                 or step.required_label in worker.registration.labels
--- a/wisteriawood/cells/pressure.py
+++ b/wisteriawood/cells/pressure.py
@@ -41,7 +41,7 @@
 MIN_WEIGHT_VARIANCE = 0.003
 MAX_WEIGHT = 12.0
 # Standard deviations that placement adds to a weight for caution.
-CAUTION = 0.3
+CAUTION = 0.15
 # Weight from which a filler image counts as heavy beside a serving image:
 # two or three usual fillers alone take it past its bound.
 HEAVY_WEIGHT = 0.8
@@ -202,6 +202,11 @@
         peak = max(self._peaks.get(serving, PRIOR_PEAK), own.mean)
         return min(peak, own.mean + RISE_PER_S * ahead_s)
 
+    def filler_count(self) -> int:
+        """Return how many filler images are known, at least 1."""
+        names = set(self._pairs).union(*self._told.values())
+        return max(1, len({filler for _serving, filler in names}))
+
     def heavy_fillers(self, serving: str) -> frozenset[str]:
         """Return the filler images that a serving image can't bear.
 
@@ -214,6 +219,7 @@
             for image, filler in names
             if image == serving
             and self._pair(image, filler).weight >= HEAVY_WEIGHT
+            and self.is_known(image, filler)
         )
 
     def learn(
--- a/wisteriawood/cells/workers.py
+++ b/wisteriawood/cells/workers.py
@@ -25,7 +25,11 @@
 LEARN_PERIOD_S = 0.3
 # How far ahead the own loads of serving tasks are looked at when a filler
 # is placed beside them: the guard sees later changes in time.
-AHEAD_S = 0.8
+AHEAD_S = 0.3
+# The same for a filler that adds much; slowing it later would come too late.
+HEAVY_AHEAD_S = 2.5
+# Load that a filler adds from which it adds much.
+HEAVY_LOAD = 0.07
 # Age from which the tail of a serving task tells of its load.
 WARM_S = 1.0
 # A worker whose last answer is older gets no new runs.
@@ -50,6 +54,8 @@
         is_gone: Whether the directory no longer lists it.
         is_over: Whether the life of the worker is over for its holder.
         no_fillers_until_s: Monotonic time before which no filler starts.
+        leaving_images: Serving images that are moved off the worker, with
+            the monotonic time until which none of them is placed here.
     """
 
     __slots__ = (
@@ -72,6 +78,7 @@
         "is_gone",
         "is_over",
         "lease",
+        "leaving_images",
         "link",
         "no_fillers_until_s",
         "orders",
@@ -104,12 +111,13 @@
         self.is_over = False
         self.avoided_until_s = 0.0
         self.no_fillers_until_s = 0.0
+        self.leaving_images: dict[str, float] = {}
         self.filler_millicores = 0
         self._serving_millicores = 0
         self._history = share_histories.ShareHistory()
         self._learned_at_s = 0.0
         self._own_loads: dict[str, pressure.OwnLoad] = {}
-        self._loads_ahead: dict[str, float] | None = None
+        self._loads_ahead: dict[float, dict[str, float]] = {}
         self.free_millicores = registration.cpu_millicores
         self.free_memory_mb = registration.memory_mb
         self.free_accelerators = registration.accelerators
@@ -162,7 +170,7 @@
             run: The run.
         """
         self.runs[run.name] = run
-        self._loads_ahead = None
+        self._loads_ahead.clear()
         self._count(run.step, 1)
 
     def free(self, run: runs.Run) -> None:
@@ -213,6 +221,17 @@
             and now_s >= self.avoided_until_s
         )
 
+    def welcomes(self, step: specs.StepSpec, now_s: float) -> bool:
+        """Tell whether tasks of a step may come here, room apart.
+
+        Args:
+            step: The step.
+            now_s: Monotonic time.
+        """
+        if step.is_filler:
+            return now_s >= self.no_fillers_until_s
+        return now_s >= self.leaving_images.get(step.image, 0.0)
+
     def spread_count(self, step_name: str) -> int:
         """Return how many tasks of a step and occurrence are here.
 
@@ -297,7 +316,7 @@
         Args:
             now_s: Monotonic time.
         """
-        self._loads_ahead = None
+        self._loads_ahead.clear()
         shares: dict[str, float] = {}
         for run in self.runs.values():
             if run.step.is_filler and run.is_confirmed:
@@ -305,25 +324,31 @@
                 shares[run.step.image] = share + self.share_of(run)
         self._history.note(shares, now_s)
 
-    def loads_ahead(self, book: pressure.PressureBook) -> dict[str, float]:
+    def loads_ahead(
+        self, book: pressure.PressureBook, ahead_s: float = AHEAD_S
+    ) -> dict[str, float]:
         """Return the highest load to expect soon, by serving image.
 
         Args:
             book: What is known of how fillers disturb serving tasks.
+            ahead_s: How far ahead.
         """
-        if self._loads_ahead is None:
-            own: dict[str, float] = {}
-            for run in self.runs.values():
-                if run.step.tail_target_ms > 0:
-                    image = run.step.image
-                    ahead = book.own_ahead(image, self._own_load(run), AHEAD_S)
-                    own[image] = max(own.get(image, 0.0), ahead)
-            shares = self.filler_shares()
-            self._loads_ahead = {
-                image: load + book.cautious_load(image, shares)
-                for image, load in own.items()
-            }
-        return self._loads_ahead
+        found = self._loads_ahead.get(ahead_s)
+        if found is not None:
+            return found
+        own: dict[str, float] = {}
+        for run in self.runs.values():
+            if run.step.tail_target_ms > 0:
+                image = run.step.image
+                ahead = book.own_ahead(image, self.own_load(run), ahead_s)
+                own[image] = max(own.get(image, 0.0), ahead)
+        shares = self.filler_shares()
+        found = {
+            image: load + book.cautious_load(image, shares)
+            for image, load in own.items()
+        }
+        self._loads_ahead[ahead_s] = found
+        return found
 
     def load_with(
         self, step: specs.StepSpec, book: pressure.PressureBook
@@ -338,13 +363,13 @@
             0 if nothing here has a bound on its tail.
         """
         share = step.cpu_millicores / self.capacity_millicores()
-        return max(
-            (
-                load + book.cautious_weight(image, step.image) * share
-                for image, load in self.loads_ahead(book).items()
-            ),
-            default=0.0,
-        )
+        highest = 0.0
+        for image, load in self.loads_ahead(book).items():
+            added = book.cautious_weight(image, step.image) * share
+            if added >= HEAVY_LOAD:
+                load = self.loads_ahead(book, HEAVY_AHEAD_S)[image]
+            highest = max(highest, load + added)
+        return highest
 
     def learn(self, book: pressure.PressureBook, now_s: float) -> None:
         """Learn from the tails in the newest report.
@@ -356,7 +381,7 @@
         if now_s - self._learned_at_s < LEARN_PERIOD_S:
             return
         self._learned_at_s = now_s
-        self._loads_ahead = None
+        self._loads_ahead.clear()
         shares = self._history.mean(now_s)
         for told in self._warm_runs(now_s).values():
             # Tasks of one job share its callers, so their tails together
@@ -364,14 +389,18 @@
             strain = sum(run.strain() for run in told) / len(told)
             book.learn(
                 told[0].step.image,
-                self._own_load(told[0]),
+                self.own_load(told[0]),
                 shares,
                 strain,
                 now_s,
             )
 
-    def _own_load(self, run: runs.Run) -> pressure.OwnLoad:
-        """Return what is known of the load that a task's callers make."""
+    def own_load(self, run: runs.Run) -> pressure.OwnLoad:
+        """Return what is known of the load that a task's callers make.
+
+        Args:
+            run: A run of the task.
+        """
         return self._own_loads.setdefault(run.job.id, pressure.OwnLoad())
 
     def _warm_runs(self, now_s: float) -> dict[str, list[runs.Run]]:
--- a/wisteriawood/policies/spreading/least_pressed.py
+++ b/wisteriawood/policies/spreading/least_pressed.py
@@ -9,7 +9,7 @@
 FILLER_MIN_SHARE = 0.9
 # Load that a filler may bring the serving tasks beside it to; the rest up
 # to the bound is for what reports show late.
-MAX_LOAD = pressure.BOUND_LOAD - 0.05
+MAX_LOAD = pressure.BOUND_LOAD - 0.03
 # Worth of spare load against that of spare processor, in choosing.
 LOAD_VALUE = 2.0
 # Spare load above this is of no more use.
@@ -66,18 +66,17 @@
     worker: workers.Worker, step: specs.StepSpec, book: pressure.PressureBook
 ) -> tuple:
     """Order workers by what a serving task there would take from fillers."""
-    added = book.added_load(step.image, worker.filler_shares())
-    load = pressure.PRIOR_PEAK + added
+    heavy = book.heavy_fillers(step.image)
     images = worker.serving_images()
-    shut_out = worker.shut_out(book)
-    newly = len(book.heavy_fillers(step.image) - shut_out)
+    newly = len(heavy - worker.shut_out(book))
+    lost = newly / book.filler_count() * max(0.0, worker.left_over())
+    # Fillers that run there would have to stop.
+    lost += sum(
+        share * worker.capacity_millicores()
+        for image, share in worker.filler_shares().items()
+        if image in heavy
+    )
     alike = images.get(step.image, 0)
     is_mixed = bool(images) and not alike
-    return (
-        load > MAX_LOAD,
-        newly * worker.left_over(),
-        is_mixed,
-        -alike,
-        load,
-        worker.id,
-    )
+    added = book.added_load(step.image, worker.filler_shares())
+    return (lost, is_mixed, -alike, added, worker.id)
--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -375,6 +375,11 @@
     "fillers-paced",
     "Fillers beside a serving task were slowed down or let go on.",
 )
+SERVING_REGROUPED = define(
+    2220,
+    "serving-regrouped",
+    "A serving task is moved, so that waiting fillers can use its worker.",
+)
 FEED_LOST = define(
     2301,
     "feed-lost",
--- a/wisteriawood/tests/placing_tests.py
+++ b/wisteriawood/tests/placing_tests.py
@@ -130,8 +130,7 @@
 
 
 class PressureTests(unittest.TestCase):
-    """The pattern: a serving task's callers come in slow waves, while
-    fillers of many images come and go beside it within seconds."""
+    """Callers come in slow waves, fillers of many images within seconds."""
 
     WEIGHTS = {"light": 0.1, "heavy": 1.3, "gentle": 0.2, "harsh": 1.8}
 
@@ -157,8 +156,7 @@
             self.assertEqual(book.heavy_fillers("serves"), {"heavy", "harsh"})
 
     def test_a_wave_of_callers_is_not_blamed_on_a_filler(self):
-        """Seen on quiet-1 of both sites: what disturbs nobody was held
-        back, since it ran while callers came."""
+        """Seen on quiet-1: a filler that disturbs nobody was held back."""
         book, own = pressure.PressureBook(), pressure.OwnLoad()
         for sample in range(60):
             load = 0.25 + 0.4 * min(1.0, sample / 30)
