--- a/wisteriawood/cells/guards.py
+++ b/wisteriawood/cells/guards.py
@@ -140,7 +140,7 @@
         parts = [(self._added(worker, strained, run), run) for run in fillers]
         parts.sort(key=lambda part: (-part[0], part[1].name))
         for added, run in parts:
-            if excess <= 0 or added <= 0:
+            if excess <= 0 or added < FELT_LOAD:
                 break
             keep = max(0.0, 1.0 - excess / added)
             percent = int(run.pace_percent * keep)
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -6,7 +6,11 @@
 import anyio
 import trio.testing
 
+from wisteriawood.cells import cells
+from wisteriawood.cells import claims
 from wisteriawood.cells import leases
+from wisteriawood.cells import pressure
+from wisteriawood.cells import runs
 from wisteriawood.cells import workers as run_workers
 from wisteriawood.contracts import grants
 from wisteriawood.contracts import holdings
@@ -15,6 +19,9 @@
 from wisteriawood.contracts import resources
 from wisteriawood.contracts import tasks
 from wisteriawood import errors
+from wisteriawood.jobs import jobs
+from wisteriawood.jobs import queues
+from wisteriawood.jobs import specs
 from wisteriawood.links.codecs import rows
 from wisteriawood.links import platforms
 from wisteriawood.links import runners
@@ -28,8 +35,11 @@
 from wisteriawood.policies import registry
 from wisteriawood.policies import routing
 from wisteriawood.policies.routing import base as routing_base
+from wisteriawood.policies.spreading import least_pressed
 from wisteriawood.standins import job_worlds
+from wisteriawood.standins import stores as store_standins
 from wisteriawood.standins import worlds
+from wisteriawood.telemetry import job_metrics
 from wisteriawood.telemetry import spans
 
 GIB = 1024**3
@@ -350,3 +360,68 @@
     worker.born_unix_ms = 1
     worker.answered_at_s = now_s
     return worker
+
+
+def make_cell(fleet=()):
+    """Return a cell with some workers, whose orders go nowhere."""
+    claim = claims.Claim(
+        cell="shop@a",
+        row=claims.ClaimRow(holder="host", incarnation="i", epoch=1),
+        version=1,
+    )
+    cell = cells.Cell(
+        claim=claim,
+        store=store_standins.MemoryStore(),
+        policy=least_pressed.LeastPressed(),
+        counters=job_metrics.JobMetrics(),
+    )
+    cell.fleet.update((worker.id, worker) for worker in fleet)
+    return cell
+
+
+def make_job(job_id="j", *, queue=None, occurrences=True, **fields):
+    """Return a job of one step, with its tasks."""
+    values = {"task_count": 1, "cpu_millicores": 4000, "memory_mb": 8}
+    step = specs.StepSpec(**(values | fields))
+    spec = specs.JobSpec(
+        id=job_id,
+        queue=queue or queues.Queue(name="q", attempts=2),
+        steps=[step],
+    )
+    job = jobs.Job(spec=spec, cell="shop@a", bucket="a")
+    if occurrences:
+        job.open_due(0)
+    return job
+
+
+def make_serving_job(job_id="s", *, image="serves", **fields):
+    """Return a standing job whose tasks have a bound of 10 ms."""
+    return make_job(
+        job_id, is_standing=True, tail_target_ms=10.0, image=image, **fields
+    )
+
+
+def put_run(worker, job, *, index=0, now_s=0.0, strain=0.0):
+    """Put a started run of a job's task on a worker."""
+    task = job.occurrences[0][0][index]
+    task.assign(worker_id=worker.id, run=task.run + 1)
+    run = runs.Run(job=job, task=task, assigned_at_s=now_s)
+    worker.take(run)
+    run.was_sent = True
+    run.settle(now_s)
+    run.confirm(now_s)
+    run.percent = 100
+    run.signal = strain * run.step.tail_target_ms
+    worker.note_shares(now_s)
+    return run
+
+
+def teach(book, serving, weights):
+    """Let a book know the weights of fillers beside a serving image."""
+    told = {f"{serving}|{filler}": [w, 0.01] for filler, w in weights.items()}
+    book.hear("teacher", told)
+
+
+def strain_of(load):
+    """Return the strain that a load causes."""
+    return pressure.IDLE_STRAIN / (1.0 - min(load, 0.98))
--- /dev/null
+++ b/wisteriawood/tests/guarding_tests.py
@@ -0,0 +1,250 @@
+"""Tests of guarding and regrouping serving tasks; no network, no bench."""
+
+import unittest
+
+import anyio
+
+from wisteriawood.cells import balancers
+from wisteriawood.cells import guards
+from wisteriawood.cells import pressure
+from wisteriawood.cells import regrouping
+from wisteriawood.jobs import specs
+from wisteriawood.policies.spreading import least_pressed
+from wisteriawood.tests import builders
+
+
+def _filler(job_id="f", *, image="heavy", **fields):
+    return builders.make_job(
+        job_id, is_filler=True, image=image, cpu_millicores=1600, **fields
+    )
+
+
+class CellCase(unittest.TestCase):
+    def run_cell(self, check, *, workers=1):
+        async def _main():
+            # Times of zero mean never.
+            await anyio.sleep(100)
+            now_s = anyio.current_time()
+            fleet = [
+                builders.make_run_worker(f"w{n}", now_s=now_s)
+                for n in range(workers)
+            ]
+            cell = builders.make_cell(fleet)
+            await check(cell, fleet, now_s)
+            for worker in fleet:
+                worker.close()
+
+        builders.run_virtual(_main)
+
+
+class GuardTests(CellCase):
+    def test_the_filler_that_presses_is_slowed_and_no_other(self):
+        async def _check(cell, fleet, now_s):
+            builders.teach(cell.book, "serves", {"heavy": 1.5, "light": 0.1})
+            load = pressure.BOUND_LOAD - 0.01
+            serving = builders.make_serving_job()
+            builders.put_run(
+                fleet[0],
+                serving,
+                now_s=now_s - 9,
+                strain=builders.strain_of(load),
+            )
+            heavy = builders.put_run(fleet[0], _filler("h"))
+            light = builders.put_run(fleet[0], _filler("l", image="light"))
+            guards.Guard(cell=cell).look()
+            self.assertLess(heavy.pace_percent, 100)
+            self.assertEqual(light.pace_percent, 100)
+
+        self.run_cell(_check)
+
+    def test_a_serving_task_that_has_just_started_counts(self):
+        """Seen in dumps of quiet-1: 30 of 190 s over a bound."""
+
+        async def _check(cell, fleet, now_s):
+            builders.teach(cell.book, "serves", {"heavy": 3.0})
+            heavy = builders.put_run(fleet[0], _filler("h", task_count=2))
+            other = builders.put_run(fleet[0], heavy.job, index=1)
+            builders.put_run(
+                fleet[0], builders.make_serving_job(), now_s=now_s
+            )
+            guards.Guard(cell=cell).look()
+            self.assertLess(heavy.pace_percent + other.pace_percent, 200)
+
+        self.run_cell(_check)
+
+    def test_long_over_its_bound_stops_all_that_may_be_felt(self):
+        async def _check(cell, fleet, now_s):
+            builders.teach(cell.book, "serves", {"heavy": 1.5, "light": 0.05})
+            builders.put_run(
+                fleet[0],
+                builders.make_serving_job(),
+                now_s=now_s - 9,
+                strain=3.0,
+            )
+            heavy = builders.put_run(fleet[0], _filler("h"))
+            unknown = builders.put_run(fleet[0], _filler("u", image="new"))
+            light = builders.put_run(fleet[0], _filler("l", image="light"))
+            guard = guards.Guard(cell=cell)
+            guard.look()
+            await anyio.sleep(guards.MAX_OVER_S + 0.1)
+            guard.look()
+            self.assertEqual(heavy.pace_percent, 0)
+            self.assertEqual(unknown.pace_percent, 0)
+            self.assertEqual(light.pace_percent, 100)
+            self.assertFalse(
+                fleet[0].welcomes(heavy.step, anyio.current_time())
+            )
+
+        self.run_cell(_check)
+
+    def test_slowed_fillers_go_on_once_callers_are_fewer(self):
+        async def _check(cell, fleet, now_s):
+            builders.teach(cell.book, "serves", {"heavy": 1.0})
+            run = builders.put_run(
+                fleet[0],
+                builders.make_serving_job(),
+                now_s=now_s - 9,
+                strain=builders.strain_of(0.3),
+            )
+            fleet[0].learn(cell.book, now_s)
+            heavy = builders.put_run(fleet[0], _filler("h"))
+            heavy.pace_percent = 50
+            guards.Guard(cell=cell).look()
+            self.assertGreater(heavy.pace_percent, 50)
+            self.assertLess(run.strain(), 1.0)
+
+        self.run_cell(_check)
+
+
+class FillerPlacementTests(CellCase):
+    def test_a_heavy_filler_reckons_with_more_callers_soon(self):
+        """Seen in dumps of quiet-1: started while a wave was low."""
+
+        async def _check(cell, fleet, now_s):
+            policy = least_pressed.LeastPressed()
+            builders.teach(cell.book, "serves", {"heavy": 2.0, "light": 0.1})
+            # Low now, and it may rise by a fifth within a task's time.
+            load = 0.5
+            builders.put_run(
+                fleet[0],
+                builders.make_serving_job(),
+                now_s=now_s - 9,
+                strain=builders.strain_of(load),
+            )
+            for number in range(20):
+                fleet[0].learn(cell.book, now_s + number)
+            heavy, light = _filler("h"), _filler("l", image="light")
+            for job, is_placed in ((heavy, False), (light, True)):
+                step = job.spec.steps[0]
+                chosen = policy.choose(fleet, step, cell.book)
+                self.assertEqual(chosen is not None, is_placed)
+
+        self.run_cell(_check)
+
+
+class RegroupingTests(CellCase):
+    """Two kinds of serving tasks, each bears what the other does not."""
+
+    def _mix(self, cell, fleet, now_s):
+        builders.teach(cell.book, "east", {"e": 1.5, "w": 0.1})
+        builders.teach(cell.book, "west", {"e": 0.1, "w": 1.5})
+        east = builders.make_serving_job("east", image="east", task_count=3)
+        west = builders.make_serving_job("west", image="west", task_count=2)
+        began_s = now_s - 9
+        builders.put_run(fleet[0], east, now_s=began_s)
+        builders.put_run(fleet[0], west, now_s=began_s)
+        builders.put_run(fleet[1], west, index=1, now_s=began_s)
+        for index in (1, 2):
+            builders.put_run(fleet[2], east, index=index, now_s=began_s)
+        waiting = _filler("wait", image="w", task_count=8)
+        cell.add_job(waiting)
+        return east, west
+
+    def test_a_task_moves_to_workers_of_its_kind(self):
+        async def _check(cell, fleet, now_s):
+            east, west = self._mix(cell, fleet, now_s)
+            regrouper = regrouping.Regrouper(cell=cell)
+            regrouper.look(now_s)
+            stopping = [
+                run.name
+                for worker in fleet
+                for run in worker.runs.values()
+                if run.is_stopping
+            ]
+            self.assertEqual(stopping, [west.id + ".0.0.0"])
+            step = west.spec.steps[0]
+            self.assertFalse(fleet[0].welcomes(step, now_s + 1))
+            # The next move waits until this task has a new place.
+            regrouper.look(now_s + regrouping.PERIOD_S)
+            self.assertEqual(sum(r.is_stopping for r in _runs(fleet)), 1)
+            self.assertFalse(east.is_ended())
+
+        self.run_cell(_check, workers=3)
+
+    def test_no_task_moves_while_another_of_its_step_is_away(self):
+        async def _check(cell, fleet, now_s):
+            _east, west = self._mix(cell, fleet, now_s)
+            fleet[1].runs[west.id + ".0.0.1"].percent = 40
+            regrouping.Regrouper(cell=cell).look(now_s)
+            self.assertFalse(any(run.is_stopping for run in _runs(fleet)))
+
+        self.run_cell(_check, workers=3)
+
+    def test_no_task_moves_when_no_filler_waits(self):
+        async def _check(cell, fleet, now_s):
+            self._mix(cell, fleet, now_s)
+            cell.cancel_job("wait")
+            regrouping.Regrouper(cell=cell).look(now_s)
+            self.assertFalse(any(run.is_stopping for run in _runs(fleet)))
+
+        self.run_cell(_check, workers=3)
+
+
+def _runs(fleet):
+    return [run for worker in fleet for run in worker.runs.values()]
+
+
+class BalancerTests(unittest.TestCase):
+    """The pattern: all hosts take jobs at once and see the same loads."""
+
+    def _spec(self, number):
+        step = specs.StepSpec(
+            task_count=6, cpu_millicores=13000, is_standing=True
+        )
+        return specs.JobSpec(id=f"{number:016x}", queue=None, steps=[step])
+
+    def test_hosts_that_see_the_same_fill_all_cells(self):
+        """Seen on quiet-1: 67 serving tasks in one cell, 5 in another."""
+
+        async def _main():
+            loads = {
+                cell: {"capacity": 600000, "free": 600000, "left": 600000}
+                for cell in ("s@a", "s@b", "s@c")
+            }
+            counts = dict.fromkeys(loads, 0)
+            hosts = [balancers.Balancer() for _host in range(6)]
+            for number in range(24):
+                balancer = hosts[number % len(hosts)]
+                spec = self._spec(number)
+                cell, _view = balancer.choose(list(loads), loads, spec)
+                balancer.note_sent(cell, spec)
+                counts[cell] += 1
+            self.assertGreaterEqual(min(counts.values()), 4)
+            self.assertLessEqual(max(counts.values()), 12)
+
+        builders.run_virtual(_main)
+
+    def test_a_full_cell_gets_nothing_while_others_have_room(self):
+        async def _main():
+            loads = {
+                "s@a": {"capacity": 600000, "free": -1000},
+                "s@b": {"capacity": 600000, "free": 500000},
+            }
+            for number in range(20):
+                balancer = balancers.Balancer()
+                cell, _view = balancer.choose(
+                    list(loads), loads, self._spec(number)
+                )
+                self.assertEqual(cell, "s@b")
+
+        builders.run_virtual(_main)
--- a/wisteriawood/tests/placing_tests.py
+++ b/wisteriawood/tests/placing_tests.py
@@ -10,24 +10,13 @@
 from wisteriawood.cells import pressure
 from wisteriawood.cells import progress
 from wisteriawood.cells import share_histories
-from wisteriawood.jobs import jobs
 from wisteriawood.jobs import queues
-from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
 from wisteriawood.links.codecs import jobs as codec
 from wisteriawood.policies.spreading import least_pressed
 from wisteriawood.tests import builders
 
-
-def _job(job_id="j", **fields):
-    step = specs.StepSpec(
-        **({"task_count": 1, "cpu_millicores": 4000, "memory_mb": 8} | fields)
-    )
-    queue = queues.Queue(name="q", attempts=2)
-    spec = specs.JobSpec(id=job_id, queue=queue, steps=[step])
-    job = jobs.Job(spec=spec, cell="s@a", bucket="a")
-    job.open_due(0)
-    return job
+_job = builders.make_job
 
 
 def _waiting(*found):
@@ -124,11 +113,6 @@
         self._run(_check)
 
 
-def _strain(load):
-    """Return the strain that a load causes."""
-    return pressure.IDLE_STRAIN / (1.0 - min(load, 0.98))
-
-
 class PressureTests(unittest.TestCase):
     """Callers come in slow waves, fillers of many images within seconds."""
 
@@ -147,7 +131,9 @@
             load = 0.45 + 0.2 * math.sin(now_s / 2 + seed)
             load += sum(self.WEIGHTS[i] * s for i, s in shares.items())
             noise = rng.uniform(0.9, 1.1)
-            book.learn("serves", own, shares, noise * _strain(load), now_s)
+            book.learn(
+                "serves", own, shares, noise * builders.strain_of(load), now_s
+            )
 
     def test_fillers_that_disturb_are_told_from_the_others(self):
         for seed in range(5):
@@ -161,7 +147,11 @@
         for sample in range(60):
             load = 0.25 + 0.4 * min(1.0, sample / 30)
             book.learn(
-                "serves", own, {"light": 0.1}, _strain(load), 0.3 * sample
+                "serves",
+                own,
+                {"light": 0.1},
+                builders.strain_of(load),
+                0.3 * sample,
             )
         self.assertLess(book.weight("serves", "light"), pressure.HEAVY_WEIGHT)
         self.assertAlmostEqual(own.mean, 0.65, delta=0.1)
