--- a/wisteriawood/tests/guarding_tests.py
+++ b/wisteriawood/tests/guarding_tests.py
@@ -81,12 +81,12 @@
                 now_s=now_s - 9,
                 strain=3.0,
             )
-            heavy = builders.put_run(fleet[0], _filler("h"))
-            unknown = builders.put_run(fleet[0], _filler("u", image="new"))
-            light = builders.put_run(fleet[0], _filler("l", image="light"))
             guard = guards.Guard(cell=cell)
             guard.look()
             await anyio.sleep(guards.MAX_OVER_S + 0.1)
+            heavy = builders.put_run(fleet[0], _filler("h"))
+            unknown = builders.put_run(fleet[0], _filler("u", image="new"))
+            light = builders.put_run(fleet[0], _filler("l", image="light"))
             guard.look()
             self.assertEqual(heavy.pace_percent, 0)
             self.assertEqual(unknown.pace_percent, 0)
