Keep a soak of the real hosts with random faults from outside

Hosts run as processes beside stand-ins of the store and the workers; proxies on loopback hold, delay and reset each link, signals kill, pause, stop and reload hosts, the store refuses, loses and delays, workers crash and drain. Workers and callers check that no task runs twice, nothing starts out of order, over the room, unasked or after a refusal, and that all is done.

--- /dev/null
+++ b/wisteriawood/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A soak: the real hosts as processes, with random faults from outside."""
--- /dev/null
+++ b/wisteriawood/soak/faults.py
@@ -0,0 +1,181 @@
+"""Faults that strike from outside, each over when its function returns."""
+
+import random
+import signal
+import typing
+
+import anyio
+
+from wisteriawood.policies import registry
+from wisteriawood.soak import proxies
+
+if typing.TYPE_CHECKING:
+    from wisteriawood.soak import worlds
+
+Fault = typing.Callable[
+    ["worlds.SoakWorld", random.Random], typing.Awaitable[None]
+]
+FAULTS: registry.Registry[Fault] = registry.Registry(kind="fault")
+
+
+def _host(world: "worlds.SoakWorld", rng: random.Random):
+    return world.hosts[rng.choice(sorted(world.hosts))]
+
+
+def _directions(rng: random.Random) -> set[proxies.Direction]:
+    return set(
+        rng.choice(
+            (
+                [proxies.Direction.OUT],
+                [proxies.Direction.BACK],
+                list(proxies.Direction),
+            )
+        )
+    )
+
+
+async def _harm(
+    links: list[proxies.Proxy], rng: random.Random, longest_s: float
+) -> None:
+    """Hold some links for a while; what waited arrives, or is reset."""
+    held = _directions(rng)
+    for link in links:
+        link.held |= held
+    await anyio.sleep(rng.uniform(0.3, longest_s))
+    is_reset = rng.random() < 0.5
+    for link in links:
+        link.held.clear()
+        if is_reset:
+            link.reset()
+
+
+@FAULTS.register("kill-host")
+async def _kill_host(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    host = _host(world, rng)
+    host.is_wanted = False
+    host.kill()
+    await anyio.sleep(rng.uniform(0.1, 2.5))
+    host.is_wanted = True
+
+
+@FAULTS.register("kill-all-hosts")
+async def _kill_all(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    for host in world.hosts.values():
+        host.kill()
+    await anyio.sleep(rng.uniform(0.1, 1.0))
+
+
+@FAULTS.register("pause-host")
+async def _pause_host(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    host = _host(world, rng)
+    host.signal(signal.SIGSTOP)
+    await anyio.sleep(rng.uniform(0.5, 6.0))
+    host.signal(signal.SIGCONT)
+
+
+@FAULTS.register("stop-host")
+async def _stop_host(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    host = _host(world, rng)
+    host.is_wanted = False
+    await host.stop()
+    await anyio.sleep(rng.uniform(0.0, 1.0))
+    host.is_wanted = True
+
+
+@FAULTS.register("reload-host")
+async def _reload(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    _host(world, rng).signal(signal.SIGHUP)
+
+
+@FAULTS.register("cut-host-from-store")
+async def _cut_store(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    await _harm([world.store_links[_host(world, rng).name]], rng, 5.0)
+
+
+@FAULTS.register("reset-links-of-host")
+async def _reset(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    name = _host(world, rng).name
+    for link in world.links_of(name):
+        link.reset()
+
+
+@FAULTS.register("slow-links-of-host")
+async def _slow(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    links = world.links_of(_host(world, rng).name)
+    for link in links:
+        link.delay_s = rng.uniform(0.02, 0.3)
+    await anyio.sleep(rng.uniform(1.0, 4.0))
+    for link in links:
+        link.delay_s = 0.0
+
+
+@FAULTS.register("cut-host-from-workers")
+async def _cut_workers(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    name = _host(world, rng).name
+    await _harm(list(world.worker_links[name].values()), rng, 4.0)
+
+
+@FAULTS.register("cut-worker")
+async def _cut_worker(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    worker_id = rng.choice(sorted(world.workers))
+    links = [links[worker_id] for links in world.worker_links.values()]
+    await _harm(links, rng, 5.0)
+
+
+@FAULTS.register("crash-worker")
+async def _crash_worker(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    worker = world.workers[rng.choice(sorted(world.workers))]
+    if worker.is_dead:
+        return
+    worker.crash()
+    await anyio.sleep(rng.uniform(0.05, 4.0))
+    worker.restart()
+
+
+@FAULTS.register("drain-worker")
+async def _drain_worker(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    worker = world.workers[rng.choice(sorted(world.workers))]
+    if worker.is_dead or worker.registration.is_draining:
+        return
+    worker.registration.is_draining = True
+    await anyio.sleep(rng.uniform(1.5, 4.0))
+    if not worker.is_dead:
+        worker.crash()
+        await anyio.sleep(0.5)
+        worker.restart()
+    worker.registration.is_draining = False
+
+
+@FAULTS.register("store-down")
+async def _store_down(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    names = sorted(world.stores)
+    if rng.random() < 0.5:
+        names = rng.sample(names, rng.randint(1, len(names) - 1))
+    for name in names:
+        world.stores[name].status = rng.choice((429, 503))
+    await anyio.sleep(rng.uniform(0.3, 4.0))
+    for name in names:
+        world.stores[name].status = 0
+
+
+@FAULTS.register("store-loses-answers")
+async def _lose_answers(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    late_s = rng.choice((0.0, 1.0, 3.0))
+    for store in world.stores.values():
+        store.unanswered = rng.randint(1, 4)
+        store.late_s = late_s
+    await anyio.sleep(2.0)
+    for store in world.stores.values():
+        store.unanswered = 0
+
+
+@FAULTS.register("store-forgets-history")
+async def _forget(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    del rng
+    world.memory.forget_history()
+
+
+@FAULTS.register("new-configuration")
+async def _configure(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    del rng
+    world.configure()
--- /dev/null
+++ b/wisteriawood/soak/proxies.py
@@ -0,0 +1,115 @@
+"""A proxy on loopback through which a link can be harmed."""
+
+import enum
+import socket
+import struct
+
+import anyio
+from anyio import abc
+
+HOST = "127.0.0.1"
+CHUNK_BYTES = 65536
+HOLD_TICK_S = 0.02
+
+
+class Direction(enum.StrEnum):
+    """Directions of the bytes on a link."""
+
+    OUT = "out"
+    BACK = "back"
+
+
+class Proxy:
+    """Passes on the connections of one link.
+
+    Bytes in a held direction wait and arrive late; nothing is lost without
+    the connection being reset.
+
+    Args:
+        target_port: Port on loopback of the other end.
+
+    Attributes:
+        port: Port on which it listens.
+        delay_s: Time by which each chunk is late.
+        held: Directions in which nothing moves.
+        is_refusing: Whether new connections are reset.
+    """
+
+    __slots__ = (
+        "_listener",
+        "_streams",
+        "_target_port",
+        "delay_s",
+        "held",
+        "is_refusing",
+        "port",
+    )
+
+    def __init__(self, *, target_port: int):
+        self._target_port = target_port
+        self._listener: abc.Listener | None = None
+        self._streams: set[abc.SocketStream] = set()
+        self.port = 0
+        self.delay_s = 0.0
+        self.held: set[Direction] = set()
+        self.is_refusing = False
+
+    async def listen(self) -> None:
+        """Take a free port."""
+        self._listener = await anyio.create_tcp_listener(
+            local_host=HOST, local_port=0
+        )
+        self.port = self._listener.extra(abc.SocketAttribute.local_port)
+
+    async def run(self) -> None:
+        """Pass connections on until cancelled."""
+        await self._listener.serve(self._carry)
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for stream in list(self._streams):
+            raw = stream.extra(abc.SocketAttribute.raw_socket)
+            linger = struct.pack("ii", 1, 0)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            raw.shutdown(socket.SHUT_RDWR)
+
+    async def _carry(self, near: abc.SocketStream) -> None:
+        async with near:
+            if self.is_refusing:
+                return
+            try:
+                far = await anyio.connect_tcp(HOST, self._target_port)
+            except OSError:
+                # Nobody listens there; the caller sees the end of the link.
+                return
+            async with far:
+                self._streams |= {near, far}
+                try:
+                    async with anyio.create_task_group() as group:
+                        for direction, source, sink in (
+                            (Direction.OUT, near, far),
+                            (Direction.BACK, far, near),
+                        ):
+                            group.start_soon(
+                                self._pump, group, direction, source, sink
+                            )
+                finally:
+                    self._streams -= {near, far}
+
+    async def _pump(
+        self,
+        group: abc.TaskGroup,
+        direction: Direction,
+        source: abc.SocketStream,
+        sink: abc.SocketStream,
+    ) -> None:
+        try:
+            while True:
+                data = await source.receive(CHUNK_BYTES)
+                await anyio.sleep(self.delay_s)
+                while direction in self.held:
+                    await anyio.sleep(HOLD_TICK_S)
+                await sink.send(data)
+        except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
+            # The other direction has nobody left to talk to.
+            group.cancel_scope.cancel()
--- /dev/null
+++ b/wisteriawood/soak/worlds.py
@@ -0,0 +1,264 @@
+"""The world of a soak: stand-ins and links around the real hosts."""
+
+import functools
+import logging
+import pathlib
+import random
+import socket
+
+import anyio
+from anyio import abc
+
+from wisteriawood.jobs import queues
+from wisteriawood.links import https
+from wisteriawood.links import runners
+from wisteriawood.platform import standins
+from wisteriawood.soak import callers
+from wisteriawood.soak import checks
+from wisteriawood.soak import faults
+from wisteriawood.soak import hosts
+from wisteriawood.soak import proxies
+from wisteriawood.standins import stores
+
+ZONES = ("a", "b")
+HOSTS_PER_ZONE = 2
+WORKERS_PER_ZONE = 3
+CALLERS = 3
+SERVICE = "shop"
+HEARTBEAT_S = 0.5
+WATCH_S = 0.1
+# Time for the hosts to start before the first caller.
+LEAD_S = 4.0
+# Time in which all accepted work must be done once all faults are over.
+FINISH_S = 25.0
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((proxies.HOST, 0))
+        return probe.getsockname()[1]
+
+
+class SoakWorld:
+    """Hosts, workers, stores, links, callers and faults.
+
+    Args:
+        seed: Seed of all that is random.
+        folder: Where settings and logs are kept.
+        load_s: Time for which callers and faults are at work.
+
+    Attributes:
+        struck: Faults that struck, with their times.
+    """
+
+    __slots__ = (
+        "_folder",
+        "_load_s",
+        "_rng",
+        "_stopping",
+        "_version",
+        "_work_s",
+        "checker",
+        "hosts",
+        "memory",
+        "queue",
+        "store_links",
+        "stores",
+        "struck",
+        "worker_links",
+        "workers",
+    )
+
+    def __init__(self, *, seed: int, folder: pathlib.Path, load_s: float):
+        self._folder = folder
+        self._load_s = load_s
+        self._rng = random.Random(seed)
+        self._stopping = anyio.Event()
+        self._version = 0
+        self._work_s: dict[str, float] = {}
+        self.checker = checks.Checker()
+        self.queue = queues.Queue(
+            name="q",
+            host_name="shop.example",
+            prefix="/jobs/",
+            service=SERVICE,
+            attempts=3,
+            stretch=3.0,
+            target_ms=2000,
+        )
+        self.memory = stores.MemoryStore()
+        self.stores: dict[str, standins.WireStore] = {}
+        self.store_links: dict[str, proxies.Proxy] = {}
+        self.worker_links: dict[str, dict[str, proxies.Proxy]] = {}
+        self.workers = self.checker.workers
+        self.hosts: dict[str, hosts.HostProcess] = {}
+        self.struck: list[str] = []
+
+    def links_of(self, host: str) -> list[proxies.Proxy]:
+        """Return all links of a host.
+
+        Args:
+            host: Its name.
+        """
+        return [self.store_links[host], *self.worker_links[host].values()]
+
+    def configure(self) -> None:
+        """Write the next version of the configuration."""
+        self._version += self._rng.randint(1, 3)
+        standins.write_configuration(self.memory, self._version, self.queue)
+
+    async def run(self) -> None:
+        """Play the soak; the checker has what it found."""
+        # The servers would report each link that a fault broke.
+        logging.getLogger("hypercorn.error").disabled = True
+        async with anyio.create_task_group() as servers:
+            async with anyio.create_task_group() as group:
+                try:
+                    await self._build(servers, group)
+                    await self._play()
+                finally:
+                    for host in self.hosts.values():
+                        host.is_wanted = False
+                        host.kill()
+                    group.cancel_scope.cancel()
+            # Servers end by themselves once their links are gone.
+            self._stopping.set()
+
+    async def _build(
+        self, servers: abc.TaskGroup, group: abc.TaskGroup
+    ) -> None:
+        self.configure()
+        for zone in ZONES:
+            for number in range(WORKERS_PER_ZONE):
+                name = f"worker-{zone}-{number}"
+                self._add_worker(servers, group, name, zone)
+        group.start_soon(self._heartbeat)
+        for zone in ZONES:
+            for number in range(HOSTS_PER_ZONE):
+                name = f"host-{zone}-{number}"
+                await self._add_host(servers, group, name, zone)
+        group.start_soon(self._watch_hosts)
+
+    def _serve(self, servers: abc.TaskGroup, app, port: int) -> None:
+        servers.start_soon(
+            https.serve_until, app, f"{proxies.HOST}:{port}", self._stopping
+        )
+
+    def _add_worker(
+        self,
+        servers: abc.TaskGroup,
+        group: abc.TaskGroup,
+        name: str,
+        zone: str,
+    ) -> None:
+        port = _free_port()
+        worker = checks.WatchedWorker(
+            checker=self.checker,
+            registration=runners.Registration(
+                worker_id=name,
+                service=SERVICE,
+                address=f"{proxies.HOST}:{port}",
+                zone=zone,
+                rack=f"rack-{zone}",
+                cpu_millicores=16000,
+                memory_mb=64000,
+            ),
+            work_s=lambda task: self._work_s.get(task.partition(".")[0], 1.0),
+        )
+        self.workers[name] = worker
+        wire = standins.WireWorker(worker=worker, worker_id=name)
+        self._serve(servers, wire, port)
+        group.start_soon(worker.run)
+
+    async def _add_host(
+        self,
+        servers: abc.TaskGroup,
+        group: abc.TaskGroup,
+        name: str,
+        zone: str,
+    ) -> None:
+        self.worker_links[name] = {}
+        addresses = {}
+        for worker_id, worker in self.workers.items():
+            port = int(worker.registration.address.rpartition(":")[2])
+            link = await self._add_link(group, port)
+            self.worker_links[name][worker_id] = link
+            addresses[worker_id] = f"{proxies.HOST}:{link.port}"
+        store = standins.WireStore(store=self.memory, addresses=addresses)
+        store_port = _free_port()
+        self._serve(servers, store, store_port)
+        self.stores[name] = store
+        self.store_links[name] = await self._add_link(group, store_port)
+        host = hosts.HostProcess(name=name, zone=zone, folder=self._folder)
+        host.front_port = _free_port()
+        host.ready_port = _free_port()
+        host.write_settings(list(ZONES), self.store_links[name].port)
+        self.hosts[name] = host
+
+    async def _add_link(
+        self, group: abc.TaskGroup, target_port: int
+    ) -> proxies.Proxy:
+        link = proxies.Proxy(target_port=target_port)
+        await link.listen()
+        group.start_soon(link.run)
+        return link
+
+    async def _heartbeat(self) -> None:
+        """Write the entries of the workers that live."""
+        while True:
+            for name, worker in self.workers.items():
+                found = None if worker.is_dead else worker.registration
+                standins.write_worker(self.memory, found, name)
+            await anyio.sleep(HEARTBEAT_S)
+
+    async def _watch_hosts(self) -> None:
+        """Start hosts that are wanted; note those that end by themselves."""
+        while True:
+            for host in self.hosts.values():
+                code = host.exit_code()
+                if code is not None and code > 0:
+                    self.checker.breach("exit", f"{host.name}: code {code}")
+                if host.is_wanted and not host.is_running():
+                    host.start()
+            await anyio.sleep(WATCH_S)
+
+    async def _play(self) -> None:
+        await anyio.sleep(LEAD_S)
+        until_s = self.checker.now_s() + self._load_s
+        async with anyio.create_task_group() as group:
+            for _number in range(CALLERS):
+                group.start_soon(self._make_caller().run, until_s)
+            group.start_soon(self._strike, until_s)
+        await self._finish()
+
+    def _make_caller(self) -> callers.Caller:
+        return callers.Caller(
+            checker=self.checker,
+            fronts={n: h.front_port for n, h in self.hosts.items()},
+            queue=self.queue,
+            rng=random.Random(self._rng.getrandbits(32)),
+            work_s=self._work_s,
+        )
+
+    async def _strike(self, until_s: float) -> None:
+        """Let faults strike one after the other, also at the same time."""
+        async with anyio.create_task_group() as group:
+            while self.checker.now_s() < until_s:
+                await anyio.sleep(self._rng.uniform(0.2, 2.0))
+                name = self._rng.choice(sorted(faults.FAULTS.names()))
+                self.struck.append(f"{self.checker.now_s():.2f} {name}")
+                rng = random.Random(self._rng.getrandbits(32))
+                fault = faults.FAULTS.get(name)
+                group.start_soon(functools.partial(fault, self, rng))
+
+    async def _finish(self) -> None:
+        """Wait until all accepted work is done and every job is told so."""
+        ends_s = self.checker.now_s() + FINISH_S
+        caller = self._make_caller()
+        while self.checker.unfinished():
+            if self.checker.now_s() > ends_s:
+                for what in self.checker.unfinished():
+                    self.checker.breach("lost", what)
+                return
+            await caller.ask_all()
+            await anyio.sleep(WATCH_S)
