Read a table once more after its history was lost; poll the store less

Also: hosts without a cell read workers every 4 s and beat every 1.6 s, what cells learn goes through a table of its own instead of each heartbeat; jobs that can't be in time even if all started now wait behind those that can; standing jobs leave 15% instead of 10% and reckon with what other hosts send; tasks that end go where they fit tightest.

--- a/wisteriawood/cells/balancers.py
+++ b/wisteriawood/cells/balancers.py
@@ -34,7 +34,11 @@
         self._sent: list[tuple[float, str, specs.JobSpec]] = []
 
     def choose(
-        self, cells: list[str], loads: dict[str, dict], spec: specs.JobSpec
+        self,
+        cells: list[str],
+        loads: dict[str, dict],
+        spec: specs.JobSpec,
+        hosts: int = 1,
     ) -> tuple[str, base.CellView]:
         """Return the cell that a job goes to, and how it stands.
 
@@ -42,12 +46,13 @@
             cells: Cells to choose from, the preferred one first.
             loads: What their holders last told, by cell.
             spec: The job.
+            hosts: Hosts that take jobs in, this one among them.
         """
         now_s = anyio.current_time()
         self._sent = [
             sent for sent in self._sent if now_s - sent[0] < SHOWN_AFTER_S
         ]
-        views = {cell: self._view(cell, loads[cell]) for cell in cells}
+        views = {cell: self._view(cell, loads[cell], hosts) for cell in cells}
         reserved, fillers = _demand(spec)
 
         def _room(cell: str) -> float:
@@ -77,7 +82,7 @@
         """
         self._sent.append((anyio.current_time(), cell, spec))
 
-    def _view(self, cell: str, load: dict) -> base.CellView:
+    def _view(self, cell: str, load: dict, hosts: int) -> base.CellView:
         view = base.CellView(
             capacity_millicores=max(1, load.get("capacity", 1)),
             free_millicores=load.get("free", 0),
@@ -88,6 +93,10 @@
         for _at_s, to, spec in self._sent:
             if to == cell:
                 reserved, fillers = _demand(spec)
+                if any(step.is_standing for step in spec.steps):
+                    # Callers are spread over the hosts, so the others have
+                    # likely sent as much; it stays there for long.
+                    reserved *= hosts
                 view.free_millicores -= reserved
                 view.left_millicores -= reserved + fillers
                 view.backlog_millicore_s += specs.filler_millicore_s(spec)
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -10,6 +10,7 @@
 from wisteriawood.cells import evacuations
 from wisteriawood.cells import followers
 from wisteriawood.cells import guards
+from wisteriawood.cells import knowledge
 from wisteriawood.cells import leases
 from wisteriawood.cells import ledgers
 from wisteriawood.cells import orders
@@ -120,6 +121,7 @@
                     after=after,
                 )
                 group.start_soon(feed.run)
+                group.start_soon(knowledge.Exchange(cell=self.cell).run)
                 self.is_open = True
                 self.update_fleet(self.fleet_known)
                 took_s = anyio.current_time() - began_at_s
--- a/wisteriawood/cells/loads.py
+++ b/wisteriawood/cells/loads.py
@@ -64,5 +64,4 @@
         "pending": _pending_by_queue(cell),
         "waiting": cell.waiting_count(),
         "workers": len(cell.fleet),
-        "pressure": cell.book.tell(),
     }
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -10,15 +10,18 @@
 from wisteriawood.telemetry import events
 
 _LOG = events.Logger(name=__name__)
-# Time between two heartbeats of a host.
+# Time between two heartbeats of a host that holds a cell, and of others.
 BEAT_S = 0.8
+IDLE_BEAT_S = 1.6
 # Time without a new heartbeat after which a host counts as silent: three
 # heartbeats and the rest of the feed.
 SILENCE_S = 2.6
 # Time after a claim by which the heartbeat of its holder must show it.
 MISMATCH_S = 1.8
-# A beat this old still tells that a cell's holder works.
+# A beat this old still tells that a cell's holder works, or that a host
+# that holds none is there.
 LIVELY_S = 2.0
+IDLE_LIVELY_S = LIVELY_S + IDLE_BEAT_S - BEAT_S
 # Rest of the feed of heartbeats, so that several come in one answer.
 FEED_PAUSE_S = 0.5
 
@@ -83,7 +86,7 @@
             store=store,
             table=tables.HOSTS,
             take=self._take_beats,
-            pause_s=FEED_PAUSE_S,
+            pause_s=lambda: FEED_PAUSE_S,
         )
 
     def _take_claims(
@@ -200,6 +203,17 @@
                     found[cell] = load
         return found
 
+    def count_lively(self) -> int:
+        """Return how many hosts were heard lately and stay, at least 1."""
+        now_s = anyio.current_time()
+        lively = [
+            member
+            for member in self.members.values()
+            if not member.beat.is_leaving
+            and now_s - member.changed_at_s <= _lively_s(member)
+        ]
+        return max(1, len(lively))
+
     def lively_hosts(self, zone: str) -> list[str]:
         """Return the hosts of a zone that were heard lately and stay.
 
@@ -211,7 +225,7 @@
             for name, member in self.members.items()
             if member.beat.zone == zone
             and not member.beat.is_leaving
-            and self.silence_s(name) < LIVELY_S
+            and self.silence_s(name) < _lively_s(member)
         )
 
     async def beat(self, cells: dict[str, dict]) -> None:
@@ -238,6 +252,10 @@
             _LOG.log(events.BEAT_FAILED, host=self.name, cause=str(exc))
 
 
+def _lively_s(member: Member) -> float:
+    return LIVELY_S if member.beat.cells else IDLE_LIVELY_S
+
+
 def _is_newer(beat: claims.HostBeat, known: claims.HostBeat) -> bool:
     """Tell whether a heartbeat came after another.
 
--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -26,7 +26,8 @@
     """Return the place of a job in the order of starts; lower goes first.
 
     Standing jobs lose something at each moment they don't run. Jobs that
-    can't meet their objective any more come after those that can.
+    can't meet their objective any more, even if all of the rest started
+    now, come after those that can.
 
     Args:
         job: The job.
@@ -34,9 +35,9 @@
     """
     age_s = now_s - job.accepted_at_s
     is_worthless = age_s > WORTHLESS_X * job.objective_s
-    is_late = age_s > job.objective_s
     if job.is_standing() or job.spec.is_timed():
         return (0, job.spec.queue.priority, job.accepted_at_s, job.id)
+    is_late = age_s + progress.remaining_s(job) > job.objective_s
     rank = 3 if is_worthless else 2 if is_late else 1
     due_s = job.accepted_at_s + job.objective_s
     return (rank, job.spec.queue.priority, due_s, job.id)
--- a/wisteriawood/cells/progress.py
+++ b/wisteriawood/cells/progress.py
@@ -3,6 +3,7 @@
 import typing
 
 from wisteriawood.jobs import jobs
+from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
 
 
@@ -83,3 +84,30 @@
         group: The tasks.
     """
     return max(task.run for task in group) + 1
+
+
+def remaining_s(job: jobs.Job) -> float:
+    """Return the least time in which the rest of a job can be done.
+
+    Steps of which all tasks are at work count half.
+
+    Args:
+        job: The job.
+    """
+    longest_ms = 0.0
+    for steps in job.occurrences.values():
+        ends_ms: list[float] = []
+        for number, step in enumerate(job.spec.steps):
+            before_ms = max((ends_ms[i] for i in step.after), default=0.0)
+            ends_ms.append(before_ms + _left_ms(step, steps[number]))
+        longest_ms = max(longest_ms, *ends_ms)
+    return longest_ms / 1000
+
+
+def _left_ms(step: specs.StepSpec, step_tasks: list[tasks.Task]) -> float:
+    phases = {task.phase for task in step_tasks}
+    if phases <= {tasks.Phase.DONE}:
+        return 0.0
+    if tasks.Phase.WAITING in phases:
+        return step.expected_run_ms
+    return step.expected_run_ms / 2
--- a/wisteriawood/cells/tables.py
+++ b/wisteriawood/cells/tables.py
@@ -8,6 +8,7 @@
 JOBS = "jobs"
 CLAIMS = "cells"
 HOSTS = "hosts"
+KNOWLEDGE = "knowledge"
 CANCEL_SUFFIX = "~cancel"
 
 
@@ -82,3 +83,8 @@
 def host_row(host: str) -> stores.RowKey:
     """Return where the heartbeat of a host is."""
     return stores.RowKey(table=HOSTS, key=host)
+
+
+def knowledge_row(cell: str) -> stores.RowKey:
+    """Return where the holder of a cell tells what it learned."""
+    return stores.RowKey(table=KNOWLEDGE, part=service_of_cell(cell), key=cell)
--- a/wisteriawood/machines/intakes.py
+++ b/wisteriawood/machines/intakes.py
@@ -260,7 +260,8 @@
             return (manned or names)[0], None
         if near and open_cells[0] == names[0]:
             open_cells = names[:1]
-        return self._balancer.choose(open_cells, lively, spec)
+        hosts = self._host.members.count_lively()
+        return self._balancer.choose(open_cells, lively, spec, hosts)
 
     async def _read(self, job_id: str) -> tuple[str, jobs.JobState]:
         self._check_store()
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -61,9 +61,13 @@
         lease_s: Length of the workers' leases.
         keep_s: Time for which the state of an ended job can be asked.
         policy: Name of the spreading policy.
+
+    Attributes:
+        on_claim: Called when this host claims a cell.
     """
 
     __slots__ = (
+        "_claimed",
         "_dial",
         "_fleet",
         "_fleet_read_at_s",
@@ -79,6 +83,7 @@
         "is_draining",
         "members",
         "name",
+        "on_claim",
         "queues",
         "store",
         "zone",
@@ -112,10 +117,12 @@
         )
         self.queues: queues.QueueTable | None = None
         self.is_draining = False
+        self.on_claim: typing.Callable[[], None] = lambda: None
         self._fleet: dict[str, runners.Registration] = {}
         self._fleet_read_at_s = 0.0
         self._reached_at_s: dict[str, float] = {}
         self._holders: dict[str, holders.Holder] = {}
+        self._claimed = anyio.Event()
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._group: abc.TaskGroup | None = None
         self._started_at_s = 0.0
@@ -159,6 +166,10 @@
         """Return the cells that this host works for."""
         return [name for name, h in self._holders.items() if h.is_open]
 
+    def is_holding(self) -> bool:
+        """Tell whether this host holds a cell, or is about to open one."""
+        return bool(self._holders)
+
     def has_workers(self, cell: str) -> bool:
         """Tell whether the directory lists a worker of a cell.
 
@@ -215,7 +226,12 @@
                 if holder.is_open
             }
             await self.members.beat(held)
-            await anyio.sleep(members.BEAT_S)
+            # A claim must show in a heartbeat soon.
+            with anyio.move_on_after(
+                members.BEAT_S if self._holders else members.IDLE_BEAT_S
+            ):
+                await self._claimed.wait()
+                self._claimed = anyio.Event()
 
     def _wanted_cells(self) -> list[str]:
         services = self.queues.services() if self.queues else set()
@@ -231,15 +247,15 @@
             await anyio.sleep(LOOK_PERIOD_S)
             if self.is_draining or not self.members.claim_feed.heard_at_s:
                 continue
-            self._share_knowledge()
+            self._share_loads()
             for cell in self._wanted_cells():
                 if cell in self._holders:
                     self._check_held(cell)
                 else:
                     await self._consider(cell)
 
-    def _share_knowledge(self) -> None:
-        """Tell each held cell what the others of its service learned."""
+    def _share_loads(self) -> None:
+        """Tell each held cell how the others of its service stand."""
         lively = self.members.lively_cells()
         for name, holder in self._holders.items():
             service = tables.service_of_cell(name)
@@ -248,8 +264,6 @@
                 for other, load in lively.items()
                 if other != name and tables.service_of_cell(other) == service
             }
-            for other, load in holder.cell.other_loads.items():
-                holder.cell.book.hear(other, load.get("pressure", {}))
 
     def _check_held(self, cell: str) -> None:
         """Let go of a cell that another host holds, or should."""
@@ -340,6 +354,8 @@
             _LOG.log(events.CLAIM_FAILED, cell=cell, cause=str(exc))
             return
         self.members.note_claim(claim)
+        self.on_claim()
+        self._claimed.set()
         _LOG.log(
             events.CELL_CLAIMED,
             cell=cell,
--- a/wisteriawood/platform/__main__.py
+++ b/wisteriawood/platform/__main__.py
@@ -27,6 +27,8 @@
 # Rest of the feed of workers: each of them writes its entry every second or
 # so, and a draining one has to be known within two.
 WORKERS_PAUSE_S = 0.4
+# The same on a host that holds no cell, and reads them once it claims one.
+IDLE_PAUSE_S = 4.0
 # Time in which the balancer sees that the host is not ready any more.
 DRAIN_NOTICE_S = 1.2
 # Part of the grace after which requests in flight are no longer awaited.
@@ -154,6 +156,9 @@
         )
         self._served.set()
 
+    def _workers_pause_s(self) -> float:
+        return WORKERS_PAUSE_S if self._host.is_holding() else IDLE_PAUSE_S
+
     async def run(self) -> None:
         """Run until the platform stops the process."""
         writer = lines.log_to_output(fields={"host": self.config.node_name})
@@ -164,12 +169,18 @@
             group.start_soon(self._host.run)
             group.start_soon(self._intake.run)
             for table, take, pause_s in (
-                (directory.OPERATOR_TABLE, self._take_operator, 0.0),
-                (directory.WORKER_TABLE, self._take_workers, WORKERS_PAUSE_S),
+                (directory.OPERATOR_TABLE, self._take_operator, None),
+                (
+                    directory.WORKER_TABLE,
+                    self._take_workers,
+                    self._workers_pause_s,
+                ),
             ):
                 feed = feeds.Feed(
                     store=self._store, table=table, take=take, pause_s=pause_s
                 )
+                if table == directory.WORKER_TABLE:
+                    self._host.on_claim = feed.hurry
                 group.start_soon(feed.run)
             await self._watch_signals()
             _LOG.log(events.DAEMON_STOPPED, name=self.config.node_name)
--- a/wisteriawood/policies/admission/in_time.py
+++ b/wisteriawood/policies/admission/in_time.py
@@ -4,7 +4,7 @@
 from wisteriawood.policies.admission import base
 
 # Share of a cell's processor that standing jobs leave to jobs that end.
-RESERVE_SHARE = 0.1
+RESERVE_SHARE = 0.15
 # Time after which a standing job may find room; cancels make it.
 STANDING_RETRY_S = 5.0
 # Share of its processor that a cell's fillers get at least, while nothing
--- a/wisteriawood/policies/spreading/least_pressed.py
+++ b/wisteriawood/policies/spreading/least_pressed.py
@@ -37,7 +37,8 @@
             return _choose_for_filler(candidates, step, book)
         if step.tail_target_ms > 0:
             return min(candidates, key=lambda w: _serving_order(w, step, book))
-        return max(candidates, key=lambda w: (w.left_over(), w.id))
+        # The tightest fit leaves room for tasks that ask for more.
+        return min(candidates, key=lambda w: (w.free_millicores, w.id))
 
 
 def _choose_for_filler(
@@ -79,4 +80,4 @@
     alike = images.get(step.image, 0)
     is_mixed = bool(images) and not alike
     added = book.added_load(step.image, worker.filler_shares())
-    return (lost, is_mixed, -alike, added, worker.id)
+    return (lost, is_mixed, -alike, worker.free_millicores, added, worker.id)
--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -380,6 +380,16 @@
     "serving-regrouped",
     "A serving task is moved, so that waiting fillers can use its worker.",
 )
+KNOWLEDGE_NOT_SHARED = define(
+    2221,
+    "knowledge-not-shared",
+    "What a cell learned about images could not be exchanged with others.",
+)
+KNOWLEDGE_UNREADABLE = define(
+    2222,
+    "knowledge-unreadable",
+    "What another cell learned can't be read; it is left out.",
+)
 FEED_LOST = define(
     2301,
     "feed-lost",
@@ -390,6 +400,12 @@
 FEED_RESTARTED = define(
     2303, "feed-restarted", "The history of a table was lost; it is read anew."
 )
+FEED_AUDITED = define(
+    2309,
+    "feed-audited",
+    "A table was read once more after a loss; rows had been left out.",
+    "Check whether the platform's store returns old rows.",
+)
 WORKER_ROW_UNREADABLE = define(
     2304,
     "worker-row-unreadable",
