Share passes that assign tasks, and skip what found no room just before

Now changes within 20 ms share a pass, a kind that found no room is not tried again in the same pass, the sets are kept for a while, and ends gather for 15 ms with the starts that follow them.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -29,6 +29,8 @@
 _LOG = events.Logger(name=__name__)
 # Time without a new job after which starved fillers get their turn.
 CALM_S = 5.0
+# Rest between two passes that assign tasks.
+PLACE_PAUSE_S = 0.02
 # Runs named in one log line of a pass; bounds its length.
 MAX_LOGGED_RUNS = 20
 
@@ -57,6 +59,7 @@
         "_placer",
         "_waiting",
         "_waiting_since_s",
+        "_wants_place",
         "book",
         "claim",
         "counters",
@@ -97,6 +100,7 @@
         self.meter = meters.FillerMeter()
         self._waiting_since_s: dict[str, tuple[float, float]] = {}
         self._group: abc.TaskGroup | None = None
+        self._wants_place = anyio.Event()
 
     @property
     def name(self) -> str:
@@ -110,6 +114,7 @@
             group: Runs what follows from decisions.
         """
         self._group = group
+        group.start_soon(self.place_forever)
 
     def add_job(self, job: jobs.Job) -> None:
         """Take a job on.
@@ -146,6 +151,22 @@
                     self.refresh(job)
 
     def place(self) -> None:
+        """Have waiting tasks assigned, now or within a moment."""
+        self._wants_place.set()
+
+    async def place_forever(self) -> None:
+        """Assign waiting tasks whenever something has changed.
+
+        Changes within a moment share a pass, which bounds what a large
+        cell with many reports spends on it.
+        """
+        while True:
+            await self._wants_place.wait()
+            self._wants_place = anyio.Event()
+            self._place_now()
+            await anyio.sleep(PLACE_PAUSE_S)
+
+    def _place_now(self) -> None:
         """Assign waiting tasks, write the rows and start the runs."""
         if not self._waiting or self._group is None:
             return
--- a/wisteriawood/cells/ledgers.py
+++ b/wisteriawood/cells/ledgers.py
@@ -10,6 +10,9 @@
 from wisteriawood.telemetry import events
 
 _LOG = events.Logger(name=__name__)
+# Time in which changes gather before a transaction; an end and the start of
+# what follows it share one.
+GATHER_S = 0.015
 # Time for which a transaction may be under way while the store works well.
 FLOWING_S = 0.3
 # Rows of one transaction; with the claim's row it stays in the bound.
@@ -142,6 +145,7 @@
             if bucket not in self._batches:
                 self._wake[bucket] = anyio.Event()
                 await self._wake[bucket].wait()
+            await anyio.sleep(GATHER_S)
             batch = self._batches.pop(bucket)
             self._writing_since_s[bucket] = anyio.current_time()
             try:
--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -1,5 +1,6 @@
 """Which waiting task goes to which worker, and in what order."""
 
+import math
 import typing
 
 from wisteriawood.cells import pressure
@@ -13,6 +14,8 @@
 
 # Jobs in a row without room after which a pass ends; bounds its time.
 MAX_MISSES = 24
+# Tasks whose memory differs by less find room alike.
+MEMORY_STEP_MB = 4096
 # Time after which a job of which nothing runs gets one task started where
 # it disturbs least; the guard slows it down as far as needed.
 STARVED_S = 2.0
@@ -55,7 +58,7 @@
             still be in time needs the processor more.
     """
 
-    __slots__ = ("_book", "_idle_since_s", "_policy", "is_calm")
+    __slots__ = ("_book", "_idle_since_s", "_missed", "_policy", "is_calm")
 
     def __init__(
         self, *, policy: base.SpreadingPolicy, book: pressure.PressureBook
@@ -63,6 +66,8 @@
         self._policy = policy
         self._book = book
         self._idle_since_s: dict[str, float] = {}
+        # What found no room in this pass, by kind, with its processor.
+        self._missed: dict[tuple, int] = {}
         self.is_calm = True
 
     def place(
@@ -86,6 +91,7 @@
         if not usable:
             return []
         found: list[tuple[workers.Worker, runs.Run]] = []
+        self._missed.clear()
         for job_id in self._idle_since_s.keys() - waiting.keys():
             del self._idle_since_s[job_id]
         misses = 0
@@ -115,9 +121,14 @@
         if step.is_gang:
             return self._place_gang(job, step_tasks, usable, found, now_s)
         placed = 0
+        kind = _kind(step)
         for task in step_tasks:
+            if step.cpu_millicores >= self._missed.get(kind, math.inf):
+                break
             worker = self._choose(job, task, step, usable, now_s)
             if worker is None:
+                if not step.most_per_worker:
+                    self._missed[kind] = step.cpu_millicores
                 break
             found.append((worker, _assign(job, task, worker, now_s)))
             placed += 1
@@ -253,6 +264,22 @@
         return 0
 
 
+def _kind(step: specs.StepSpec) -> tuple:
+    """Return what tells steps apart that find room alike, but for size.
+
+    Memory is counted in steps that are large beside the sizes of tasks.
+    """
+    return (
+        step.is_filler,
+        step.image,
+        step.tail_target_ms > 0,
+        step.required_label,
+        step.near_rack,
+        step.accelerators,
+        step.memory_mb // MEMORY_STEP_MB,
+    )
+
+
 def _assign(
     job: jobs.Job,
     task: tasks.Task,
--- a/wisteriawood/cells/pressure.py
+++ b/wisteriawood/cells/pressure.py
@@ -47,6 +47,8 @@
 HEAVY_WEIGHT = 0.8
 # Standard deviation above which a pair counts as not known yet.
 UNKNOWN_DEVIATION = 0.6
+# Changes of the book after which sets of heavy fillers are made anew.
+HEAVY_CHANGES = 64
 # Pairs told to other hosts; bounds the heartbeat.
 MAX_TOLD = 200
 # Share of the prior variance from which a pair is worth telling.
@@ -119,13 +121,30 @@
     tell, so that nothing is counted twice; decisions use both together.
     """
 
-    __slots__ = ("_joined", "_pairs", "_peaks", "_told")
+    __slots__ = (
+        "_changes",
+        "_fillers",
+        "_heavy",
+        "_joined",
+        "_pairs",
+        "_peaks",
+        "_told",
+    )
 
     def __init__(self):
         self._pairs: dict[tuple[str, str], Pair] = {}
         self._peaks: dict[str, float] = {}
         self._told: dict[str, dict[tuple[str, str], Pair]] = {}
         self._joined: dict[tuple[str, str], Pair] = {}
+        self._changes = 0
+        self._heavy: dict[str, frozenset[str]] = {}
+        self._fillers: set[str] = set()
+
+    def _note_change(self) -> None:
+        self._changes += 1
+        if self._changes >= HEAVY_CHANGES:
+            self._changes = 0
+            self._heavy.clear()
 
     def _pair(self, serving: str, filler: str) -> Pair:
         """Return what is known of a pair from all cells together."""
@@ -204,8 +223,7 @@
 
     def filler_count(self) -> int:
         """Return how many filler images are known, at least 1."""
-        names = set(self._pairs).union(*self._told.values())
-        return max(1, len({filler for _serving, filler in names}))
+        return max(1, len(self._fillers))
 
     def heavy_fillers(self, serving: str) -> frozenset[str]:
         """Return the filler images that a serving image can't bear.
@@ -213,14 +231,16 @@
         Args:
             serving: Image of the serving task.
         """
-        names = set(self._pairs).union(*self._told.values())
-        return frozenset(
-            filler
-            for image, filler in names
-            if image == serving
-            and self._pair(image, filler).weight >= HEAVY_WEIGHT
-            and self.is_known(image, filler)
-        )
+        found = self._heavy.get(serving)
+        if found is None:
+            found = frozenset(
+                filler
+                for filler in self._fillers
+                if self._pair(serving, filler).weight >= HEAVY_WEIGHT
+                and self.is_known(serving, filler)
+            )
+            self._heavy[serving] = found
+        return found
 
     def learn(
         self,
@@ -259,6 +279,8 @@
             pair.variance = max(pair.variance, MIN_WEIGHT_VARIANCE)
         for filler in shares:
             self._joined.pop((serving, filler), None)
+        self._fillers.update(shares)
+        self._note_change()
         own.mean = min(max(own.mean + own.variance * error, 0.0), MAX_LOAD)
         own.variance -= own.variance**2 / variance
         self._note_peak(serving, own.mean)
@@ -304,6 +326,8 @@
                 continue
             heard[at] = Pair(float(weight), max(float(variance), 1e-3))
             self._joined.pop(at, None)
+            self._fillers.add(filler)
+            self._heavy.clear()
 
 
 def _join(parts: list[Pair]) -> Pair:
