--- a/wisteriawood/soak/__main__.py
+++ b/wisteriawood/soak/__main__.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from wisteriawood.soak import cases
 from wisteriawood.soak import worlds
 
 DEFAULT_LOAD_S = 14.0
@@ -71,12 +72,18 @@
     parser = argparse.ArgumentParser(prog="python -m wisteriawood.soak")
     parser.add_argument("--seed", type=int, help="one seed")
     parser.add_argument("--seeds", help="several, as FIRST-LAST")
+    parser.add_argument(
+        "--cases", action="store_true", help="all seeds that ever failed"
+    )
     parser.add_argument("--jobs", type=int, default=4, help="seeds at a time")
     parser.add_argument(
         "--load", type=float, default=DEFAULT_LOAD_S, help="seconds of faults"
     )
     parser.add_argument("--keep", default="", help="folder that keeps logs")
     given = parser.parse_args()
+    if given.cases:
+        seeds = sorted(cases.CASES)
+        return _run_many(seeds, given.jobs, given.load, given.keep)
     if given.seeds:
         first, _dash, last = given.seeds.partition("-")
         seeds = list(range(int(first), int(last or first) + 1))
--- /dev/null
+++ b/wisteriawood/tests/faults/soak_tests.py
@@ -0,0 +1,159 @@
+"""A short soak of real processes, and what its checks find."""
+
+import pathlib
+import tempfile
+import unittest
+
+import anyio
+
+from wisteriawood.jobs import queues
+from wisteriawood.jobs import specs
+from wisteriawood.jobs import tasks
+from wisteriawood.links import runners
+from wisteriawood.soak import checks
+from wisteriawood.soak import worlds
+from wisteriawood.tests import builders
+
+SEED = 1
+LOAD_S = 6.0
+JOB = "0123456789abcdef"
+
+
+class SoakTests(unittest.TestCase):
+    def test_a_short_soak_breaks_no_promise(self):
+        with tempfile.TemporaryDirectory() as folder:
+
+            async def _main():
+                world = worlds.SoakWorld(
+                    seed=SEED, folder=pathlib.Path(folder), load_s=LOAD_S
+                )
+                await world.run()
+                return world
+
+            world = anyio.run(_main)
+        checker = world.checker
+        self.assertEqual(checker.breaches, [])
+        self.assertGreater(len(world.struck), 2)
+        self.assertTrue(any(s.is_accepted for s in checker.sent.values()))
+
+
+class CheckTests(unittest.TestCase):
+    """Each check finds the breach that it is meant for."""
+
+    def _run(self, check, **fields):
+        async def _main():
+            checker = checks.Checker()
+            step = specs.StepSpec(
+                **({"task_count": 2, "cpu_millicores": 3000} | fields)
+            )
+            later = specs.StepSpec(task_count=1, after=[0])
+            spec = specs.JobSpec(
+                id=JOB,
+                queue=queues.Queue(name="q"),
+                payload="p",
+                steps=[step, later],
+            )
+            sent = checks.SentJob(spec=spec)
+            checker.sent[JOB] = sent
+            for name in ("w1", "w2"):
+                checker.workers[name] = checks.WatchedWorker(
+                    checker=checker,
+                    registration=runners.Registration(
+                        worker_id=name,
+                        service="s",
+                        address="a",
+                        zone="a",
+                        cpu_millicores=4000,
+                    ),
+                    work_s=lambda _name: 1.0,
+                )
+            check(checker, sent)
+            found = " ".join(checker.breaches)
+            return found
+
+        return builders.run_virtual(_main)
+
+    def _start(self, checker, worker, index=0, step=0, run=1, payload="p"):
+        return checker.workers[worker].begin_run(
+            runners.StartOrder(
+                task_name=f"{JOB}.0.{step}.{index}",
+                run=run,
+                payload=payload,
+                lease_until_ms=1000,
+                token=1,
+            )
+        )
+
+    def test_nothing_is_found_where_nothing_is_broken(self):
+        def _check(checker, sent):
+            sent.is_accepted = True
+            self._start(checker, "w1")
+            self._start(checker, "w2", index=1)
+
+        self.assertEqual(self._run(_check), "")
+
+    def test_two_runs_at_once(self):
+        def _check(checker, _sent):
+            self._start(checker, "w1")
+            self._start(checker, "w2", run=2)
+
+        self.assertIn("twice", self._run(_check))
+
+    def test_a_start_after_an_acknowledged_end(self):
+        def _check(checker, _sent):
+            self._start(checker, "w1")
+            worker = checker.workers["w1"]
+            worker._end(f"{JOB}.0.0.0", tasks.Outcome.DONE)
+            worker.report(1)
+            self._start(checker, "w2", run=2)
+
+        self.assertIn("twice", self._run(_check))
+
+    def test_an_end_that_is_acknowledged_after_a_new_start(self):
+        def _check(checker, _sent):
+            self._start(checker, "w1")
+            worker = checker.workers["w1"]
+            worker._end(f"{JOB}.0.0.0", tasks.Outcome.DONE)
+            self._start(checker, "w2", run=2)
+            worker.report(1)
+
+        self.assertIn("twice", self._run(_check))
+
+    def test_more_than_a_worker_holds(self):
+        def _check(checker, _sent):
+            self._start(checker, "w1")
+            self._start(checker, "w1", index=1)
+
+        self.assertIn("limit", self._run(_check))
+
+    def test_a_step_before_its_time(self):
+        def _check(checker, _sent):
+            self._start(checker, "w1", step=1)
+
+        self.assertIn("order", self._run(_check))
+
+    def test_what_nobody_sent(self):
+        def _check(checker, _sent):
+            self._start(checker, "w1", payload="other")
+
+        self.assertIn("unasked", self._run(_check))
+
+    def test_a_refusal_that_is_not_true(self):
+        def _check(checker, sent):
+            sent.is_refused = True
+            self._start(checker, "w1")
+
+        self.assertIn("refused", self._run(_check))
+
+    def test_completed_too_early(self):
+        def _check(checker, sent):
+            checker.note_state(sent, "completed")
+
+        self.assertIn("mixed", self._run(_check))
+
+    def test_an_accepted_job_that_is_not_known(self):
+        def _check(checker, sent):
+            sent.is_accepted = True
+            checker.note_state(sent, "")
+
+        self.assertIn("lost", self._run(_check))
