Leave cells to much stronger hosts of the zone

A holder gives its cell back to a lively host with 1.5 times its processor, and hosts leave a free cell to such a host for 0.8 s. Where all hosts are alike nothing changes.

--- a/wisteriawood/cells/claims.py
+++ b/wisteriawood/cells/claims.py
@@ -108,6 +108,7 @@
         count: Grows by one with each heartbeat.
         cells: Load of the cells that it holds, by name.
         is_leaving: Whether it will stop soon.
+        cores: Processor that it may use, in cores; 0 if unknown.
     """
 
     zone: str
@@ -115,6 +116,7 @@
     count: int
     cells: dict[str, dict] = dataclasses.field(default_factory=dict)
     is_leaving: bool = False
+    cores: float = 0.0
 
 
 def read_beat(row: stores.StoredRow) -> HostBeat:
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -22,6 +22,8 @@
 # that holds none is there.
 LIVELY_S = 2.0
 IDLE_LIVELY_S = LIVELY_S + IDLE_BEAT_S - BEAT_S
+# A host with this multiple of another's processor is much stronger.
+STRONGER_X = 1.5
 # Rest of the feed of heartbeats, so that several come in one answer.
 FEED_PAUSE_S = 0.5
 
@@ -49,6 +51,7 @@
         name: Name of this host.
         zone: Its availability zone.
         incarnation: Start of its process.
+        cores: Processor that it may use, in cores; 0 if unknown.
     """
 
     __slots__ = (
@@ -58,6 +61,7 @@
         "beat_feed",
         "claim_feed",
         "claims",
+        "cores",
         "incarnation",
         "is_leaving",
         "members",
@@ -67,7 +71,13 @@
     )
 
     def __init__(
-        self, *, store: stores.Store, name: str, zone: str, incarnation: str
+        self,
+        *,
+        store: stores.Store,
+        name: str,
+        zone: str,
+        incarnation: str,
+        cores: float = 0.0,
     ):
         self._store = store
         self._count = 0
@@ -75,6 +85,7 @@
         self.name = name
         self.zone = zone
         self.incarnation = incarnation
+        self.cores = cores
         self.is_leaving = False
         self.written_at_s = 0.0
         self.members: dict[str, Member] = {}
@@ -214,6 +225,20 @@
         ]
         return max(1, len(lively))
 
+    def has_stronger(self, cells_held: int) -> bool:
+        """Tell whether a much stronger host of the zone could hold a cell.
+
+        Args:
+            cells_held: Cells that this host holds; a host with more of
+                them does not count.
+        """
+        return any(
+            self.members[name].beat.cores >= STRONGER_X * self.cores
+            and len(self.members[name].beat.cells) <= cells_held
+            for name in self.lively_hosts(self.zone)
+            if name != self.name and self.cores > 0
+        )
+
     def lively_hosts(self, zone: str) -> list[str]:
         """Return the hosts of a zone that were heard lately and stay.
 
@@ -241,6 +266,7 @@
             count=self._count,
             cells=cells,
             is_leaving=self.is_leaving,
+            cores=self.cores,
         )
         change = stores.Change(
             writes={tables.host_row(self.name): claims.beat_to_bytes(row)}
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -37,6 +37,8 @@
 # Time for which a host of a cell's own zone must have been lively before
 # a holder in another zone gives the cell back.
 GIVE_BACK_S = 2.0
+# Time for which a free cell is left to a much stronger host of the zone.
+STRONGER_PATIENCE_S = 0.8
 # Time by which a host that holds cells waits longer before it claims
 # another, for each cell held.
 HELD_DELAY_S = 0.3
@@ -61,6 +63,7 @@
         lease_s: Length of the workers' leases.
         keep_s: Time for which the state of an ended job can be asked.
         policy: Name of the spreading policy.
+        cores: Processor that the host may use, in cores; 0 if unknown.
 
     Attributes:
         on_claim: Called when this host claims a cell.
@@ -71,6 +74,7 @@
         "_dial",
         "_fleet",
         "_fleet_read_at_s",
+        "_free_since_s",
         "_group",
         "_holders",
         "_keep_s",
@@ -101,6 +105,7 @@
         lease_s: float,
         keep_s: float,
         policy: str = spreading_base.DEFAULT,
+        cores: float = 0.0,
     ):
         self.name = name
         self.zone = zone
@@ -113,7 +118,11 @@
         self._policy = spreading_base.POLICIES.get(policy)()
         self.counters = job_metrics.JobMetrics()
         self.members = members.Members(
-            store=store, name=name, zone=zone, incarnation=uuid.uuid4().hex
+            store=store,
+            name=name,
+            zone=zone,
+            incarnation=uuid.uuid4().hex,
+            cores=cores,
         )
         self.queues: queues.QueueTable | None = None
         self.is_draining = False
@@ -121,6 +130,7 @@
         self._fleet: dict[str, runners.Registration] = {}
         self._fleet_read_at_s = 0.0
         self._reached_at_s: dict[str, float] = {}
+        self._free_since_s: dict[str, float] = {}
         self._holders: dict[str, holders.Holder] = {}
         self._claimed = anyio.Event()
         self._scopes: dict[str, anyio.CancelScope] = {}
@@ -272,8 +282,7 @@
         if claim is not None and claim.version > held.version:
             self._scopes[cell].cancel()
             return
-        zone = tables.zone_of_cell(cell)
-        if zone == self.zone or not self.members.lively_hosts(zone):
+        if not self._has_better_holder(cell):
             return
         if not self._holders[cell].is_open:
             return
@@ -284,15 +293,33 @@
         if steady_s > GIVE_BACK_S and self._group is not None:
             self._group.start_soon(self.release, cell)
 
+    def _has_better_holder(self, cell: str) -> bool:
+        """Tell whether another host should work for a held cell."""
+        zone = tables.zone_of_cell(cell)
+        if zone == self.zone:
+            return self.members.has_stronger(len(self._holders) - 1)
+        return bool(self.members.lively_hosts(zone))
+
+    def _leaves_to_stronger(self, cell: str) -> bool:
+        """Tell whether a free cell is left to a stronger host for now."""
+        if not self.members.has_stronger(len(self._holders)):
+            self._free_since_s.pop(cell, None)
+            return False
+        now_s = anyio.current_time()
+        since_s = self._free_since_s.setdefault(cell, now_s)
+        return now_s - since_s < STRONGER_PATIENCE_S
+
     async def _consider(self, cell: str) -> None:
         """Claim a cell if it is free and this host should have it."""
         before = self.members.claims.get(cell)
         extra_s = HELD_DELAY_S * len(self._holders)
         if tables.zone_of_cell(cell) == self.zone:
             silence_s = members.SILENCE_S + extra_s
-            if before is None or self.members.is_holder_gone(
+            if before is not None and not self.members.is_holder_gone(
                 before, silence_s
             ):
+                self._free_since_s.pop(cell, None)
+            elif not self._leaves_to_stronger(cell):
                 await self._claim(cell, before)
             return
         if not self._is_far_cell_free(cell, before, extra_s):
--- a/wisteriawood/platform/__main__.py
+++ b/wisteriawood/platform/__main__.py
@@ -67,6 +67,7 @@
             dial=_dial,
             lease_s=min(LEASE_S, config.bounds.hold_max_ms / 1000),
             keep_s=config.bounds.status_s + KEEP_MARGIN_S,
+            cores=config.limits.cpu_share * config.limits.cores,
         )
         self._intake = intakes.Intake(host=self._host)
         self._front = fronts.Front(host=self._host, intake=self._intake)
--- a/wisteriawood/platform/settings.py
+++ b/wisteriawood/platform/settings.py
@@ -50,6 +50,19 @@
     duty_per_s: float = 0.0
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Limits:
+    """What a process may use.
+
+    Attributes:
+        cpu_share: Share of a core of the machine; 0 if unknown.
+        cores: Speed of that core, as a multiple of a usual one.
+    """
+
+    cpu_share: float = 0.0
+    cores: float = 1.0
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Bounds:
     """Bounds of the deployment.
@@ -79,6 +92,7 @@
         advice: Address of the advice service; None for none.
         contracts: Parts of the rules that are in force.
         bounds: Bounds of the deployment.
+        limits: What the process may use.
     """
 
     node_name: str
@@ -90,6 +104,7 @@
     advice: str | None = None
     contracts: list[str] = dataclasses.field(default_factory=list)
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
+    limits: Limits = dataclasses.field(default_factory=Limits)
 
 
 def load(path: str = "") -> Settings:
--- a/wisteriawood/standins/job_worlds.py
+++ b/wisteriawood/standins/job_worlds.py
@@ -119,12 +119,13 @@
         for host in self.hosts.values():
             host.use_fleet(fleet)
 
-    def start_host(self, name: str, zone: str) -> None:
+    def start_host(self, name: str, zone: str, cores: float = 1.0) -> None:
         """Start the process of a host.
 
         Args:
             name: Name of the host.
             zone: Its availability zone.
+            cores: Processor that it may use.
         """
 
         def _dial(found: runners.Registration) -> runners.RunLink:
@@ -140,6 +141,7 @@
             dial=_dial,
             lease_s=LEASE_S,
             keep_s=KEEP_S,
+            cores=cores,
         )
         host.use_queues(queues.QueueTable(version=1, queues=[self.queue]))
         self.hosts[name] = host
--- a/wisteriawood/tests/cells_tests.py
+++ b/wisteriawood/tests/cells_tests.py
@@ -176,6 +176,39 @@
 
         builders.run_job_world(_check)
 
+    def test_a_much_stronger_host_gets_the_cell(self):
+        """On the grown sites most hosts have a third of a core."""
+
+        async def _check(world):
+            await anyio.sleep(2)
+            world.work_s[JOB] = 9.0
+            await world.submit(JOB, [_step(task_count=6)])
+            world.start_host("host-a-strong", "a", cores=2.0)
+            await anyio.sleep(5)
+            self.assertEqual(world.holder_of("shop@a"), "host-a-strong")
+            # The others take over when it is gone, and give it back.
+            world.kill_host("host-a-strong")
+            await anyio.sleep(5)
+            self.assertIn(world.holder_of("shop@a"), ("host-a-0", "host-a-1"))
+            world.start_host("host-a-strong", "a", cores=2.0)
+            await anyio.sleep(5)
+            self.assertEqual(world.holder_of("shop@a"), "host-a-strong")
+            await world.wait_for(JOB, jobs.JobState.COMPLETED)
+            for starts in world.starts().values():
+                self.assertEqual(len(starts), 1)
+
+        builders.run_job_world(_check)
+
+    def test_hosts_of_about_the_same_strength_keep_their_cells(self):
+        async def _check(world):
+            await anyio.sleep(2)
+            before = world.holder_of("shop@a")
+            world.start_host("host-a-other", "a", cores=1.4)
+            await anyio.sleep(8)
+            self.assertEqual(world.holder_of("shop@a"), before)
+
+        builders.run_job_world(_check)
+
     def test_a_zone_without_hosts_is_served_from_another(self):
         async def _check(world):
             await anyio.sleep(2)
