--- a/wisteriawood/soak/worlds.py
+++ b/wisteriawood/soak/worlds.py
@@ -25,6 +25,8 @@
 WORKERS_PER_ZONE = 3
 CALLERS = 3
 SERVICE = "shop"
+# Ports for servers; they stay below the range for outgoing connections.
+PORTS = (20000, 32000)
 HEARTBEAT_S = 0.5
 WATCH_S = 0.1
 # Time for the hosts to start before the first caller.
@@ -33,10 +35,23 @@
 FINISH_S = 25.0
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((proxies.HOST, 0))
-        return probe.getsockname()[1]
+def _free_port(rng: random.Random) -> int:
+    """Return a port that no other connection takes by chance.
+
+    Ports that the system gives away lie above the range.
+
+    Args:
+        rng: Source of the choice.
+    """
+    while True:
+        port = rng.randrange(*PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((proxies.HOST, port))
+            except OSError:
+                # Another soak on this machine has it.
+                continue
+            return port
 
 
 class SoakWorld:
@@ -54,6 +69,7 @@
     __slots__ = (
         "_folder",
         "_load_s",
+        "_ports",
         "_rng",
         "_stopping",
         "_version",
@@ -73,6 +89,8 @@
         self._folder = folder
         self._load_s = load_s
         self._rng = random.Random(seed)
+        # Soaks that run at once must not choose the same.
+        self._ports = random.Random()
         self._stopping = anyio.Event()
         self._version = 0
         self._work_s: dict[str, float] = {}
@@ -151,7 +169,7 @@
         name: str,
         zone: str,
     ) -> None:
-        port = _free_port()
+        port = _free_port(self._ports)
         worker = checks.WatchedWorker(
             checker=self.checker,
             registration=runners.Registration(
@@ -185,13 +203,13 @@
             self.worker_links[name][worker_id] = link
             addresses[worker_id] = f"{proxies.HOST}:{link.port}"
         store = standins.WireStore(store=self.memory, addresses=addresses)
-        store_port = _free_port()
+        store_port = _free_port(self._ports)
         self._serve(servers, store, store_port)
         self.stores[name] = store
         self.store_links[name] = await self._add_link(group, store_port)
         host = hosts.HostProcess(name=name, zone=zone, folder=self._folder)
-        host.front_port = _free_port()
-        host.ready_port = _free_port()
+        host.front_port = _free_port(self._ports)
+        host.ready_port = _free_port(self._ports)
         host.write_settings(list(ZONES), self.store_links[name].port)
         self.hosts[name] = host
 
