--- a/wisteriawood/cells/loads.py
+++ b/wisteriawood/cells/loads.py
@@ -5,6 +5,7 @@
 import anyio
 
 from wisteriawood.cells import cells
+from wisteriawood.cells import placers
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
@@ -34,11 +35,15 @@
 
 
 def _filler_backlog(cell: cells.Cell) -> int:
-    """Return the work of fillers that is not done, as estimated."""
+    """Return the work of fillers that goes before a new job, as estimated.
+
+    Jobs that are worth nothing any more get what is left over.
+    """
+    now_s = anyio.current_time()
     return sum(
         specs.step_millicore_s(job.step_of(task))
         for job in cell.jobs.values()
-        if not job.is_ended()
+        if not job.is_ended() and not placers.is_worthless(job, now_s)
         for task in job.all_tasks()
         if task.phase is not tasks.Phase.DONE and job.step_of(task).is_filler
     )
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -22,6 +22,9 @@
 # that holds none is there.
 LIVELY_S = 2.0
 IDLE_LIVELY_S = LIVELY_S + IDLE_BEAT_S - BEAT_S
+# Age of this host's own newest heartbeat up to which the store takes its
+# writes: one period, and the time of a slow write.
+WRITTEN_S = IDLE_BEAT_S + 0.8
 # A host with this multiple of another's processor is much stronger.
 STRONGER_X = 1.5
 # Rest of the feed of heartbeats, so that several come in one answer.
@@ -146,7 +149,9 @@
     def silence_s(self, host: str) -> float:
         """Return for how long a host has surely been silent.
 
-        Time in which this host could not hear it does not count.
+        Time in which this host could not hear it does not count, nor does
+        any while the store does not take this host's own heartbeats: it
+        may not take the others' either.
 
         Args:
             host: Name of the host.
@@ -155,6 +160,8 @@
         heard_from_s = self.beat_feed.steady_since_s
         if not heard_from_s or now_s - self.beat_feed.heard_at_s > SILENCE_S:
             return 0.0
+        if now_s - self.written_at_s > WRITTEN_S:
+            return 0.0
         member = self.members.get(host)
         since_s = heard_from_s
         if member is not None:
@@ -253,11 +260,14 @@
             and self.silence_s(name) < _lively_s(member)
         )
 
-    async def beat(self, cells: dict[str, dict]) -> None:
+    async def beat(self, cells: dict[str, dict]) -> bool:
         """Write one heartbeat.
 
         Args:
             cells: Loads of the cells that this host holds.
+
+        Returns:
+            Whether the store has taken it.
         """
         self._count += 1
         row = claims.HostBeat(
@@ -273,9 +283,11 @@
         )
         try:
             await self._store.commit(change)
-            self.written_at_s = anyio.current_time()
         except errors.PlatformError as exc:
             _LOG.log(events.BEAT_FAILED, host=self.name, cause=str(exc))
+            return False
+        self.written_at_s = anyio.current_time()
+        return True
 
 
 def _lively_s(member: Member) -> float:
--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -25,6 +25,16 @@
 WORTHLESS_X = 3.0
 
 
+def is_worthless(job: jobs.Job, now_s: float) -> bool:
+    """Tell whether a job is too late to be worth anything.
+
+    Args:
+        job: The job.
+        now_s: Monotonic time.
+    """
+    return now_s - job.accepted_at_s > WORTHLESS_X * job.objective_s
+
+
 def urgency(job: jobs.Job, now_s: float) -> tuple:
     """Return the place of a job in the order of starts; lower goes first.
 
@@ -37,11 +47,10 @@
         now_s: Monotonic time.
     """
     age_s = now_s - job.accepted_at_s
-    is_worthless = age_s > WORTHLESS_X * job.objective_s
     if job.is_standing() or job.spec.is_timed():
         return (0, job.spec.queue.priority, job.accepted_at_s, job.id)
     is_late = age_s + progress.remaining_s(job) > job.objective_s
-    rank = 3 if is_worthless else 2 if is_late else 1
+    rank = 3 if is_worthless(job, now_s) else 2 if is_late else 1
     due_s = job.accepted_at_s + job.objective_s
     return (rank, job.spec.queue.priority, due_s, job.id)
 
--- a/wisteriawood/links/stores.py
+++ b/wisteriawood/links/stores.py
@@ -164,6 +164,7 @@
         TransactionUnknownError: Given up without an answer.
     """
     was_sent = False
+    cause = ""
     delay_s = SETTLE_DELAY_S
     began_at_s = anyio.current_time()
     while True:
@@ -175,8 +176,8 @@
             return max(row.version for row in exc.rows)
         except errors.TransactionUnknownError:
             was_sent = True
-        except errors.PlatformUnavailableError:
-            pass
+        except errors.PlatformUnavailableError as exc:
+            cause = str(exc)
         if give_up_at_s is not None:
             until_s = give_up_at_s
             if not was_sent:
@@ -187,7 +188,7 @@
                         "the store did not acknowledge a change in time"
                     )
                 raise errors.PlatformUnavailableError(
-                    "the store does not take changes"
+                    f"the store does not take changes: {cause}"
                 )
         await anyio.sleep(delay_s)
         delay_s = min(2 * delay_s, SETTLE_MAX_DELAY_S)
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -235,10 +235,11 @@
                 for name, holder in self._holders.items()
                 if holder.is_open
             }
-            await self.members.beat(held)
+            is_written = await self.members.beat(held)
+            is_idle = is_written and not self._holders
             # A claim must show in a heartbeat soon.
             with anyio.move_on_after(
-                members.BEAT_S if self._holders else members.IDLE_BEAT_S
+                members.IDLE_BEAT_S if is_idle else members.BEAT_S
             ):
                 await self._claimed.wait()
                 self._claimed = anyio.Event()
--- a/wisteriawood/tests/admission_tests.py
+++ b/wisteriawood/tests/admission_tests.py
@@ -4,6 +4,8 @@
 
 import anyio
 
+from wisteriawood.cells import loads
+from wisteriawood.cells import placers
 from wisteriawood.cells import tables
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import queues
@@ -54,6 +56,29 @@
         self.assertIsNone(policy.check(_spec(), view))
 
 
+class BacklogTests(unittest.TestCase):
+    def test_jobs_that_are_worth_nothing_any_more_refuse_nobody(self):
+        """Seen in incident inc-afd0: refused while workers stood idle."""
+
+        async def _main():
+            cell = builders.make_cell()
+            old = builders.make_job(
+                "old", is_filler=True, task_count=10, expected_run_ms=1000
+            )
+            new = builders.make_job(
+                "new", is_filler=True, task_count=1, expected_run_ms=1000
+            )
+            for job in (old, new):
+                job.spec.accepted_unix_ms = int(cell.now_unix_ms())
+                cell.add_job(job)
+            before = loads.report(cell)["backlog"]
+            old.accepted_at_s -= 2 * placers.WORTHLESS_X * old.objective_s + 1
+            after = loads.report(cell)["backlog"]
+            self.assertEqual((before, after), (44000, 4000))
+
+        builders.run_virtual(_main)
+
+
 class RefusalTests(unittest.TestCase):
     """A refusal must be true, whatever came before it."""
 
--- a/wisteriawood/tests/members_tests.py
+++ b/wisteriawood/tests/members_tests.py
@@ -39,8 +39,14 @@
                 data = claims.beat_to_bytes(_beat(incarnation, count))
                 _write(tables.host_row("other"), data)
 
+            async def _beat_forever():
+                while True:
+                    await view.beat({})
+                    await anyio.sleep(members.BEAT_S)
+
             async with anyio.create_task_group() as group:
                 group.start_soon(view.beat_feed.run)
+                group.start_soon(_beat_forever)
                 await check(view, _say)
                 group.cancel_scope.cancel()
 
@@ -102,6 +108,23 @@
 
         self._run(_check)
 
+    def test_silence_proves_nothing_while_own_heartbeats_fail(self):
+        """Seen in incident inc-afd0: a slow store, and all cells changed."""
+
+        async def _check(view, say):
+            say("before", 1)
+            await anyio.sleep(1)
+            view._store._store.is_down = True
+            view.written_at_s -= members.WRITTEN_S
+            await anyio.sleep(0.1)
+            view.beat_feed.steady_since_s = 0.1
+            view.beat_feed.heard_at_s = anyio.current_time()
+            self.assertEqual(view.silence_s("other"), 0.0)
+            view.written_at_s = anyio.current_time()
+            self.assertGreater(view.silence_s("other"), 0.9)
+
+        self._run(_check)
+
     def test_a_late_heartbeat_does_not_revive(self):
         async def _check(view, say):
             say("before", 5)
