--- a/wisteriawood/soak/checks.py
+++ b/wisteriawood/soak/checks.py
@@ -226,7 +226,8 @@
             if sent.cancelled_at_s:
                 if running:
                     found.append(f"{sent.spec.id} is cancelled and runs")
-            elif not sent.is_accepted:
+            elif not sent.is_accepted or sent.is_cancel_sent:
+                # A cancel without an answer may have been carried out.
                 continue
             elif sent.is_standing():
                 if len(running) < len(sent.names()):
