--- a/wisteriawood/soak/__main__.py
+++ b/wisteriawood/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
@@ -52,6 +53,24 @@
     waiting = list(reversed(seeds))
     running: list[subprocess.Popen] = []
     failed = 0
+    try:
+        failed = _run_waiting(waiting, running, jobs, load_s, keep)
+    finally:
+        for process in running:
+            process.terminate()
+    print(f"{len(seeds)} seeds, {failed} broken")
+    return 1 if failed else 0
+
+
+def _run_waiting(
+    waiting: list[int],
+    running: list[subprocess.Popen],
+    jobs: int,
+    load_s: float,
+    keep: str,
+) -> int:
+    """Run the seeds that wait; return how many broke a promise."""
+    failed = 0
     while waiting or running:
         while waiting and len(running) < jobs:
             arguments = ["--seed", str(waiting.pop()), "--load", str(load_s)]
@@ -62,13 +81,19 @@
                     [sys.executable, "-m", "wisteriawood.soak", *arguments]
                 )
             )
-        failed += running.pop(0).wait() != 0
-    print(f"{len(seeds)} seeds, {failed} broken")
-    return 1 if failed else 0
+        failed += running[0].wait() != 0
+        running.pop(0)
+    return failed
+
+
+def _leave(number: int, _frame: object) -> None:
+    """End in order, so that the hosts end with the soak."""
+    sys.exit(128 + number)
 
 
 def main() -> int:
     """Run the soak as the arguments say."""
+    signal.signal(signal.SIGTERM, _leave)
     parser = argparse.ArgumentParser(prog="python -m wisteriawood.soak")
     parser.add_argument("--seed", type=int, help="one seed")
     parser.add_argument("--seeds", help="several, as FIRST-LAST")
