--- a/wisteriawood/soak/cases.py
+++ b/wisteriawood/soak/cases.py
@@ -8,4 +8,5 @@
     11: "the check took an attempt that was under way for a refused one",
     15: "the check wanted a job to run whose cancel had no answer",
     27: "the port of a stopped host was taken by another connection",
+    49: "an end of a worker's new life was acknowledged by its old number",
 }
