Make one piece of what stood twice, and drop what was only written

Placement and regrouping ask a worker alike whether it accepts a task; shares of fillers are added up in one loop; stops and paces that are not sent again share one sender; the adapter and its stand-in share the answer to a server that starts and stops. Written only, and gone: times of a lease's renewal, a run's progress and pace, and the reading of the fleet. What ends tell of a worker has a module of its own.

--- a/wisteriawood/cells/balancers.py
+++ b/wisteriawood/cells/balancers.py
@@ -10,8 +10,6 @@
 
 # Time until a heartbeat shows what this host has sent to a cell.
 SHOWN_AFTER_S = 1.6
-
-
 # Share of a cell that counts as its room when it is full; keeps the choice
 # among full cells in order.
 MIN_ROOM = 0.001
--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -172,7 +172,7 @@
         now_s = anyio.current_time()
         self._placer.is_calm = now_s - self.handed_in_at_s >= CALM_S
         assigned = self._placer.place(
-            self._waiting, self.fleet.values(), anyio.current_time()
+            self._waiting, self.fleet.values(), now_s
         )
         if not assigned:
             return
@@ -337,26 +337,15 @@
             worker: The worker.
             active: What the worker says of it.
         """
-        if self._group is not None:
-            self._group.start_soon(self._send_stop, worker, active)
-
-    async def _send_stop(
-        self, worker: workers.Worker, active: runners.ActiveRun
-    ) -> None:
-        try:
-            await worker.link.stop(active.task_name, active.run, worker.token)
-        except runners.FencedError as exc:
-            raise tables.CellLostError(
-                "the worker has a newer holder"
-            ) from exc
-        except errors.LinkError as exc:
-            # The next report lists the run again.
-            _LOG.log(
-                job_events.RUN_STOP_UNANSWERED,
-                worker=worker.id,
-                task=active.task_name,
-                cause=str(exc),
-            )
+        # Without an answer, the next report lists the run again.
+        self._tell(
+            worker,
+            active.task_name,
+            lambda: worker.link.stop(
+                active.task_name, active.run, worker.token
+            ),
+            job_events.RUN_STOP_UNANSWERED,
+        )
 
     def send_pace(self, worker: workers.Worker, run: runs.Run) -> None:
         """Tell a worker at what share of its speed a run may work.
@@ -365,25 +354,46 @@
             worker: The worker.
             run: The run.
         """
+        # Without an answer, the next look sends the next step while the
+        # strain lasts.
+        self._tell(
+            worker,
+            run.name,
+            lambda: worker.link.pace(
+                run.name, run.number, run.pace_percent, worker.token
+            ),
+            job_events.PACE_UNANSWERED,
+        )
+
+    def _tell(
+        self,
+        worker: workers.Worker,
+        task_name: str,
+        call: typing.Callable[[], typing.Awaitable[None]],
+        unanswered: events.Event,
+    ) -> None:
+        """Send an order that is not sent again without an answer."""
         if self._group is not None:
-            self._group.start_soon(self._send_pace, worker, run)
+            self._group.start_soon(
+                self._send, worker, task_name, call, unanswered
+            )
 
-    async def _send_pace(self, worker: workers.Worker, run: runs.Run) -> None:
+    async def _send(
+        self,
+        worker: workers.Worker,
+        task_name: str,
+        call: typing.Callable[[], typing.Awaitable[None]],
+        unanswered: events.Event,
+    ) -> None:
         try:
-            await worker.link.pace(
-                run.name, run.number, run.pace_percent, worker.token
-            )
+            await call()
         except runners.FencedError as exc:
             raise tables.CellLostError(
                 "the worker has a newer holder"
             ) from exc
         except errors.LinkError as exc:
-            # While the strain lasts, the next look sends the next step.
             _LOG.log(
-                job_events.PACE_UNANSWERED,
-                worker=worker.id,
-                task=run.name,
-                cause=str(exc),
+                unanswered, worker=worker.id, task=task_name, cause=str(exc)
             )
 
     def cancel_job(self, job_id: str) -> None:
--- a/wisteriawood/cells/followers.py
+++ b/wisteriawood/cells/followers.py
@@ -108,8 +108,6 @@
         now_s = anyio.current_time()
         worker.lease.read_clock(report.clock_ms, now_s)
         worker.answered_at_s = now_s
-        if until_ms:
-            worker.lease.renewed_at_s = now_s
         if self._is_failing:
             self._is_failing = False
             _LOG.log(
@@ -183,9 +181,8 @@
             if not run.is_confirmed:
                 run.confirm(now_s)
                 worker.note_shares(now_s)
-            if active.checkpoint and active.checkpoint != run.checkpoint:
+            if active.checkpoint:
                 run.checkpoint = active.checkpoint
-                run.progress_at_s = now_s
             run.percent = active.percent
             run.signal = active.signal
         return listed
--- a/wisteriawood/cells/guards.py
+++ b/wisteriawood/cells/guards.py
@@ -194,11 +194,11 @@
         if percent == run.pace_percent:
             return
         run.pace_percent = percent
-        run.paced_at_s = anyio.current_time()
-        self._stepped_at_s[worker.id] = run.paced_at_s
+        now_s = anyio.current_time()
+        self._stepped_at_s[worker.id] = now_s
         self._cell.counters.paces.labels(cause=cause).inc()
         self._cell.send_pace(worker, run)
-        worker.note_shares(run.paced_at_s)
+        worker.note_shares(now_s)
 
     def _note(
         self,
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -193,16 +193,12 @@
                 run = runs.Run(job=job, task=task, assigned_at_s=now_s)
                 self.cell.orphans.setdefault(task.worker_id, []).append(run)
 
-    def _take_handins(
-        self, rows: list[stores.StoredRow], is_whole: bool
-    ) -> None:
+    def _take_handins(self, rows: list[stores.StoredRow]) -> None:
         """Take in new jobs and cancellations.
 
         Args:
             rows: Rows of the zone's table.
-            is_whole: Whether they are the whole table.
         """
-        del is_whole
         for row in rows:
             if row.value is None or row.at.key in self.cell.jobs:
                 continue
--- a/wisteriawood/cells/leases.py
+++ b/wisteriawood/cells/leases.py
@@ -15,7 +15,6 @@
     Attributes:
         granted_until_ms: Latest end that was ever sent to the worker.
         lapsed_at_s: Monotonic time from which the lease has surely ended.
-        renewed_at_s: When the worker last confirmed a renewal.
     """
 
     __slots__ = (
@@ -24,7 +23,6 @@
         "granted_until_ms",
         "lapsed_at_s",
         "length_s",
-        "renewed_at_s",
     )
 
     def __init__(self, *, length_s: float, lapsed_at_s: float):
@@ -33,7 +31,6 @@
         self._clock_at_s = 0.0
         self.granted_until_ms = 0
         self.lapsed_at_s = lapsed_at_s
-        self.renewed_at_s = 0.0
 
     def read_clock(self, clock_ms: int, now_s: float) -> None:
         """Note the worker's clock.
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -104,10 +104,7 @@
             pause_s=lambda: FEED_PAUSE_S,
         )
 
-    def _take_claims(
-        self, rows: list[stores.StoredRow], is_whole: bool
-    ) -> None:
-        del is_whole
+    def _take_claims(self, rows: list[stores.StoredRow]) -> None:
         for row in rows:
             try:
                 claim = claims.read_claim(row)
@@ -131,10 +128,7 @@
             self.claims[claim.cell] = claim
             self._noted_at_s[claim.cell] = anyio.current_time()
 
-    def _take_beats(
-        self, rows: list[stores.StoredRow], is_whole: bool
-    ) -> None:
-        del is_whole
+    def _take_beats(self, rows: list[stores.StoredRow]) -> None:
         now_s = anyio.current_time()
         for row in rows:
             try:
--- a/wisteriawood/cells/orders.py
+++ b/wisteriawood/cells/orders.py
@@ -80,7 +80,6 @@
                 run.confirm(run.settled_at_s)
                 if run.is_kept:
                     run.pace_percent = KEPT_PERCENT
-                    run.paced_at_s = run.settled_at_s
                     self._cell.send_pace(self._worker, run)
                 if run.step.is_filler:
                     self._worker.note_shares(run.settled_at_s)
--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -214,20 +214,9 @@
         now_s: float,
     ) -> list[workers.Worker]:
         """Return the workers that have room, near the data if they can."""
-        step_name = job.task_name(task).rpartition(".")[0] + "."
+        name = job.task_name(task)
         candidates = [
-            worker
-            for worker in usable
-            if worker.has_room(step)
-            and worker.welcomes(step, now_s)
-            and (
-                not step.required_label
-                or step.required_label in worker.registration.labels
-            )
-            and (
-                not step.most_per_worker
-                or worker.spread_count(step_name) < step.most_per_worker
-            )
+            worker for worker in usable if worker.accepts(step, name, now_s)
         ]
         if step.near_rack:
             near = [
--- a/wisteriawood/cells/regrouping.py
+++ b/wisteriawood/cells/regrouping.py
@@ -147,16 +147,9 @@
         self, worker: workers.Worker, run: runs.Run, now_s: float
     ) -> bool:
         """Tell whether a task would keep no more fillers off a worker."""
-        step = run.step
-        if not worker.has_room(step) or not worker.welcomes(step, now_s):
+        if not worker.accepts(run.step, run.name, now_s):
             return False
-        if step.required_label not in ("", *worker.registration.labels):
-            return False
-        if step.most_per_worker:
-            name = run.name.rpartition(".")[0] + "."
-            if worker.spread_count(name) >= step.most_per_worker:
-                return False
-        heavy = self._cell.book.heavy_fillers(step.image)
+        heavy = self._cell.book.heavy_fillers(run.step.image)
         return heavy <= worker.shut_out(self._cell.book)
 
     def _may_miss(self, run: runs.Run) -> bool:
--- a/wisteriawood/cells/runs.py
+++ b/wisteriawood/cells/runs.py
@@ -29,7 +29,6 @@
         signal: Tail latency in milliseconds of a serving task, processor
             in use in thousandths of a core of any other.
         pace_percent: Share of its speed that it was last allowed.
-        paced_at_s: When that was, on the monotonic clock.
     """
 
     __slots__ = (
@@ -43,9 +42,7 @@
         "name",
         "number",
         "pace_percent",
-        "paced_at_s",
         "percent",
-        "progress_at_s",
         "settled_at_s",
         "signal",
         "started_at_s",
@@ -71,11 +68,9 @@
         self.is_kept = False
         self.was_sent = False
         self.checkpoint = ""
-        self.progress_at_s = assigned_at_s
         self.percent = 0.0
         self.signal = 0.0
         self.pace_percent = 100
-        self.paced_at_s = 0.0
 
     def settle(self, now_s: float) -> None:
         """Note that the worker has answered the last order.
--- a/wisteriawood/cells/workers.py
+++ b/wisteriawood/cells/workers.py
@@ -1,6 +1,7 @@
 """A worker as the holder of its cell knows it."""
 
 import math
+import typing
 
 import anyio
 
@@ -8,14 +9,10 @@
 from wisteriawood.cells import pressure
 from wisteriawood.cells import runs
 from wisteriawood.cells import share_histories
+from wisteriawood.cells import soundness
 from wisteriawood.jobs import specs
 from wisteriawood.links import runners
 
-# Failures in a row, over at least two jobs, that put a worker on probation.
-PROBATION_FAILURES = 4
-# Time on probation; doubled each time, up to the longest.
-PROBATION_S = 4.0
-MAX_PROBATION_S = 30.0
 # A worker that refused a start is left alone for this time.
 REFUSAL_PAUSE_S = 0.5
 # Part of what serving tasks ask for that they use, with some headroom.
@@ -59,14 +56,12 @@
     """
 
     __slots__ = (
-        "_failed_jobs",
-        "_failures",
         "_history",
         "_learned_at_s",
         "_loads_ahead",
         "_own_loads",
-        "_probations",
         "_serving_millicores",
+        "_soundness",
         "acknowledged",
         "answered_at_s",
         "avoided_until_s",
@@ -122,9 +117,7 @@
         self.free_memory_mb = registration.memory_mb
         self.free_accelerators = registration.accelerators
         self.speed = 1.0
-        self._failures = 0
-        self._failed_jobs: set[str] = set()
-        self._probations = 0
+        self._soundness = soundness.Soundness()
         # Orders are few and short; the rooms of the worker bound them.
         self.orders, self.orders_out = anyio.create_memory_object_stream[
             runs.Run
@@ -195,6 +188,25 @@
         self.free_memory_mb -= sign * step.memory_mb
         self.free_accelerators -= sign * step.accelerators
 
+    def accepts(
+        self, step: specs.StepSpec, task_name: str, now_s: float
+    ) -> bool:
+        """Tell whether a task may be placed here.
+
+        Args:
+            step: Step of the task.
+            task_name: Name of the task.
+            now_s: Monotonic time.
+        """
+        if not self.has_room(step) or not self.welcomes(step, now_s):
+            return False
+        if step.required_label not in ("", *self.registration.labels):
+            return False
+        if not step.most_per_worker:
+            return True
+        step_name = task_name.rpartition(".")[0] + "."
+        return self.spread_count(step_name) < step.most_per_worker
+
     def has_room(self, step: specs.StepSpec) -> bool:
         """Tell whether a task of a step fits beside what may be there.
 
@@ -303,12 +315,18 @@
 
     def filler_shares(self) -> dict[str, float]:
         """Return the shares of the processor of the fillers, by image."""
-        found: dict[str, float] = {}
-        for run in self.runs.values():
-            if run.step.is_filler and not run.is_stopping:
-                share = found.get(run.step.image, 0.0)
-                found[run.step.image] = share + self.share_of(run)
-        return found
+        return self._shares_of(
+            run for run in self.runs.values() if not run.is_stopping
+        )
+
+    def _shares_of(self, found: typing.Iterable[runs.Run]) -> dict[str, float]:
+        """Return the shares of the fillers among some runs, by image."""
+        shares: dict[str, float] = {}
+        for run in found:
+            if run.step.is_filler:
+                share = shares.get(run.step.image, 0.0)
+                shares[run.step.image] = share + self.share_of(run)
+        return shares
 
     def note_shares(self, now_s: float) -> None:
         """Note that a filler here has started, ended or changed its pace.
@@ -317,11 +335,9 @@
             now_s: Monotonic time.
         """
         self._loads_ahead.clear()
-        shares: dict[str, float] = {}
-        for run in self.runs.values():
-            if run.step.is_filler and run.is_confirmed:
-                share = shares.get(run.step.image, 0.0)
-                shares[run.step.image] = share + self.share_of(run)
+        shares = self._shares_of(
+            run for run in self.runs.values() if run.is_confirmed
+        )
         self._history.note(shares, now_s)
 
     def loads_ahead(
@@ -434,18 +450,8 @@
         Returns:
             Whether the worker is now on probation.
         """
-        if not has_failed:
-            self._failures = 0
-            self._failed_jobs.clear()
-            self._probations = 0
-            return False
-        self._failures += 1
-        self._failed_jobs.add(run.job.id)
-        if self._failures < PROBATION_FAILURES or len(self._failed_jobs) < 2:
+        length_s = self._soundness.note_end(run.job.id, has_failed)
+        if not length_s:
             return False
-        length_s = min(PROBATION_S * 2**self._probations, MAX_PROBATION_S)
-        self._probations += 1
         self.avoided_until_s = now_s + length_s
-        # The next failure after the probation renews it.
-        self._failures = PROBATION_FAILURES - 1
         return True
--- a/wisteriawood/links/feeds.py
+++ b/wisteriawood/links/feeds.py
@@ -30,9 +30,8 @@
     Args:
         store: The store.
         table: The table.
-        take: Called with rows, and with True if they are the whole table,
-            as when it is read first. Later, rows are newer than those of
-            the same key that were taken before.
+        take: Called with rows that are newer than those of the same key
+            that were taken before; the first time with all there are.
         pause_s: Tells the rest after each call, in which changes gather.
         after: Version from which to follow; None to read the table first.
 
@@ -60,7 +59,7 @@
         *,
         store: stores.Store,
         table: str,
-        take: typing.Callable[[list[stores.StoredRow], bool], None],
+        take: typing.Callable[[list[stores.StoredRow]], None],
         pause_s: typing.Callable[[], float] | None = None,
         after: int | None = None,
     ):
@@ -118,7 +117,7 @@
         now_s = anyio.current_time()
         if self._after is None:
             page = await stores.read_table(self._store, self.table)
-            self._take_page(page, is_first=not self.heard_at_s)
+            self._take_page(page)
             self._after = page.version
         elif self._audits_at_s and now_s >= self._audits_at_s[0]:
             page = await stores.read_table(self._store, self.table)
@@ -135,7 +134,7 @@
         if not self.steady_since_s:
             self.steady_since_s = self.heard_at_s
 
-    def _take_page(self, page: stores.Page, *, is_first: bool = False) -> None:
+    def _take_page(self, page: stores.Page) -> None:
         newer = [
             row
             for row in page.rows
@@ -150,8 +149,8 @@
             _at_s, at, version = self._removed.popleft()
             if self._versions.get(at) == version:
                 del self._versions[at]
-        if newer or is_first:
-            self._take(newer, is_first)
+        if newer:
+            self._take(newer)
 
     def _audit(self, page: stores.Page) -> None:
         """Take in what a table has and the feed did not bring.
--- a/wisteriawood/links/https.py
+++ b/wisteriawood/links/https.py
@@ -32,3 +32,17 @@
     config.h11_max_incomplete_size = MAX_HEADER_BYTES
     config.include_server_header = False
     await hypercorn_asyncio.serve(app, config, shutdown_trigger=stopping.wait)
+
+
+async def serve_lifespan(receive, send) -> None:
+    """Answer a server that starts and stops.
+
+    Args:
+        receive: Returns the server's next message.
+        send: Sends it an answer.
+    """
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -60,7 +60,6 @@
         "_claimed",
         "_dial",
         "_fleet",
-        "_fleet_read_at_s",
         "_group",
         "_holders",
         "_keep_s",
@@ -113,7 +112,6 @@
         self.is_draining = False
         self.on_claim: typing.Callable[[], None] = lambda: None
         self._fleet: dict[str, runners.Registration] = {}
-        self._fleet_read_at_s = 0.0
         self._holders: dict[str, holders.Holder] = {}
         self._claimed = anyio.Event()
         self._scopes: dict[str, anyio.CancelScope] = {}
@@ -144,7 +142,6 @@
             fleet: All workers by id.
         """
         self._fleet = fleet
-        self._fleet_read_at_s = anyio.current_time()
         for name, holder in self._holders.items():
             holder.update_fleet(self._fleet_of(name))
 
--- a/wisteriawood/platform/__main__.py
+++ b/wisteriawood/platform/__main__.py
@@ -77,10 +77,7 @@
         self._stopping = anyio.Event()
         self._served = anyio.Event()
 
-    def _take_operator(
-        self, rows: list[stores.StoredRow], is_whole: bool
-    ) -> None:
-        del is_whole
+    def _take_operator(self, rows: list[stores.StoredRow]) -> None:
         for row in rows:
             if row.at.key != directory.CONFIGURATION_KEY or not row.value:
                 continue
@@ -93,11 +90,7 @@
             self._host.use_queues(table)
             self._read_workers()
 
-    def _take_workers(
-        self, rows: list[stores.StoredRow], is_whole: bool
-    ) -> None:
-        if is_whole:
-            self._rows.clear()
+    def _take_workers(self, rows: list[stores.StoredRow]) -> None:
         for row in rows:
             if row.value is None:
                 self._rows.pop(row.at.key, None)
--- a/wisteriawood/platform/fronts.py
+++ b/wisteriawood/platform/fronts.py
@@ -8,6 +8,7 @@
 
 from wisteriawood import errors
 from wisteriawood.jobs import queues
+from wisteriawood.links import https
 from wisteriawood.machines import intakes
 from wisteriawood.machines import job_hosts
 from wisteriawood.platform import bodies
@@ -46,7 +47,7 @@
     async def __call__(self, scope, receive, send) -> None:
         """Answer one request; called by the server."""
         if scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
+            await https.serve_lifespan(receive, send)
             return
         status, body, retry_after_s = await self._answer(scope, receive)
         headers = [JSON_TYPE]
@@ -151,11 +152,3 @@
     if text.isdigit() and len(text) < 9:
         waits_ms = min(waits_ms, int(text))
     return waits_ms / 1000
-
-
-async def _serve_lifespan(receive, send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": message["type"] + ".complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
--- a/wisteriawood/platform/standins.py
+++ b/wisteriawood/platform/standins.py
@@ -15,6 +15,7 @@
 from wisteriawood import errors
 from wisteriawood.jobs import queues
 from wisteriawood.jobs import specs
+from wisteriawood.links import https
 from wisteriawood.links import runners
 from wisteriawood.links import stores
 from wisteriawood.platform import directory
@@ -111,7 +112,7 @@
     async def __call__(self, scope, receive, send) -> None:
         """Answer one call."""
         if scope["type"] == "lifespan":
-            await serve_lifespan(receive, send)
+            await https.serve_lifespan(receive, send)
             return
         query = dict(parse.parse_qsl(scope["query_string"].decode()))
         body = await _read_body(receive)
@@ -228,7 +229,7 @@
     async def __call__(self, scope, receive, send) -> None:
         """Answer one call."""
         if scope["type"] == "lifespan":
-            await serve_lifespan(receive, send)
+            await https.serve_lifespan(receive, send)
             return
         body = await _read_body(receive)
         if self._worker.is_dead:
@@ -305,15 +306,6 @@
         return {}
 
 
-async def serve_lifespan(receive, send) -> None:
-    """Answer a server that starts and stops."""
-    while True:
-        message = await receive()
-        await send({"type": message["type"] + ".complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
-
-
 def write_configuration(
     store: store_standins.MemoryStore, version: int, queue: queues.Queue
 ) -> None:
--- a/wisteriawood/soak/hosts.py
+++ b/wisteriawood/soak/hosts.py
@@ -87,7 +87,7 @@
         Args:
             number: The signal.
         """
-        if self._process is not None and self._process.poll() is None:
+        if self.is_running():
             self._process.send_signal(number)
 
     def is_running(self) -> bool:
--- a/wisteriawood/tests/feeds_tests.py
+++ b/wisteriawood/tests/feeds_tests.py
@@ -46,9 +46,7 @@
             store = StaleStore(store=memory)
             taken = {}
 
-            def _take(rows, is_whole):
-                if is_whole:
-                    taken.clear()
+            def _take(rows):
                 for row in rows:
                     taken[row.at.key] = row.value
 
@@ -120,7 +118,7 @@
             feed = feeds.Feed(
                 store=memory.link("me"),
                 table=TABLE,
-                take=lambda rows, _whole: found.extend(rows),
+                take=found.extend,
                 pause_s=lambda: 100.0,
             )
             async with anyio.create_task_group() as group:
--- a/wisteriawood/tests/members_tests.py
+++ b/wisteriawood/tests/members_tests.py
@@ -141,13 +141,13 @@
             row = stores.StoredRow(
                 at=tables.claim_row(CELL), value=b"?", version=1
             )
-            view._take_claims([row], True)
+            view._take_claims([row])
             self.assertEqual(view.claims, {})
             good = rows.to_json(_claim("other", "x").row)
             row = stores.StoredRow(
                 at=tables.claim_row(CELL), value=good, version=2
             )
-            view._take_claims([row], False)
+            view._take_claims([row])
             self.assertEqual(view.claims[CELL].row.holder, "other")
 
         self._run(_check)
