Log when a worker is known to drain, and starts sent to it after that

worker-draining gives the age of the news by the worker's own clock, run-started-late a start that is sent after the news with the time since its assignment, and runs-assigned the age of the directory. A feed records as of when its rows are current, and the directory of workers is an object of the host. No decision changes.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -15,6 +15,7 @@
 from wisteriawood.cells import progress
 from wisteriawood.cells import runs
 from wisteriawood.cells import tables
+from wisteriawood.cells import worker_directories
 from wisteriawood.cells import workers
 from wisteriawood import errors
 from wisteriawood.jobs import jobs
@@ -44,6 +45,7 @@
         claim: The claim under which the cell is held.
         store: The store.
         policy: Chooses the worker of each run.
+        directory: The directory of workers.
         counters: Metrics of the host.
 
     Attributes:
@@ -64,6 +66,7 @@
         "_waiting",
         "claim",
         "counters",
+        "directory",
         "filler_meter",
         "fleet",
         "jobs",
@@ -81,11 +84,13 @@
         claim: claims.Claim,
         store: stores.Store,
         policy: spreading.SpreadingPolicy,
+        directory: worker_directories.WorkerDirectory,
         counters: job_metrics.JobMetrics,
     ):
         self.claim = claim
         self.store = store
         self.counters = counters
+        self.directory = directory
         self.last_job_at_s = anyio.current_time()
         self.jobs: dict[str, jobs.Job] = {}
         self.fleet: dict[str, workers.Worker] = {}
@@ -195,6 +200,7 @@
             ],
             left_out=max(0, len(assigned) - MAX_LOGGED_RUNS),
             waiting=self.waiting_count() - len(assigned),
+            directory_age_s=round(self.directory.age_s(now_s), 3),
         )
         batches = []
         for job in {run.job.id: run.job for _worker, run in assigned}.values():
--- a/wisteriawood/cells/command_senders.py
+++ b/wisteriawood/cells/command_senders.py
@@ -114,6 +114,17 @@
             checkpoint=run.task.checkpoint,
         )
         run.was_sent = True
+        if worker.registration.is_draining:
+            _LOG.log(
+                job_events.RUN_STARTED_LATE,
+                worker=worker.id,
+                task=run.name,
+                run=run.number,
+                assigned_s_ago=round(
+                    anyio.current_time() - run.assigned_at_s, 3
+                ),
+                remaining_ms=worker.registration.remaining_ms,
+            )
         try:
             answer = await worker.link.start(command)
         except runners.OtherInstanceError:
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -256,7 +256,10 @@
             if worker is None:
                 self._add_worker(registration)
                 continue
+            was_draining = worker.registration.is_draining
             worker.update(registration)
+            if registration.is_draining and not was_draining:
+                self._log_draining(worker)
         for worker_id, worker in self.cell.fleet.items():
             if worker_id not in fleet and not worker.is_gone:
                 worker.is_gone = True
@@ -267,6 +270,19 @@
                 )
         self.cell.request_placement()
 
+    def _log_draining(self, worker: workers.Worker) -> None:
+        now_s = anyio.current_time()
+        registration = worker.registration
+        news_age_ms = worker.lease.clock_ms(now_s) - registration.clock_ms
+        _LOG.log(
+            job_events.WORKER_DRAINING,
+            worker=worker.id,
+            remaining_ms=registration.remaining_ms,
+            news_age_s=round(news_age_ms / 1000, 3),
+            unsent=sum(not run.was_sent for run in worker.runs.values()),
+            runs=len(worker.runs),
+        )
+
     def _add_worker(self, registration: runners.Registration) -> None:
         cell = self.cell
         worker = workers.Worker(
--- a/wisteriawood/cells/leases.py
+++ b/wisteriawood/cells/leases.py
@@ -48,6 +48,19 @@
         self._clock_ms = clock_ms
         self._clock_at_s = now_s
 
+    def clock_ms(self, now_s: float) -> float:
+        """Return the estimated time on the worker's clock.
+
+        Args:
+            now_s: Monotonic time.
+
+        Returns:
+            The time in milliseconds; 0 if that clock is not known yet.
+        """
+        if not self._clock_ms:
+            return 0.0
+        return self._clock_ms + (now_s - self._clock_at_s) * 1000
+
     def grant(self, now_s: float) -> int:
         """Extend the lease from now.
 
@@ -60,8 +73,7 @@
         """
         if not self._clock_ms:
             return 0
-        elapsed_s = now_s - self._clock_at_s
-        until_ms = int(self._clock_ms + (elapsed_s + self.length_s) * 1000)
+        until_ms = int(self.clock_ms(now_s) + self.length_s * 1000)
         self.granted_until_ms = max(self.granted_until_ms, until_ms)
         left_s = (self.granted_until_ms - self._clock_ms) / 1000
         self.lapsed_at_s = max(
--- a/wisteriawood/links/feeds.py
+++ b/wisteriawood/links/feeds.py
@@ -34,10 +34,14 @@
             before for the same keys; the first call gets the whole table.
         pause_s: Returns the seconds to pause between polls, so that
             changes accumulate; None polls without a pause.
+        on_answer: Called after each answer, once its rows are processed.
         after: Version from which to follow; None to read the table first.
 
     Attributes:
         answered_at_s: Monotonic time of the last answer; 0 before the first.
+        confirmed_at_s: Monotonic time as of which the rows are known to be
+            current: the time at which the last answered call was sent; 0
+            before the first.
         table: The table.
         unbroken_since_s: Monotonic time of the first answer since the last
             failure; 0 if there is none.
@@ -46,6 +50,7 @@
     __slots__ = (
         "_after",
         "_audits_at_s",
+        "_on_answer",
         "_on_rows",
         "_pause_s",
         "_store",
@@ -53,6 +58,7 @@
         "_versions",
         "_wakeup",
         "answered_at_s",
+        "confirmed_at_s",
         "table",
         "unbroken_since_s",
     )
@@ -64,9 +70,11 @@
         table: str,
         on_rows: typing.Callable[[list[stores.StoredRow]], None],
         pause_s: typing.Callable[[], float] | None = None,
+        on_answer: typing.Callable[[], None] = lambda: None,
         after: int | None = None,
     ):
         self._store = store
+        self._on_answer = on_answer
         self._on_rows = on_rows
         self._pause_s = pause_s
         self._after = after
@@ -78,6 +86,7 @@
         ] = collections.deque()
         self.table = table
         self.answered_at_s = 0.0
+        self.confirmed_at_s = 0.0
         self.unbroken_since_s = 0.0
 
     async def run(self) -> None:
@@ -136,8 +145,10 @@
             self._apply_page(page)
             self._after = page.version
         self.answered_at_s = anyio.current_time()
+        self.confirmed_at_s = now_s
         if not self.unbroken_since_s:
             self.unbroken_since_s = self.answered_at_s
+        self._on_answer()
 
     def _apply_page(self, page: stores.Page) -> None:
         newer = [
--- a/wisteriawood/links/runners.py
+++ b/wisteriawood/links/runners.py
@@ -182,6 +182,8 @@
         remaining_ms: Minimum time until a draining worker is removed.
         started_unix_ms: Start time of this instance of the worker process;
             0 if unknown.
+        clock_ms: The worker's clock when it wrote the entry; 0 if unknown.
+            Entries that differ in nothing else are equal.
     """
 
     worker_id: str
@@ -196,3 +198,4 @@
     is_draining: bool = False
     remaining_ms: int = 0
     started_unix_ms: int = 0
+    clock_ms: int = dataclasses.field(default=0, compare=False)
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -14,6 +14,7 @@
 from wisteriawood.cells import loads
 from wisteriawood.cells import members
 from wisteriawood.cells import tables
+from wisteriawood.cells import worker_directories
 from wisteriawood import errors
 from wisteriawood.jobs import queues
 from wisteriawood.links import runners
@@ -53,6 +54,7 @@
         cores: CPU that the host may use, in cores; 0 if unknown.
 
     Attributes:
+        directory: The directory of workers.
         members: The other hosts and the claims of all cells.
         queues: Queues of the configuration in force; None before the first.
         is_draining: Whether the host releases its cells.
@@ -62,7 +64,6 @@
     __slots__ = (
         "_claimed",
         "_dial",
-        "_fleet",
         "_group",
         "_holders",
         "_lease_s",
@@ -71,6 +72,7 @@
         "_scopes",
         "_takeovers",
         "counters",
+        "directory",
         "is_draining",
         "members",
         "name",
@@ -114,7 +116,7 @@
         self.queues: queues.QueueTable | None = None
         self.is_draining = False
         self.on_claim: typing.Callable[[], None] = lambda: None
-        self._fleet: dict[str, runners.Registration] = {}
+        self.directory = worker_directories.WorkerDirectory()
         self._holders: dict[str, holders.Holder] = {}
         self._claimed = anyio.Event()
         self._scopes: dict[str, anyio.CancelScope] = {}
@@ -144,18 +146,16 @@
         Args:
             fleet: All workers, by id.
         """
-        self._fleet = fleet
+        self.directory.workers = fleet
         for name, holder in self._holders.items():
             holder.update_fleet(self._workers_of(name))
 
     def _workers_of(self, cell: str) -> dict[str, runners.Registration]:
         service = tables.service_of_cell(cell)
         zone = tables.zone_of_cell(cell)
-        return {
-            worker_id: worker
-            for worker_id, worker in self._fleet.items()
-            if worker.service == service and worker.zone == zone
-        }
+        return self.directory.select(
+            lambda worker: worker.service == service and worker.zone == zone
+        )
 
     def open_cells(self) -> list[str]:
         """Return the names of the cells that this host has opened."""
@@ -183,7 +183,7 @@
             return ""
         zones = [
             worker.zone
-            for worker in self._fleet.values()
+            for worker in self.directory.workers.values()
             if worker.rack in racks
         ]
         return max(sorted(set(zones)), key=zones.count, default="")
@@ -234,7 +234,9 @@
 
     def _all_cells(self) -> list[str]:
         services = self.queues.services() if self.queues else set()
-        services |= {worker.service for worker in self._fleet.values()}
+        services |= {
+            worker.service for worker in self.directory.workers.values()
+        }
         return sorted(
             tables.cell_name(service, zone)
             for service in services
@@ -316,6 +318,7 @@
                 claim=claim,
                 store=self.store,
                 policy=self._policy,
+                directory=self.directory,
                 counters=self.counters,
             ),
             zones=self.zones,
--- a/wisteriawood/platform/__main__.py
+++ b/wisteriawood/platform/__main__.py
@@ -48,6 +48,7 @@
     """
 
     __slots__ = (
+        "_configuration_feed",
         "_fleet",
         "_front",
         "_host",
@@ -55,6 +56,7 @@
         "_server_closed",
         "_stopping",
         "_store",
+        "_worker_feed",
         "_worker_rows",
         "config",
     )
@@ -76,6 +78,19 @@
         self._front = fronts.Front(host=self._host, intake=self._intake)
         self._worker_rows: dict[str, stores.StoredRow] = {}
         self._fleet: dict[str, runners.Registration] = {}
+        self._configuration_feed = feeds.Feed(
+            store=self._store,
+            table=directory.OPERATOR_TABLE,
+            on_rows=self._process_operator_rows,
+        )
+        self._worker_feed = feeds.Feed(
+            store=self._store,
+            table=directory.WORKER_TABLE,
+            on_rows=self._process_worker_rows,
+            pause_s=self._workers_poll_pause_s,
+            on_answer=self._confirm_directory,
+        )
+        self._host.on_claim = self._worker_feed.poll_now
         self._stopping = anyio.Event()
         self._server_closed = anyio.Event()
 
@@ -100,6 +115,9 @@
                 self._worker_rows[row.at.key] = row
         self._update_fleet()
 
+    def _confirm_directory(self) -> None:
+        self._host.directory.confirm(self._worker_feed.confirmed_at_s)
+
     def _update_fleet(self) -> None:
         table = self._host.queues
         services = table.services() if table else set()
@@ -173,23 +191,8 @@
             group.start_soon(self._serve)
             group.start_soon(self._host.run)
             group.start_soon(self._intake.run)
-            for table, process_rows, pause_s in (
-                (directory.OPERATOR_TABLE, self._process_operator_rows, None),
-                (
-                    directory.WORKER_TABLE,
-                    self._process_worker_rows,
-                    self._workers_poll_pause_s,
-                ),
-            ):
-                feed = feeds.Feed(
-                    store=self._store,
-                    table=table,
-                    on_rows=process_rows,
-                    pause_s=pause_s,
-                )
-                if table == directory.WORKER_TABLE:
-                    self._host.on_claim = feed.poll_now
-                group.start_soon(feed.run)
+            group.start_soon(self._configuration_feed.run)
+            group.start_soon(self._worker_feed.run)
             await self._watch_signals()
             _LOG.log(events.DAEMON_STOPPED, name=self.config.node_name)
             group.cancel_scope.cancel()
--- a/wisteriawood/platform/directory.py
+++ b/wisteriawood/platform/directory.py
@@ -33,6 +33,8 @@
     remaining_ms: float = 0
     # Start of this instance of the worker, in Unix milliseconds.
     born: int = 0
+    # Clock of the worker when it wrote the entry.
+    clock_ms: float = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -104,6 +106,7 @@
         is_draining=entry.state == "draining",
         remaining_ms=int(entry.remaining_ms),
         started_unix_ms=entry.born,
+        clock_ms=int(entry.clock_ms),
     )
 
 
--- a/wisteriawood/standins/job_worlds.py
+++ b/wisteriawood/standins/job_worlds.py
@@ -121,6 +121,7 @@
         }
         for host in self.hosts.values():
             host.update_fleet(fleet)
+            host.directory.confirm(anyio.current_time())
 
     def start_host(self, name: str, zone: str, cores: float = 1.0) -> None:
         """Start a job host.
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -232,6 +232,17 @@
     "run-evacuated",
     "A run on a draining worker is stopped to continue elsewhere.",
 )
+WORKER_DRAINING = events.define(
+    2223,
+    "worker-draining",
+    "The directory shows that a worker is draining; `news_age_s` is the time "
+    "since the worker wrote this, by its own clock.",
+)
+RUN_STARTED_LATE = events.define(
+    2224,
+    "run-started-late",
+    "A start was sent to a worker that is known to be draining.",
+)
 TASK_LENT = events.define(
     2113,
     "task-lent",
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -11,6 +11,7 @@
 from wisteriawood.cells import interference_models
 from wisteriawood.cells import leases
 from wisteriawood.cells import runs
+from wisteriawood.cells import worker_directories
 from wisteriawood.cells import workers as run_workers
 from wisteriawood.contracts import grants
 from wisteriawood.contracts import holdings
@@ -378,6 +379,7 @@
         claim=claim,
         store=store_standins.MemoryStore(),
         policy=least_pressed.LeastPressed(),
+        directory=worker_directories.WorkerDirectory(),
         counters=job_metrics.JobMetrics(),
     )
     cell.fleet.update((worker.id, worker) for worker in fleet)
