Check whether a worker drains whenever a start is sent to it

Callers saw tasks start on workers that had long said that they drain. The cause: whether a worker drains was looked at when a task was assigned only. Its start then waits for the commit of its job, in the queue of the worker behind other commands, and between attempts. A worker that hangs holds its two senders until a stop is answered, and everything behind them goes out at once when it answers again.

Now each attempt is preceded by the check. A start that may not be sent is withdrawn with the rest of its gang, and its task waits again; so are starts still queued for a worker when the news comes. The soak checks the same from outside.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -180,9 +180,12 @@
         self._placer.is_intake_idle = (
             now_s - self.last_job_at_s >= INTAKE_IDLE_S
         )
-        assigned = self._placer.place(
-            self._waiting, self.fleet.values(), now_s
-        )
+        startable = [
+            worker
+            for worker in self.fleet.values()
+            if not self.start_obstacle(worker)
+        ]
+        assigned = self._placer.place(self._waiting, startable, now_s)
         if not assigned:
             return
         _LOG.log(
@@ -210,6 +213,25 @@
             batches.append(self.writer.schedule_write(job))
         self._group.start_soon(self._start_assigned, assigned, batches)
 
+    def start_obstacle(self, worker: workers.Worker) -> str:
+        """Return why no task may be started on a worker now.
+
+        This is checked when a task is assigned and again whenever its start
+        is sent: the news of a draining worker may arrive in between.
+
+        Args:
+            worker: The worker.
+
+        Returns:
+            The reason; empty if tasks may be started.
+        """
+        registration = worker.registration
+        if worker.is_gone:
+            return "the worker is not in the directory"
+        if registration.is_draining:
+            return "the worker drains"
+        return ""
+
     async def _start_assigned(
         self,
         assigned: list[tuple[workers.Worker, runs.Run]],
@@ -340,6 +362,24 @@
         # No start was sent, so the run can't start on the worker.
         self.end_run(worker, run, tasks.Outcome.STOPPED)
 
+    def withdraw_start(self, worker: workers.Worker, run: runs.Run) -> None:
+        """Stop a run whose start may not be sent, and the rest of its gang.
+
+        Args:
+            worker: The worker.
+            run: The run.
+        """
+        self.stop_run(worker, run)
+        if not run.step.is_gang:
+            return
+        members = {
+            run.job.task_name(member)
+            for member in progress.gang_of(run.job, run.task)
+        }
+        for other in self.fleet.values():
+            for name in members & other.runs.keys():
+                self.stop_run(other, other.runs[name])
+
     def stop_unknown_run(
         self, worker: workers.Worker, active: runners.ActiveRun
     ) -> None:
--- a/wisteriawood/cells/command_senders.py
+++ b/wisteriawood/cells/command_senders.py
@@ -72,6 +72,10 @@
         for attempt in range(START_TRIES):
             if run.is_stopping or not self._may_be_on_worker(run):
                 return
+            obstacle = self._cell.start_obstacle(self._worker)
+            if obstacle:
+                await self._withhold(run, obstacle)
+                return
             answer = await self._send_start(run)
             if answer is None or answer is runners.StartResult.TOO_LATE:
                 await anyio.sleep(RETRY_DELAY_S)
@@ -103,6 +107,24 @@
         run.is_stopping = True
         await self._stop(run)
 
+    async def _withhold(self, run: runs.Run, obstacle: str) -> None:
+        """Give up a start that may not be sent now; its task waits again."""
+        now_s = anyio.current_time()
+        _LOG.log(
+            job_events.RUN_START_WITHHELD,
+            worker=self._worker.id,
+            task=run.name,
+            run=run.number,
+            cause=obstacle,
+            assigned_s_ago=round(anyio.current_time() - run.assigned_at_s, 3),
+            directory_age_s=round(self._cell.directory.age_s(now_s), 3),
+        )
+        self._cell.withdraw_start(self._worker, run)
+        if run.was_sent:
+            # An attempt without an answer may still take effect.
+            await self._stop(run)
+        self._cell.request_placement()
+
     async def _send_start(self, run: runs.Run) -> runners.StartResult | None:
         worker = self._worker
         command = runners.StartRunCommand(
@@ -114,17 +136,6 @@
             checkpoint=run.task.checkpoint,
         )
         run.was_sent = True
-        if worker.registration.is_draining:
-            _LOG.log(
-                job_events.RUN_STARTED_LATE,
-                worker=worker.id,
-                task=run.name,
-                run=run.number,
-                assigned_s_ago=round(
-                    anyio.current_time() - run.assigned_at_s, 3
-                ),
-                remaining_ms=worker.registration.remaining_ms,
-            )
         try:
             answer = await worker.link.start(command)
         except runners.OtherInstanceError:
--- a/wisteriawood/cells/evacuations.py
+++ b/wisteriawood/cells/evacuations.py
@@ -15,7 +15,7 @@
     Its task then waits for a new run: standing tasks start again, and tasks
     with checkpoints resume. Each pass stops at most one standing task per
     draining worker. All other tasks keep running, as they may finish before
-    the worker stops.
+    the worker stops. Runs whose start has not been sent are assigned again.
 
     Args:
         cell: The cell.
@@ -31,6 +31,10 @@
     cell: cells.Cell, worker: workers.Worker, others: list[workers.Worker]
 ) -> None:
     for run in list(worker.runs.values()):
+        if not run.was_sent and not run.is_stopping:
+            # Its start waits behind other commands to the worker.
+            cell.withdraw_start(worker, run)
+            continue
         if run.is_stopping or not run.is_confirmed:
             continue
         if not run.step.is_standing and not run.step.is_checkpointing:
--- a/wisteriawood/soak/checks.py
+++ b/wisteriawood/soak/checks.py
@@ -1,5 +1,6 @@
 """Invariants checked from what workers and callers observe."""
 
+import math
 import time
 
 from wisteriawood.jobs import jobs
@@ -10,6 +11,10 @@
 
 # Time after the acknowledgement of a cancel in which runs may still start.
 CANCEL_GRACE_S = 3.0
+# Time after a worker reports that it drains in which runs may still start, and
+# the delay that slow links may add.
+DRAIN_GRACE_S = 2.0
+LINK_DELAY_S = 0.6
 
 
 class SentJob:
@@ -71,6 +76,9 @@
     Attributes:
         sent: Submitted jobs, by id.
         workers: Workers, by id.
+        links_released_at_s: Time at which held links were last released, in
+            seconds since the start of the soak; commands that they held
+            arrive late.
         breaches: Descriptions of the breaches, with their times.
         starts: Number of runs that were started.
     """
@@ -79,6 +87,7 @@
         "_began_at_s",
         "_newest_runs",
         "breaches",
+        "links_released_at_s",
         "sent",
         "starts",
         "workers",
@@ -90,6 +99,7 @@
         self.workers: dict[str, WatchedWorker] = {}
         self.breaches: list[str] = []
         self.starts = 0
+        self.links_released_at_s = -math.inf
         self._began_at_s = time.monotonic()
 
     def now_s(self) -> float:
@@ -142,9 +152,20 @@
                 self.record_breach("twice", f"{where}: also runs on {there}")
         if name in sent.done:
             self.record_breach("twice", f"{where}: its end was acknowledged")
+        self._check_drain(worker, where)
         self._check_order(sent, step, where)
         self._check_capacity(worker, step, where)
 
+    def _check_drain(self, worker: "WatchedWorker", where: str) -> None:
+        if not worker.drains_since_s or not worker.registration.is_draining:
+            return
+        now_s = self.now_s()
+        late_s = now_s - worker.drains_since_s
+        if now_s - self.links_released_at_s < LINK_DELAY_S:
+            return
+        if late_s > DRAIN_GRACE_S + LINK_DELAY_S:
+            self.record_breach("drain", f"{where}: drains for {late_s:.1f} s")
+
     def check_acknowledged_end(self, end: runners.EndedRun) -> None:
         """Check the acknowledgement of a run that ended as done.
 
@@ -257,16 +278,28 @@
     Args:
         checker: Checker that the events are reported to.
         **fields: Arguments of MemoryWorker.
+
+    Attributes:
+        drains_since_s: Time at which its entry first said that it drains, in
+            seconds since the start of the soak; 0 if it does not.
     """
 
-    __slots__ = ("_checker", "_expired_up_to")
+    __slots__ = ("_checker", "_expired_up_to", "drains_since_s")
 
     def __init__(self, *, checker: Checker, **fields):
         self._checker = checker
         # Ends up to this number precede an expiry of the lease.
         self._expired_up_to = 0
+        self.drains_since_s = 0.0
         super().__init__(**fields)
 
+    def record_entry(self) -> None:
+        """Record that the entry of the worker was written as it is now."""
+        if not self.registration.is_draining:
+            self.drains_since_s = 0.0
+        elif not self.drains_since_s:
+            self.drains_since_s = self._checker.now_s()
+
     def restart(self) -> None:
         """Start a new instance of the worker process under the same id."""
         self._expired_up_to = 0
--- a/wisteriawood/soak/faults.py
+++ b/wisteriawood/soak/faults.py
@@ -35,7 +35,10 @@
 
 
 async def _hold_links(
-    links: list[proxies.Proxy], rng: random.Random, max_s: float
+    world: "worlds.SoakWorld",
+    links: list[proxies.Proxy],
+    rng: random.Random,
+    max_s: float,
 ) -> None:
     """Hold links for up to max_s seconds, then release or reset them."""
     held = _choose_directions(rng)
@@ -43,6 +46,7 @@
         link.held |= held
     await anyio.sleep(rng.uniform(0.3, max_s))
     is_reset = rng.random() < 0.5
+    world.checker.links_released_at_s = world.checker.now_s()
     for link in links:
         link.held.clear()
         if is_reset:
@@ -89,9 +93,8 @@
 
 @FAULTS.register("cut-host-from-store")
 async def _cut_store(world: "worlds.SoakWorld", rng: random.Random) -> None:
-    await _hold_links(
-        [world.store_links[_choose_host(world, rng).name]], rng, 5.0
-    )
+    name = _choose_host(world, rng).name
+    await _hold_links(world, [world.store_links[name]], rng, 5.0)
 
 
 @FAULTS.register("reset-links-of-host")
@@ -114,14 +117,15 @@
 @FAULTS.register("cut-host-from-workers")
 async def _cut_workers(world: "worlds.SoakWorld", rng: random.Random) -> None:
     name = _choose_host(world, rng).name
-    await _hold_links(list(world.worker_links[name].values()), rng, 4.0)
+    links = list(world.worker_links[name].values())
+    await _hold_links(world, links, rng, 4.0)
 
 
 @FAULTS.register("cut-worker")
 async def _cut_worker(world: "worlds.SoakWorld", rng: random.Random) -> None:
     worker_id = rng.choice(sorted(world.workers))
     links = [links[worker_id] for links in world.worker_links.values()]
-    await _hold_links(links, rng, 5.0)
+    await _hold_links(world, links, rng, 5.0)
 
 
 @FAULTS.register("crash-worker")
@@ -140,7 +144,7 @@
     if worker.is_dead or worker.registration.is_draining:
         return
     worker.registration.is_draining = True
-    await anyio.sleep(rng.uniform(1.5, 4.0))
+    await anyio.sleep(rng.uniform(1.5, 8.0))
     if not worker.is_dead:
         worker.crash()
         await anyio.sleep(0.5)
--- a/wisteriawood/soak/worlds.py
+++ b/wisteriawood/soak/worlds.py
@@ -237,6 +237,7 @@
             for name, worker in self.workers.items():
                 found = None if worker.is_dead else worker.registration
                 standins.write_worker(self.memory_store, found, name)
+                worker.record_entry()
             await anyio.sleep(HEARTBEAT_PERIOD_S)
 
     async def _watch_hosts(self) -> None:
--- a/wisteriawood/standins/job_worlds.py
+++ b/wisteriawood/standins/job_worlds.py
@@ -1,6 +1,7 @@
 """A simulated cluster for jobs: a store, workers and job hosts."""
 
 import collections
+import dataclasses
 import typing
 
 import anyio
@@ -20,6 +21,7 @@
 RETENTION_S = 120.0
 SERVICE = "shop"
 DEFAULT_WORK_S = 1.0
+DIRECTORY_PERIOD_S = 0.4
 
 
 class JobWorld:
@@ -35,6 +37,7 @@
         work_s: Run time at full speed, in seconds, of the tasks of a job,
             by job id; DEFAULT_WORK_S for other jobs.
         failing_workers: Names of workers on which every run fails.
+        outdated_hosts: Names of hosts that do not read the directory.
     """
 
     __slots__ = (
@@ -42,6 +45,7 @@
         "_scopes",
         "failing_workers",
         "hosts",
+        "outdated_hosts",
         "queue",
         "store",
         "work_s",
@@ -63,6 +67,7 @@
         self.store = stores.MemoryStore()
         self.work_s: dict[str, float] = {}
         self.failing_workers: set[str] = set()
+        self.outdated_hosts: set[str] = set()
         self.queue = queues.Queue(
             name="q", host_name="h", service=SERVICE, attempts=2, stretch=2.0
         )
@@ -74,6 +79,31 @@
         for zone in self.zones:
             for number in range(hosts_per_zone):
                 self.start_host(f"host-{zone}-{number}", zone)
+        group.start_soon(self._read_directories)
+
+    async def _read_directories(self) -> None:
+        while True:
+            await anyio.sleep(DIRECTORY_PERIOD_S)
+            self.confirm_directory()
+
+    def confirm_directory(self) -> None:
+        """Confirm the known directory to all hosts that read it."""
+        for name, host in self.hosts.items():
+            if name not in self.outdated_hosts:
+                host.directory.confirm(anyio.current_time())
+
+    def drain_worker(self, name: str) -> float:
+        """Make a worker drain; return when its entry says so, in seconds.
+
+        Args:
+            name: Id of the worker.
+        """
+        worker = self.workers[name]
+        worker.registration = dataclasses.replace(
+            worker.registration, is_draining=True
+        )
+        self.publish_directory()
+        return anyio.current_time()
 
     def add_worker(self, name: str, zone: str) -> None:
         """Add a worker and publish the directory.
@@ -119,9 +149,10 @@
             for name, worker in self.workers.items()
             if name not in missing
         }
-        for host in self.hosts.values():
-            host.update_fleet(fleet)
-            host.directory.confirm(anyio.current_time())
+        for name, host in self.hosts.items():
+            if name not in self.outdated_hosts:
+                host.update_fleet(fleet)
+        self.confirm_directory()
 
     def start_host(self, name: str, zone: str, cores: float = 1.0) -> None:
         """Start a job host.
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -238,10 +238,14 @@
     "The directory shows that a worker is draining; `news_age_s` is the time "
     "since the worker wrote this, by its own clock.",
 )
-RUN_STARTED_LATE = events.define(
+RUN_START_WITHHELD = events.define(
     2224,
-    "run-started-late",
-    "A start was sent to a worker that is known to be draining.",
+    "run-start-withheld",
+    "A task was assigned to a worker, but its start was not sent: the worker "
+    "drains or has left, or what this host knows is out of date. The task is "
+    "assigned again.",
+    "If it is often out of date, check the platform's store and the load of "
+    "the host.",
 )
 TASK_LENT = events.define(
     2113,
--- a/wisteriawood/tests/faults/soak_tests.py
+++ b/wisteriawood/tests/faults/soak_tests.py
@@ -132,6 +132,18 @@
 
         self.assertIn("order", self._run(_check))
 
+    def test_start_on_a_worker_that_has_drained_for_long(self):
+        def _check(checker, _sent):
+            worker = checker.workers["w1"]
+            worker.registration.is_draining = True
+            worker.record_entry()
+            self._start(checker, "w1")
+            self.assertEqual(checker.breaches, [])
+            worker.drains_since_s -= 10.0
+            self._start(checker, "w1", run=2)
+
+        self.assertIn("drain", self._run(_check))
+
     def test_payload_that_no_caller_sent(self):
         def _check(checker, _sent):
             self._start(checker, "w1", payload="other")
