Start tasks only on views of the store that are known to be recent

Nothing bounded the age of what a start relies on. A poll that hangs, a host without cells that reads the directory every 4 s and then claims one, or a machine that was suspended gave starts on workers that had drained for longer than the bound. With the checks switched off, the new tests see starts 2.5 s after the entry (directory not read) and on the drained worker after a takeover; with them, none.

A feed now knows as of when its rows are current: when the last answered poll was sent, by a clock that also counts suspended time. Rows read with a whole table, which may be old, count only once the feed repeats them or the last audit has passed; a first read is audited too, as a host may start right after a loss of history. A start needs a recent entry of the worker, of the instance that answers, and recent cancellations, which reach a holder in the same way.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -21,6 +21,7 @@
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
+from wisteriawood.links import clocks
 from wisteriawood.links import runners
 from wisteriawood.links import stores
 from wisteriawood.policies.spreading import base as spreading
@@ -46,11 +47,15 @@
         store: The store.
         policy: Chooses the worker of each run.
         directory: The directory of workers.
+        max_cancel_age_s: Age of the known cancellations up to which tasks
+            may be started.
         counters: Metrics of the host.
 
     Attributes:
         jobs: All jobs of the cell, by id.
         fleet: The workers, by id.
+        cancels_confirmed_at_s: Returns the time of clocks.elapsed_s as of
+            which the cancellations are known.
         last_job_at_s: Monotonic time at which the newest job was added.
         writer: Writes the rows of the jobs.
         model: Estimates of the load that fillers add to serving tasks.
@@ -61,9 +66,11 @@
 
     __slots__ = (
         "_group",
+        "_max_cancel_age_s",
         "_placement_requested",
         "_placer",
         "_waiting",
+        "cancels_confirmed_at_s",
         "claim",
         "counters",
         "directory",
@@ -85,12 +92,15 @@
         store: stores.Store,
         policy: spreading.SpreadingPolicy,
         directory: worker_directories.WorkerDirectory,
+        max_cancel_age_s: float,
         counters: job_metrics.JobMetrics,
     ):
         self.claim = claim
         self.store = store
         self.counters = counters
         self.directory = directory
+        self._max_cancel_age_s = max_cancel_age_s
+        self.cancels_confirmed_at_s: typing.Callable[[], float] = lambda: 0.0
         self.last_job_at_s = anyio.current_time()
         self.jobs: dict[str, jobs.Job] = {}
         self.fleet: dict[str, workers.Worker] = {}
@@ -203,7 +213,7 @@
             ],
             left_out=max(0, len(assigned) - MAX_LOGGED_RUNS),
             waiting=self.waiting_count() - len(assigned),
-            directory_age_s=round(self.directory.age_s(now_s), 3),
+            directory_age_s=round(self.directory.age_s(), 3),
         )
         batches = []
         for job in {run.job.id: run.job for _worker, run in assigned}.values():
@@ -217,7 +227,8 @@
         """Return why no task may be started on a worker now.
 
         This is checked when a task is assigned and again whenever its start
-        is sent: the news of a draining worker may arrive in between.
+        is sent: the news of a draining worker or of a cancelled job may
+        arrive in between, or may be on its way while the store is read late.
 
         Args:
             worker: The worker.
@@ -230,6 +241,13 @@
             return "the worker is not in the directory"
         if registration.is_draining:
             return "the worker drains"
+        if registration.started_unix_ms not in (0, worker.started_unix_ms):
+            return "the directory describes another instance of the worker"
+        if not self.directory.is_recent(worker.id):
+            return "the worker's entry in the directory is out of date"
+        cancel_age_s = clocks.elapsed_s() - self.cancels_confirmed_at_s()
+        if cancel_age_s > self._max_cancel_age_s:
+            return "the known cancellations are out of date"
         return ""
 
     async def _start_assigned(
--- a/wisteriawood/cells/command_senders.py
+++ b/wisteriawood/cells/command_senders.py
@@ -109,7 +109,6 @@
 
     async def _withhold(self, run: runs.Run, obstacle: str) -> None:
         """Give up a start that may not be sent now; its task waits again."""
-        now_s = anyio.current_time()
         _LOG.log(
             job_events.RUN_START_WITHHELD,
             worker=self._worker.id,
@@ -117,7 +116,7 @@
             run=run.number,
             cause=obstacle,
             assigned_s_ago=round(anyio.current_time() - run.assigned_at_s, 3),
-            directory_age_s=round(self._cell.directory.age_s(now_s), 3),
+            directory_age_s=round(self._cell.directory.age_s(), 3),
         )
         self._cell.withdraw_start(self._worker, run)
         if run.was_sent:
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -22,6 +22,7 @@
 from wisteriawood import errors
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import tasks
+from wisteriawood.links import clocks
 from wisteriawood.links.codecs import jobs as codec
 from wisteriawood.links import feeds
 from wisteriawood.links import runners
@@ -33,6 +34,9 @@
 # Fencing tokens per epoch; each restart of a worker uses one.
 TOKENS_PER_EPOCH = 1000
 TICK_PERIOD_S = 0.25
+# Longest duration of one poll of the submissions; without new rows, the known
+# cancellations get as old as this.
+SUBMISSIONS_POLL_S = 1.0
 # Time for which a former holder that can't reach the store may continue to
 # renew leases.
 RENEW_WITHOUT_STORE_S = 12.0
@@ -115,7 +119,8 @@
             CellLostError: Another host holds the cell now.
         """
         started_at_s = anyio.current_time()
-        after = await self._load_jobs()
+        read_at_s = clocks.elapsed_s()
+        submissions = await self._load_jobs()
         try:
             async with anyio.create_task_group() as group:
                 self._group = group
@@ -128,7 +133,11 @@
                         tables.zone_of_cell(self.cell.name)
                     ),
                     on_rows=self._process_submissions,
-                    after=after,
+                    start=submissions,
+                    wait_s=SUBMISSIONS_POLL_S,
+                )
+                self.cell.cancels_confirmed_at_s = lambda: max(
+                    read_at_s, feed.confirmed_at_s
                 )
                 group.start_soon(feed.run)
                 group.start_soon(
@@ -155,11 +164,11 @@
                     worker.close()
                     await worker.link.aclose()
 
-    async def _load_jobs(self) -> int:
+    async def _load_jobs(self) -> stores.Page:
         """Load the cell's jobs from the store.
 
         Returns:
-            The version from which to follow the table of submissions.
+            The table of submissions.
         """
         name = self.cell.name
         table = tables.specs_table(tables.zone_of_cell(name))
@@ -178,7 +187,7 @@
             if not row.at.key.endswith(tables.CANCEL_SUFFIX):
                 self._load_job(row, state_rows.get(row.at.key))
         self._process_cancels(submissions.rows)
-        return submissions.version
+        return submissions
 
     def _load_job(
         self, row: stores.StoredRow, state: stores.StoredRow | None
--- a/wisteriawood/cells/worker_directories.py
+++ b/wisteriawood/cells/worker_directories.py
@@ -2,39 +2,57 @@
 
 import typing
 
+from wisteriawood.links import clocks
 from wisteriawood.links import runners
 
 
 class WorkerDirectory:
     """The workers that the directory lists, as this host last read it.
 
+    Args:
+        max_age_s: Age up to which an entry may be relied on for a start.
+
     Attributes:
         workers: All listed workers, by id.
-        confirmed_at_s: Monotonic time as of which the entries are known to
-            be current; 0 before the first read.
+        confirmed_at_s: Time of clocks.elapsed_s as of which the entries are
+            known to be current; 0 before the first read.
+        unverified: Ids of workers whose entries may be older than that.
     """
 
-    __slots__ = ("confirmed_at_s", "workers")
+    __slots__ = ("_max_age_s", "confirmed_at_s", "unverified", "workers")
 
-    def __init__(self):
+    def __init__(self, *, max_age_s: float):
+        self._max_age_s = max_age_s
         self.workers: dict[str, runners.Registration] = {}
         self.confirmed_at_s = 0.0
+        self.unverified: set[str] = set()
 
-    def confirm(self, at_s: float) -> None:
+    def confirm(
+        self, at_s: float, unverified: typing.Collection[str] = ()
+    ) -> None:
         """Record as of when the entries are known to be current.
 
         Args:
-            at_s: Monotonic time at which the read that showed it was sent.
+            at_s: Time of clocks.elapsed_s at which the read that showed it
+                was sent.
+            unverified: Ids of workers to which this does not apply.
         """
         self.confirmed_at_s = max(self.confirmed_at_s, at_s)
+        self.unverified = set(unverified)
+
+    def age_s(self) -> float:
+        """Return the time since the entries were known to be current."""
+        return clocks.elapsed_s() - self.confirmed_at_s
 
-    def age_s(self, now_s: float) -> float:
-        """Return the time since the entries were known to be current.
+    def is_recent(self, worker_id: str) -> bool:
+        """Return whether a worker's entry is recent enough for a start.
 
         Args:
-            now_s: Monotonic time.
+            worker_id: Id of the worker.
         """
-        return now_s - self.confirmed_at_s
+        if worker_id in self.unverified:
+            return False
+        return self.age_s() <= self._max_age_s
 
     def select(
         self, is_wanted: typing.Callable[[runners.Registration], bool]
--- a/wisteriawood/links/feeds.py
+++ b/wisteriawood/links/feeds.py
@@ -6,6 +6,7 @@
 import anyio
 
 from wisteriawood import errors
+from wisteriawood.links import clocks
 from wisteriawood.links import stores
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
@@ -17,6 +18,8 @@
 # read right after the loss may return rows that are seconds old, and the
 # changes that it misses do not appear in the feed later.
 AUDIT_DELAYS_S = (1.0, 3.0, 7.0)
+# The same after the first read: the history may have been lost just before.
+FIRST_AUDIT_DELAYS_S = AUDIT_DELAYS_S[-1:]
 # Time for which the version of a removed row is remembered, so that a stale
 # read does not restore the row.
 TOMBSTONE_RETENTION_S = 60.0
@@ -35,20 +38,28 @@
         pause_s: Returns the seconds to pause between polls, so that
             changes accumulate; None polls without a pause.
         on_answer: Called after each answer, once its rows are processed.
-        after: Version from which to follow; None to read the table first.
+        start: Whole table, read before, from which to follow; None to read
+            the table first.
+        wait_s: Longest duration of one poll.
 
     Attributes:
         answered_at_s: Monotonic time of the last answer; 0 before the first.
-        confirmed_at_s: Monotonic time as of which the rows are known to be
-            current: the time at which the last answered call was sent; 0
+        confirmed_at_s: Time of clocks.elapsed_s as of which the rows are
+            known to be current: that at which the last answered poll or
+            first read was sent, or at which a poll without changes ended; 0
             before the first.
         table: The table.
+        unverified: Keys of rows that were read with the whole table and may
+            be older than `confirmed_at_s`, as that read may have been stale.
+            A change that the feed reports verifies its row, and the last
+            audit verifies all rows.
         unbroken_since_s: Monotonic time of the first answer since the last
             failure; 0 if there is none.
     """
 
     __slots__ = (
         "_after",
+        "_audit_delays_s",
         "_audits_at_s",
         "_on_answer",
         "_on_rows",
@@ -56,11 +67,13 @@
         "_store",
         "_tombstones",
         "_versions",
+        "_wait_s",
         "_wakeup",
         "answered_at_s",
         "confirmed_at_s",
         "table",
         "unbroken_since_s",
+        "unverified",
     )
 
     def __init__(
@@ -71,16 +84,20 @@
         on_rows: typing.Callable[[list[stores.StoredRow]], None],
         pause_s: typing.Callable[[], float] | None = None,
         on_answer: typing.Callable[[], None] = lambda: None,
-        after: int | None = None,
+        start: stores.Page | None = None,
+        wait_s: float = LONG_POLL_S,
     ):
         self._store = store
         self._on_answer = on_answer
         self._on_rows = on_rows
         self._pause_s = pause_s
-        self._after = after
+        self._wait_s = wait_s
+        self._after: int | None = None
+        self._audit_delays_s = FIRST_AUDIT_DELAYS_S
         self._audits_at_s: list[float] = []
         self._wakeup = anyio.Event()
         self._versions: dict[stores.RowKey, int] = {}
+        self.unverified: set[stores.RowKey] = set()
         self._tombstones: collections.deque[
             tuple[float, stores.RowKey, int]
         ] = collections.deque()
@@ -88,6 +105,9 @@
         self.answered_at_s = 0.0
         self.confirmed_at_s = 0.0
         self.unbroken_since_s = 0.0
+        if start is not None:
+            self._versions.update((row.at, row.version) for row in start.rows)
+            self._follow(start)
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -99,10 +119,7 @@
             except stores.HistoryLostError:
                 _LOG.log(job_events.FEED_RESTARTED, table=self.table)
                 self._after = None
-                now_s = anyio.current_time()
-                self._audits_at_s = [
-                    now_s + wait_s for wait_s in AUDIT_DELAYS_S
-                ]
+                self._audit_delays_s = AUDIT_DELAYS_S
                 continue
             except errors.PlatformError as exc:
                 if not is_failing:
@@ -129,27 +146,42 @@
 
     async def _read_next(self) -> None:
         now_s = anyio.current_time()
+        sent_at_s = clocks.elapsed_s()
         if self._after is None:
             page = await stores.read_table(self._store, self.table)
             self._apply_page(page)
-            self._after = page.version
+            self._follow(page)
+            self.confirmed_at_s = sent_at_s
         elif self._audits_at_s and now_s >= self._audits_at_s[0]:
             page = await stores.read_table(self._store, self.table)
             self._audits_at_s.pop(0)
             self._audit(page)
         else:
-            wait_s = LONG_POLL_S
+            wait_s = self._wait_s
             if self._audits_at_s:
                 wait_s = min(wait_s, self._audits_at_s[0] - now_s)
             page = await self._store.feed(self.table, self._after, wait_s)
+            self.unverified.difference_update(row.at for row in page.rows)
             self._apply_page(page)
             self._after = page.version
+            self.confirmed_at_s = sent_at_s
+            if not page.rows and clocks.elapsed_s() - sent_at_s >= wait_s:
+                # Nothing changed while the store waited.
+                self.confirmed_at_s += wait_s
         self.answered_at_s = anyio.current_time()
-        self.confirmed_at_s = now_s
         if not self.unbroken_since_s:
             self.unbroken_since_s = self.answered_at_s
         self._on_answer()
 
+    def _follow(self, page: stores.Page) -> None:
+        """Continue from a read of the whole table, which may be stale."""
+        self._after = page.version
+        self.unverified = set(self._versions)
+        now_s = anyio.current_time()
+        self._audits_at_s = [
+            now_s + delay_s for delay_s in self._audit_delays_s
+        ]
+
     def _apply_page(self, page: stores.Page) -> None:
         newer = [
             row
@@ -199,3 +231,5 @@
         self._apply_page(
             stores.Page(rows=[*page.rows, *removed], version=page.version)
         )
+        if not self._audits_at_s:
+            self.unverified.clear()
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -50,6 +50,9 @@
         dial: Opens the link to a worker.
         lease_s: Duration of the workers' leases.
         retention_s: Time for which the state of an ended job can be queried.
+        max_directory_age_s: Age of the directory of workers up to which
+            tasks may be started.
+        max_cancel_age_s: The same for the known cancellations of jobs.
         policy: Name of the spreading policy.
         cores: CPU that the host may use, in cores; 0 if unknown.
 
@@ -67,6 +70,7 @@
         "_group",
         "_holders",
         "_lease_s",
+        "_max_cancel_age_s",
         "_policy",
         "_retention_s",
         "_scopes",
@@ -93,6 +97,8 @@
         dial: holders.Dial,
         lease_s: float,
         retention_s: float,
+        max_directory_age_s: float,
+        max_cancel_age_s: float,
         policy: str = spreading_base.DEFAULT,
         cores: float = 0.0,
     ):
@@ -103,6 +109,7 @@
         self._dial = dial
         self._lease_s = lease_s
         self._retention_s = retention_s
+        self._max_cancel_age_s = max_cancel_age_s
         registry.load_modules(spreading)
         self._policy = spreading_base.SPREADING.get(policy)()
         self.counters = job_metrics.JobMetrics()
@@ -116,7 +123,9 @@
         self.queues: queues.QueueTable | None = None
         self.is_draining = False
         self.on_claim: typing.Callable[[], None] = lambda: None
-        self.directory = worker_directories.WorkerDirectory()
+        self.directory = worker_directories.WorkerDirectory(
+            max_age_s=max_directory_age_s
+        )
         self._holders: dict[str, holders.Holder] = {}
         self._claimed = anyio.Event()
         self._scopes: dict[str, anyio.CancelScope] = {}
@@ -319,6 +328,7 @@
                 store=self.store,
                 policy=self._policy,
                 directory=self.directory,
+                max_cancel_age_s=self._max_cancel_age_s,
                 counters=self.counters,
             ),
             zones=self.zones,
--- a/wisteriawood/platform/__main__.py
+++ b/wisteriawood/platform/__main__.py
@@ -30,6 +30,11 @@
 # Pause between polls of the worker directory. Each worker writes its entry
 # about once a second, and a draining worker must be detected within 2 s.
 WORKERS_POLL_PAUSE_S = 0.4
+# Longest duration of one of these polls, so that a hung one is given up soon.
+WORKERS_POLL_S = 0.5
+# Least age of the directory and of the cancellations up to which tasks are
+# started: more than both reach between two polls on a busy host.
+MIN_STORE_VIEW_AGE_S = 0.8
 # The same on a host without cells; claiming a cell triggers a poll at once.
 IDLE_WORKERS_POLL_PAUSE_S = 4.0
 # Time for the balancer to detect that the host is no longer ready.
@@ -72,6 +77,8 @@
             dial=_dial,
             lease_s=min(MAX_LEASE_S, config.bounds.hold_max_ms / 1000),
             retention_s=config.bounds.status_s + RETENTION_MARGIN_S,
+            max_directory_age_s=_max_view_age_s(config.bounds.drain_ms),
+            max_cancel_age_s=_max_view_age_s(config.bounds.cancel_ms),
             cores=config.limits.cpu_share * config.limits.cores,
         )
         self._intake = intakes.Intake(host=self._host)
@@ -89,6 +96,7 @@
             on_rows=self._process_worker_rows,
             pause_s=self._workers_poll_pause_s,
             on_answer=self._confirm_directory,
+            wait_s=WORKERS_POLL_S,
         )
         self._host.on_claim = self._worker_feed.poll_now
         self._stopping = anyio.Event()
@@ -116,7 +124,10 @@
         self._update_fleet()
 
     def _confirm_directory(self) -> None:
-        self._host.directory.confirm(self._worker_feed.confirmed_at_s)
+        self._host.directory.confirm(
+            self._worker_feed.confirmed_at_s,
+            [at.key for at in self._worker_feed.unverified],
+        )
 
     def _update_fleet(self) -> None:
         table = self._host.queues
@@ -198,6 +209,19 @@
             group.cancel_scope.cancel()
 
 
+def _max_view_age_s(bound_ms: float) -> float:
+    """Return the age of a view of the store up to which starts are sent.
+
+    Args:
+        bound_ms: Time after a change in the store from which no start may
+            reach a worker, in milliseconds.
+    """
+    return max(
+        MIN_STORE_VIEW_AGE_S,
+        bound_ms / 1000 - worker_client.START_TIMEOUT_S,
+    )
+
+
 def _dial(registration: runners.Registration) -> runners.RunLink:
     return worker_client.WorkerClient(registration=registration)
 
--- a/wisteriawood/platform/settings.py
+++ b/wisteriawood/platform/settings.py
@@ -69,11 +69,16 @@
     """Time limits of the deployment.
 
     Attributes:
+        drain_ms: Time after a worker reports that it drains from which no
+            task may be started on it.
+        cancel_ms: The same for the tasks of a cancelled job.
         hold_max_ms: Longest lease of a worker, in milliseconds.
         status_s: Time for which the state of an ended job can be queried.
         grace_s: Time between the signal to stop and the kill.
     """
 
+    drain_ms: float = 2000
+    cancel_ms: float = 3000
     hold_max_ms: int = 6000
     status_s: float = 120
     grace_s: float = 6
--- a/wisteriawood/platform/store_client.py
+++ b/wisteriawood/platform/store_client.py
@@ -17,6 +17,9 @@
 MIN_TIMEOUT_S = 0.35
 MAX_TIMEOUT_S = 2.5
 TIMEOUT_FACTOR = 6.0
+# Longest time that a long poll may take beyond its wait. A connection may go
+# silent, and what the feed shows gets older meanwhile.
+MAX_POLL_MARGIN_S = 1.0
 # Weight of the newest call in the exponential moving average.
 NEWEST_WEIGHT = 0.2
 CONNECT_TIMEOUT_S = 0.5
@@ -118,6 +121,8 @@
         wait_s: float = 0.0,
     ) -> httpx.Response:
         timeout_s = self._timeout_s()
+        if wait_s:
+            timeout_s = min(timeout_s, MAX_POLL_MARGIN_S)
         started_at_s = anyio.current_time()
         try:
             response = await self._client.request(
--- a/wisteriawood/standins/job_worlds.py
+++ b/wisteriawood/standins/job_worlds.py
@@ -11,6 +11,7 @@
 from wisteriawood.jobs import queues
 from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
+from wisteriawood.links import clocks
 from wisteriawood.links import runners
 from wisteriawood.machines import intakes
 from wisteriawood.machines import job_hosts
@@ -21,6 +22,8 @@
 RETENTION_S = 120.0
 SERVICE = "shop"
 DEFAULT_WORK_S = 1.0
+MAX_DIRECTORY_AGE_S = 1.0
+MAX_CANCEL_AGE_S = 2.0
 DIRECTORY_PERIOD_S = 0.4
 
 
@@ -90,7 +93,7 @@
         """Confirm the known directory to all hosts that read it."""
         for name, host in self.hosts.items():
             if name not in self.outdated_hosts:
-                host.directory.confirm(anyio.current_time())
+                host.directory.confirm(clocks.elapsed_s())
 
     def drain_worker(self, name: str) -> float:
         """Make a worker drain; return when its entry says so, in seconds.
@@ -176,6 +179,8 @@
             dial=_dial,
             lease_s=LEASE_S,
             retention_s=RETENTION_S,
+            max_directory_age_s=MAX_DIRECTORY_AGE_S,
+            max_cancel_age_s=MAX_CANCEL_AGE_S,
             cores=cores,
         )
         host.adopt_queues(queues.QueueTable(version=1, queues=[self.queue]))
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -23,6 +23,7 @@
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import queues
 from wisteriawood.jobs import specs
+from wisteriawood.links import clocks
 from wisteriawood.links.codecs import rows
 from wisteriawood.links import platforms
 from wisteriawood.links import runners
@@ -348,6 +349,32 @@
     await anyio.sleep(time_s)
 
 
+class StaleStore:
+    """A store whose reads of whole tables omit the newest rows."""
+
+    def __init__(self, *, store, is_stale=False):
+        self._link = store.link("me")
+        self.is_stale = is_stale
+        self.answer_delay_s = 0.0
+        self.hidden_keys = set()
+
+    async def parts(self, table):
+        return await self._link.parts(table)
+
+    async def read(self, table, part, *, key=""):
+        page = await self._link.read(table, part, key=key)
+        if self.is_stale:
+            page.rows = [
+                r for r in page.rows if r.at.key not in self.hidden_keys
+            ]
+        return page
+
+    async def feed(self, table, after, wait_s):
+        page = await self._link.feed(table, after, wait_s)
+        await anyio.sleep(self.answer_delay_s)
+        return page
+
+
 def make_run_worker(name, *, cores=16, now_s=0.0):
     """Return a worker of a cell that has answered at `now_s`."""
     worker = run_workers.Worker(
@@ -379,13 +406,21 @@
         claim=claim,
         store=store_standins.MemoryStore(),
         policy=least_pressed.LeastPressed(),
-        directory=worker_directories.WorkerDirectory(),
+        directory=worker_directories.WorkerDirectory(max_age_s=1.0),
+        max_cancel_age_s=2.0,
         counters=job_metrics.JobMetrics(),
     )
     cell.fleet.update((worker.id, worker) for worker in fleet)
     return cell
 
 
+def confirm_views(cell):
+    """Let a cell know the directory and the cancellations as of now."""
+    now_s = clocks.elapsed_s()
+    cell.directory.confirm(now_s)
+    cell.cancels_confirmed_at_s = lambda: now_s
+
+
 def make_job(job_id="j", *, queue=None, opens_occurrences=True, **fields):
     """Return a job of one step, whose tasks its first occurrence creates."""
     values = {"task_count": 1, "cpu_millicores": 4000, "memory_mb": 8}
--- a/wisteriawood/tests/feeds_tests.py
+++ b/wisteriawood/tests/feeds_tests.py
@@ -16,36 +16,13 @@
     return stores.RowKey(table=TABLE, part="p", key=key)
 
 
-class StaleStore:
-    """A store whose reads of whole tables omit the newest rows."""
-
-    def __init__(self, *, store, is_stale=False):
-        self._link = store.link("me")
-        self.is_stale = is_stale
-        self.hidden_keys = set()
-
-    async def parts(self, table):
-        return await self._link.parts(table)
-
-    async def read(self, table, part, *, key=""):
-        page = await self._link.read(table, part, key=key)
-        if self.is_stale:
-            page.rows = [
-                r for r in page.rows if r.at.key not in self.hidden_keys
-            ]
-        return page
-
-    async def feed(self, table, after, wait_s):
-        return await self._link.feed(table, after, wait_s)
-
-
 class FeedTests(unittest.TestCase):
     """The store loses its history and returns stale rows for seconds."""
 
     def _run(self, check):
         async def _main():
             memory = store_standins.MemoryStore()
-            store = StaleStore(store=memory)
+            store = builders.StaleStore(store=memory)
             received = {}
 
             def _on_rows(rows):
