--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -220,6 +220,13 @@
 HOST_DRAINED = define(
     1812, "host-drained", "An operator requested that a host be drained."
 )
+DRAINS_UNREAD = define(
+    1813,
+    "drains-unread",
+    "The operators' requests to drain hosts can't be read; the last known "
+    "ones stay in force.",
+    "Check the platform.",
+)
 PEER_MESSAGE_IGNORED = define(
     1810,
     "peer-message-ignored",
--- a/wisteriawood/zones/drains.py
+++ b/wisteriawood/zones/drains.py
@@ -45,11 +45,15 @@
 
     async def run(self) -> None:
         """Poll the requests until cancelled; keep them if a read fails."""
+        is_failing = False
         while True:
             try:
                 await self.poll()
-            except errors.PlatformError:
-                pass
+                is_failing = False
+            except errors.PlatformError as exc:
+                if not is_failing:
+                    _LOG.log(events.DRAINS_UNREAD, cause=str(exc))
+                is_failing = True
             await anyio.sleep(POLL_PERIOD_S)
 
     async def poll(self) -> None:
