Move the checks of a start to a module of their own

Only code that moves: the obstacle of a start and its withdrawal to cells/start_checks.py, the feed of submissions to a method. Tests of drains, cells, feeds, platform, placing and interference pass.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -14,6 +14,7 @@
 from wisteriawood.cells import placers
 from wisteriawood.cells import progress
 from wisteriawood.cells import runs
+from wisteriawood.cells import start_checks
 from wisteriawood.cells import tables
 from wisteriawood.cells import worker_directories
 from wisteriawood.cells import workers
@@ -21,7 +22,6 @@
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
-from wisteriawood.links import clocks
 from wisteriawood.links import runners
 from wisteriawood.links import stores
 from wisteriawood.policies.spreading import base as spreading
@@ -66,7 +66,6 @@
 
     __slots__ = (
         "_group",
-        "_max_cancel_age_s",
         "_placement_requested",
         "_placer",
         "_waiting",
@@ -78,6 +77,7 @@
         "fleet",
         "jobs",
         "last_job_at_s",
+        "max_cancel_age_s",
         "model",
         "orphans",
         "other_loads",
@@ -99,7 +99,7 @@
         self.store = store
         self.counters = counters
         self.directory = directory
-        self._max_cancel_age_s = max_cancel_age_s
+        self.max_cancel_age_s = max_cancel_age_s
         self.cancels_confirmed_at_s: typing.Callable[[], float] = lambda: 0.0
         self.last_job_at_s = anyio.current_time()
         self.jobs: dict[str, jobs.Job] = {}
@@ -193,7 +193,7 @@
         startable = [
             worker
             for worker in self.fleet.values()
-            if not self.start_obstacle(worker)
+            if not start_checks.find_obstacle(self, worker)
         ]
         assigned = self._placer.place(self._waiting, startable, now_s)
         if not assigned:
@@ -223,33 +223,6 @@
             batches.append(self.writer.schedule_write(job))
         self._group.start_soon(self._start_assigned, assigned, batches)
 
-    def start_obstacle(self, worker: workers.Worker) -> str:
-        """Return why no task may be started on a worker now.
-
-        This is checked when a task is assigned and again whenever its start
-        is sent: the news of a draining worker or of a cancelled job may
-        arrive in between, or may be on its way while the store is read late.
-
-        Args:
-            worker: The worker.
-
-        Returns:
-            The reason; empty if tasks may be started.
-        """
-        registration = worker.registration
-        if worker.is_gone:
-            return "the worker is not in the directory"
-        if registration.is_draining:
-            return "the worker drains"
-        if registration.started_unix_ms not in (0, worker.started_unix_ms):
-            return "the directory describes another instance of the worker"
-        if not self.directory.is_recent(worker.id):
-            return "the worker's entry in the directory is out of date"
-        cancel_age_s = clocks.elapsed_s() - self.cancels_confirmed_at_s()
-        if cancel_age_s > self._max_cancel_age_s:
-            return "the known cancellations are out of date"
-        return ""
-
     async def _start_assigned(
         self,
         assigned: list[tuple[workers.Worker, runs.Run]],
@@ -380,24 +353,6 @@
         # No start was sent, so the run can't start on the worker.
         self.end_run(worker, run, tasks.Outcome.STOPPED)
 
-    def withdraw_start(self, worker: workers.Worker, run: runs.Run) -> None:
-        """Stop a run whose start may not be sent, and the rest of its gang.
-
-        Args:
-            worker: The worker.
-            run: The run.
-        """
-        self.stop_run(worker, run)
-        if not run.step.is_gang:
-            return
-        members = {
-            run.job.task_name(member)
-            for member in progress.gang_of(run.job, run.task)
-        }
-        for other in self.fleet.values():
-            for name in members & other.runs.keys():
-                self.stop_run(other, other.runs[name])
-
     def stop_unknown_run(
         self, worker: workers.Worker, active: runners.ActiveRun
     ) -> None:
--- a/wisteriawood/cells/command_senders.py
+++ b/wisteriawood/cells/command_senders.py
@@ -4,6 +4,7 @@
 
 from wisteriawood.cells import cells
 from wisteriawood.cells import runs
+from wisteriawood.cells import start_checks
 from wisteriawood.cells import tables
 from wisteriawood.cells import workers
 from wisteriawood import errors
@@ -72,7 +73,7 @@
         for attempt in range(START_TRIES):
             if run.is_stopping or not self._may_be_on_worker(run):
                 return
-            obstacle = self._cell.start_obstacle(self._worker)
+            obstacle = start_checks.find_obstacle(self._cell, self._worker)
             if obstacle:
                 await self._withhold(run, obstacle)
                 return
@@ -118,7 +119,7 @@
             assigned_s_ago=round(anyio.current_time() - run.assigned_at_s, 3),
             directory_age_s=round(self._cell.directory.age_s(), 3),
         )
-        self._cell.withdraw_start(self._worker, run)
+        start_checks.withdraw(self._cell, self._worker, run)
         if run.was_sent:
             # An attempt without an answer may still take effect.
             await self._stop(run)
--- a/wisteriawood/cells/evacuations.py
+++ b/wisteriawood/cells/evacuations.py
@@ -1,6 +1,7 @@
 """Moves runs off draining workers before the workers stop."""
 
 from wisteriawood.cells import cells
+from wisteriawood.cells import start_checks
 from wisteriawood.cells import workers
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
@@ -33,7 +34,7 @@
     for run in list(worker.runs.values()):
         if not run.was_sent and not run.is_stopping:
             # Its start waits behind other commands to the worker.
-            cell.withdraw_start(worker, run)
+            start_checks.withdraw(cell, worker, run)
             continue
         if run.is_stopping or not run.is_confirmed:
             continue
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -127,18 +127,7 @@
                 self.cell.open(group)
                 for bucket in self._zones:
                     group.start_soon(self.cell.writer.write_bucket, bucket)
-                feed = feeds.Feed(
-                    store=self.cell.store,
-                    table=tables.specs_table(
-                        tables.zone_of_cell(self.cell.name)
-                    ),
-                    on_rows=self._process_submissions,
-                    start=submissions,
-                    wait_s=SUBMISSIONS_POLL_S,
-                )
-                self.cell.cancels_confirmed_at_s = lambda: max(
-                    read_at_s, feed.confirmed_at_s
-                )
+                feed = self._follow_submissions(submissions, read_at_s)
                 group.start_soon(feed.run)
                 group.start_soon(
                     weight_exchanges.WeightExchange(cell=self.cell).run
@@ -164,6 +153,27 @@
                     worker.close()
                     await worker.link.aclose()
 
+    def _follow_submissions(
+        self, submissions: stores.Page, read_at_s: float
+    ) -> feeds.Feed:
+        """Return the feed of new submissions and cancellations.
+
+        Args:
+            submissions: The table of submissions, read before.
+            read_at_s: Time of clocks.elapsed_s at which that read was sent.
+        """
+        feed = feeds.Feed(
+            store=self.cell.store,
+            table=tables.specs_table(tables.zone_of_cell(self.cell.name)),
+            on_rows=self._process_submissions,
+            start=submissions,
+            wait_s=SUBMISSIONS_POLL_S,
+        )
+        self.cell.cancels_confirmed_at_s = lambda: max(
+            read_at_s, feed.confirmed_at_s
+        )
+        return feed
+
     async def _load_jobs(self) -> stores.Page:
         """Load the cell's jobs from the store.
 
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -350,7 +350,10 @@
 
 
 class StaleStore:
-    """A store whose reads of whole tables omit the newest rows."""
+    """A store whose reads of whole tables omit the newest rows.
+
+    Its answers to polls may be late.
+    """
 
     def __init__(self, *, store, is_stale=False):
         self._link = store.link("me")
--- a/wisteriawood/tests/drain_tests.py
+++ b/wisteriawood/tests/drain_tests.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from wisteriawood.cells import start_checks
 from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
 from wisteriawood.links import clocks
@@ -195,12 +196,14 @@
             worker = builders.make_run_worker("w")
             cell = builders.make_cell([worker])
             builders.confirm_views(cell)
-            self.assertEqual(cell.start_obstacle(worker), "")
+            self.assertEqual(start_checks.find_obstacle(cell, worker), "")
             before_s = clocks.suspended_s()
             with mock.patch.object(
                 clocks, "suspended_s", return_value=before_s + 30.0
             ):
-                self.assertIn("out of date", cell.start_obstacle(worker))
+                self.assertIn(
+                    "out of date", start_checks.find_obstacle(cell, worker)
+                )
 
         builders.run_virtual(_check)
 
@@ -215,11 +218,13 @@
             worker.registration = dataclasses.replace(
                 worker.registration, started_unix_ms=1000
             )
-            self.assertIn("another instance", cell.start_obstacle(worker))
+            self.assertIn(
+                "another instance", start_checks.find_obstacle(cell, worker)
+            )
             worker.registration = dataclasses.replace(
                 worker.registration, started_unix_ms=2000
             )
-            self.assertEqual(cell.start_obstacle(worker), "")
+            self.assertEqual(start_checks.find_obstacle(cell, worker), "")
 
         builders.run_virtual(_check)
 
@@ -232,7 +237,9 @@
             builders.confirm_views(cell)
             await anyio.sleep(5)
             cell.directory.confirm(clocks.elapsed_s())
-            self.assertIn("cancellations", cell.start_obstacle(worker))
+            self.assertIn(
+                "cancellations", start_checks.find_obstacle(cell, worker)
+            )
 
         builders.run_virtual(_check)
 
