Distrust all entries as soon as the store has lost its history

After a loss of history a feed reads its table again, and entries count once the feed repeats them. Until that read was answered, the old ones still counted, up to their age limit: a worker that began to drain in the gap could get tasks while a slow store or a busy host was reading.

The feed now marks all rows as unverified when the store reports the loss and tells the directory at once. The test failed before: the worker was not in `unverified` while the read was held up.

--- a/wisteriawood/links/feeds.py
+++ b/wisteriawood/links/feeds.py
@@ -120,6 +120,8 @@
                 _LOG.log(job_events.FEED_RESTARTED, table=self.table)
                 self._after = None
                 self._audit_delays_s = AUDIT_DELAYS_S
+                self.unverified = set(self._versions)
+                self._on_answer()
                 continue
             except errors.PlatformError as exc:
                 if not is_failing:
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -352,19 +352,21 @@
 class StaleStore:
     """A store whose reads of whole tables omit the newest rows.
 
-    Its answers to polls may be late.
+    Its answers to polls and reads may be late.
     """
 
     def __init__(self, *, store, is_stale=False):
         self._link = store.link("me")
         self.is_stale = is_stale
         self.answer_delay_s = 0.0
+        self.read_delay_s = 0.0
         self.hidden_keys = set()
 
     async def parts(self, table):
         return await self._link.parts(table)
 
     async def read(self, table, part, *, key=""):
+        await anyio.sleep(self.read_delay_s)
         page = await self._link.read(table, part, key=key)
         if self.is_stale:
             page.rows = [
--- a/wisteriawood/tests/drain_tests.py
+++ b/wisteriawood/tests/drain_tests.py
@@ -325,6 +325,23 @@
 
         self._run(_check, hidden=["w"])
 
+    def test_entries_are_old_as_soon_as_the_history_is_lost(self):
+        """Guards against starts while the table is read again."""
+
+        async def _check(memory, store, feed, write):
+            await anyio.sleep(0.5)
+            write("w")
+            await anyio.sleep(0.1)
+            self.assertEqual(feed.unverified, set())
+            store.read_delay_s = 30.0
+            memory.compact_history()
+            write("other")
+            memory.compact_history()
+            await anyio.sleep(0.5)
+            self.assertIn(self._at("w"), feed.unverified)
+
+        self._run(_check)
+
     def test_age_of_polls_with_and_without_changes(self):
         """Guards against an age that leaves out the time of a poll."""
 
