Audit tables sooner after a first read, and longer after a loss

A read of a whole table may be seconds old while the store is losing its history, and what it misses never comes over the feed.

Now a first read is audited after 3, 7 and 15 s, and a loss of history after 1, 3, 7 and 15 s. Both tests failed before: a row missed by a first read was not known 3.5 s later, and one that all three audits missed was never found. A worker whose entry is never repeated gets tasks after 15 s instead of 7 s.

--- a/wisteriawood/links/feeds.py
+++ b/wisteriawood/links/feeds.py
@@ -16,10 +16,11 @@
 LONG_POLL_S = 2.0
 # Times after a loss of history at which the whole table is read again. The
 # read right after the loss may return rows that are seconds old, and the
-# changes that it misses do not appear in the feed later.
-AUDIT_DELAYS_S = (1.0, 3.0, 7.0)
+# changes that it misses do not appear in the feed later. An audit may be as
+# stale; the last one comes after twice the staleness seen.
+AUDIT_DELAYS_S = (1.0, 3.0, 7.0, 15.0)
 # The same after the first read: the history may have been lost just before.
-FIRST_AUDIT_DELAYS_S = AUDIT_DELAYS_S[-1:]
+FIRST_AUDIT_DELAYS_S = AUDIT_DELAYS_S[1:]
 # Time for which the version of a removed row is remembered, so that a stale
 # read does not restore the row.
 TOMBSTONE_RETENTION_S = 60.0
--- a/wisteriawood/tests/feeds_tests.py
+++ b/wisteriawood/tests/feeds_tests.py
@@ -90,6 +90,45 @@
 
         self._run(_check)
 
+    def test_row_missed_by_audits_that_are_stale_too_is_found(self):
+        """Guards against reads that are stale for longer than most audits."""
+
+        async def _check(memory, store, write, received):
+            store.is_stale = True
+            store.hidden_keys.add("new")
+            write("new", b"2")
+            memory.compact_history()
+            write("other", b"3")
+            memory.compact_history()
+            await anyio.sleep(8)
+            self.assertNotIn("new", received)
+            store.is_stale = False
+            await anyio.sleep(9)
+            self.assertEqual(received["new"], b"2")
+
+        self._run(_check)
+
+    def test_row_missed_by_stale_first_read_is_found_soon(self):
+        """Guards against a host that restarts with old rows for seconds."""
+
+        async def _check(memory, store, write, received):
+            store.is_stale = True
+            store.hidden_keys.add("new")
+            write("new", b"2")
+            async with anyio.create_task_group() as group:
+                found = []
+                feed = feeds.Feed(
+                    store=store, table=TABLE, on_rows=found.extend
+                )
+                group.start_soon(feed.run)
+                await anyio.sleep(1)
+                store.is_stale = False
+                await anyio.sleep(2.5)
+                self.assertIn("new", [row.at.key for row in found])
+                group.cancel_scope.cancel()
+
+        self._run(_check)
+
     def test_request_to_poll_ends_the_pause(self):
         async def _main():
             memory = store_standins.MemoryStore()
