Keep a change that follows right after an audit removed its row

An audit marked a removed row one version ahead of the store. If the next transaction wrote that row, it had this very version and was dropped as old: the worker, claim or job stayed unknown until its next change. The removal now has the version of the read itself. The test failed before: the new value never arrived.

--- a/wisteriawood/links/feeds.py
+++ b/wisteriawood/links/feeds.py
@@ -220,9 +220,9 @@
             present_keys = {row.at for row in page.rows}
             present_keys.update(at for _at_s, at, _version in self._tombstones)
             removed = [
-                stores.StoredRow(at=at, value=None, version=page.version + 1)
+                stores.StoredRow(at=at, value=None, version=page.version)
                 for at, version in self._versions.items()
-                if at not in present_keys and version <= page.version
+                if at not in present_keys and version < page.version
             ]
         if missed or removed:
             _LOG.log(
--- a/wisteriawood/tests/feeds_tests.py
+++ b/wisteriawood/tests/feeds_tests.py
@@ -129,6 +129,21 @@
 
         self._run(_check)
 
+    def test_row_written_right_after_an_audit_removed_it(self):
+        """Guards against the loss of the first change after an audit."""
+
+        async def _check(memory, _store, write, received):
+            write("old", None)
+            write("other", b"3")
+            memory.compact_history()
+            while received["old"] is not None:
+                await anyio.sleep(0.01)
+            write("old", b"4")
+            await anyio.sleep(1)
+            self.assertEqual(received["old"], b"4")
+
+        self._run(_check)
+
     def test_request_to_poll_ends_the_pause(self):
         async def _main():
             memory = store_standins.MemoryStore()
