Count conditions too in the size of a transaction of job rows

The store takes at most 100 entries a transaction, conditions and writes together. The writer counted the rows it writes only, up to 88, each with a condition of its own. A bucket in which more than 50 jobs changed within one commit, as after the loss of a zone's workers, would have been refused, and the refusal looks like a change of unknown outcome that is sent again for ever.

The limit now counts all entries, and the stand-in refuses larger changes.

--- a/wisteriawood/cells/job_writers.py
+++ b/wisteriawood/cells/job_writers.py
@@ -16,10 +16,7 @@
 GROUP_COMMIT_DELAY_S = 0.015
 # Duration from which a transaction counts as slow.
 SLOW_COMMIT_S = 0.3
-# Most rows counted for one transaction; the count leaves out the row of the
-# last job and the row of the claim.
-MAX_ROWS = stores.MAX_TRANSACTION_ROWS - 2
-# Most bytes of job rows in one transaction; base64 adds a third, and the store
+# Most bytes of rows in one transaction; base64 adds a third, and the store
 # accepts 1 MB.
 MAX_TRANSACTION_BYTES = 600_000
 
@@ -197,23 +194,31 @@
         if self._claim_key.part == bucket:
             change.expected[self._claim_key] = self._claim_version
         included: list[jobs.Job] = []
-        size_bytes = 0
-        for job in waiting[:MAX_ROWS]:
-            at = tables.job_row(bucket, job.id)
-            data = codec.job_to_bytes(job)
-            size_bytes += len(data)
-            rows = len(change.writes) + len(extra_rows.get(job.id, {}))
+        for job in waiting:
+            added = _change_of(bucket, job, extra_rows.get(job.id, {}))
+            size_bytes = change.size_bytes() + added.size_bytes()
+            entries = change.entry_count() + added.entry_count()
             if included and (
-                size_bytes > MAX_TRANSACTION_BYTES or rows > MAX_ROWS
+                size_bytes > MAX_TRANSACTION_BYTES
+                or entries > stores.MAX_TRANSACTION_ENTRIES
             ):
                 break
-            change.expected[at] = job.version
-            change.writes[at] = data
-            change.writes.update(extra_rows.get(job.id, {}))
+            change.add(added)
             included.append(job)
         return change, included
 
 
+def _change_of(
+    bucket: str, job: jobs.Job, extra_rows: dict[stores.RowKey, bytes | None]
+) -> stores.Change:
+    at = tables.job_row(bucket, job.id)
+    change = stores.Change(
+        expected={at: job.version},
+        writes={at: codec.job_to_bytes(job)} | extra_rows,
+    )
+    return change
+
+
 async def remove_job(
     store: stores.Store, job: jobs.Job, keys: list[stores.RowKey]
 ) -> None:
--- a/wisteriawood/links/stores.py
+++ b/wisteriawood/links/stores.py
@@ -13,9 +13,8 @@
 
 RESEND_DELAY_S = 0.05
 MAX_RESEND_DELAY_S = 0.5
-# Rows in the conditions and writes of one transaction; the platform's limit
-# is 100.
-MAX_TRANSACTION_ROWS = 90
+# Conditions and writes of one transaction; the platform's limit is 100.
+MAX_TRANSACTION_ENTRIES = 90
 # How long a change is retried for a caller with a deadline while no attempt
 # can have taken effect.
 UNSENT_RETRY_TIMEOUT_S = 0.3
@@ -65,6 +64,19 @@
         default_factory=dict
     )
 
+    def entry_count(self) -> int:
+        """Return the number of conditions and writes."""
+        return len(self.expected) + len(self.writes)
+
+    def size_bytes(self) -> int:
+        """Return the total size of the new values."""
+        return sum(len(value or b"") for value in self.writes.values())
+
+    def add(self, other: "Change") -> None:
+        """Add the conditions and writes of another change."""
+        self.expected.update(other.expected)
+        self.writes.update(other.writes)
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Page:
--- a/wisteriawood/standins/stores.py
+++ b/wisteriawood/standins/stores.py
@@ -8,6 +8,7 @@
 CALL_DELAY_S = 0.004
 COMMIT_DELAY_S = 0.012
 CALL_TIMEOUT_S = 0.35
+MAX_TRANSACTION_ENTRIES = 100
 
 
 class MemoryStore:
@@ -66,8 +67,12 @@
 
         Raises:
             ChangeConflictError: A row does not have the expected version.
-            ValueError: The change spans several partitions.
+            ValueError: The change is too large or spans several partitions.
         """
+        if change.entry_count() > MAX_TRANSACTION_ENTRIES:
+            raise ValueError(
+                f"the transaction has {change.entry_count()} entries"
+            )
         parts = {at.part for at in (*change.expected, *change.writes)}
         if len(parts) > 1:
             raise ValueError(
