Refuse to write a job that was cancelled without this host's knowledge

A task could be started on a cancelled job if its holder missed the cancellation: the reads of the submissions after a loss of history, at a takeover and in the audits may all be seconds old, and the feed does not repeat what they miss. The age limit of the known cancellations does not see this, as the feed answers.

The row of a cancellation lies in the partition of the job's row. Each write of a job that has not ended now requires that it does not exist, and each start follows such a write. A conflict on it alone cancels the job and repeats the write; any other conflict still gives the cell up.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -110,6 +110,7 @@
             store=store,
             claim_key=tables.claim_row(claim.cell),
             claim_version=claim.version,
+            on_cancel=self.cancel_job,
         )
         self.model = interference_models.InterferenceModel()
         self._placer = placers.Placer(policy=policy, model=self.model)
--- a/wisteriawood/cells/job_writers.py
+++ b/wisteriawood/cells/job_writers.py
@@ -1,5 +1,7 @@
 """Writes the rows of a cell's jobs, several jobs per transaction."""
 
+import typing
+
 import anyio
 
 from wisteriawood.cells import tables
@@ -47,12 +49,15 @@
     Each bucket has one transaction in progress at a time. A transaction
     fails if another host has written one of the jobs. In the bucket that is
     also the partition of the claim's row, it fails too if the claim of the
-    cell has changed.
+    cell has changed. It also fails if one of the jobs was cancelled and this
+    host does not know it yet; it is then repeated with that job cancelled.
 
     Args:
         store: The store.
         claim_key: Key of the claim's row.
         claim_version: Expected version of that row.
+        on_cancel: Called with the id of a job whose write shows that it was
+            cancelled; ends the job.
 
     Attributes:
         commits: Number of committed transactions.
@@ -63,6 +68,7 @@
         "_claim_key",
         "_claim_version",
         "_is_closed",
+        "_on_cancel",
         "_store",
         "_wake",
         "_writing_since_s",
@@ -75,8 +81,10 @@
         store: stores.Store,
         claim_key: stores.RowKey,
         claim_version: int,
+        on_cancel: typing.Callable[[str], None],
     ):
         self._store = store
+        self._on_cancel = on_cancel
         self._claim_key = claim_key
         self._claim_version = claim_version
         self._batches: dict[str, Batch] = {}
@@ -170,20 +178,49 @@
             try:
                 version = await stores.commit_with_retry(self._store, change)
             except stores.ChangeConflictError as exc:
-                _LOG.log(
-                    job_events.JOB_ROW_CHANGED,
-                    bucket=bucket,
-                    rows=[row.at.key for row in exc.rows],
-                )
-                raise tables.CellLostError(
-                    "another holder has written the cell's rows"
-                ) from exc
+                self._handle_conflict(bucket, change, included, exc)
+                continue
             self.commits += 1
             for job in included:
                 job.version = version
             waiting = waiting[len(included) :]
         batch.is_saved = True
 
+    def _handle_conflict(
+        self,
+        bucket: str,
+        change: stores.Change,
+        included: list[jobs.Job],
+        conflict: stores.ChangeConflictError,
+    ) -> None:
+        """Cancel the jobs that are the only reason of a conflict.
+
+        Raises:
+            CellLostError: There is another reason.
+        """
+        changed = {
+            row.at
+            for row in conflict.rows
+            if row.version != change.expected.get(row.at)
+        }
+        cancelled = [
+            job
+            for job in included
+            if tables.cancel_row(job.cell, bucket, job.id) in changed
+        ]
+        if not cancelled or len(cancelled) < len(changed):
+            _LOG.log(
+                job_events.JOB_ROW_CHANGED,
+                bucket=bucket,
+                rows=[row.at.key for row in conflict.rows],
+            )
+            raise tables.CellLostError(
+                "another holder has written the cell's rows"
+            ) from conflict
+        for job in cancelled:
+            _LOG.log(job_events.JOB_CANCEL_MISSED, job=job.id, cell=job.cell)
+            self._on_cancel(job.id)
+
     def _build_change(
         self,
         bucket: str,
@@ -216,6 +253,8 @@
         expected={at: job.version},
         writes={at: codec.job_to_bytes(job)} | extra_rows,
     )
+    if not job.is_ended():
+        change.expected[tables.cancel_row(job.cell, bucket, job.id)] = 0
     return change
 
 
--- a/wisteriawood/links/stores.py
+++ b/wisteriawood/links/stores.py
@@ -188,7 +188,9 @@
         except ChangeConflictError as exc:
             if not may_have_effect or not _is_applied(change, exc.rows):
                 raise
-            return max(row.version for row in exc.rows)
+            return max(
+                row.version for row in exc.rows if row.at in change.writes
+            )
         except errors.TransactionUnknownError:
             may_have_effect = True
         except errors.PlatformUnavailableError as exc:
--- a/wisteriawood/standins/stores.py
+++ b/wisteriawood/standins/stores.py
@@ -17,6 +17,8 @@
     Attributes:
         commits: Number of commits that took effect.
         cut_hosts: Hosts whose calls get no answer.
+        hidden_keys: Keys of rows that polls and reads of whole partitions
+            omit, as stale reads after a loss of history do.
         is_down: Whether calls are refused.
         lost_answer_delay_s: Delay in seconds until a commit whose answer is
             lost takes effect.
@@ -33,6 +35,7 @@
         "_history",
         "commits",
         "cut_hosts",
+        "hidden_keys",
         "is_down",
         "lost_answer_delay_s",
         "lost_answers",
@@ -46,6 +49,7 @@
         self.version = 0
         self.is_down = False
         self.cut_hosts: set[str] = set()
+        self.hidden_keys: set[str] = set()
         self.lost_answers = 0
         self.lost_table = ""
         self.lost_answer_delay_s = 0.0
@@ -119,7 +123,9 @@
         return [
             row
             for row in self._history
-            if row.version > after and row.at.table == table
+            if row.version > after
+            and row.at.table == table
+            and row.at.key not in self.hidden_keys
         ]
 
     async def wait(self) -> None:
@@ -173,7 +179,9 @@
             for at, row in self._store.rows.items()
             if at.table == table
             and at.part == part
-            and (not key or at.key == key)
+            and (
+                at.key == key if key else at.key not in self._store.hidden_keys
+            )
         ]
         rows.sort(key=lambda row: row.at.key)
         return stores.Page(rows=rows, version=self._store.version)
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -11,6 +11,12 @@
 JOB_CANCEL_ASKED = events.define(
     2003, "job-cancel-asked", "A caller requested that a job be cancelled."
 )
+JOB_CANCEL_MISSED = events.define(
+    2010,
+    "job-cancel-missed",
+    "A write of a job showed that it was cancelled, which this host had not "
+    "read yet; the job is cancelled now.",
+)
 JOB_ENDED = events.define(
     2004, "job-ended", "A job completed, failed or was cancelled."
 )
--- a/wisteriawood/tests/cells_tests.py
+++ b/wisteriawood/tests/cells_tests.py
@@ -116,6 +116,7 @@
                 store=store.link("me"),
                 claim_key=tables.claim_row("shop@b"),
                 claim_version=0,
+                on_cancel=self.fail,
             )
             names = [f"{number:016x}" for number in range(60)]
             for name in names:
@@ -165,6 +166,29 @@
 
         builders.run_job_world(_check)
 
+    def test_a_cancel_that_no_read_shows_prevents_starts(self):
+        """Guards against starts of a job whose cancellation was missed.
+
+        Polls and reads of the table omit it, as after a loss of history.
+        """
+
+        async def _check(world):
+            await anyio.sleep(2)
+            await world.submit(JOB, [_step(), _step(after=[0])])
+            world.store.hidden_keys.add(JOB + tables.CANCEL_SUFFIX)
+            await anyio.sleep(0.3)
+            await world.intake().cancel(JOB, 3.0)
+            await anyio.sleep(4)
+            self.assertEqual(
+                await world.intake().state(JOB), jobs.JobState.CANCELED
+            )
+            self.assertFalse(
+                [name for name in world.starts() if ".0.1." in name]
+            )
+            self.assertTrue(world.holder_of("shop@a"))
+
+        builders.run_job_world(_check)
+
     def test_all_hosts_restarted_at_once_leave_no_cell_without_a_holder(self):
         """Regression: a host claimed a held cell due to an old heartbeat.
 
