Run a standing task where its image is blocked rather than not at all

A regrouping of serving tasks keeps the moved image off a worker for 20 s. If no other worker had room, a standing task whose worker left waited, and as the reported load counts that room, cells lent the task to each other each second. Users saw it as a watcher that does not run (LOST).

The block now yields for standing tasks that fit nowhere else. The test failed before: the task was not placed.

--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -220,6 +220,10 @@
         now_s: float,
     ) -> workers.Worker | None:
         candidates = self._candidates(job, task, step, usable, now_s)
+        if not candidates and step.is_standing and not step.is_filler:
+            # The block of an image improves the grouping of serving tasks. It
+            # must not keep one from running.
+            candidates = self._candidates(job, task, step, usable, math.inf)
         if not candidates:
             return None
         return self._policy.choose(candidates, step, self._model)
--- a/wisteriawood/tests/placing_tests.py
+++ b/wisteriawood/tests/placing_tests.py
@@ -78,6 +78,28 @@
 
         self._run(_check)
 
+    def test_a_standing_task_runs_where_its_image_is_blocked(self):
+        """Guards against standing tasks that wait although a worker has room.
+
+        After a regrouping, the only worker with room did not take the image
+        for 20 s, and the cells lent the task to each other meanwhile.
+        """
+
+        async def _check(placer, _model, fleet):
+            blocked, other, full = fleet
+            blocked.blocked_images_until_s["serves"] = 20.0
+            full.free_millicores = 0
+            first, second = (
+                builders.make_serving_job(name, cpu_millicores=16000)
+                for name in ("a", "b")
+            )
+            placer.place(_waiting(first), fleet, 1.0)
+            self.assertEqual(len(other.runs), 1)
+            placer.place(_waiting(second), fleet, 1.0)
+            self.assertEqual(len(blocked.runs), 1)
+
+        self._run(_check)
+
     def test_a_filler_that_fits_nowhere_gets_one_task_started(self):
         """A filler too heavy for all workers must be started eventually.
 
