Count a table as up to date only once all its changes were read

Cause: an answer of the store's feed has 500 changes at most and does not say whether there are more. A host without a cell reads the directory every 4 s; 246 workers change it 220 times a second. So each poll brought the oldest 500 of some 900 changes, and the host fell behind until the lost history (20 s) made it read the table again. When it took a cell over it relied on entries up to 20 s old, and each answer counted as up to date, so the age of the directory did not show it. With 24 or 33 workers all changes fit into an answer: the smaller deployments don't have the fault.

Now a page says whether it is complete: it has fewer rows and bytes than an answer can have, and does not end before a version that the host knows. Incomplete ones don't confirm the directory or the cancellations, the next poll follows at once, also after an audit, and the silence of other hosts proves nothing meanwhile.

--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -167,7 +167,8 @@
 
         Time in which this host could not read heartbeats does not count.
         The result is 0 while the store rejects this host's own heartbeats,
-        since it may reject those of the others too.
+        since it may reject those of the others too, and while this host
+        has not caught up with them.
 
         Args:
             host: Name of the host.
@@ -179,6 +180,7 @@
         readable_since_s = self.heartbeat_feed.unbroken_since_s
         if (
             not readable_since_s
+            or not self.heartbeat_feed.is_caught_up
             or now_s - self.heartbeat_feed.answered_at_s > HOST_SILENCE_S
         ):
             return 0.0
--- a/wisteriawood/links/feeds.py
+++ b/wisteriawood/links/feeds.py
@@ -24,6 +24,8 @@
 # Time for which the version of a removed row is remembered, so that a stale
 # read does not restore the row.
 TOMBSTONE_RETENTION_S = 60.0
+# Time to catch up with the changes of a table from which it is logged.
+SLOW_CATCH_UP_S = 1.0
 RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 0.5
 
@@ -46,9 +48,11 @@
     Attributes:
         answered_at_s: Monotonic time of the last answer; 0 before the first.
         confirmed_at_s: Time of clocks.elapsed_s as of which the rows are
-            known to be current: that at which the last answered poll or
-            first read was sent, or at which a poll without changes ended; 0
-            before the first.
+            known to be current: that at which the last poll with a complete
+            answer or the first read was sent, or at which a poll without
+            changes ended; 0 before the first.
+        is_caught_up: Whether the last answer to a poll had all changes. If
+            not, the next poll follows without a pause.
         table: The table.
         unverified: Keys of rows that were read with the whole table and may
             be older than `confirmed_at_s`, as that read may have been stale.
@@ -62,6 +66,7 @@
         "_after",
         "_audit_delays_s",
         "_audits_at_s",
+        "_behind_since_s",
         "_on_answer",
         "_on_rows",
         "_pause_s",
@@ -72,6 +77,7 @@
         "_wakeup",
         "answered_at_s",
         "confirmed_at_s",
+        "is_caught_up",
         "table",
         "unbroken_since_s",
         "unverified",
@@ -105,6 +111,8 @@
         self.table = table
         self.answered_at_s = 0.0
         self.confirmed_at_s = 0.0
+        self.is_caught_up = True
+        self._behind_since_s = 0.0
         self.unbroken_since_s = 0.0
         if start is not None:
             self._versions.update((row.at, row.version) for row in start.rows)
@@ -116,7 +124,7 @@
         is_failing = False
         while True:
             try:
-                await self._read_next()
+                may_pause = await self._read_next()
             except stores.HistoryLostError:
                 _LOG.log(job_events.FEED_RESTARTED, table=self.table)
                 self._after = None
@@ -138,7 +146,7 @@
                 _LOG.log(job_events.FEED_FOUND, table=self.table)
             is_failing = False
             delay_s = RETRY_DELAY_S
-            if self._pause_s is not None:
+            if self._pause_s is not None and may_pause:
                 with anyio.move_on_after(self._pause_s()):
                     await self._wakeup.wait()
                 self._wakeup = anyio.Event()
@@ -147,9 +155,15 @@
         """End the pause between polls, so that the next poll starts now."""
         self._wakeup.set()
 
-    async def _read_next(self) -> None:
+    async def _read_next(self) -> bool:
+        """Read once; return whether a pause may follow.
+
+        None follows an incomplete answer, or an audit, which took the place
+        of a poll.
+        """
         now_s = anyio.current_time()
         sent_at_s = clocks.elapsed_s()
+        may_pause = True
         if self._after is None:
             page = await stores.read_table(self._store, self.table)
             self._apply_page(page)
@@ -159,6 +173,7 @@
             page = await stores.read_table(self._store, self.table)
             self._audits_at_s.pop(0)
             self._audit(page)
+            may_pause = False
         else:
             wait_s = self._wait_s
             if self._audits_at_s:
@@ -167,14 +182,32 @@
             self.unverified.difference_update(row.at for row in page.rows)
             self._apply_page(page)
             self._after = page.version
-            self.confirmed_at_s = sent_at_s
+            self._record_progress(page.is_complete)
+            may_pause = page.is_complete
+            if page.is_complete:
+                self.confirmed_at_s = sent_at_s
             if not page.rows and clocks.elapsed_s() - sent_at_s >= wait_s:
                 # Nothing changed while the store waited.
-                self.confirmed_at_s += wait_s
+                self.confirmed_at_s = sent_at_s + wait_s
         self.answered_at_s = anyio.current_time()
         if not self.unbroken_since_s:
             self.unbroken_since_s = self.answered_at_s
         self._on_answer()
+        return may_pause
+
+    def _record_progress(self, is_caught_up: bool) -> None:
+        now_s = anyio.current_time()
+        if self.is_caught_up and not is_caught_up:
+            self._behind_since_s = now_s
+        if is_caught_up and not self.is_caught_up:
+            took_s = now_s - self._behind_since_s
+            if took_s >= SLOW_CATCH_UP_S:
+                _LOG.log(
+                    job_events.FEED_CAUGHT_UP,
+                    table=self.table,
+                    took_s=round(took_s, 3),
+                )
+        self.is_caught_up = is_caught_up
 
     def _follow(self, page: stores.Page) -> None:
         """Continue from a read of the whole table, which may be stale."""
--- a/wisteriawood/links/stores.py
+++ b/wisteriawood/links/stores.py
@@ -84,11 +84,14 @@
 
     Attributes:
         rows: The rows.
-        version: Newest version of the store at the time of the read.
+        version: Newest version of the store at the time of the read; for
+            changes, the version up to which the page has them all.
+        is_complete: Whether there were no further changes at that time.
     """
 
     rows: list[StoredRow]
     version: int
+    is_complete: bool = True
 
 
 class ChangeConflictError(errors.TransactionConflictError):
@@ -137,6 +140,8 @@
     async def feed(self, table: str, after: int, wait_s: float) -> Page:
         """Return the rows that changed after a version, in order.
 
+        The page may have only the first of them; the next call returns more.
+
         Args:
             table: The table.
             after: The version.
--- a/wisteriawood/platform/standins.py
+++ b/wisteriawood/platform/standins.py
@@ -216,9 +216,13 @@
             with anyio.move_on_after(int(query["wait_ms"]) / 1000):
                 await self._store.wait()
             rows = self._store.changes(query["table"], int(query["after"]))
+        version = self._store.version
+        if len(rows) > store_standins.MAX_FEED_ROWS:
+            rows = rows[: store_standins.MAX_FEED_ROWS]
+            version = rows[-1].version
         return {
             "rows": [self._encode_for_host(row) for row in rows],
-            "ver": self._store.version,
+            "ver": version,
         }
 
 
--- a/wisteriawood/platform/store_client.py
+++ b/wisteriawood/platform/store_client.py
@@ -23,7 +23,11 @@
 # Weight of the newest call in the exponential moving average.
 NEWEST_WEIGHT = 0.2
 CONNECT_TIMEOUT_S = 0.5
+# Most rows of an answer.
 PAGE_ROWS = 500
+# Size of the values of an answer that may have been cut at the limit of 1 MB;
+# keys and their encoding take the rest.
+FULL_ANSWER_BYTES = 500_000
 MAX_CONNECTIONS = 16
 
 
@@ -90,7 +94,7 @@
         transport: HTTP transport; None for the default.
     """
 
-    __slots__ = ("_average_s", "_client")
+    __slots__ = ("_average_s", "_client", "_newest_version")
 
     def __init__(
         self,
@@ -105,6 +109,7 @@
             transport=transport,
         )
         self._average_s = MIN_TIMEOUT_S / TIMEOUT_FACTOR
+        self._newest_version = 0
 
     def _timeout_s(self) -> float:
         return min(
@@ -177,11 +182,13 @@
 
     def _decode(self, response: httpx.Response) -> _Answer:
         try:
-            return msgspec.json.decode(response.content, type=_Answer)
+            answer = msgspec.json.decode(response.content, type=_Answer)
         except msgspec.DecodeError as exc:
             raise errors.TransactionUnknownError(
                 f"the store's answer can't be read: {exc}"
             ) from exc
+        self._newest_version = max(self._newest_version, answer.ver)
+        return answer
 
     async def _get(
         self, path: str, params: dict, *, wait_s: float = 0.0
@@ -243,13 +250,23 @@
 
     async def feed(self, table: str, after: int, wait_s: float) -> stores.Page:
         """Return the rows that changed after a version."""
+        known_version = self._newest_version
         answer = await self._get(
             "/v1/rows-feed",
             {"table": table, "after": after, "wait_ms": int(wait_s * 1000)},
             wait_s=wait_s,
         )
+        # A full answer does not say whether it is complete. One that ends
+        # before a version that this host knows is not.
+        is_complete = not answer.rows or (
+            len(answer.rows) < PAGE_ROWS
+            and sum(len(row.value) for row in answer.rows) < FULL_ANSWER_BYTES
+            and answer.ver >= known_version
+        )
         return stores.Page(
-            rows=[_decode_row(row) for row in answer.rows], version=answer.ver
+            rows=[_decode_row(row) for row in answer.rows],
+            version=answer.ver,
+            is_complete=is_complete,
         )
 
     async def aclose(self) -> None:
--- a/wisteriawood/standins/stores.py
+++ b/wisteriawood/standins/stores.py
@@ -8,6 +8,7 @@
 CALL_DELAY_S = 0.004
 COMMIT_DELAY_S = 0.012
 CALL_TIMEOUT_S = 0.35
+MAX_FEED_ROWS = 500
 MAX_TRANSACTION_ENTRIES = 100
 
 
@@ -206,5 +207,9 @@
                 found = self._store.changes(table, after)
         if self._host in self._store.cut_hosts or self._store.is_down:
             raise errors.PlatformUnavailableError("no answer")
-        version = self._store.version
-        return stores.Page(rows=found, version=version)
+        if len(found) > MAX_FEED_ROWS:
+            found = found[:MAX_FEED_ROWS]
+            return stores.Page(
+                rows=found, version=found[-1].version, is_complete=False
+            )
+        return stores.Page(rows=found, version=self._store.version)
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -198,6 +198,13 @@
     "that the first one had missed.",
     "Check whether the platform's store returns stale rows.",
 )
+FEED_CAUGHT_UP = events.define(
+    2310,
+    "feed-caught-up",
+    "A host was behind with the changes of a table, as there were more than "
+    "fit into an answer, and has read them all now.",
+    "If it is frequent, check the load of the host and of the store.",
+)
 WORKER_ROW_UNREADABLE = events.define(
     2304,
     "worker-row-unreadable",
--- a/wisteriawood/tests/feeds_tests.py
+++ b/wisteriawood/tests/feeds_tests.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from wisteriawood.links import clocks
 from wisteriawood.links import feeds
 from wisteriawood.links import stores
 from wisteriawood.standins import stores as store_standins
@@ -144,6 +145,52 @@
 
         self._run(_check)
 
+    def test_changes_that_do_not_fit_into_an_answer(self):
+        """Guards against a feed that falls behind by more with each poll.
+
+        On the grown deployments an idle host got the oldest 500 changes of
+        the directory every few seconds. After a takeover it started tasks on
+        workers that had been draining for many seconds.
+        """
+
+        async def _main():
+            memory = store_standins.MemoryStore()
+            store = builders.StaleStore(store=memory)
+            received = {}
+            feed = feeds.Feed(
+                store=store,
+                table=TABLE,
+                on_rows=lambda rows: received.update(
+                    (row.at.key, row.value) for row in rows
+                ),
+                pause_s=lambda: 4.0,
+            )
+
+            def _write(count, value):
+                for number in range(count):
+                    key = str(number % 100)
+                    memory.apply(stores.Change(writes={_at(key): value}))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(feed.run)
+                await anyio.sleep(0.1)
+                store.answer_delay_s = 0.3
+                for number in range(5):
+                    _write(3 * store_standins.MAX_FEED_ROWS, b"old")
+                    _write(100, b"%d" % number)
+                    written_at_s = clocks.elapsed_s()
+                    feed.poll_now()
+                    await anyio.sleep(0.5)
+                    self.assertFalse(feed.is_caught_up)
+                    self.assertLess(feed.confirmed_at_s, written_at_s)
+                    await anyio.sleep(2)
+                    self.assertTrue(feed.is_caught_up)
+                    self.assertEqual(received["99"], b"%d" % number)
+                    self.assertGreater(feed.confirmed_at_s, written_at_s)
+                group.cancel_scope.cancel()
+
+        builders.run_virtual(_main)
+
     def test_request_to_poll_ends_the_pause(self):
         async def _main():
             memory = store_standins.MemoryStore()
--- a/wisteriawood/tests/members_tests.py
+++ b/wisteriawood/tests/members_tests.py
@@ -116,6 +116,18 @@
 
         self._run(_check)
 
+    def test_silence_proves_nothing_until_heartbeats_are_caught_up_with(self):
+        """Guards against takeovers by a host that reads old heartbeats."""
+
+        async def _check(view, write_heartbeat):
+            write_heartbeat("before", 1)
+            await anyio.sleep(1)
+            self.assertGreater(view.silence_s("other"), 0.9)
+            view.heartbeat_feed.is_caught_up = False
+            self.assertEqual(view.silence_s("other"), 0.0)
+
+        self._run(_check)
+
     def test_silence_proves_nothing_while_own_heartbeats_fail(self):
         """Regression: a slow store made every cell change its holder.
 
--- a/wisteriawood/tests/platform_tests.py
+++ b/wisteriawood/tests/platform_tests.py
@@ -2,6 +2,7 @@
 
 import json
 import unittest
+from unittest import mock
 
 import httpx
 
@@ -95,6 +96,42 @@
 
         builders.run_virtual(_check)
 
+    def test_feed_tells_whether_it_has_all_changes(self):
+        """Guards against a full answer that counts as up to date."""
+
+        async def _check():
+            wire, client = _make_store_and_client()
+            for number in range(store_client.PAGE_ROWS + 1):
+                key = stores.RowKey(table="t", part="p", key=f"{number}")
+                wire._store.apply(stores.Change(writes={key: b"1"}))
+            page = await client.feed("t", 0, 0.1)
+            self.assertEqual(len(page.rows), store_client.PAGE_ROWS)
+            self.assertFalse(page.is_complete)
+            page = await client.feed("t", page.version, 0.1)
+            self.assertEqual(len(page.rows), 1)
+            self.assertTrue(page.is_complete)
+            page = await client.feed("t", page.version, 0.1)
+            self.assertTrue(page.is_complete)
+
+        builders.run_virtual(_check)
+
+    def test_answer_older_than_a_known_version_is_incomplete(self):
+        """Guards against answers that were cut at an unknown limit."""
+
+        async def _check():
+            wire, client = _make_store_and_client()
+            for number in range(200):
+                key = stores.RowKey(table="t", part="p", key=f"{number}")
+                wire._store.apply(stores.Change(writes={key: b"1"}))
+            await client.commit(stores.Change(writes={AT: b"1"}))
+            with mock.patch.object(store_standins, "MAX_FEED_ROWS", 150):
+                page = await client.feed("t", 0, 0.1)
+                self.assertFalse(page.is_complete)
+                page = await client.feed("t", page.version, 0.1)
+                self.assertTrue(page.is_complete)
+
+        builders.run_virtual(_check)
+
     def test_read_returns_the_rows_of_all_pages(self):
         async def _check():
             wire, client = _make_store_and_client()
