Move commands that are sent once out of the cell

The commands to stop an unknown run and to set a pace are functions of their own module now, and whether a change was committed and as which version is one function.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -18,11 +18,9 @@
 from wisteriawood.cells import tables
 from wisteriawood.cells import worker_directories
 from wisteriawood.cells import workers
-from wisteriawood import errors
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
-from wisteriawood.links import runners
 from wisteriawood.links import stores
 from wisteriawood.policies.spreading import base as spreading
 from wisteriawood.telemetry import events
@@ -222,7 +220,7 @@
                 job.state = jobs.JobState.RUNNING
             self.update_waiting(job)
             batches.append(self.writer.schedule_write(job))
-        self._group.start_soon(self._start_assigned, assigned, batches)
+        self.run_in_background(self._start_assigned, assigned, batches)
 
     async def _start_assigned(
         self,
@@ -354,74 +352,17 @@
         # No start was sent, so the run can't start on the worker.
         self.end_run(worker, run, tasks.Outcome.STOPPED)
 
-    def stop_unknown_run(
-        self, worker: workers.Worker, active: runners.ActiveRun
+    def run_in_background(
+        self, function: typing.Callable[..., typing.Awaitable], *args
     ) -> None:
-        """Stop a run that is not assigned to the worker.
+        """Run a function while the cell is held; does nothing before that.
 
         Args:
-            worker: The worker.
-            active: The run as the worker reported it.
-        """
-        # If the call fails, the next report lists the run again.
-        self._send_in_background(
-            worker,
-            active.task_name,
-            lambda: worker.link.stop(
-                active.task_name, active.run, worker.token
-            ),
-            job_events.RUN_STOP_UNANSWERED,
-        )
-
-    def send_pace(self, worker: workers.Worker, run: runs.Run) -> None:
-        """Send a run's pace, in percent of full speed, to its worker.
-
-        Args:
-            worker: The worker.
-            run: The run.
+            function: The function.
+            *args: Its arguments.
         """
-        # If the call fails, the worker keeps the old pace until the pacer
-        # changes it again: at its next checks while the tail latency is near
-        # its bound, unless the pace is already 0.
-        self._send_in_background(
-            worker,
-            run.name,
-            lambda: worker.link.pace(
-                run.name, run.number, run.pace_percent, worker.token
-            ),
-            job_events.PACE_UNANSWERED,
-        )
-
-    def _send_in_background(
-        self,
-        worker: workers.Worker,
-        task_name: str,
-        call: typing.Callable[[], typing.Awaitable[None]],
-        unanswered: events.Event,
-    ) -> None:
-        """Send a command once in the background, without a retry."""
         if self._group is not None:
-            self._group.start_soon(
-                self._send_command, worker, task_name, call, unanswered
-            )
-
-    async def _send_command(
-        self,
-        worker: workers.Worker,
-        task_name: str,
-        call: typing.Callable[[], typing.Awaitable[None]],
-        unanswered: events.Event,
-    ) -> None:
-        try:
-            await call()
-        except runners.FencedError as exc:
-            raise tables.CellLostError(
-                "the worker has a newer holder"
-            ) from exc
-        except errors.LinkError as exc:
-            _LOG.log(
-                unanswered, worker=worker.id, task=task_name, cause=str(exc)
-            )
+            self._group.start_soon(function, *args)
 
     def cancel_job(self, job_id: str) -> None:
         """Cancel a job; does nothing if it is unknown or has ended.
--- a/wisteriawood/cells/command_senders.py
+++ b/wisteriawood/cells/command_senders.py
@@ -4,6 +4,7 @@
 
 from wisteriawood.cells import cells
 from wisteriawood.cells import runs
+from wisteriawood.cells import single_commands
 from wisteriawood.cells import start_checks
 from wisteriawood.cells import tables
 from wisteriawood.cells import workers
@@ -86,7 +87,7 @@
                 run.confirm(run.answered_at_s)
                 if run.is_pinned:
                     run.pace_percent = PINNED_PACE_PERCENT
-                    self._cell.send_pace(self._worker, run)
+                    single_commands.send_pace(self._cell, self._worker, run)
                 if run.step.is_filler:
                     self._worker.record_shares(run.answered_at_s)
                 self._cell.counters.started_s.observe(
--- a/wisteriawood/cells/pacers.py
+++ b/wisteriawood/cells/pacers.py
@@ -5,6 +5,7 @@
 from wisteriawood.cells import cells
 from wisteriawood.cells import interference_models
 from wisteriawood.cells import runs
+from wisteriawood.cells import single_commands
 from wisteriawood.cells import workers
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
@@ -214,7 +215,7 @@
         now_s = anyio.current_time()
         self._pace_changed_at_s[worker.id] = now_s
         self._cell.counters.paces.labels(cause=cause).inc()
-        self._cell.send_pace(worker, run)
+        single_commands.send_pace(self._cell, worker, run)
         worker.record_shares(now_s)
 
     def _log_paces(
--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -5,6 +5,7 @@
 from wisteriawood.cells import cells
 from wisteriawood.cells import job_writers
 from wisteriawood.cells import runs
+from wisteriawood.cells import single_commands
 from wisteriawood.cells import tables
 from wisteriawood.cells import workers
 from wisteriawood import errors
@@ -214,7 +215,7 @@
             task=active.task_name,
             run=active.run,
         )
-        self._cell.stop_unknown_run(worker, active)
+        single_commands.stop_unknown_run(self._cell, worker, active)
 
     async def _wait_for_commits(self) -> None:
         """Acknowledge ended runs if their commit is done in COMMIT_WAIT_S."""
--- a/wisteriawood/links/stores.py
+++ b/wisteriawood/links/stores.py
@@ -153,14 +153,17 @@
         """
 
 
-def _is_applied(change: Change, rows: list[StoredRow]) -> bool:
-    """Return whether the rows have the values that the change writes."""
-    found = {row.at: row.value for row in rows}
-    return all(
-        found[at] == value
-        for at, value in change.writes.items()
-        if at in found
-    )
+def _applied_version(change: Change, rows: list[StoredRow]) -> int:
+    """Return the version that a change was committed as; 0 if it was not.
+
+    Args:
+        change: The change.
+        rows: Current state of the rows with an expected version.
+    """
+    written = [row for row in rows if row.at in change.writes]
+    if any(row.value != change.writes[row.at] for row in written):
+        return 0
+    return max((row.version for row in written), default=0)
 
 
 async def commit_with_retry(
@@ -191,11 +194,10 @@
         try:
             return await store.commit(change)
         except ChangeConflictError as exc:
-            if not may_have_effect or not _is_applied(change, exc.rows):
+            version = _applied_version(change, exc.rows)
+            if not may_have_effect or not version:
                 raise
-            return max(
-                row.version for row in exc.rows if row.at in change.writes
-            )
+            return version
         except errors.TransactionUnknownError:
             may_have_effect = True
         except errors.PlatformUnavailableError as exc:
