--- a/wisteriawood/cells/leases.py
+++ b/wisteriawood/cells/leases.py
@@ -61,22 +61,19 @@
             return 0.0
         return self._clock_ms + (now_s - self._clock_at_s) * 1000
 
-    def grant(self, now_s: float, length_s: float | None = None) -> int:
-        """Extend the lease from now, unless it is longer already.
+    def grant(self, now_s: float) -> int:
+        """Extend the lease from now.
 
         Args:
             now_s: Monotonic time.
-            length_s: Time to grant; None for the usual duration.
 
         Returns:
-            The end of the granted time in milliseconds of the worker's clock;
-            0 if that clock is not known yet.
+            The end of the lease in milliseconds of the worker's clock; 0
+            if that clock is not known yet.
         """
         if not self._clock_ms:
             return 0
-        if length_s is None:
-            length_s = self.length_s
-        until_ms = int(self.clock_ms(now_s) + length_s * 1000)
+        until_ms = int(self.clock_ms(now_s) + self.length_s * 1000)
         self.granted_until_ms = max(self.granted_until_ms, until_ms)
         left_s = (self.granted_until_ms - self._clock_ms) / 1000
         self.lapsed_at_s = max(
--- a/wisteriawood/cells/workers.py
+++ b/wisteriawood/cells/workers.py
@@ -269,20 +269,16 @@
     def lease_for_start(self, now_s: float) -> int:
         """Return the end of the lease to send with a start.
 
-        It is short, as the worker refuses a start that arrives after it: what
-        the sender knew may no longer hold then. Renewals extend the lease.
-
         Args:
             now_s: Monotonic time.
 
         Returns:
-            The end on the worker's clock, in milliseconds. It extends the
-            last lease only while the worker answers.
+            End of a renewed lease on the worker's clock, in milliseconds,
+            while the worker answers, else that of the last lease.
         """
         if self.has_answered_recently(now_s):
-            return self.lease.grant(now_s, runners.START_TIMEOUT_S)
-        until_ms = self.lease.clock_ms(now_s) + runners.START_TIMEOUT_S * 1000
-        return min(self.lease.granted_until_ms, int(until_ms))
+            return self.lease.grant(now_s)
+        return self.lease.granted_until_ms
 
     def has_answered_recently(self, now_s: float) -> bool:
         """Return whether the worker answered recently.
--- a/wisteriawood/links/runners.py
+++ b/wisteriawood/links/runners.py
@@ -7,10 +7,6 @@
 from wisteriawood import errors
 from wisteriawood.jobs import tasks
 
-# Time after which a start that was sent may no longer take effect: the limit
-# of the call, and the end of the lease that it carries.
-START_TIMEOUT_S = 1.0
-
 
 class StartResult(enum.StrEnum):
     """Answer of a worker to a command to start a run."""
@@ -33,9 +29,7 @@
         task_name: Name of the task.
         run: Number of the run.
         payload: Text of the job, passed to the worker unchanged.
-        lease_until_ms: End of the worker's lease, on the worker's clock,
-            unless the worker has a longer one. A start that arrives after it
-            is refused.
+        lease_until_ms: End of the worker's lease, on the worker's clock.
         token: Fencing token.
         checkpoint: Checkpoint from which the run resumes; empty to start
             from the beginning.
--- a/wisteriawood/platform/__main__.py
+++ b/wisteriawood/platform/__main__.py
@@ -218,7 +218,7 @@
     """
     return max(
         MIN_STORE_VIEW_AGE_S,
-        bound_ms / 1000 - runners.START_TIMEOUT_S,
+        bound_ms / 1000 - worker_client.START_TIMEOUT_S,
     )
 
 
--- a/wisteriawood/platform/worker_client.py
+++ b/wisteriawood/platform/worker_client.py
@@ -12,6 +12,8 @@
 from wisteriawood.links import runners
 
 CALL_TIMEOUT_S = 0.8
+# Limit of a whole call to start a run, including the wait for a connection.
+START_TIMEOUT_S = 1.0
 # Time that an answer may take in addition to the requested wait.
 RENEW_TIMEOUT_S = 0.8
 CONNECT_TIMEOUT_S = 0.5
@@ -128,12 +130,11 @@
         if command.ticket:
             body["ticket"] = command.ticket
         try:
-            with anyio.fail_after(runners.START_TIMEOUT_S):
+            with anyio.fail_after(START_TIMEOUT_S):
                 response = await self._call("/v1/run-start", body)
         except TimeoutError as exc:
             raise errors.LinkClosedError(
-                "the worker did not answer a start in "
-                f"{runners.START_TIMEOUT_S} s"
+                f"the worker did not answer in {START_TIMEOUT_S} s"
             ) from exc
         if response.status_code == 200:
             return runners.StartResult.STARTED
