Don't end runs that a report of a worker has no room for

A report lists 500 ends at most. A run that is neither active nor among them was recorded as lapsed and started again, though it may have ended as done.

A report now says whether it has all ends. The test failed before: a done task had two runs.

--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -153,9 +153,11 @@
         listed = self._process_active_runs(report, now_s)
         for run in list(worker.runs.values()):
             # A report lists all runs on the worker. A run that it omits, and
-            # for which the worker answered before the renewal, has ended.
+            # for which the worker answered before the renewal, has ended; how,
+            # the next report tells if this one has not all ends.
             if (
-                run.name not in listed
+                report.is_complete
+                and run.name not in listed
                 and run.is_answered
                 and run.answered_at_s < sent_at_s
             ):
--- a/wisteriawood/links/runners.py
+++ b/wisteriawood/links/runners.py
@@ -95,12 +95,14 @@
         active: Runs that are present on the worker.
         ended: Ends that have not been acknowledged, in order of their
             number.
+        is_complete: Whether there are no further such ends.
     """
 
     started_unix_ms: int
     clock_ms: int
     active: list[ActiveRun]
     ended: list[EndedRun]
+    is_complete: bool = True
 
 
 class FencedError(errors.LinkError):
--- a/wisteriawood/platform/worker_client.py
+++ b/wisteriawood/platform/worker_client.py
@@ -17,6 +17,9 @@
 # Time that an answer may take in addition to the requested wait.
 RENEW_TIMEOUT_S = 0.8
 CONNECT_TIMEOUT_S = 0.5
+# Most ended runs of one report; the next ones follow once these are
+# acknowledged.
+MAX_REPORTED_ENDS = 500
 MAX_CONNECTIONS = 4
 
 _REFUSALS = {
@@ -232,4 +235,5 @@
             )
             for row in report.finished
         ],
+        is_complete=len(report.finished) < MAX_REPORTED_ENDS,
     )
--- a/wisteriawood/standins/runners.py
+++ b/wisteriawood/standins/runners.py
@@ -11,6 +11,7 @@
 TICK_S = 0.02
 CALL_DELAY_S = 0.002
 CALL_TIMEOUT_S = 0.8
+MAX_REPORTED_ENDS = 500
 
 
 class MemoryRun:
@@ -253,7 +254,8 @@
                 )
                 for name, run in self.runs.items()
             ],
-            ended=list(self._ends),
+            ended=self._ends[:MAX_REPORTED_ENDS],
+            is_complete=len(self._ends) <= MAX_REPORTED_ENDS,
         )
 
     def renew(self, lease_until_ms: int) -> None:
--- a/wisteriawood/tests/cells_tests.py
+++ b/wisteriawood/tests/cells_tests.py
@@ -1,6 +1,7 @@
 """Tests of cells: takeovers, lost answers, cancellations and leases."""
 
 import unittest
+from unittest import mock
 
 import anyio
 
@@ -9,6 +10,7 @@
 from wisteriawood.cells import tables
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
+from wisteriawood.standins import runners as run_standins
 from wisteriawood.standins import stores as store_standins
 from wisteriawood.tests import builders
 
@@ -316,6 +318,24 @@
 
         builders.run_job_world(_check)
 
+    def test_more_ends_than_a_report_lists(self):
+        """Guards against done tasks that run again as their end was cut off.
+
+        A report omits the runs whose ends it has no room for.
+        """
+
+        async def _check(world):
+            await anyio.sleep(2)
+            await world.submit(JOB, [_step(task_count=6, cpu_millicores=1000)])
+            await world.wait_for(JOB, jobs.JobState.COMPLETED)
+            for starts in world.starts().values():
+                self.assertEqual(len(starts), 1)
+
+        with mock.patch.object(run_standins, "MAX_REPORTED_ENDS", 2):
+            builders.run_job_world(
+                _check, zones=["a"], hosts_per_zone=1, workers_per_zone=1
+            )
+
     def test_a_start_carried_out_late_runs_once(self):
         async def _check(world):
             await anyio.sleep(2)
