--- a/wisteriawood/platform/__main__.py
+++ b/wisteriawood/platform/__main__.py
@@ -17,6 +17,7 @@
 from wisteriawood.platform import settings
 from wisteriawood.platform import store_client
 from wisteriawood.platform import worker_client
+from wisteriawood.platform import worker_followers
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
 from wisteriawood.telemetry import lines
@@ -27,16 +28,9 @@
 # costs: the runs of a lost worker are known to have ended only once its lease
 # has expired.
 MAX_LEASE_S = 6.0
-# Pause between polls of the worker directory. Each worker writes its entry
-# about once a second, and a draining worker must be detected within 2 s.
-WORKERS_POLL_PAUSE_S = 0.4
-# Longest duration of one of these polls, so that a hung one is given up soon.
-WORKERS_POLL_S = 0.5
 # Least age of the directory and of the cancellations up to which tasks are
 # started: more than both reach between two polls on a busy host.
 MIN_STORE_VIEW_AGE_S = 0.8
-# The same on a host without cells; claiming a cell triggers a poll at once.
-IDLE_WORKERS_POLL_PAUSE_S = 4.0
 # Time for the balancer to detect that the host is no longer ready.
 DRAIN_NOTICE_S = 1.2
 # Share of the grace period for which requests in flight are awaited.
@@ -54,15 +48,13 @@
 
     __slots__ = (
         "_configuration_feed",
-        "_fleet",
         "_front",
         "_host",
         "_intake",
         "_server_closed",
         "_stopping",
         "_store",
-        "_worker_feed",
-        "_worker_rows",
+        "_workers",
         "config",
     )
 
@@ -83,22 +75,13 @@
         )
         self._intake = intakes.Intake(host=self._host)
         self._front = fronts.Front(host=self._host, intake=self._intake)
-        self._worker_rows: dict[str, stores.StoredRow] = {}
-        self._fleet: dict[str, runners.Registration] = {}
         self._configuration_feed = feeds.Feed(
             store=self._store,
             table=directory.OPERATOR_TABLE,
             on_rows=self._process_operator_rows,
         )
-        self._worker_feed = feeds.Feed(
-            store=self._store,
-            table=directory.WORKER_TABLE,
-            on_rows=self._process_worker_rows,
-            pause_s=self._workers_poll_pause_s,
-            on_answer=self._confirm_directory,
-            wait_s=WORKERS_POLL_S,
-        )
-        self._host.on_claim = self._worker_feed.poll_now
+        self._workers = worker_followers.WorkerFollower(host=self._host)
+        self._host.on_claim = self._workers.feed.poll_now
         self._stopping = anyio.Event()
         self._server_closed = anyio.Event()
 
@@ -113,40 +96,7 @@
                 continue
             self._front.max_body_bytes = max_bytes
             self._host.adopt_queues(table)
-            self._update_fleet()
-
-    def _process_worker_rows(self, rows: list[stores.StoredRow]) -> None:
-        for row in rows:
-            if row.value is None:
-                self._worker_rows.pop(row.at.key, None)
-            else:
-                self._worker_rows[row.at.key] = row
-        self._update_fleet()
-
-    def _confirm_directory(self) -> None:
-        self._host.directory.confirm(
-            self._worker_feed.confirmed_at_s,
-            [at.key for at in self._worker_feed.unverified],
-        )
-
-    def _update_fleet(self) -> None:
-        table = self._host.queues
-        services = table.services() if table else set()
-        fleet = {}
-        for worker_id, row in self._worker_rows.items():
-            try:
-                fleet[worker_id] = directory.decode_worker(
-                    worker_id, row.value or b"", services
-                )
-            except errors.MessageError as exc:
-                _LOG.log(
-                    job_events.WORKER_ROW_UNREADABLE,
-                    worker=worker_id,
-                    cause=str(exc),
-                )
-        if fleet != self._fleet:
-            self._fleet = fleet
-            self._host.update_fleet(fleet)
+            self._workers.update()
 
     async def _watch_signals(self) -> None:
         with anyio.open_signal_receiver(
@@ -186,13 +136,6 @@
         )
         self._server_closed.set()
 
-    def _workers_poll_pause_s(self) -> float:
-        return (
-            WORKERS_POLL_PAUSE_S
-            if self._host.is_holding()
-            else IDLE_WORKERS_POLL_PAUSE_S
-        )
-
     async def run(self) -> None:
         """Run until the platform sends SIGTERM or SIGINT."""
         writer = lines.log_to_output(fields={"host": self.config.node_name})
@@ -203,7 +146,7 @@
             group.start_soon(self._host.run)
             group.start_soon(self._intake.run)
             group.start_soon(self._configuration_feed.run)
-            group.start_soon(self._worker_feed.run)
+            group.start_soon(self._workers.feed.run)
             await self._watch_signals()
             _LOG.log(events.DAEMON_STOPPED, name=self.config.node_name)
             group.cancel_scope.cancel()
--- a/wisteriawood/platform/settings.py
+++ b/wisteriawood/platform/settings.py
@@ -99,6 +99,8 @@
         contracts: Parts of the platform's rules that are in force; not used.
         bounds: Time limits of the deployment.
         limits: Resources that the process may use.
+        heartbeat_ms: Time between two writes of a worker to the directory,
+            in milliseconds.
     """
 
     node_name: str
@@ -111,6 +113,7 @@
     contracts: list[str] = dataclasses.field(default_factory=list)
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
     limits: Limits = dataclasses.field(default_factory=Limits)
+    heartbeat_ms: float = 1500
 
 
 def load(path: str = "") -> Settings:
