Run tasks elsewhere as soon as their worker is known to have left

Cause: the directory removes the entry of a worker that left and that of one that fell silent, and a host took both for silence. It waited until the lease of the worker had surely lapsed; a new holder, until every lease had that its predecessor may have granted.

The two differ in time: a worker that leaves writes until then, a silent one loses its entry three heartbeats after its last write. All changes share one counter, so the answers of all feeds of a host tell between which two times an entry was written and removed, on a host that reads the directory every 4 s too. A worker that drained, and whose entry was removed sooner than silence removes it, has left. No time bound reaches back over a failed call or a lost history, as the store may drop entries while it is away; the next holder also waits for the 2 s in which such an entry returns.

--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -40,6 +40,9 @@
 # Time for which a former holder that can't reach the store may continue to
 # renew leases.
 RENEW_WITHOUT_STORE_S = 12.0
+# Time in which the entry of a live worker returns that the directory removed
+# while the store was away.
+RETURN_S = 2.0
 EXPIRY_PERIOD_TICKS = 40
 LOAD_LOG_PERIOD_TICKS = 8
 
@@ -364,21 +367,27 @@
         )
 
     def _drop_orphans(self) -> None:
-        """Drop the runs of workers that were never listed.
+        """Drop the runs of workers that are not listed and can't run them.
 
-        This waits until the leases that the former holder may have granted
-        have lapsed.
+        Unless a worker is known to have left, this waits until the leases
+        that the former holder may have granted have lapsed.
         """
-        if anyio.current_time() < self._former_leases_lapsed_at_s:
-            return
+        have_lapsed = anyio.current_time() >= self._former_leases_lapsed_at_s
+        directory = self.cell.directory
         for worker_id in list(self.cell.orphans):
+            if not have_lapsed and not directory.has_left(worker_id, RETURN_S):
+                continue
             for run in self.cell.orphans.pop(worker_id):
                 _LOG.log(
                     job_events.RUN_DROPPED,
                     worker=worker_id,
                     task=run.name,
                     run=run.number,
-                    cause="worker never listed, lease lapsed",
+                    cause=(
+                        "worker not listed, lease lapsed"
+                        if have_lapsed
+                        else "worker left"
+                    ),
                 )
                 if run.is_current():
                     self.cell.record_run_end(
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -7,6 +7,7 @@
 from wisteriawood import errors
 from wisteriawood.links import feeds
 from wisteriawood.links import stores
+from wisteriawood.links import version_times
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
 
@@ -62,6 +63,7 @@
         zone: Its availability zone.
         incarnation: Identifier of its process.
         cores: CPU that it may use, in cores; 0 if unknown.
+        times: Records the answers of the store; None for no record.
 
     Attributes:
         is_leaving: Whether this host is draining.
@@ -97,6 +99,7 @@
         zone: str,
         incarnation: str,
         cores: float = 0.0,
+        times: version_times.VersionTimes | None = None,
     ):
         self._store = store
         self._heartbeat_count = 0
@@ -110,13 +113,17 @@
         self.by_name: dict[str, Member] = {}
         self.claims: dict[str, claims.Claim] = {}
         self.claim_feed = feeds.Feed(
-            store=store, table=tables.CLAIMS, on_rows=self._process_claims
+            store=store,
+            table=tables.CLAIMS,
+            on_rows=self._process_claims,
+            times=times,
         )
         self.heartbeat_feed = feeds.Feed(
             store=store,
             table=tables.HOSTS,
             on_rows=self._process_heartbeats,
             pause_s=lambda: HEARTBEAT_FEED_PAUSE_S,
+            times=times,
         )
 
     def _process_claims(self, rows: list[stores.StoredRow]) -> None:
--- a/wisteriawood/cells/worker_directories.py
+++ b/wisteriawood/cells/worker_directories.py
@@ -1,9 +1,21 @@
-"""A host's view of the directory of workers, and how old it is."""
+"""A host's view of the directory of workers: its age, and who has left."""
 
+import math
 import typing
 
 from wisteriawood.links import clocks
 from wisteriawood.links import runners
+from wisteriawood.telemetry import events
+from wisteriawood.telemetry import job_events
+
+_LOG = events.Logger(name=__name__)
+# Part of the time after which the directory removes the entry of a silent
+# worker. A worker whose entry is removed sooner has left. The rest allows for
+# timers of the directory that fire early.
+LEFT_RATIO = 0.8
+# Time for which it is remembered that a worker has left: longer than any wait
+# for the end of a lease.
+LEFT_RETENTION_S = 60.0
 
 
 class WorkerDirectory:
@@ -11,6 +23,8 @@
 
     Args:
         max_age_s: Age up to which an entry may be relied on for a start.
+        silence_s: Time after which the directory removes the entry of a
+            worker that is silent.
 
     Attributes:
         workers: All listed workers, by id.
@@ -19,14 +33,79 @@
         unverified: Ids of workers whose entries may be older than that.
     """
 
-    __slots__ = ("_max_age_s", "confirmed_at_s", "unverified", "workers")
+    __slots__ = (
+        "_left_at_s",
+        "_max_age_s",
+        "_silence_s",
+        "confirmed_at_s",
+        "unverified",
+        "workers",
+    )
 
-    def __init__(self, *, max_age_s: float):
+    def __init__(self, *, max_age_s: float, silence_s: float):
         self._max_age_s = max_age_s
+        self._silence_s = silence_s
+        self._left_at_s: dict[str, float] = {}
         self.workers: dict[str, runners.Registration] = {}
         self.confirmed_at_s = 0.0
         self.unverified: set[str] = set()
 
+    def update(self, workers: dict[str, runners.Registration]) -> None:
+        """Apply the directory's current list.
+
+        Args:
+            workers: All listed workers, by id.
+        """
+        self.workers = workers
+        for worker_id in self._left_at_s.keys() & workers.keys():
+            del self._left_at_s[worker_id]
+
+    def record_removal(
+        self, worker: runners.Registration, entry_age_s: float
+    ) -> None:
+        """Record that the entry of a worker was removed.
+
+        Args:
+            worker: The removed entry.
+            entry_age_s: Longest time that may lie between its last write and
+                its removal.
+        """
+        now_s = clocks.elapsed_s()
+        for worker_id, at_s in list(self._left_at_s.items()):
+            if now_s - at_s > LEFT_RETENTION_S:
+                del self._left_at_s[worker_id]
+        has_left = (
+            worker.is_draining and entry_age_s <= LEFT_RATIO * self._silence_s
+        )
+        if has_left:
+            self._left_at_s[worker.worker_id] = now_s
+        _LOG.log(
+            job_events.WORKER_ENTRY_REMOVED,
+            worker=worker.worker_id,
+            is_draining=worker.is_draining,
+            entry_age_s=(
+                round(entry_age_s, 3) if math.isfinite(entry_age_s) else None
+            ),
+            has_left=has_left,
+        )
+
+    def has_left(self, worker_id: str, for_s: float = 0.0) -> bool:
+        """Return whether a worker is known to have left, with all its runs.
+
+        A worker that drained and whose entry was removed sooner than silence
+        removes it has ended. Any other worker without an entry may be cut
+        off and run on.
+
+        Args:
+            worker_id: Id of the worker.
+            for_s: Time for which that must have been known.
+        """
+        at_s = self._left_at_s.get(worker_id)
+        if at_s is None:
+            return False
+        # Two readings of the clock at once may differ by microseconds.
+        return max(0.0, clocks.elapsed_s() - at_s) >= for_s
+
     def confirm(
         self, at_s: float, unverified: typing.Collection[str] = ()
     ) -> None:
--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -78,13 +78,13 @@
         self._end_session()
 
     def _is_finished(self) -> bool:
-        """Return whether the worker left, is silent and its lease lapsed."""
-        now_s = anyio.current_time()
-        return (
-            self._worker.is_gone
-            and self._is_failing
-            and self._worker.lease.has_lapsed(now_s)
-        )
+        """Return whether nothing can run on the worker any more."""
+        worker = self._worker
+        if not worker.is_gone or not self._is_failing:
+            return False
+        return worker.lease.has_lapsed(
+            anyio.current_time()
+        ) or self._cell.directory.has_left(worker.id)
 
     def _handle_no_answer(self, cause: Exception) -> None:
         worker = self._worker
--- a/wisteriawood/links/feeds.py
+++ b/wisteriawood/links/feeds.py
@@ -8,6 +8,7 @@
 from wisteriawood import errors
 from wisteriawood.links import clocks
 from wisteriawood.links import stores
+from wisteriawood.links import version_times
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
 
@@ -44,6 +45,7 @@
         start: Whole table, read before, from which to follow; None to read
             the table first.
         wait_s: Longest duration of one poll.
+        times: Records the answers of the store; None for no record.
 
     Attributes:
         answered_at_s: Monotonic time of the last answer; 0 before the first.
@@ -71,6 +73,7 @@
         "_on_rows",
         "_pause_s",
         "_store",
+        "_times",
         "_tombstones",
         "_versions",
         "_wait_s",
@@ -93,8 +96,10 @@
         on_answer: typing.Callable[[], None] = lambda: None,
         start: stores.Page | None = None,
         wait_s: float = LONG_POLL_S,
+        times: version_times.VersionTimes | None = None,
     ):
         self._store = store
+        self._times = times or version_times.VersionTimes()
         self._on_answer = on_answer
         self._on_rows = on_rows
         self._pause_s = pause_s
@@ -127,6 +132,7 @@
                 may_pause = await self._read_next()
             except stores.HistoryLostError:
                 _LOG.log(job_events.FEED_RESTARTED, table=self.table)
+                self._times.clear()
                 self._after = None
                 self._audit_delays_s = AUDIT_DELAYS_S
                 self.unverified = set(self._versions)
@@ -139,6 +145,7 @@
                     )
                 is_failing = True
                 self.unbroken_since_s = 0.0
+                self._times.clear()
                 await anyio.sleep(delay_s)
                 delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
                 continue
@@ -180,6 +187,12 @@
                 wait_s = min(wait_s, self._audits_at_s[0] - now_s)
             page = await self._store.feed(self.table, self._after, wait_s)
             self.unverified.difference_update(row.at for row in page.rows)
+            if page.is_complete:
+                self._times.record(
+                    version=page.version,
+                    sent_at_s=sent_at_s,
+                    answered_at_s=clocks.elapsed_s(),
+                )
             self._apply_page(page)
             self._after = page.version
             self._record_progress(page.is_complete)
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -19,6 +19,7 @@
 from wisteriawood.jobs import queues
 from wisteriawood.links import runners
 from wisteriawood.links import stores
+from wisteriawood.links import version_times
 from wisteriawood.machines import takeovers
 from wisteriawood.policies import registry
 from wisteriawood.policies import spreading
@@ -52,6 +53,8 @@
         retention_s: Time for which the state of an ended job can be queried.
         max_directory_age_s: Age of the directory of workers up to which
             tasks may be started.
+        directory_silence_s: Time after which the directory removes the entry
+            of a worker that is silent.
         max_cancel_age_s: The same for the known cancellations of jobs.
         policy: Name of the spreading policy.
         cores: CPU that the host may use, in cores; 0 if unknown.
@@ -62,6 +65,7 @@
         queues: Queues of the configuration in force; None before the first.
         is_draining: Whether the host releases its cells.
         on_claim: Called when this host has claimed a cell.
+        version_times: When changes of the store were made.
     """
 
     __slots__ = (
@@ -83,6 +87,7 @@
         "on_claim",
         "queues",
         "store",
+        "version_times",
         "zone",
         "zones",
     )
@@ -98,6 +103,7 @@
         lease_s: float,
         retention_s: float,
         max_directory_age_s: float,
+        directory_silence_s: float,
         max_cancel_age_s: float,
         policy: str = spreading_base.DEFAULT,
         cores: float = 0.0,
@@ -113,18 +119,20 @@
         registry.load_modules(spreading)
         self._policy = spreading_base.SPREADING.get(policy)()
         self.counters = job_metrics.JobMetrics()
+        self.version_times = version_times.VersionTimes()
         self.members = members.Members(
             store=store,
             name=name,
             zone=zone,
             incarnation=uuid.uuid4().hex,
             cores=cores,
+            times=self.version_times,
         )
         self.queues: queues.QueueTable | None = None
         self.is_draining = False
         self.on_claim: typing.Callable[[], None] = lambda: None
         self.directory = worker_directories.WorkerDirectory(
-            max_age_s=max_directory_age_s
+            max_age_s=max_directory_age_s, silence_s=directory_silence_s
         )
         self._holders: dict[str, holders.Holder] = {}
         self._claimed = anyio.Event()
@@ -155,7 +163,7 @@
         Args:
             fleet: All workers, by id.
         """
-        self.directory.workers = fleet
+        self.directory.update(fleet)
         for name, holder in self._holders.items():
             holder.update_fleet(self._workers_of(name))
 
--- a/wisteriawood/platform/__main__.py
+++ b/wisteriawood/platform/__main__.py
@@ -31,6 +31,8 @@
 # Least age of the directory and of the cancellations up to which tasks are
 # started: more than both reach between two polls on a busy host.
 MIN_STORE_VIEW_AGE_S = 0.8
+# Heartbeats after which the directory removes the entry of a silent worker.
+EXPIRY_HEARTBEATS = 3
 # Time for the balancer to detect that the host is no longer ready.
 DRAIN_NOTICE_S = 1.2
 # Share of the grace period for which requests in flight are awaited.
@@ -70,6 +72,7 @@
             lease_s=min(MAX_LEASE_S, config.bounds.hold_max_ms / 1000),
             retention_s=config.bounds.status_s + RETENTION_MARGIN_S,
             max_directory_age_s=_max_view_age_s(config.bounds.drain_ms),
+            directory_silence_s=EXPIRY_HEARTBEATS * config.heartbeat_ms / 1000,
             max_cancel_age_s=_max_view_age_s(config.bounds.cancel_ms),
             cores=config.limits.cpu_share * config.limits.cores,
         )
--- a/wisteriawood/platform/worker_followers.py
+++ b/wisteriawood/platform/worker_followers.py
@@ -42,6 +42,7 @@
             pause_s=self._pause_s,
             on_answer=self._confirm,
             wait_s=POLL_S,
+            times=host.version_times,
         )
 
     def _pause_s(self) -> float:
@@ -50,11 +51,27 @@
     def _process_rows(self, rows: list[stores.StoredRow]) -> None:
         for row in rows:
             if row.value is None:
-                self._rows.pop(row.at.key, None)
+                self._record_removal(row)
             else:
                 self._rows[row.at.key] = row
         self.update()
 
+    def _record_removal(self, removal: stores.StoredRow) -> None:
+        former = self._rows.pop(removal.at.key, None)
+        if former is None:
+            return
+        try:
+            worker = self._decode(former)
+        except errors.MessageError:
+            # It was logged when the entry arrived.
+            return
+        self._host.directory.record_removal(
+            worker,
+            self._host.version_times.longest_between_s(
+                former.version, removal.version
+            ),
+        )
+
     def _decode(self, row: stores.StoredRow) -> runners.Registration:
         """Return the worker that an entry describes.
 
--- a/wisteriawood/standins/job_worlds.py
+++ b/wisteriawood/standins/job_worlds.py
@@ -25,6 +25,7 @@
 MAX_DIRECTORY_AGE_S = 1.0
 MAX_CANCEL_AGE_S = 2.0
 DIRECTORY_PERIOD_S = 0.4
+DIRECTORY_SILENCE_S = 4.5
 
 
 class JobWorld:
@@ -180,6 +181,7 @@
             lease_s=LEASE_S,
             retention_s=RETENTION_S,
             max_directory_age_s=MAX_DIRECTORY_AGE_S,
+            directory_silence_s=DIRECTORY_SILENCE_S,
             max_cancel_age_s=MAX_CANCEL_AGE_S,
             cores=cores,
         )
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -260,6 +260,14 @@
     "If it is often out of date, check the platform's store and the load of "
     "the host.",
 )
+WORKER_ENTRY_REMOVED = events.define(
+    2225,
+    "worker-entry-removed",
+    "The directory no longer lists a worker; `entry_age_s` is the longest "
+    "time that may have passed since the worker last wrote its entry, if "
+    "known. A worker that drained and was silent for less than it takes to "
+    "lose the entry has left: its runs have ended.",
+)
 TASK_LENT = events.define(
     2113,
     "task-lent",
--- a/wisteriawood/tests/drain_tests.py
+++ b/wisteriawood/tests/drain_tests.py
@@ -350,7 +350,9 @@
         idle took a cell over and started tasks on workers that drained.
         """
         max_age_s = 1.0
-        known = worker_directories.WorkerDirectory(max_age_s=max_age_s)
+        known = worker_directories.WorkerDirectory(
+            max_age_s=max_age_s, silence_s=4.5
+        )
 
         async def _check(memory, store, feed, write):
             write("w")
--- /dev/null
+++ b/wisteriawood/tests/leaving_tests.py
@@ -0,0 +1,206 @@
+"""Tests of what hosts conclude when the directory drops a worker's entry.
+
+A worker that left runs nothing any more, so its tasks may start elsewhere at
+once. One that fell silent may run on until its lease lapses.
+"""
+
+import dataclasses
+import math
+import unittest
+
+import anyio
+
+from wisteriawood.cells import worker_directories
+from wisteriawood.jobs import specs
+from wisteriawood.links import version_times
+from wisteriawood.tests import builders
+
+JOB = "0123456789abcdef"
+CELL = "shop@a"
+# Longest time without a run of a task whose worker left.
+RESTART_BOUND_S = 3.0
+# The same if the holder of the cell is lost in the same moment: the time
+# until another host notices it is added.
+TAKEOVER_BOUND_S = RESTART_BOUND_S + 3.0
+ONE_ZONE = {"zones": ["a"], "hosts_per_zone": 2, "workers_per_zone": 2}
+
+
+class LeavingWorkerTests(unittest.TestCase):
+    """A task runs on a worker that leaves the directory."""
+
+    def _run(self, check):
+        async def _main(world):
+            async with anyio.create_task_group() as group:
+                directory = builders.StoreDirectory(world=world)
+                group.start_soon(directory.run)
+                await anyio.sleep(3)
+                world.work_s[JOB] = 60.0
+                step = specs.StepSpec(
+                    task_count=1, cpu_millicores=4000, memory_mb=100
+                )
+                await world.submit(JOB, [step])
+                await anyio.sleep(2)
+                (name,) = (n for n, w in world.workers.items() if w.runs)
+                directory.drain(name)
+                await anyio.sleep(2.4)
+                await check(world, directory, name)
+                group.cancel_scope.cancel()
+
+        builders.run_job_world(_main, **ONE_ZONE)
+
+    def _restarts(self, world, name):
+        return [
+            at_s
+            for other, worker in world.workers.items()
+            for _task, _run, at_s in worker.starts
+            if other != name
+        ]
+
+    def test_task_of_a_worker_that_left(self):
+        """Guards against tasks that wait for the lease of a gone worker."""
+
+        async def _check(world, directory, name):
+            left_at_s = directory.leave(name)
+            await anyio.sleep(RESTART_BOUND_S)
+            (restarted_at_s,) = self._restarts(world, name)
+            self.assertGreater(restarted_at_s, left_at_s)
+
+        self._run(_check)
+
+    def test_task_of_a_worker_that_left_when_its_holder_was_lost(self):
+        """Guards against a holder that never learns that a worker left.
+
+        On store-away-drains, tasks that should always run waited 18 s.
+        """
+
+        async def _check(world, directory, name):
+            holder = world.holder_of(CELL)
+            world.store.cut_hosts.add(holder)
+            await anyio.sleep(0.5)
+            directory.leave(name)
+            await anyio.sleep(TAKEOVER_BOUND_S)
+            self.assertNotEqual(world.holder_of(CELL), holder)
+            self.assertEqual(len(self._restarts(world, name)), 1)
+
+        self._run(_check)
+
+    def test_task_of_a_draining_worker_that_fell_silent(self):
+        """Guards against two runs of a task whose worker is only cut off."""
+
+        async def _check(world, directory, name):
+            worker = world.workers[name]
+            worker.cut_from.update(world.hosts)
+            await directory.fall_silent(name)
+            await anyio.sleep(1)
+            self.assertEqual(len(worker.runs), 1)
+            while worker.runs:
+                self.assertEqual(self._restarts(world, name), [])
+                await anyio.sleep(0.1)
+            await anyio.sleep(2)
+            self.assertEqual(len(self._restarts(world, name)), 1)
+
+        self._run(_check)
+
+    def test_entry_that_a_store_lost_while_it_was_away(self):
+        """Guards against a removal without silence that proves nothing."""
+
+        async def _check(world, directory, name):
+            worker = world.workers[name]
+            worker.cut_from.update(world.hosts)
+            world.store.is_down = True
+            await anyio.sleep(1)
+            world.store.is_down = False
+            directory.remove_entry(name)
+            while worker.runs:
+                self.assertEqual(self._restarts(world, name), [])
+                await anyio.sleep(0.1)
+
+        self._run(_check)
+
+
+class WorkerDirectoryTests(unittest.TestCase):
+    """What the removal of an entry proves."""
+
+    def _check(self, check):
+        async def _main():
+            known = worker_directories.WorkerDirectory(
+                max_age_s=1.0, silence_s=4.5
+            )
+            worker = builders.make_run_worker("w").registration
+            await check(
+                known, dataclasses.replace(worker, is_draining=True), worker
+            )
+
+        builders.run_virtual(_main)
+
+    def test_only_a_draining_worker_leaves(self):
+        async def _check(known, draining, ready):
+            known.record_removal(ready, 1.0)
+            self.assertFalse(known.has_left("w"))
+            known.record_removal(draining, 1.0)
+            self.assertTrue(known.has_left("w"))
+
+        self._check(_check)
+
+    def test_silence_does_not_prove_it(self):
+        async def _check(known, draining, _ready):
+            for age_s in (4.0, 4.5, math.inf):
+                known.record_removal(draining, age_s)
+                self.assertFalse(known.has_left("w"))
+
+        self._check(_check)
+
+    def test_entry_that_returns(self):
+        """Guards against a worker of the same id that counts as gone."""
+
+        async def _check(known, draining, ready):
+            known.record_removal(draining, 1.0)
+            known.update({"w": ready})
+            self.assertFalse(known.has_left("w"))
+
+        self._check(_check)
+
+    def test_it_is_forgotten_in_time(self):
+        async def _check(known, draining, _ready):
+            known.record_removal(draining, 1.0)
+            await anyio.sleep(2.2)
+            self.assertTrue(known.has_left("w", for_s=2.0))
+            self.assertFalse(known.has_left("w", for_s=2.4))
+            await anyio.sleep(worker_directories.LEFT_RETENTION_S)
+            other = dataclasses.replace(draining, worker_id="other")
+            known.record_removal(other, 1.0)
+            self.assertFalse(known.has_left("w"))
+
+        self._check(_check)
+
+
+class VersionTimesTests(unittest.TestCase):
+    """Bounds of the time between two changes."""
+
+    def _record(self, times, version, at_s):
+        times.record(version=version, sent_at_s=at_s, answered_at_s=at_s + 0.5)
+
+    def test_bounds_contain_the_calls_around_both_changes(self):
+        times = version_times.VersionTimes()
+        for version, at_s in ((10, 1.0), (20, 2.0), (30, 3.0), (40, 4.0)):
+            self._record(times, version, at_s)
+        # Written after the call at 2 s was sent, removed before the answer
+        # at 4.5 s.
+        self.assertEqual(times.longest_between_s(25, 35), 2.5)
+        self.assertEqual(times.longest_between_s(20, 30), 2.5)
+        self.assertEqual(times.longest_between_s(5, 30), math.inf)
+        self.assertEqual(times.longest_between_s(25, 45), math.inf)
+
+    def test_answers_before_a_failure_do_not_count(self):
+        times = version_times.VersionTimes()
+        self._record(times, 10, 1.0)
+        times.clear()
+        self._record(times, 30, 2.0)
+        self.assertEqual(times.longest_between_s(20, 25), math.inf)
+
+    def test_old_answers_are_dropped(self):
+        times = version_times.VersionTimes()
+        self._record(times, 10, 1.0)
+        later_s = 2.0 + version_times.RETENTION_S
+        self._record(times, 30, later_s)
+        self.assertEqual(times.longest_between_s(20, 25), math.inf)
