Keep ends of a restarted worker that its holder has not seen

Cause: a worker that restarts within half a second numbers its ends from one again. The first renewal after the failed one acknowledged the last number of the former instance, and with it ends that the new instance had not reported. Then all runs on the worker were dropped, those too that had started on the new instance and stood in its report.

Now nothing is acknowledged after a failed call until a report shows the instance, and only runs that this report omits are dropped. The stand-ins broke no waiting call when their worker crashed, and answered it as the new instance; now the call breaks.

--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -110,7 +110,9 @@
         until_ms = worker.lease.grant(sent_at_s) if is_answering else 0
         report = await worker.link.renew(
             token=token,
-            acknowledged=worker.acknowledged,
+            # Another instance may answer after a failed call, and it numbers
+            # its ends from one again.
+            acknowledged=worker.acknowledged if is_answering else 0,
             lease_until_ms=until_ms,
             wait_ms=(
                 self._wait_ms()
@@ -147,7 +149,7 @@
         worker = self._worker
         now_s = anyio.current_time()
         if worker.started_unix_ms not in (0, report.started_unix_ms):
-            self._reset_after_restart()
+            self._reset_after_restart(report)
         worker.started_unix_ms = report.started_unix_ms
         batches = self._process_ended_runs(report)
         listed = self._process_active_runs(report, now_s)
@@ -231,15 +233,20 @@
             return
         await anyio.sleep(COMMIT_PENDING_PAUSE_S)
 
-    def _reset_after_restart(self) -> None:
-        """Drop the runs and counters of a worker that has restarted."""
+    def _reset_after_restart(self, report: runners.RunReport) -> None:
+        """Reset the counters of a worker that has restarted.
+
+        Runs that started on the new instance already are in its report. The
+        others count as omitted.
+        """
         worker = self._worker
         _LOG.log(
             job_events.RUN_WORKER_RESTARTED,
             worker=worker.id,
             runs=len(worker.runs),
+            active=len(report.active),
+            ended=len(report.ended),
         )
-        self._drop_runs("worker restarted")
         worker.last_processed_end = worker.acknowledged = 0
         self._uncommitted.clear()
         # The new process has seen no token yet. The higher one keeps it
--- a/wisteriawood/platform/standins.py
+++ b/wisteriawood/platform/standins.py
@@ -272,6 +272,7 @@
         worker.check_token(body.get("fencing_token", 0))
         worker.renew(body.get("deadline_ms", 0))
         worker.report(body["last_seen"])
+        instance = worker.started_unix_ms
         waited_ms = 0.0
         while (
             waited_ms < body.get("wait_ms", 0)
@@ -279,6 +280,8 @@
         ):
             await anyio.sleep(END_POLL_PERIOD_S)
             waited_ms += END_POLL_PERIOD_S * 1000
+            if worker.is_dead or worker.started_unix_ms != instance:
+                raise errors.LinkClosedError("the worker has crashed")
 
     def _answer(self, path: str, body: dict) -> dict:
         worker = self._worker
--- a/wisteriawood/standins/runners.py
+++ b/wisteriawood/standins/runners.py
@@ -354,12 +354,15 @@
         worker.check_token(token)
         worker.renew(lease_until_ms)
         worker.report(acknowledged)
+        instance = worker.started_unix_ms
         waited_s = 0.0
         while (
             waited_s < wait_ms / 1000 and not worker.has_unacknowledged_ends()
         ):
             await anyio.sleep(TICK_S)
             waited_s += TICK_S
+            if worker.started_unix_ms != instance:
+                raise errors.LinkClosedError("the worker has restarted")
         await self._apply_answer_faults(False)
         worker.check_token(token)
         return worker.report(acknowledged)
--- /dev/null
+++ b/wisteriawood/tests/worker_sessions_tests.py
@@ -0,0 +1,53 @@
+"""Tests of what a holder acknowledges to its workers."""
+
+import unittest
+
+import anyio
+
+from wisteriawood.jobs import specs
+from wisteriawood.jobs import tasks
+from wisteriawood.tests import builders
+
+FIRST_JOB = "0123456789abcdef"
+SECOND_JOB = "fedcba9876543210"
+ONE_WORKER = {"zones": ["a"], "hosts_per_zone": 1, "workers_per_zone": 1}
+
+
+class RestartedWorkerTests(unittest.TestCase):
+    """A worker restarts at once, and numbers its ends from one again."""
+
+    def test_end_that_the_new_instance_has_not_reported(self):
+        """Guards against the loss of an end, whose task then runs again.
+
+        Soak, seed 49: the number acknowledged to the former instance
+        acknowledged an end of the new one.
+        """
+
+        async def _check(world):
+            worker = world.workers["w-a-0"]
+            step = specs.StepSpec(
+                task_count=4, cpu_millicores=1000, memory_mb=100
+            )
+            world.work_s |= {FIRST_JOB: 0.05, SECOND_JOB: 0.01}
+            await anyio.sleep(2)
+            await world.submit(FIRST_JOB, [step])
+            await anyio.sleep(3)
+            self.assertEqual(len(worker.ends), 4)
+            async with anyio.create_task_group() as group:
+                group.start_soon(world.submit, SECOND_JOB, [step])
+                await anyio.sleep(0.02)
+                worker.crash()
+                worker.restart()
+            await anyio.sleep(5)
+            ends = world.ends()
+            done = {
+                name: sum(
+                    outcome is tasks.Outcome.DONE
+                    for _number, outcome, _at_s in ends[name]
+                )
+                for name in ends
+            }
+            self.assertEqual(set(done.values()), {1})
+            self.assertEqual(len(done), 8)
+
+        builders.run_job_world(_check, **ONE_WORKER)
