Recognise a worker that left soon after its holder restarted

The worker left 0.6 s after its holder had restarted. The holder had read its entry with the whole table, and no answer of the store told how old that was; so it waited for the leases that its predecessor might have granted.

An entry contains the clock of its worker, and a holder to which the worker has answered knows that clock. The age by this clock is a second bound. It counts only if no call to the store has failed since before the removal. The ratio is lowered to 0.6: ages of workers that left are at most one heartbeat and a poll.

The new test fails without that bound.

--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -1,5 +1,6 @@
 """Manages a held cell: its jobs, new submissions and its workers."""
 
+import math
 import typing
 
 import anyio
@@ -285,6 +286,9 @@
         for worker_id, worker in self.cell.fleet.items():
             if worker_id not in fleet and not worker.is_gone:
                 worker.is_gone = True
+                self.cell.directory.limit_entry_age(
+                    worker_id, worker.entry_age_s
+                )
                 _LOG.log(
                     job_events.RUN_WORKER_DELISTED,
                     worker=worker_id,
@@ -293,14 +297,15 @@
         self.cell.request_placement()
 
     def _log_draining(self, worker: workers.Worker) -> None:
-        now_s = anyio.current_time()
         registration = worker.registration
-        news_age_ms = worker.lease.clock_ms(now_s) - registration.clock_ms
+        news_age_s = worker.entry_age_s(registration)
         _LOG.log(
             job_events.WORKER_DRAINING,
             worker=worker.id,
             remaining_ms=registration.remaining_ms,
-            news_age_s=round(news_age_ms / 1000, 3),
+            news_age_s=(
+                round(news_age_s, 3) if math.isfinite(news_age_s) else None
+            ),
             unsent=sum(not run.was_sent for run in worker.runs.values()),
             runs=len(worker.runs),
         )
--- a/wisteriawood/cells/worker_directories.py
+++ b/wisteriawood/cells/worker_directories.py
@@ -1,5 +1,6 @@
 """A host's view of the directory of workers: its age, and who has left."""
 
+import dataclasses
 import math
 import typing
 
@@ -10,12 +11,21 @@
 
 _LOG = events.Logger(name=__name__)
 # Part of the time after which the directory removes the entry of a silent
-# worker. A worker whose entry is removed sooner has left. The rest allows for
-# timers of the directory that fire early.
-LEFT_RATIO = 0.8
-# Time for which it is remembered that a worker has left: longer than any wait
+# worker. A worker whose entry is removed sooner has left: it may be almost a
+# third of that time since its last heartbeat.
+LEFT_RATIO = 0.6
+# Time for which the removal of an entry is remembered: longer than any wait
 # for the end of a lease.
-LEFT_RETENTION_S = 60.0
+REMOVAL_RETENTION_S = 60.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Removal:
+    # Time of clocks.elapsed_s.
+    at_s: float
+    worker: runners.Registration
+    entry_age_s: float
+    is_followed: bool
 
 
 class WorkerDirectory:
@@ -34,8 +44,8 @@
     """
 
     __slots__ = (
-        "_left_at_s",
         "_max_age_s",
+        "_removals",
         "_silence_s",
         "confirmed_at_s",
         "unverified",
@@ -45,7 +55,7 @@
     def __init__(self, *, max_age_s: float, silence_s: float):
         self._max_age_s = max_age_s
         self._silence_s = silence_s
-        self._left_at_s: dict[str, float] = {}
+        self._removals: dict[str, _Removal] = {}
         self.workers: dict[str, runners.Registration] = {}
         self.confirmed_at_s = 0.0
         self.unverified: set[str] = set()
@@ -57,11 +67,15 @@
             workers: All listed workers, by id.
         """
         self.workers = workers
-        for worker_id in self._left_at_s.keys() & workers.keys():
-            del self._left_at_s[worker_id]
+        for worker_id in self._removals.keys() & workers.keys():
+            del self._removals[worker_id]
 
     def record_removal(
-        self, worker: runners.Registration, entry_age_s: float
+        self,
+        worker: runners.Registration,
+        *,
+        entry_age_s: float,
+        is_followed: bool,
     ) -> None:
         """Record that the entry of a worker was removed.
 
@@ -69,26 +83,47 @@
             worker: The removed entry.
             entry_age_s: Longest time that may lie between its last write and
                 its removal.
+            is_followed: Whether the store was read without a failure since
+                before the removal.
         """
         now_s = clocks.elapsed_s()
-        for worker_id, at_s in list(self._left_at_s.items()):
-            if now_s - at_s > LEFT_RETENTION_S:
-                del self._left_at_s[worker_id]
-        has_left = (
-            worker.is_draining and entry_age_s <= LEFT_RATIO * self._silence_s
+        for worker_id, removal in list(self._removals.items()):
+            if now_s - removal.at_s > REMOVAL_RETENTION_S:
+                del self._removals[worker_id]
+        self._removals[worker.worker_id] = _Removal(
+            at_s=now_s,
+            worker=worker,
+            entry_age_s=entry_age_s,
+            is_followed=is_followed,
         )
-        if has_left:
-            self._left_at_s[worker.worker_id] = now_s
         _LOG.log(
             job_events.WORKER_ENTRY_REMOVED,
             worker=worker.worker_id,
             is_draining=worker.is_draining,
+            is_followed=is_followed,
             entry_age_s=(
                 round(entry_age_s, 3) if math.isfinite(entry_age_s) else None
             ),
-            has_left=has_left,
+            has_left=self.has_left(worker.worker_id),
         )
 
+    def limit_entry_age(
+        self,
+        worker_id: str,
+        age_of: typing.Callable[[runners.Registration], float],
+    ) -> None:
+        """Apply another bound of the age of an entry that was just removed.
+
+        Args:
+            worker_id: Id of the worker.
+            age_of: Returns the longest time since an entry was written.
+        """
+        removal = self._removals.get(worker_id)
+        if removal is not None:
+            removal.entry_age_s = min(
+                removal.entry_age_s, age_of(removal.worker)
+            )
+
     def has_left(self, worker_id: str, for_s: float = 0.0) -> bool:
         """Return whether a worker is known to have left, with all its runs.
 
@@ -100,11 +135,16 @@
             worker_id: Id of the worker.
             for_s: Time for which that must have been known.
         """
-        at_s = self._left_at_s.get(worker_id)
-        if at_s is None:
+        removal = self._removals.get(worker_id)
+        if removal is None or not removal.worker.is_draining:
+            return False
+        if not removal.is_followed:
+            # The store may drop entries while it is away.
+            return False
+        if removal.entry_age_s > LEFT_RATIO * self._silence_s:
             return False
         # Two readings of the clock at once may differ by microseconds.
-        return max(0.0, clocks.elapsed_s() - at_s) >= for_s
+        return max(0.0, clocks.elapsed_s() - removal.at_s) >= for_s
 
     def confirm(
         self, at_s: float, unverified: typing.Collection[str] = ()
--- a/wisteriawood/links/version_times.py
+++ b/wisteriawood/links/version_times.py
@@ -51,13 +51,21 @@
         )
 
     def clear(self) -> None:
-        """Forget all answers, so that no interval reaches back before now.
+        """Forget all answers after a failure.
 
-        The store may remove entries while it is away, without the silence
-        that a removal otherwise proves.
+        No interval reaches back before it then: the store may remove entries
+        while it is away, without the silence that a removal otherwise means.
         """
         self._answers.clear()
 
+    def is_followed(self, version: int) -> bool:
+        """Return whether no call has failed since before a change.
+
+        Args:
+            version: Version of the change.
+        """
+        return any(answer.version < version for answer in self._answers)
+
     def longest_between_s(self, earlier: int, later: int) -> float:
         """Return the longest time that may lie between two changes.
 
--- a/wisteriawood/platform/standins.py
+++ b/wisteriawood/platform/standins.py
@@ -388,6 +388,8 @@
             "gpus": registration.accelerators,
         },
         "remaining_ms": registration.remaining_ms,
+        "born": registration.started_unix_ms,
+        "clock_ms": registration.clock_ms,
     }
     store.apply(stores.Change(writes={at: json.dumps(value).encode()}))
 
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -396,24 +396,39 @@
     def __init__(self, *, world):
         self._world = world
         self._silent = set()
+        self._group = None
 
     async def run(self):
         world = self._world
         world.outdated_hosts.update(world.hosts)
         async with anyio.create_task_group() as group:
+            self._group = group
             for host in world.hosts.values():
-                follower = worker_followers.WorkerFollower(host=host)
-                host.on_claim = follower.feed.poll_now
-                group.start_soon(follower.feed.run)
+                self._follow(host)
             while True:
                 for name in world.workers.keys() - self._silent:
                     self._write(name)
                 await anyio.sleep(self.heartbeat_s)
 
+    def _follow(self, host):
+        follower = worker_followers.WorkerFollower(host=host)
+        host.on_claim = follower.feed.poll_now
+        self._group.start_soon(follower.feed.run)
+
+    def restart_host(self, name, zone):
+        """Kill a host and start it again at once."""
+        self._world.kill_host(name)
+        self._world.start_host(name, zone)
+        self._follow(self._world.hosts[name])
+
     def _write(self, name):
-        platform_standins.write_worker(
-            self._world.store, self._world.workers[name].registration, name
+        worker = self._world.workers[name]
+        entry = dataclasses.replace(
+            worker.registration,
+            started_unix_ms=worker.started_unix_ms,
+            clock_ms=worker.clock_ms(),
         )
+        platform_standins.write_worker(self._world.store, entry, name)
 
     def drain(self, name):
         """Let a worker write that it drains."""
--- a/wisteriawood/tests/leaving_tests.py
+++ b/wisteriawood/tests/leaving_tests.py
@@ -25,10 +25,16 @@
 ONE_ZONE = {"zones": ["a"], "hosts_per_zone": 2, "workers_per_zone": 2}
 
 
+def _remove(known, worker, entry_age_s, is_followed=True):
+    known.record_removal(
+        worker, entry_age_s=entry_age_s, is_followed=is_followed
+    )
+
+
 class LeavingWorkerTests(unittest.TestCase):
     """A task runs on a worker that leaves the directory."""
 
-    def _run(self, check):
+    def _run(self, check, **fields):
         async def _main(world):
             async with anyio.create_task_group() as group:
                 directory = builders.StoreDirectory(world=world)
@@ -46,7 +52,7 @@
                 await check(world, directory, name)
                 group.cancel_scope.cancel()
 
-        builders.run_job_world(_main, **ONE_ZONE)
+        builders.run_job_world(_main, **(ONE_ZONE | fields))
 
     def _restarts(self, world, name):
         return [
@@ -84,6 +90,24 @@
 
         self._run(_check)
 
+    def test_task_of_a_worker_that_left_when_its_holder_had_restarted(self):
+        """Guards against a holder that has not seen the entry written.
+
+        On takeovers-drain, a task that should always run waited 9 s.
+        """
+
+        async def _check(world, directory, name):
+            (host,) = world.hosts
+            directory.restart_host(host, "a")
+            while not world.holder_of(CELL):
+                await anyio.sleep(0.05)
+            await anyio.sleep(0.3)
+            directory.leave(name)
+            await anyio.sleep(RESTART_BOUND_S)
+            self.assertEqual(len(self._restarts(world, name)), 1)
+
+        self._run(_check, hosts_per_zone=1)
+
     def test_task_of_a_draining_worker_that_fell_silent(self):
         """Guards against two runs of a task whose worker is only cut off."""
 
@@ -135,9 +159,9 @@
 
     def test_only_a_draining_worker_leaves(self):
         async def _check(known, draining, ready):
-            known.record_removal(ready, 1.0)
+            _remove(known, ready, 1.0)
             self.assertFalse(known.has_left("w"))
-            known.record_removal(draining, 1.0)
+            _remove(known, draining, 1.0)
             self.assertTrue(known.has_left("w"))
 
         self._check(_check)
@@ -145,16 +169,35 @@
     def test_silence_does_not_prove_it(self):
         async def _check(known, draining, _ready):
             for age_s in (4.0, 4.5, math.inf):
-                known.record_removal(draining, age_s)
+                _remove(known, draining, age_s)
                 self.assertFalse(known.has_left("w"))
 
         self._check(_check)
 
+    def test_removal_while_the_store_was_away(self):
+        """Guards against entries that the store dropped without silence."""
+
+        async def _check(known, draining, _ready):
+            _remove(known, draining, 1.0, is_followed=False)
+            self.assertFalse(known.has_left("w"))
+
+        self._check(_check)
+
+    def test_holder_that_knows_the_age_better(self):
+        async def _check(known, draining, _ready):
+            _remove(known, draining, math.inf)
+            known.limit_entry_age("w", lambda _entry: 1.0)
+            self.assertTrue(known.has_left("w"))
+            known.limit_entry_age("other", lambda _entry: 1.0)
+            self.assertFalse(known.has_left("other"))
+
+        self._check(_check)
+
     def test_entry_that_returns(self):
         """Guards against a worker of the same id that counts as gone."""
 
         async def _check(known, draining, ready):
-            known.record_removal(draining, 1.0)
+            _remove(known, draining, 1.0)
             known.update({"w": ready})
             self.assertFalse(known.has_left("w"))
 
@@ -162,13 +205,13 @@
 
     def test_it_is_forgotten_in_time(self):
         async def _check(known, draining, _ready):
-            known.record_removal(draining, 1.0)
+            _remove(known, draining, 1.0)
             await anyio.sleep(2.2)
             self.assertTrue(known.has_left("w", for_s=2.0))
             self.assertFalse(known.has_left("w", for_s=2.4))
-            await anyio.sleep(worker_directories.LEFT_RETENTION_S)
+            await anyio.sleep(worker_directories.REMOVAL_RETENTION_S)
             other = dataclasses.replace(draining, worker_id="other")
-            known.record_removal(other, 1.0)
+            _remove(known, other, 1.0)
             self.assertFalse(known.has_left("w"))
 
         self._check(_check)
@@ -194,9 +237,13 @@
     def test_answers_before_a_failure_do_not_count(self):
         times = version_times.VersionTimes()
         self._record(times, 10, 1.0)
+        self.assertTrue(times.is_followed(25))
         times.clear()
+        self.assertFalse(times.is_followed(25))
         self._record(times, 30, 2.0)
         self.assertEqual(times.longest_between_s(20, 25), math.inf)
+        self.assertFalse(times.is_followed(25))
+        self.assertTrue(times.is_followed(40))
 
     def test_old_answers_are_dropped(self):
         times = version_times.VersionTimes()
