Forget the lease of a worker's former instance when it restarts

Callers would see tasks wait for as long as a worker had been up, if it restarted and was lost soon after.

Cause: the end of a lease is a time on the worker's clock, which starts anew with each instance. The holder kept the latest end that it had granted, on the clock of the former instance, and computed from it when the lease of the new one had surely lapsed.

The new test fails without the change: 8 s after a worker that had been up for 200 s and restarted fell silent, none of its four tasks ran elsewhere.

--- a/wisteriawood/cells/leases.py
+++ b/wisteriawood/cells/leases.py
@@ -48,6 +48,10 @@
         self._clock_ms = clock_ms
         self._clock_at_s = now_s
 
+    def reset(self) -> None:
+        """Forget the granted end, which a former instance's clock measures."""
+        self.granted_until_ms = 0
+
     def clock_ms(self, now_s: float) -> float:
         """Return the estimated time on the worker's clock.
 
--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -248,6 +248,7 @@
             ended=len(report.ended),
         )
         worker.last_processed_end = worker.acknowledged = 0
+        worker.lease.reset()
         self._uncommitted.clear()
         # The new process has seen no token yet. The higher one keeps it
         # from accepting a start that was sent to the former process.
--- a/wisteriawood/tests/worker_sessions_tests.py
+++ b/wisteriawood/tests/worker_sessions_tests.py
@@ -8,6 +8,8 @@
 from wisteriawood.jobs import tasks
 from wisteriawood.tests import builders
 
+# Duration of a lease with the drift of clocks, the detection and one retry.
+SILENCE_BOUND_S = 8.0
 FIRST_JOB = "0123456789abcdef"
 SECOND_JOB = "fedcba9876543210"
 ONE_WORKER = {"zones": ["a"], "hosts_per_zone": 1, "workers_per_zone": 1}
@@ -51,3 +53,32 @@
             self.assertEqual(len(done), 8)
 
         builders.run_job_world(_check, **ONE_WORKER)
+
+    def test_lease_of_a_new_instance_whose_clock_starts_anew(self):
+        """Guards against tasks that wait for a lease on a former clock.
+
+        A worker that had run for long restarted and was lost soon after. Its
+        tasks waited for as long as its former instance had run.
+        """
+
+        async def _check(world):
+            first = world.workers["w-a-0"]
+            await anyio.sleep(200)
+            first.crash()
+            first.restart()
+            await anyio.sleep(3)
+            world.work_s[FIRST_JOB] = 100.0
+            step = specs.StepSpec(
+                task_count=8, cpu_millicores=4000, memory_mb=100
+            )
+            await world.submit(FIRST_JOB, [step])
+            await anyio.sleep(2)
+            self.assertEqual(len(first.runs), 4)
+            world.add_worker("w-a-2", "a")
+            first.crash()
+            await anyio.sleep(SILENCE_BOUND_S)
+            self.assertEqual(len(world.workers["w-a-2"].runs), 4)
+
+        builders.run_job_world(
+            _check, **(ONE_WORKER | {"workers_per_zone": 2})
+        )
