Ask a worker before its removed entry counts as proof that it left

The age of an entry bounds when the store applied it, not when the worker wrote it. So a session relies on the worker itself: a process that ends closes its connection on the call that waits there, and one that is cut off does not. With that, neither an age nor the worker's clock is needed on a holder that has talked to the worker.

A new holder has not. It now opens a session with a worker whose entry was removed of late, and the runs go on if the worker answers. Only if it does not, has drained, lost its entry too soon for silence and does not get it back within 2 s, does it count as gone. Heartbeats of the host that fail end what the ages prove too, as those of workers may be late then.

--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -1,6 +1,5 @@
 """Manages a held cell: its jobs, new submissions and its workers."""
 
-import math
 import typing
 
 import anyio
@@ -41,9 +40,6 @@
 # Time for which a former holder that can't reach the store may continue to
 # renew leases.
 RENEW_WITHOUT_STORE_S = 12.0
-# Time in which the entry of a live worker returns that the directory removed
-# while the store was away.
-RETURN_S = 2.0
 EXPIRY_PERIOD_TICKS = 40
 LOAD_LOG_PERIOD_TICKS = 8
 
@@ -138,6 +134,7 @@
                 )
                 self.is_open = True
                 self.update_fleet(self.listed_workers)
+                self._add_removed_workers()
                 took_s = anyio.current_time() - started_at_s
                 self.cell.counters.takeover_s.observe(took_s)
                 _LOG.log(
@@ -286,9 +283,6 @@
         for worker_id, worker in self.cell.fleet.items():
             if worker_id not in fleet and not worker.is_gone:
                 worker.is_gone = True
-                self.cell.directory.limit_entry_age(
-                    worker_id, worker.entry_age_s
-                )
                 _LOG.log(
                     job_events.RUN_WORKER_DELISTED,
                     worker=worker_id,
@@ -296,16 +290,26 @@
                 )
         self.cell.request_placement()
 
+    def _add_removed_workers(self) -> None:
+        """Add the workers of orphans whose entries were removed of late.
+
+        One that has not left answers, and its runs go on.
+        """
+        for worker_id in list(self.cell.orphans):
+            removed = self.cell.directory.removed_entry(worker_id)
+            if removed is not None:
+                self._add_worker(removed)
+                self.cell.fleet[worker_id].is_gone = True
+
     def _log_draining(self, worker: workers.Worker) -> None:
+        now_s = anyio.current_time()
         registration = worker.registration
-        news_age_s = worker.entry_age_s(registration)
+        news_age_ms = worker.lease.clock_ms(now_s) - registration.clock_ms
         _LOG.log(
             job_events.WORKER_DRAINING,
             worker=worker.id,
             remaining_ms=registration.remaining_ms,
-            news_age_s=(
-                round(news_age_s, 3) if math.isfinite(news_age_s) else None
-            ),
+            news_age_s=round(news_age_ms / 1000, 3),
             unsent=sum(not run.was_sent for run in worker.runs.values()),
             runs=len(worker.runs),
         )
@@ -372,27 +376,21 @@
         )
 
     def _drop_orphans(self) -> None:
-        """Drop the runs of workers that are not listed and can't run them.
+        """Drop the runs of workers that were never listed.
 
-        Unless a worker is known to have left, this waits until the leases
-        that the former holder may have granted have lapsed.
+        This waits until the leases that the former holder may have granted
+        have lapsed.
         """
-        have_lapsed = anyio.current_time() >= self._former_leases_lapsed_at_s
-        directory = self.cell.directory
+        if anyio.current_time() < self._former_leases_lapsed_at_s:
+            return
         for worker_id in list(self.cell.orphans):
-            if not have_lapsed and not directory.has_left(worker_id, RETURN_S):
-                continue
             for run in self.cell.orphans.pop(worker_id):
                 _LOG.log(
                     job_events.RUN_DROPPED,
                     worker=worker_id,
                     task=run.name,
                     run=run.number,
-                    cause=(
-                        "worker not listed, lease lapsed"
-                        if have_lapsed
-                        else "worker left"
-                    ),
+                    cause="worker never listed, lease lapsed",
                 )
                 if run.is_current():
                     self.cell.record_run_end(
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -79,6 +79,7 @@
         "_claim_seen_at_s",
         "_heartbeat_count",
         "_store",
+        "_times",
         "by_name",
         "claim_feed",
         "claims",
@@ -102,6 +103,7 @@
         times: version_times.VersionTimes | None = None,
     ):
         self._store = store
+        self._times = times or version_times.VersionTimes()
         self._heartbeat_count = 0
         self._claim_seen_at_s: dict[str, float] = {}
         self.name = name
@@ -116,14 +118,14 @@
             store=store,
             table=tables.CLAIMS,
             on_rows=self._process_claims,
-            times=times,
+            times=self._times,
         )
         self.heartbeat_feed = feeds.Feed(
             store=store,
             table=tables.HOSTS,
             on_rows=self._process_heartbeats,
             pause_s=lambda: HEARTBEAT_FEED_PAUSE_S,
-            times=times,
+            times=self._times,
         )
 
     def _process_claims(self, rows: list[stores.StoredRow]) -> None:
@@ -325,6 +327,8 @@
             _LOG.log(
                 job_events.HEARTBEAT_FAILED, host=self.name, cause=str(exc)
             )
+            # Writes of workers may get lost or take effect late as well.
+            self._times.clear()
             return False
         self.heartbeat_written_at_s = anyio.current_time()
         return True
--- a/wisteriawood/cells/worker_directories.py
+++ b/wisteriawood/cells/worker_directories.py
@@ -104,32 +104,24 @@
             entry_age_s=(
                 round(entry_age_s, 3) if math.isfinite(entry_age_s) else None
             ),
-            has_left=self.has_left(worker.worker_id),
         )
 
-    def limit_entry_age(
-        self,
-        worker_id: str,
-        age_of: typing.Callable[[runners.Registration], float],
-    ) -> None:
-        """Apply another bound of the age of an entry that was just removed.
+    def removed_entry(self, worker_id: str) -> runners.Registration | None:
+        """Return the entry of a worker that was removed of late.
 
         Args:
             worker_id: Id of the worker.
-            age_of: Returns the longest time since an entry was written.
         """
         removal = self._removals.get(worker_id)
-        if removal is not None:
-            removal.entry_age_s = min(
-                removal.entry_age_s, age_of(removal.worker)
-            )
+        return None if removal is None else removal.worker
 
-    def has_left(self, worker_id: str, for_s: float = 0.0) -> bool:
-        """Return whether a worker is known to have left, with all its runs.
+    def has_left(self, worker_id: str, for_s: float) -> bool:
+        """Return whether a removed entry shows that its worker has left.
 
-        A worker that drained and whose entry was removed sooner than silence
-        removes it has ended. Any other worker without an entry may be cut
-        off and run on.
+        A worker that drained, and whose entry was removed sooner than silence
+        removes it, has left. Any other may be cut off and run on. So may one
+        that answers after all: the store may have applied its last writes
+        late.
 
         Args:
             worker_id: Id of the worker.
@@ -143,8 +135,7 @@
             return False
         if removal.entry_age_s > LEFT_RATIO * self._silence_s:
             return False
-        # Two readings of the clock at once may differ by microseconds.
-        return max(0.0, clocks.elapsed_s() - removal.at_s) >= for_s
+        return clocks.elapsed_s() - removal.at_s >= for_s
 
     def confirm(
         self, at_s: float, unverified: typing.Collection[str] = ()
--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -26,6 +26,9 @@
 COMMIT_WAIT_S = 0.25
 # Pause between renewals while that commit is pending.
 COMMIT_PENDING_PAUSE_S = 0.5
+# Time in which the entry of a live worker returns that the directory removed
+# while the store was away.
+RETURN_S = 2.0
 RETRY_DELAY_S = 0.1
 RETRY_MAX_DELAY_S = 0.5
 
@@ -41,12 +44,21 @@
         worker: The worker.
     """
 
-    __slots__ = ("_cell", "_is_failing", "_uncommitted", "_worker")
+    __slots__ = (
+        "_cell",
+        "_has_ended_connection",
+        "_is_failing",
+        "_uncommitted",
+        "_worker",
+    )
 
     def __init__(self, *, cell: cells.Cell, worker: workers.Worker):
         self._cell = cell
         self._worker = worker
         self._is_failing = True
+        # Whether the worker itself ended the connection of the first call
+        # that failed.
+        self._has_ended_connection = False
         self._uncommitted: list[tuple[list[job_writers.Batch], int]] = []
 
     async def run(self) -> None:
@@ -82,14 +94,30 @@
         worker = self._worker
         if not worker.is_gone or not self._is_failing:
             return False
-        return worker.lease.has_lapsed(
+        return self._has_left() or worker.lease.has_lapsed(
             anyio.current_time()
-        ) or self._cell.directory.has_left(worker.id)
+        )
+
+    def _has_left(self) -> bool:
+        """Return whether the worker has drained and its process has ended.
+
+        A worker that is cut off may lose its entry too, and run on. It does
+        not end its connections.
+        """
+        worker = self._worker
+        if not worker.registration.is_draining:
+            return False
+        if worker.answered_at_s:
+            return self._has_ended_connection
+        return self._cell.directory.has_left(worker.id, RETURN_S)
 
     def _handle_no_answer(self, cause: Exception) -> None:
         worker = self._worker
         if not self._is_failing:
             self._is_failing = True
+            self._has_ended_connection = isinstance(
+                cause, errors.LinkEndedError
+            )
             _LOG.log(
                 job_events.RUN_WORKER_LOST,
                 worker=worker.id,
--- a/wisteriawood/cells/workers.py
+++ b/wisteriawood/cells/workers.py
@@ -266,22 +266,6 @@
         """
         return sum(1 for name in self.runs if name.startswith(step_name))
 
-    def entry_age_s(self, entry: runners.Registration) -> float:
-        """Return how long ago the worker wrote an entry, by its own clock.
-
-        Args:
-            entry: The entry.
-
-        Returns:
-            The time in seconds; infinite if the instance that wrote it has
-            not answered, or did not write its clock.
-        """
-        clock_ms = self.lease.clock_ms(anyio.current_time())
-        is_same = entry.started_unix_ms == self.started_unix_ms
-        if not clock_ms or not entry.clock_ms or not is_same:
-            return math.inf
-        return (clock_ms - entry.clock_ms) / 1000
-
     def lease_for_start(self, now_s: float) -> int:
         """Return the end of the lease to send with a start.
 
--- a/wisteriawood/errors.py
+++ b/wisteriawood/errors.py
@@ -83,6 +83,10 @@
     """The peer closed the link, or it broke."""
 
 
+class LinkEndedError(LinkClosedError):
+    """The peer's process ended the connection instead of answering a call."""
+
+
 class LinkRefusedError(LinkError):
     """The peer's machine refused the connection, as no process listens."""
 
--- a/wisteriawood/platform/worker_client.py
+++ b/wisteriawood/platform/worker_client.py
@@ -87,6 +87,10 @@
                 content=msgspec.json.encode(body),
                 timeout=httpx.Timeout(timeout_s, connect=CONNECT_TIMEOUT_S),
             )
+        except httpx.RemoteProtocolError as exc:
+            raise errors.LinkEndedError(
+                f"the worker ended the connection: {exc!r}"
+            ) from exc
         except httpx.HTTPError as exc:
             raise errors.LinkClosedError(
                 f"the worker does not answer: {exc!r}"
--- a/wisteriawood/standins/runners.py
+++ b/wisteriawood/standins/runners.py
@@ -56,6 +56,8 @@
         cut_from: Hosts whose calls do not reach the worker.
         ends: All ends of runs, as (task name, run number, outcome, time in
             seconds).
+        has_left: Whether the worker has shut down, which ends its
+            connections.
         is_dead: Whether the worker has crashed and not been restarted.
         lost_answer_delay_s: Delay after which a start whose answer is lost
             is executed, in seconds.
@@ -81,6 +83,7 @@
         "started_unix_ms",
         "cut_from",
         "ends",
+        "has_left",
         "is_dead",
         "lost_answer_delay_s",
         "registration",
@@ -106,6 +109,7 @@
         self.lost_answers = 0
         self.lost_answer_delay_s = 0.0
         self.cut_from: set[str] = set()
+        self.has_left = False
         self.is_dead = False
         self.started_unix_ms = 1000
         self.tail_latencies_ms: dict[str, float] = {}
@@ -130,8 +134,14 @@
         self.is_dead = True
         self.runs.clear()
 
+    def leave(self) -> None:
+        """Shut down the worker process, which ends all runs."""
+        self.has_left = True
+        self.crash()
+
     def restart(self) -> None:
         """Start a new instance of the worker process under the same id."""
+        self.has_left = False
         self.is_dead = False
         self.started_unix_ms += 1000
         self._start_instance()
@@ -363,6 +373,8 @@
             waited_s += TICK_S
             if worker.started_unix_ms != instance:
                 raise errors.LinkClosedError("the worker has restarted")
+            if worker.has_left:
+                raise errors.LinkEndedError("the worker has left")
         await self._apply_answer_faults(False)
         worker.check_token(token)
         return worker.report(acknowledged)
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -445,7 +445,7 @@
 
     def leave(self, name):
         """End a worker and return the time, in seconds."""
-        self._world.workers[name].crash()
+        self._world.workers[name].leave()
         self.remove_entry(name)
         return anyio.current_time()
 
--- a/wisteriawood/tests/leaving_tests.py
+++ b/wisteriawood/tests/leaving_tests.py
@@ -22,6 +22,8 @@
 # The same if the holder of the cell is lost in the same moment: the time
 # until another host notices it is added.
 TAKEOVER_BOUND_S = RESTART_BOUND_S + 3.0
+# No wait; two readings of the clock at once may differ by microseconds.
+NOW_S = -0.001
 ONE_ZONE = {"zones": ["a"], "hosts_per_zone": 2, "workers_per_zone": 2}
 
 
@@ -125,6 +127,39 @@
 
         self._run(_check)
 
+    def test_cut_worker_whose_last_writes_came_late(self):
+        """Guards against a young entry that counts as proof of an end.
+
+        On store-away-drains the store applied heartbeats late, and removed
+        the entries of live workers 3.5 s after their last change.
+        """
+
+        async def _check(world, directory, name):
+            worker = world.workers[name]
+            worker.cut_from.update(world.hosts)
+            directory.remove_entry(name)
+            self.assertEqual(len(worker.runs), 1)
+            while worker.runs:
+                self.assertEqual(self._restarts(world, name), [])
+                await anyio.sleep(0.1)
+
+        self._run(_check)
+
+    def test_live_worker_that_a_new_holder_does_not_find_listed(self):
+        """Guards against a second run of a task whose worker still answers."""
+
+        async def _check(world, directory, name):
+            holder = world.holder_of(CELL)
+            world.store.cut_hosts.add(holder)
+            await anyio.sleep(0.5)
+            directory.remove_entry(name)
+            await anyio.sleep(30)
+            self.assertNotEqual(world.holder_of(CELL), holder)
+            self.assertEqual(len(world.workers[name].runs), 1)
+            self.assertEqual(self._restarts(world, name), [])
+
+        self._run(_check)
+
     def test_entry_that_a_store_lost_while_it_was_away(self):
         """Guards against a removal without silence that proves nothing."""
 
@@ -160,9 +195,9 @@
     def test_only_a_draining_worker_leaves(self):
         async def _check(known, draining, ready):
             _remove(known, ready, 1.0)
-            self.assertFalse(known.has_left("w"))
+            self.assertFalse(known.has_left("w", NOW_S))
             _remove(known, draining, 1.0)
-            self.assertTrue(known.has_left("w"))
+            self.assertTrue(known.has_left("w", NOW_S))
 
         self._check(_check)
 
@@ -170,7 +205,7 @@
         async def _check(known, draining, _ready):
             for age_s in (4.0, 4.5, math.inf):
                 _remove(known, draining, age_s)
-                self.assertFalse(known.has_left("w"))
+                self.assertFalse(known.has_left("w", NOW_S))
 
         self._check(_check)
 
@@ -179,17 +214,7 @@
 
         async def _check(known, draining, _ready):
             _remove(known, draining, 1.0, is_followed=False)
-            self.assertFalse(known.has_left("w"))
-
-        self._check(_check)
-
-    def test_holder_that_knows_the_age_better(self):
-        async def _check(known, draining, _ready):
-            _remove(known, draining, math.inf)
-            known.limit_entry_age("w", lambda _entry: 1.0)
-            self.assertTrue(known.has_left("w"))
-            known.limit_entry_age("other", lambda _entry: 1.0)
-            self.assertFalse(known.has_left("other"))
+            self.assertFalse(known.has_left("w", NOW_S))
 
         self._check(_check)
 
@@ -199,7 +224,7 @@
         async def _check(known, draining, ready):
             _remove(known, draining, 1.0)
             known.update({"w": ready})
-            self.assertFalse(known.has_left("w"))
+            self.assertFalse(known.has_left("w", NOW_S))
 
         self._check(_check)
 
@@ -207,12 +232,12 @@
         async def _check(known, draining, _ready):
             _remove(known, draining, 1.0)
             await anyio.sleep(2.2)
-            self.assertTrue(known.has_left("w", for_s=2.0))
-            self.assertFalse(known.has_left("w", for_s=2.4))
+            self.assertTrue(known.has_left("w", 2.0))
+            self.assertFalse(known.has_left("w", 2.4))
             await anyio.sleep(worker_directories.REMOVAL_RETENTION_S)
             other = dataclasses.replace(draining, worker_id="other")
             _remove(known, other, 1.0)
-            self.assertFalse(known.has_left("w"))
+            self.assertFalse(known.has_left("w", NOW_S))
 
         self._check(_check)
 
