Test how the end of a worker's process shows on its connections

Only an answer that ends early counts; time-outs, resets and refusals do not, as cut links cause them too. A second test closes a real connection.

--- /dev/null
+++ b/wisteriawood/tests/directory_builders.py
@@ -0,0 +1,81 @@
+"""Builders of directories of workers that job hosts read from the store."""
+
+import dataclasses
+
+import anyio
+
+from wisteriawood.platform import standins as platform_standins
+from wisteriawood.platform import worker_followers
+
+
+class StoreDirectory:
+    """The workers of a world as entries in its store, which its hosts follow.
+
+    Each worker writes its entry once per heartbeat. The store removes the
+    entries of silent ones.
+    """
+
+    heartbeat_s = 1.5
+    expiry_s = 4.5
+
+    def __init__(self, *, world):
+        self._world = world
+        self._silent = set()
+        self._group = None
+
+    async def run(self):
+        world = self._world
+        world.outdated_hosts.update(world.hosts)
+        async with anyio.create_task_group() as group:
+            self._group = group
+            for host in world.hosts.values():
+                self._follow(host)
+            while True:
+                for name in world.workers.keys() - self._silent:
+                    self._write(name)
+                await anyio.sleep(self.heartbeat_s)
+
+    def _follow(self, host):
+        follower = worker_followers.WorkerFollower(host=host)
+        host.on_claim = follower.feed.poll_now
+        self._group.start_soon(follower.feed.run)
+
+    def restart_host(self, name, zone):
+        """Kill a host and start it again at once."""
+        self._world.kill_host(name)
+        self._world.start_host(name, zone)
+        self._follow(self._world.hosts[name])
+
+    def _write(self, name):
+        worker = self._world.workers[name]
+        entry = dataclasses.replace(
+            worker.registration,
+            started_unix_ms=worker.started_unix_ms,
+            clock_ms=worker.clock_ms(),
+        )
+        platform_standins.write_worker(self._world.store, entry, name)
+
+    def drain(self, name):
+        """Let a worker write that it drains."""
+        worker = self._world.workers[name]
+        worker.registration = dataclasses.replace(
+            worker.registration, is_draining=True
+        )
+        self._write(name)
+
+    def remove_entry(self, name):
+        """Remove the entry of a worker, which writes no more."""
+        self._silent.add(name)
+        platform_standins.write_worker(self._world.store, None, name)
+
+    def leave(self, name):
+        """End a worker and return the time, in seconds."""
+        self._world.workers[name].leave()
+        self.remove_entry(name)
+        return anyio.current_time()
+
+    async def fall_silent(self, name):
+        """Let a worker write no more, and return once its entry is gone."""
+        self._silent.add(name)
+        await anyio.sleep(self.expiry_s)
+        self.remove_entry(name)
--- a/wisteriawood/tests/leaving_tests.py
+++ b/wisteriawood/tests/leaving_tests.py
@@ -14,6 +14,7 @@
 from wisteriawood.jobs import specs
 from wisteriawood.links import version_times
 from wisteriawood.tests import builders
+from wisteriawood.tests import directory_builders
 
 JOB = "0123456789abcdef"
 CELL = "shop@a"
@@ -39,7 +40,7 @@
     def _run(self, check, **fields):
         async def _main(world):
             async with anyio.create_task_group() as group:
-                directory = builders.StoreDirectory(world=world)
+                directory = directory_builders.StoreDirectory(world=world)
                 group.start_soon(directory.run)
                 await anyio.sleep(3)
                 world.work_s[JOB] = 60.0
--- a/wisteriawood/tests/platform_tests.py
+++ b/wisteriawood/tests/platform_tests.py
@@ -4,6 +4,8 @@
 import unittest
 from unittest import mock
 
+import anyio
+from anyio import abc
 import httpx
 
 from wisteriawood import errors
@@ -177,6 +179,61 @@
         }
         return await client.renew(**(defaults | fields))
 
+    def test_only_an_ended_connection_shows_that_a_process_has_ended(self):
+        """Guards against a worker behind a cut link that counts as gone."""
+
+        async def _check():
+            for cause, has_ended in (
+                (httpx.RemoteProtocolError("no answer"), True),
+                (httpx.ReadTimeout("silent"), False),
+                (httpx.ReadError("reset"), False),
+                (httpx.ConnectTimeout("silent"), False),
+                (httpx.ConnectError("refused"), False),
+            ):
+                _worker, client = self._make_worker_and_client()
+                with (
+                    mock.patch.object(
+                        httpx.ASGITransport,
+                        "handle_async_request",
+                        side_effect=cause,
+                    ),
+                    self.assertRaises(errors.LinkClosedError) as caught,
+                ):
+                    await self._renew(client)
+                self.assertEqual(
+                    isinstance(caught.exception, errors.LinkEndedError),
+                    has_ended,
+                )
+
+        builders.run_virtual(_check)
+
+    def test_a_worker_that_closes_its_connection_has_ended_it(self):
+        """Guards against a client library that reports this otherwise."""
+
+        async def _check():
+            async def _close(stream):
+                async with stream:
+                    await stream.receive()
+
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            async with listener, anyio.create_task_group() as group:
+                group.start_soon(listener.serve, _close)
+                port = listener.extra(abc.SocketAttribute.local_port)
+                client = worker_client.WorkerClient(
+                    registration=runners.Registration(
+                        worker_id="w",
+                        service="s",
+                        address=f"127.0.0.1:{port}",
+                        zone="a",
+                    )
+                )
+                with self.assertRaises(errors.LinkEndedError):
+                    await self._renew(client)
+                await client.aclose()
+                group.cancel_scope.cancel()
+
+        anyio.run(_check)
+
     def test_commands_and_reports(self):
         async def _check():
             worker, client = self._make_worker_and_client()
