Count the waiting jobs of a cell while it changes its holder

A holder that has released a cell sends no load of it any more, and its successor sends one with its first heartbeat after it has opened the cell; in between the jobs of the cell counted as none. Now the last load of a cell counts until a heartbeat with the same or a newer epoch brings another.

The new test fails without the change.

--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -78,6 +78,7 @@
     __slots__ = (
         "_claim_seen_at_s",
         "_heartbeat_count",
+        "_loads",
         "_store",
         "_times",
         "by_name",
@@ -105,6 +106,7 @@
         self._store = store
         self._times = times or version_times.VersionTimes()
         self._heartbeat_count = 0
+        self._loads: dict[str, dict] = {}
         self._claim_seen_at_s: dict[str, float] = {}
         self.name = name
         self.zone = zone
@@ -170,6 +172,10 @@
             self.by_name[row.at.key] = Member(
                 heartbeat=heartbeat, heartbeat_seen_at_s=now_s
             )
+            for cell, load in heartbeat.cells.items():
+                last = self._loads.get(cell)
+                if last is None or last["epoch"] <= load["epoch"]:
+                    self._loads[cell] = load
 
     def silence_s(self, host: str) -> float:
         """Return for how long a host has certainly sent no heartbeat.
@@ -248,14 +254,11 @@
         return found
 
     def all_loads(self) -> dict[str, dict]:
-        """Return the newest known load of each cell."""
-        found: dict[str, dict] = {}
-        for member in self.by_name.values():
-            for cell, load in member.heartbeat.cells.items():
-                known = found.get(cell)
-                if known is None or known["epoch"] < load["epoch"]:
-                    found[cell] = load
-        return found
+        """Return the newest known load of each cell.
+
+        That of a cell without a holder is the last one that a holder sent.
+        """
+        return dict(self._loads)
 
     def count_live_hosts(self) -> int:
         """Return the number of live hosts that don't drain, at least 1."""
--- a/wisteriawood/tests/members_tests.py
+++ b/wisteriawood/tests/members_tests.py
@@ -20,8 +20,10 @@
     return claims.Claim(cell=CELL, row=row, version=version)
 
 
-def _heartbeat(incarnation, count):
-    return claims.HostHeartbeat(zone="a", incarnation=incarnation, count=count)
+def _heartbeat(incarnation, count, **fields):
+    return claims.HostHeartbeat(
+        zone="a", incarnation=incarnation, count=count, **fields
+    )
 
 
 class HolderTests(unittest.TestCase):
@@ -35,9 +37,9 @@
             def _write(at, value):
                 store.apply(stores.Change(writes={at: value}))
 
-            def _write_heartbeat(incarnation, count):
+            def _write_heartbeat(incarnation, count, **fields):
                 data = claims.heartbeat_to_bytes(
-                    _heartbeat(incarnation, count)
+                    _heartbeat(incarnation, count, **fields)
                 )
                 _write(tables.host_row("other"), data)
 
@@ -54,6 +56,30 @@
 
         builders.run_virtual(_main)
 
+    def test_load_of_a_cell_between_two_holders(self):
+        """Guards against jobs that nobody counts as waiting meanwhile.
+
+        Found on scale-1 of kroupa-dilna: a host answered that no job waits
+        1.3 s after the holder of their cell had released it.
+        """
+
+        async def _check(view, write_heartbeat):
+            load = {"epoch": 2, "pending": {"q": 8}}
+            write_heartbeat("x", 1, cells={CELL: load})
+            await anyio.sleep(1)
+            self.assertEqual(view.all_loads(), {CELL: load})
+            write_heartbeat("x", 2, is_leaving=True)
+            await anyio.sleep(1)
+            self.assertEqual(view.all_loads(), {CELL: load})
+            newer = {"epoch": 3, "pending": {"q": 1}}
+            write_heartbeat("y", 1, cells={CELL: newer})
+            await anyio.sleep(1)
+            write_heartbeat("x", 3, cells={CELL: load})
+            await anyio.sleep(1)
+            self.assertEqual(view.all_loads(), {CELL: newer})
+
+        self._run(_check)
+
     def test_a_heartbeat_older_than_the_claim_proves_nothing(self):
         """Regression: two hosts kept claiming a cell from each other.
 
