Drop a flag that the age of a removed entry already implies

An age is known only if no call has failed since before the entry was written, so whether one failed before the removal needs no flag of its own. No decision changes. The unit test of the flag goes with it; what it guarded against is now tested with a new holder, and that test fails if failures do not end what the answers of the store prove.

--- a/wisteriawood/cells/worker_directories.py
+++ b/wisteriawood/cells/worker_directories.py
@@ -25,7 +25,6 @@
     at_s: float
     worker: runners.Registration
     entry_age_s: float
-    is_followed: bool
 
 
 class WorkerDirectory:
@@ -71,36 +70,26 @@
             del self._removals[worker_id]
 
     def record_removal(
-        self,
-        worker: runners.Registration,
-        *,
-        entry_age_s: float,
-        is_followed: bool,
+        self, worker: runners.Registration, entry_age_s: float
     ) -> None:
         """Record that the entry of a worker was removed.
 
         Args:
             worker: The removed entry.
             entry_age_s: Longest time that may lie between its last write and
-                its removal.
-            is_followed: Whether the store was read without a failure since
-                before the removal.
+                its removal; infinite if it is not known.
         """
         now_s = clocks.elapsed_s()
         for worker_id, removal in list(self._removals.items()):
             if now_s - removal.at_s > REMOVAL_RETENTION_S:
                 del self._removals[worker_id]
         self._removals[worker.worker_id] = _Removal(
-            at_s=now_s,
-            worker=worker,
-            entry_age_s=entry_age_s,
-            is_followed=is_followed,
+            at_s=now_s, worker=worker, entry_age_s=entry_age_s
         )
         _LOG.log(
             job_events.WORKER_ENTRY_REMOVED,
             worker=worker.worker_id,
             is_draining=worker.is_draining,
-            is_followed=is_followed,
             entry_age_s=(
                 round(entry_age_s, 3) if math.isfinite(entry_age_s) else None
             ),
@@ -130,9 +119,6 @@
         removal = self._removals.get(worker_id)
         if removal is None or not removal.worker.is_draining:
             return False
-        if not removal.is_followed:
-            # The store may drop entries while it is away.
-            return False
         if removal.entry_age_s > LEFT_RATIO * self._silence_s:
             return False
         return clocks.elapsed_s() - removal.at_s >= for_s
--- a/wisteriawood/links/version_times.py
+++ b/wisteriawood/links/version_times.py
@@ -58,14 +58,6 @@
         """
         self._answers.clear()
 
-    def is_followed(self, version: int) -> bool:
-        """Return whether no call has failed since before a change.
-
-        Args:
-            version: Version of the change.
-        """
-        return any(answer.version < version for answer in self._answers)
-
     def longest_between_s(self, earlier: int, later: int) -> float:
         """Return the longest time that may lie between two changes.
 
--- a/wisteriawood/platform/worker_followers.py
+++ b/wisteriawood/platform/worker_followers.py
@@ -65,13 +65,11 @@
         except errors.MessageError:
             # It was logged when the entry arrived.
             return
-        times = self._host.version_times
         self._host.directory.record_removal(
             worker,
-            entry_age_s=times.longest_between_s(
+            self._host.version_times.longest_between_s(
                 former.version, removal.version
             ),
-            is_followed=times.is_followed(removal.version),
         )
 
     def _decode(self, row: stores.StoredRow) -> runners.Registration:
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -265,9 +265,8 @@
     "worker-entry-removed",
     "The directory no longer lists a worker; `entry_age_s` is the longest "
     "time that may have passed since the worker last wrote its entry, if "
-    "known, and `is_followed` is false if the store failed just before. If "
-    "it drained and was silent for less than it takes to lose the entry, it "
-    "has probably left.",
+    "known; it is not if the store failed just before. If it drained and was "
+    "silent for less than it takes to lose the entry, it has probably left.",
 )
 TASK_LENT = events.define(
     2113,
--- a/wisteriawood/tests/leaving_tests.py
+++ b/wisteriawood/tests/leaving_tests.py
@@ -28,12 +28,6 @@
 ONE_ZONE = {"zones": ["a"], "hosts_per_zone": 2, "workers_per_zone": 2}
 
 
-def _remove(known, worker, entry_age_s, is_followed=True):
-    known.record_removal(
-        worker, entry_age_s=entry_age_s, is_followed=is_followed
-    )
-
-
 class LeavingWorkerTests(unittest.TestCase):
     """A task runs on a worker that leaves the directory."""
 
@@ -166,11 +160,13 @@
 
         async def _check(world, directory, name):
             worker = world.workers[name]
-            worker.cut_from.update(world.hosts)
+            holder = world.holder_of(CELL)
             world.store.is_down = True
             await anyio.sleep(1)
             world.store.is_down = False
             directory.remove_entry(name)
+            world.kill_host(holder)
+            worker.cut_from.update(world.hosts)
             while worker.runs:
                 self.assertEqual(self._restarts(world, name), [])
                 await anyio.sleep(0.1)
@@ -195,9 +191,9 @@
 
     def test_only_a_draining_worker_leaves(self):
         async def _check(known, draining, ready):
-            _remove(known, ready, 1.0)
+            known.record_removal(ready, 1.0)
             self.assertFalse(known.has_left("w", NOW_S))
-            _remove(known, draining, 1.0)
+            known.record_removal(draining, 1.0)
             self.assertTrue(known.has_left("w", NOW_S))
 
         self._check(_check)
@@ -205,25 +201,16 @@
     def test_silence_does_not_prove_it(self):
         async def _check(known, draining, _ready):
             for age_s in (4.0, 4.5, math.inf):
-                _remove(known, draining, age_s)
+                known.record_removal(draining, age_s)
                 self.assertFalse(known.has_left("w", NOW_S))
 
         self._check(_check)
 
-    def test_removal_while_the_store_was_away(self):
-        """Guards against entries that the store dropped without silence."""
-
-        async def _check(known, draining, _ready):
-            _remove(known, draining, 1.0, is_followed=False)
-            self.assertFalse(known.has_left("w", NOW_S))
-
-        self._check(_check)
-
     def test_entry_that_returns(self):
         """Guards against a worker of the same id that counts as gone."""
 
         async def _check(known, draining, ready):
-            _remove(known, draining, 1.0)
+            known.record_removal(draining, 1.0)
             known.update({"w": ready})
             self.assertFalse(known.has_left("w", NOW_S))
 
@@ -231,13 +218,13 @@
 
     def test_it_is_forgotten_in_time(self):
         async def _check(known, draining, _ready):
-            _remove(known, draining, 1.0)
+            known.record_removal(draining, 1.0)
             await anyio.sleep(2.2)
             self.assertTrue(known.has_left("w", 2.0))
             self.assertFalse(known.has_left("w", 2.4))
             await anyio.sleep(worker_directories.REMOVAL_RETENTION_S)
             other = dataclasses.replace(draining, worker_id="other")
-            _remove(known, other, 1.0)
+            known.record_removal(other, 1.0)
             self.assertFalse(known.has_left("w", NOW_S))
 
         self._check(_check)
@@ -263,13 +250,9 @@
     def test_answers_before_a_failure_do_not_count(self):
         times = version_times.VersionTimes()
         self._record(times, 10, 1.0)
-        self.assertTrue(times.is_followed(25))
         times.clear()
-        self.assertFalse(times.is_followed(25))
         self._record(times, 30, 2.0)
         self.assertEqual(times.longest_between_s(20, 25), math.inf)
-        self.assertFalse(times.is_followed(25))
-        self.assertTrue(times.is_followed(40))
 
     def test_old_answers_are_dropped(self):
         times = version_times.VersionTimes()
