--- a/wisteriawood/tests/leaving_tests.py
+++ b/wisteriawood/tests/leaving_tests.py
@@ -190,6 +190,8 @@
         builders.run_virtual(_main)
 
     def test_only_a_draining_worker_leaves(self):
+        """Guards against a crashed or replaced worker that counts as gone."""
+
         async def _check(known, draining, ready):
             known.record_removal(ready, 1.0)
             self.assertFalse(known.has_left("w", NOW_S))
@@ -199,6 +201,8 @@
         self._check(_check)
 
     def test_silence_does_not_prove_it(self):
+        """Guards against a silent worker, or an unknown age, as a proof."""
+
         async def _check(known, draining, _ready):
             for age_s in (4.0, 4.5, math.inf):
                 known.record_removal(draining, age_s)
@@ -217,6 +221,8 @@
         self._check(_check)
 
     def test_it_is_forgotten_in_time(self):
+        """Guards against a list of removals that only grows."""
+
         async def _check(known, draining, _ready):
             known.record_removal(draining, 1.0)
             await anyio.sleep(2.2)
@@ -237,6 +243,7 @@
         times.record(version=version, sent_at_s=at_s, answered_at_s=at_s + 0.5)
 
     def test_bounds_contain_the_calls_around_both_changes(self):
+        """Guards against an age that leaves out the time of a call."""
         times = version_times.VersionTimes()
         for version, at_s in ((10, 1.0), (20, 2.0), (30, 3.0), (40, 4.0)):
             self._record(times, version, at_s)
@@ -248,6 +255,7 @@
         self.assertEqual(times.longest_between_s(25, 45), math.inf)
 
     def test_answers_before_a_failure_do_not_count(self):
+        """Guards against ages that reach back over a failed call."""
         times = version_times.VersionTimes()
         self._record(times, 10, 1.0)
         times.clear()
@@ -255,6 +263,7 @@
         self.assertEqual(times.longest_between_s(20, 25), math.inf)
 
     def test_old_answers_are_dropped(self):
+        """Guards against a list of answers that only grows."""
         times = version_times.VersionTimes()
         self._record(times, 10, 1.0)
         later_s = 2.0 + version_times.RETENTION_S
