--- a/wisteriawood/cells/balancers.py
+++ b/wisteriawood/cells/balancers.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from wisteriawood.cells import claims
 from wisteriawood.jobs import specs
 from wisteriawood.policies.admission import base
 
@@ -36,7 +37,7 @@
     def choose(
         self,
         cells: list[str],
-        loads: dict[str, dict],
+        loads: dict[str, claims.CellLoad],
         spec: specs.JobSpec,
         hosts: int = 1,
     ) -> tuple[str, base.CellView]:
@@ -88,13 +89,15 @@
         """
         self._sent.append((anyio.current_time(), cell, spec))
 
-    def _view(self, cell: str, load: dict, hosts: int) -> base.CellView:
+    def _view(
+        self, cell: str, load: claims.CellLoad, hosts: int
+    ) -> base.CellView:
         view = base.CellView(
-            capacity_millicores=max(1, load.get("capacity", 1)),
-            free_millicores=load.get("free", 0),
-            left_millicores=load.get("left", 0),
-            backlog_millicore_s=load.get("backlog", 0),
-            rate_millicores=load.get("rate", 0),
+            capacity_millicores=max(1, load.capacity_millicores),
+            free_millicores=load.free_millicores,
+            left_millicores=load.unused_millicores,
+            backlog_millicore_s=load.backlog_millicore_s,
+            rate_millicores=load.rate_millicores,
         )
         for _at_s, to, spec in self._sent:
             if to == cell:
--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -23,6 +23,7 @@
 from wisteriawood.jobs import tasks
 from wisteriawood.links import stores
 from wisteriawood.policies.spreading import base as spreading
+from wisteriawood import supervision
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
 from wisteriawood.telemetry import job_metrics
@@ -48,6 +49,7 @@
         max_cancel_age_s: Age of the known cancellations up to which tasks
             may be started.
         counters: Metrics of the host.
+        supervisor: Contains unexpected errors.
 
     Attributes:
         jobs: All jobs of the cell, by id.
@@ -80,6 +82,7 @@
         "orphans",
         "other_loads",
         "store",
+        "supervisor",
         "writer",
     )
 
@@ -92,8 +95,10 @@
         directory: worker_directories.WorkerDirectory,
         max_cancel_age_s: float,
         counters: job_metrics.JobMetrics,
+        supervisor: supervision.Supervisor,
     ):
         self.claim = claim
+        self.supervisor = supervisor
         self.store = store
         self.counters = counters
         self.directory = directory
@@ -102,7 +107,7 @@
         self.last_job_at_s = anyio.current_time()
         self.jobs: dict[str, jobs.Job] = {}
         self.fleet: dict[str, workers.Worker] = {}
-        self.other_loads: dict[str, dict] = {}
+        self.other_loads: dict[str, claims.CellLoad] = {}
         self.orphans: dict[str, list[runs.Run]] = {}
         self.writer = job_writers.JobWriter(
             store=store,
--- a/wisteriawood/cells/claims.py
+++ b/wisteriawood/cells/claims.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from wisteriawood.cells import tables
-from wisteriawood import errors
+from wisteriawood.links.codecs import bounds
 from wisteriawood.links.codecs import rows
 from wisteriawood.links import stores
 
@@ -24,9 +24,9 @@
         epoch: Increases by one with each claim.
     """
 
-    holder: str
-    incarnation: str
-    epoch: int
+    holder: bounds.Name
+    incarnation: bounds.Name
+    epoch: bounds.Amount
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -104,6 +104,42 @@
     return Claim(cell=cell, row=row, version=version)
 
 
+class CellLoad(msgspec.Struct, kw_only=True):
+    """Load of a cell as its holder reports it.
+
+    Attributes:
+        epoch: Epoch of the claim under which the cell is held.
+        capacity_millicores: CPU of the usable workers.
+        free_millicores: CPU that no task has reserved or waits for; below 0
+            if more is wanted than there is.
+        largest_free_millicores: Most such CPU on one worker.
+        unused_millicores: CPU that is expected to stay unused, less what
+            waiting fillers request.
+        backlog_millicore_s: Estimated work of fillers that is not done yet.
+        rate_millicores: Estimated work of fillers done in a second.
+        pending: Number of queued jobs that are not timed, by queue.
+        waiting: Number of ready tasks that have no worker.
+        workers: Number of workers.
+    """
+
+    epoch: bounds.Number = 0
+    capacity_millicores: bounds.Number = msgspec.field(
+        default=0, name="capacity"
+    )
+    free_millicores: bounds.Balance = msgspec.field(default=0, name="free")
+    largest_free_millicores: bounds.Balance = msgspec.field(
+        default=0, name="largest"
+    )
+    unused_millicores: bounds.Balance = msgspec.field(default=0, name="left")
+    backlog_millicore_s: bounds.Number = msgspec.field(
+        default=0, name="backlog"
+    )
+    rate_millicores: bounds.Number = msgspec.field(default=0, name="rate")
+    pending: dict[bounds.Name, bounds.Number] = {}
+    waiting: bounds.Number = 0
+    workers: bounds.Number = 0
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class HostHeartbeat:
     """Heartbeat of a host.
@@ -117,12 +153,14 @@
         cores: CPU that it may use, in cores; 0 if unknown.
     """
 
-    zone: str
-    incarnation: str
-    count: int
-    cells: dict[str, dict] = dataclasses.field(default_factory=dict)
+    zone: bounds.Name
+    incarnation: bounds.Name
+    count: bounds.Number
+    cells: dict[bounds.Name, CellLoad] = dataclasses.field(
+        default_factory=dict
+    )
     is_leaving: bool = False
-    cores: float = 0.0
+    cores: bounds.Measure = 0.0
 
 
 def read_heartbeat(row: stores.StoredRow) -> HostHeartbeat:
@@ -134,12 +172,7 @@
     Raises:
         MessageError: The row can't be decoded.
     """
-    try:
-        return msgspec.json.decode(row.value or b"", type=HostHeartbeat)
-    except msgspec.DecodeError as exc:
-        raise errors.MessageError(
-            f"can't decode the heartbeat: {exc}"
-        ) from exc
+    return rows.from_json(row.value or b"", HostHeartbeat)
 
 
 def heartbeat_to_bytes(heartbeat: HostHeartbeat) -> bytes:
@@ -148,4 +181,4 @@
     Args:
         heartbeat: The heartbeat.
     """
-    return msgspec.json.encode(heartbeat)
+    return rows.to_json(heartbeat)
--- a/wisteriawood/cells/command_senders.py
+++ b/wisteriawood/cells/command_senders.py
@@ -11,6 +11,7 @@
 from wisteriawood import errors
 from wisteriawood.jobs import tasks
 from wisteriawood.links import runners
+from wisteriawood import supervision
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
 
@@ -52,12 +53,29 @@
         try:
             with self._commands:
                 async for run in self._commands:
-                    await self._execute(run)
+                    await self._execute_or_stop(run)
         except runners.FencedError as exc:
             raise tables.CellLostError(
                 f"worker {self._worker.id} has a newer holder"
             ) from exc
 
+    async def _execute_or_stop(self, run: runs.Run) -> None:
+        """Execute a command; after an unexpected error, stop its run.
+
+        What reached the worker is not known then.
+        """
+        backoff = supervision.Backoff()
+        while True:
+            try:
+                await self._execute(run)
+                return
+            except (runners.FencedError, tables.CellLostError):
+                raise
+            except Exception as exc:
+                self._cell.supervisor.record("command", run.name, exc)
+            run.is_stopping = True
+            await anyio.sleep(backoff.next_delay_s())
+
     async def _execute(self, run: runs.Run) -> None:
         if not self._may_be_on_worker(run):
             return
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -130,7 +130,10 @@
                 feed = self._follow_submissions(submissions, read_at_s)
                 group.start_soon(feed.run)
                 group.start_soon(
-                    weight_exchanges.WeightExchange(cell=self.cell).run
+                    self.cell.supervisor.run,
+                    "weight exchange",
+                    self.cell.name,
+                    weight_exchanges.WeightExchange(cell=self.cell).run,
                 )
                 self.is_open = True
                 self.update_fleet(self.listed_workers)
@@ -169,6 +172,7 @@
             on_rows=self._process_submissions,
             start=submissions,
             wait_s=SUBMISSIONS_POLL_S,
+            supervisor=self.cell.supervisor,
         )
         self.cell.cancels_confirmed_at_s = lambda: max(
             read_at_s, feed.confirmed_at_s
--- a/wisteriawood/cells/lending.py
+++ b/wisteriawood/cells/lending.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from wisteriawood.cells import claims
 from wisteriawood.cells import tables
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
@@ -30,7 +31,9 @@
 MAX_LENT_PER_PASS = 4
 
 
-def choose_cell(loads: dict[str, dict], step: specs.StepSpec) -> str:
+def choose_cell(
+    loads: dict[str, claims.CellLoad], step: specs.StepSpec
+) -> str:
     """Return the cell with most free CPU for a task; empty for none.
 
     One of its workers must have enough free CPU for the task now. Tasks
@@ -42,9 +45,9 @@
         step: Step of the task.
     """
     candidates = [
-        (load.get("free", 0), cell)
+        (load.free_millicores, cell)
         for cell, load in loads.items()
-        if load.get("largest", 0) >= step.cpu_millicores
+        if load.largest_free_millicores >= step.cpu_millicores
     ]
     return max(candidates, default=(0, ""))[1]
 
@@ -141,7 +144,8 @@
     def _lend(self, job: jobs.Job, task: tasks.Task, to: str) -> None:
         cell = self._cell
         extras = lend(job, task, to)
-        cell.other_loads[to]["free"] -= job.step_of(task).cpu_millicores
+        step = job.step_of(task)
+        cell.other_loads[to].free_millicores -= step.cpu_millicores
         _LOG.log(
             job_events.TASK_LENT,
             task=job.task_name(task),
--- a/wisteriawood/cells/loads.py
+++ b/wisteriawood/cells/loads.py
@@ -1,10 +1,9 @@
 """Load of a cell as its holder reports it to other hosts."""
 
-import typing
-
 import anyio
 
 from wisteriawood.cells import cells
+from wisteriawood.cells import claims
 from wisteriawood.cells import placers
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
@@ -57,8 +56,8 @@
     )
 
 
-def report(cell: cells.Cell) -> dict[str, typing.Any]:
-    """Return the load of a cell, as fields of its holder's heartbeat.
+def report(cell: cells.Cell) -> claims.CellLoad:
+    """Return the load of a cell, as its holder's heartbeat reports it.
 
     Args:
         cell: The cell.
@@ -66,15 +65,18 @@
     now_s = anyio.current_time()
     usable = [w for w in cell.fleet.values() if w.is_usable(now_s)]
     reserved, fillers = _wanted_millicores(cell)
-    return {
-        "epoch": cell.claim.epoch,
-        "capacity": sum(w.capacity_millicores() for w in usable),
-        "free": sum(w.free_millicores for w in usable) - reserved,
-        "largest": max((w.free_millicores for w in usable), default=0),
-        "backlog": _filler_backlog(cell),
-        "rate": cell.filler_meter.rate_millicores(),
-        "left": int(sum(w.unused_millicores() for w in usable)) - fillers,
-        "pending": _pending_by_queue(cell),
-        "waiting": cell.waiting_count(),
-        "workers": len(cell.fleet),
-    }
+    unused = int(sum(w.unused_millicores() for w in usable))
+    return claims.CellLoad(
+        epoch=cell.claim.epoch,
+        capacity_millicores=sum(w.capacity_millicores() for w in usable),
+        free_millicores=sum(w.free_millicores for w in usable) - reserved,
+        largest_free_millicores=max(
+            (w.free_millicores for w in usable), default=0
+        ),
+        unused_millicores=unused - fillers,
+        backlog_millicore_s=_filler_backlog(cell),
+        rate_millicores=cell.filler_meter.rate_millicores(),
+        pending=_pending_by_queue(cell),
+        waiting=cell.waiting_count(),
+        workers=len(cell.fleet),
+    )
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -8,6 +8,7 @@
 from wisteriawood.links import feeds
 from wisteriawood.links import stores
 from wisteriawood.links import version_times
+from wisteriawood import supervision
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
 
@@ -64,6 +65,7 @@
         incarnation: Identifier of its process.
         cores: CPU that it may use, in cores; 0 if unknown.
         times: Records the answers of the store; None for no record.
+        supervisor: Records unexpected errors; None to only log them.
 
     Attributes:
         is_leaving: Whether this host is draining.
@@ -102,11 +104,12 @@
         incarnation: str,
         cores: float = 0.0,
         times: version_times.VersionTimes | None = None,
+        supervisor: supervision.Supervisor | None = None,
     ):
         self._store = store
         self._times = times or version_times.VersionTimes()
         self._heartbeat_count = 0
-        self._loads: dict[str, dict] = {}
+        self._loads: dict[str, claims.CellLoad] = {}
         self._claim_seen_at_s: dict[str, float] = {}
         self.name = name
         self.zone = zone
@@ -121,6 +124,7 @@
             table=tables.CLAIMS,
             on_rows=self._process_claims,
             times=self._times,
+            supervisor=supervisor,
         )
         self.heartbeat_feed = feeds.Feed(
             store=store,
@@ -128,6 +132,7 @@
             on_rows=self._process_heartbeats,
             pause_s=lambda: HEARTBEAT_FEED_PAUSE_S,
             times=self._times,
+            supervisor=supervisor,
         )
 
     def _process_claims(self, rows: list[stores.StoredRow]) -> None:
@@ -174,7 +179,7 @@
             )
             for cell, load in heartbeat.cells.items():
                 last = self._loads.get(cell)
-                if last is None or last["epoch"] <= load["epoch"]:
+                if last is None or last.epoch <= load.epoch:
                     self._loads[cell] = load
 
     def silence_s(self, host: str) -> float:
@@ -240,7 +245,7 @@
             return True
         return anyio.current_time() - claim_seen_at_s > INCARNATION_MISMATCH_S
 
-    def live_cell_loads(self) -> dict[str, dict]:
+    def live_cell_loads(self) -> dict[str, claims.CellLoad]:
         """Return the loads of the cells whose holders are alive."""
         now_s = anyio.current_time()
         found = {}
@@ -253,7 +258,7 @@
                     found[cell] = load
         return found
 
-    def all_loads(self) -> dict[str, dict]:
+    def all_loads(self) -> dict[str, claims.CellLoad]:
         """Return the newest known load of each cell.
 
         That of a cell without a holder is the last one that a holder sent.
@@ -303,7 +308,7 @@
             and self.silence_s(name) < _liveness_timeout_s(member)
         )
 
-    async def write_heartbeat(self, cells: dict[str, dict]) -> bool:
+    async def write_heartbeat(self, cells: dict[str, claims.CellLoad]) -> bool:
         """Write a heartbeat of this host.
 
         Args:
--- a/wisteriawood/cells/single_commands.py
+++ b/wisteriawood/cells/single_commands.py
@@ -30,6 +30,7 @@
     """
     cell.run_in_background(
         _send,
+        cell,
         worker,
         active.task_name,
         lambda: worker.link.stop(active.task_name, active.run, worker.token),
@@ -53,6 +54,7 @@
     """
     cell.run_in_background(
         _send,
+        cell,
         worker,
         run.name,
         lambda: worker.link.pace(
@@ -63,6 +65,7 @@
 
 
 async def _send(
+    cell: "cells.Cell",
     worker: workers.Worker,
     task_name: str,
     call: typing.Callable[[], typing.Awaitable[None]],
@@ -74,3 +77,5 @@
         raise tables.CellLostError("the worker has a newer holder") from exc
     except errors.LinkError as exc:
         _LOG.log(unanswered, worker=worker.id, task=task_name, cause=str(exc))
+    except Exception as exc:
+        cell.supervisor.record("command", task_name, exc)
--- a/wisteriawood/cells/weight_exchanges.py
+++ b/wisteriawood/cells/weight_exchanges.py
@@ -6,6 +6,8 @@
 from wisteriawood.cells import cells
 from wisteriawood.cells import tables
 from wisteriawood import errors
+from wisteriawood.links.codecs import bounds
+from wisteriawood.links.codecs import rows
 from wisteriawood.links import stores
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
@@ -62,13 +64,16 @@
 
     def _merge_row(self, row: stores.StoredRow) -> None:
         try:
-            weights = msgspec.json.decode(
-                row.value or b"", type=dict[str, list[float]]
+            weights = rows.from_json(
+                row.value or b"",
+                dict[str, tuple[bounds.Estimate, bounds.Measure]],
             )
-            self._cell.model.import_pairs(row.at.key, weights)
-        except (msgspec.DecodeError, ValueError) as exc:
+        except errors.MessageError as exc:
+            self._cell.counters.unreadable.labels(kind="weights").inc()
             _LOG.log(
                 job_events.WEIGHTS_UNREADABLE,
                 cell=row.at.key,
                 cause=str(exc),
             )
+            return
+        self._cell.model.import_pairs(row.at.key, weights)
--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -11,6 +11,7 @@
 from wisteriawood import errors
 from wisteriawood.jobs import tasks
 from wisteriawood.links import runners
+from wisteriawood import supervision
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
 
@@ -71,6 +72,7 @@
             CellLostError: The worker has a newer holder.
         """
         delay_s = RETRY_DELAY_S
+        backoff = supervision.Backoff()
         while not self._is_finished():
             try:
                 await self._renew()
@@ -85,6 +87,14 @@
                 await anyio.sleep(delay_s)
                 delay_s = min(2 * delay_s, RETRY_MAX_DELAY_S)
                 continue
+            except Exception as exc:
+                # The lease ends unless a later report can be processed.
+                self._cell.supervisor.record(
+                    "worker session", self._worker.id, exc
+                )
+                self._handle_no_answer(exc)
+                await anyio.sleep(backoff.next_delay_s())
+                continue
             delay_s = RETRY_DELAY_S
             await self._wait_for_commits()
         self._end_session()
--- a/wisteriawood/jobs/jobs.py
+++ b/wisteriawood/jobs/jobs.py
@@ -28,8 +28,10 @@
     }
 )
 
-# Most occurrences open at the same time; bounds the size of a job's row.
+# Most occurrences, and most tasks, open at the same time. They bound the size
+# of a job's row, which must stay below the 64 KiB that a store may accept.
 MAX_OPEN_OCCURRENCES = 16
+MAX_OPEN_TASKS = 1000
 
 
 class Job:
@@ -139,10 +141,12 @@
             Whether any was opened.
         """
         count = max(1, self.spec.occurrence_count)
+        tasks_each = sum(step.task_count for step in self.spec.steps)
+        max_open = min(MAX_OPEN_OCCURRENCES, MAX_OPEN_TASKS // tasks_each)
         was_opened = False
         while (
             self.next_occurrence < count
-            and len(self.occurrences) < MAX_OPEN_OCCURRENCES
+            and len(self.occurrences) < max(1, max_open)
             and self.spec.due_unix_ms(self.next_occurrence) <= now_unix_ms
         ):
             self.open_occurrence(self.next_occurrence)
--- a/wisteriawood/jobs/queues.py
+++ b/wisteriawood/jobs/queues.py
@@ -58,16 +58,21 @@
         queues: The queues.
     """
 
-    __slots__ = ("_by_host", "queues", "version")
+    __slots__ = ("_by_host", "_services", "queues", "version")
 
     def __init__(self, *, version: int, queues: list[Queue]):
         self.version = version
         self.queues = queues
-        self._by_host: dict[str, list[Queue]] = {}
-        for queue in queues:
-            self._by_host.setdefault(queue.host_name, []).append(queue)
-        for listed in self._by_host.values():
-            listed.sort(key=lambda queue: -len(queue.prefix))
+        self._services = frozenset(
+            queue.service for queue in queues if queue.service
+        )
+        # Queues of a host name by length of their prefix, the longest first,
+        # and by prefix; the first of equal ones counts.
+        self._by_host: dict[str, dict[int, dict[str, Queue]]] = {}
+        for queue in sorted(queues, key=lambda queue: -len(queue.prefix)):
+            by_length = self._by_host.setdefault(queue.host_name, {})
+            by_prefix = by_length.setdefault(len(queue.prefix), {})
+            by_prefix.setdefault(queue.prefix, queue)
 
     def find(self, host_name: str, path: str) -> Queue:
         """Return the queue that accepts a caller's request.
@@ -79,11 +84,12 @@
         Raises:
             NotFoundError: No queue accepts this host name and path.
         """
-        for queue in self._by_host.get(host_name, []):
-            if path.startswith(queue.prefix):
+        for length, by_prefix in self._by_host.get(host_name, {}).items():
+            queue = by_prefix.get(path[:length])
+            if queue is not None:
                 return queue
         raise errors.NotFoundError("no queue serves this host and path")
 
-    def services(self) -> set[str]:
+    def services(self) -> frozenset[str]:
         """Return the services whose workers run tasks of the queues."""
-        return {queue.service for queue in self.queues if queue.service}
+        return self._services
--- a/wisteriawood/links/codecs/jobs.py
+++ b/wisteriawood/links/codecs/jobs.py
@@ -4,18 +4,48 @@
 job writes its whole row again.
 """
 
-import typing
-
 import msgspec
 
 from wisteriawood import errors
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
+from wisteriawood.links.codecs import bounds
+from wisteriawood.links.codecs import rows
 
 FORMAT = 1
 
 
+class _TaskRow(msgspec.Struct, array_like=True):
+    phase: tasks.Phase
+    run: bounds.Number
+    worker_id: bounds.Name
+    failures: bounds.Number
+    checkpoint: str
+
+
+class _SpecRow(msgspec.Struct, array_like=True):
+    format: int
+    cell: bounds.Name
+    spec: specs.JobSpec
+
+
+class _SummaryRow(msgspec.Struct, array_like=True):
+    """The first fields of a progress row."""
+
+    format: int
+    cell: bounds.Name
+    state: jobs.JobState
+
+
+class _ProgressRow(_SummaryRow, array_like=True):
+    ended_unix_ms: bounds.UnixMs
+    next_occurrence: bounds.Number
+    occurrences_done: bounds.Number
+    # Tasks by occurrence and step; 0 for one that has not run.
+    occurrences: dict[str, list[list[_TaskRow | int]]]
+
+
 def spec_to_bytes(spec: specs.JobSpec, cell: str) -> bytes:
     """Encode the specification of a job as the value of a row.
 
@@ -32,13 +62,8 @@
     Raises:
         MessageError: The row can't be decoded.
     """
-    try:
-        _format, cell, value = msgspec.json.decode(data)
-        return cell, msgspec.convert(value, specs.JobSpec)
-    except (msgspec.DecodeError, ValueError, TypeError) as exc:
-        raise errors.MessageError(
-            f"bad specification of a job: {exc}"
-        ) from exc
+    row = rows.from_json(data, _SpecRow)
+    return row.cell, row.spec
 
 
 def _task_to_list(task: tasks.Task) -> list | int:
@@ -76,11 +101,14 @@
     )
 
 
-def _read_task(task: tasks.Task, value: typing.Any) -> None:
-    if value == 0:
+def _read_task(task: tasks.Task, value: _TaskRow | int) -> None:
+    if isinstance(value, int):
         return
-    phase, task.run, task.worker_id, task.failures, task.checkpoint = value
-    task.phase = tasks.Phase(phase)
+    task.phase = value.phase
+    task.run = value.run
+    task.worker_id = value.worker_id
+    task.failures = value.failures
+    task.checkpoint = value.checkpoint
 
 
 def job_from_bytes(spec: specs.JobSpec, bucket: str, data: bytes) -> jobs.Job:
@@ -94,23 +122,22 @@
     Raises:
         MessageError: The row can't be decoded.
     """
+    row = rows.from_json(data, _ProgressRow)
+    job = jobs.Job(spec=spec, cell=row.cell, bucket=bucket)
+    job.state = row.state
+    job.ended_unix_ms = row.ended_unix_ms
+    job.next_occurrence = row.next_occurrence
+    job.occurrences_done = row.occurrences_done
     try:
-        _format, cell, state, ended, next_occurrence, done, occurrences = (
-            msgspec.json.decode(data)
-        )
-        job = jobs.Job(spec=spec, cell=cell, bucket=bucket)
-        job.state = jobs.JobState(state)
-        job.ended_unix_ms = ended
-        job.next_occurrence = next_occurrence
-        job.occurrences_done = done
-        for number, steps in occurrences.items():
+        for number, steps in row.occurrences.items():
             job.open_occurrence(int(number))
             for step, values in enumerate(steps):
                 for task, value in zip(
                     job.occurrences[int(number)][step], values, strict=True
                 ):
                     _read_task(task, value)
-    except (msgspec.DecodeError, ValueError, TypeError, LookupError) as exc:
+    except (ValueError, LookupError) as exc:
+        # The progress has other steps or tasks than the specification.
         raise errors.MessageError(f"bad progress of a job: {exc}") from exc
     return job
 
@@ -121,8 +148,5 @@
     Raises:
         MessageError: The row can't be decoded.
     """
-    try:
-        _format, cell, state, *_rest = msgspec.json.decode(data)
-        return cell, jobs.JobState(state)
-    except (msgspec.DecodeError, ValueError, TypeError) as exc:
-        raise errors.MessageError(f"bad progress of a job: {exc}") from exc
+    row = rows.from_json(data, _SummaryRow)
+    return row.cell, row.state
--- a/wisteriawood/links/codecs/rows.py
+++ b/wisteriawood/links/codecs/rows.py
@@ -1,4 +1,8 @@
-"""JSON encoding of records, for table rows and HTTP bodies."""
+"""JSON encoding of records, for table rows and HTTP bodies.
+
+All JSON from other processes is decoded here, so that a value of any kind
+that does not match its type ends in the same error.
+"""
 
 import typing
 
@@ -7,6 +11,11 @@
 from wisteriawood import errors
 
 Record = typing.TypeVar("Record")
+# The decoder reports wrong values as a ValueError, and values nested too deep
+# as a RecursionError.
+DECODE_ERRORS = (ValueError, RecursionError)
+# Longest description of such an error that is passed on.
+MAX_CAUSE_LENGTH = 200
 
 
 def to_value(record: typing.Any) -> typing.Any:
@@ -22,12 +31,13 @@
         cls: Type of the record.
 
     Raises:
-        MessageError: The value does not match the type.
+        MessageError: The value does not match the type, or is nested too
+            deep.
     """
     try:
         return msgspec.convert(value, cls)
-    except msgspec.ValidationError as exc:
-        raise errors.MessageError(f"bad {cls.__name__}: {exc}") from exc
+    except DECODE_ERRORS as exc:
+        raise _message_error(cls, exc) from exc
 
 
 def to_json(record: typing.Any) -> bytes:
@@ -43,10 +53,15 @@
         cls: Type of the record.
 
     Raises:
-        MessageError: The text is not valid JSON or does not match the
-            type.
+        MessageError: The text is not valid JSON, does not match the type, or
+            is nested too deep.
     """
     try:
         return msgspec.json.decode(data, type=cls)
-    except msgspec.DecodeError as exc:
-        raise errors.MessageError(f"bad {cls.__name__}: {exc}") from exc
+    except DECODE_ERRORS as exc:
+        raise _message_error(cls, exc) from exc
+
+
+def _message_error(cls: type, cause: Exception) -> errors.MessageError:
+    name = getattr(cls, "__name__", str(cls))
+    return errors.MessageError(f"bad {name}: {str(cause)[:MAX_CAUSE_LENGTH]}")
--- a/wisteriawood/links/feeds.py
+++ b/wisteriawood/links/feeds.py
@@ -9,6 +9,7 @@
 from wisteriawood.links import clocks
 from wisteriawood.links import stores
 from wisteriawood.links import version_times
+from wisteriawood import supervision
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
 
@@ -46,6 +47,7 @@
             the table first.
         wait_s: Longest duration of one poll.
         times: Records the answers of the store; None for no record.
+        supervisor: Records unexpected errors; None to only log them.
 
     Attributes:
         answered_at_s: Monotonic time of the last answer; 0 before the first.
@@ -73,6 +75,7 @@
         "_on_rows",
         "_pause_s",
         "_store",
+        "_supervisor",
         "_times",
         "_tombstones",
         "_versions",
@@ -97,8 +100,10 @@
         start: stores.Page | None = None,
         wait_s: float = LONG_POLL_S,
         times: version_times.VersionTimes | None = None,
+        supervisor: supervision.Supervisor | None = None,
     ):
         self._store = store
+        self._supervisor = supervisor or supervision.Supervisor()
         self._times = times or version_times.VersionTimes()
         self._on_answer = on_answer
         self._on_rows = on_rows
@@ -250,7 +255,24 @@
             if self._versions.get(at) == version:
                 del self._versions[at]
         if newer:
-            self._on_rows(newer)
+            self._pass_on(newer)
+
+    def _pass_on(self, rows: list[stores.StoredRow]) -> None:
+        """Pass rows on; after an unexpected error, each one by itself.
+
+        So only the rows that cause the error are lost.
+        """
+        try:
+            self._on_rows(rows)
+            return
+        except Exception as exc:
+            self._supervisor.record("rows", self.table, exc)
+        for row in rows:
+            try:
+                self._on_rows([row])
+            except Exception as exc:
+                name = f"{self.table}/{row.at.key}"
+                self._supervisor.record("row", name, exc)
 
     def _audit(self, page: stores.Page) -> None:
         """Apply the rows of a table that the feed missed.
--- a/wisteriawood/machines/intakes.py
+++ b/wisteriawood/machines/intakes.py
@@ -353,7 +353,7 @@
             queue: The queue.
         """
         loads = self._host.members.all_loads().values()
-        return sum(load["pending"].get(queue.name, 0) for load in loads)
+        return sum(load.pending.get(queue.name, 0) for load in loads)
 
 
 @contextlib.contextmanager
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -24,6 +24,7 @@
 from wisteriawood.policies import registry
 from wisteriawood.policies import spreading
 from wisteriawood.policies.spreading import base as spreading_base
+from wisteriawood import supervision
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
 from wisteriawood.telemetry import job_metrics
@@ -40,6 +41,21 @@
 READY_ANSWER_AGE_S = 2.5
 
 
+class _Suspension:
+    """Time for which a host does not claim a cell.
+
+    Attributes:
+        backoff: Lengthens the times of errors that repeat.
+        until_s: Monotonic time of its end.
+    """
+
+    __slots__ = ("backoff", "until_s")
+
+    def __init__(self):
+        self.backoff = supervision.Backoff()
+        self.until_s = 0.0
+
+
 class JobHost:
     """Accepts jobs and holds cells: of its zone, and of zones without hosts.
 
@@ -66,6 +82,7 @@
         is_draining: Whether the host releases its cells.
         on_claim: Called when this host has claimed a cell.
         version_times: When changes of the store were made.
+        supervisor: Contains unexpected errors.
     """
 
     __slots__ = (
@@ -78,6 +95,7 @@
         "_policy",
         "_retention_s",
         "_scopes",
+        "_suspensions",
         "_takeovers",
         "counters",
         "directory",
@@ -87,6 +105,7 @@
         "on_claim",
         "queues",
         "store",
+        "supervisor",
         "version_times",
         "zone",
         "zones",
@@ -119,6 +138,11 @@
         registry.load_modules(spreading)
         self._policy = spreading_base.SPREADING.get(policy)()
         self.counters = job_metrics.JobMetrics()
+        self.supervisor = supervision.Supervisor(
+            count=lambda kind: self.counters.unit_failures.labels(
+                kind=kind
+            ).inc()
+        )
         self.version_times = version_times.VersionTimes()
         self.members = members.Members(
             store=store,
@@ -127,6 +151,7 @@
             incarnation=uuid.uuid4().hex,
             cores=cores,
             times=self.version_times,
+            supervisor=self.supervisor,
         )
         self.queues: queues.QueueTable | None = None
         self.is_draining = False
@@ -137,6 +162,8 @@
         self._holders: dict[str, holders.Holder] = {}
         self._claimed = anyio.Event()
         self._scopes: dict[str, anyio.CancelScope] = {}
+        # Cells whose management failed, which this host leaves to others.
+        self._suspensions: dict[str, _Suspension] = {}
         self._group: abc.TaskGroup | None = None
         self._takeovers = takeovers.Takeovers(
             known_members=self.members, dial=dial, workers_of=self._workers_of
@@ -226,10 +253,15 @@
         """Run until cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
-            group.start_soon(self.members.claim_feed.run)
-            group.start_soon(self.members.heartbeat_feed.run)
-            group.start_soon(self._send_heartbeats)
-            await self._check_cells_forever()
+            for kind, function in (
+                ("claim feed", self.members.claim_feed.run),
+                ("heartbeat feed", self.members.heartbeat_feed.run),
+                ("heartbeats", self._send_heartbeats),
+                ("cell checks", self._check_cells_forever),
+            ):
+                group.start_soon(
+                    self.supervisor.run, kind, self.name, function
+                )
 
     async def _send_heartbeats(self) -> None:
         while True:
@@ -269,11 +301,21 @@
             for cell in self._all_cells():
                 if cell in self._holders:
                     self._check_held(cell)
+                elif self._is_suspended(cell):
+                    continue
                 elif await self._takeovers.should_claim(
                     cell, len(self._holders)
                 ):
                     await self._claim(cell, self.members.claims.get(cell))
 
+    def _is_suspended(self, cell: str) -> bool:
+        """Return whether a cell is left to others after an error here."""
+        suspension = self._suspensions.get(cell)
+        return (
+            suspension is not None
+            and anyio.current_time() < suspension.until_s
+        )
+
     def _share_loads(self) -> None:
         """Give each held cell the loads of its service's other cells."""
         live_loads = self.members.live_cell_loads()
@@ -338,6 +380,7 @@
                 directory=self.directory,
                 max_cancel_age_s=self._max_cancel_age_s,
                 counters=self.counters,
+                supervisor=self.supervisor,
             ),
             zones=self.zones,
             dial=self._dial,
@@ -353,17 +396,37 @@
             self._group.start_soon(self._run_holder, cell, holder)
 
     async def _run_holder(self, cell: str, holder: holders.Holder) -> None:
+        has_failed = False
         try:
             with self._scopes[cell]:
                 await holder.run()
-        except* tables.CellLostError as group:
-            cause = str(group.exceptions[0])
-            _LOG.log(job_events.CELL_LOST, cell=cell, cause=cause)
+        except Exception as exc:
+            if supervision.contains(exc, tables.CellLostError):
+                _LOG.log(job_events.CELL_LOST, cell=cell, cause=str(exc))
+            else:
+                has_failed = True
+                self.supervisor.record("cell", cell, exc)
         finally:
             if self._holders.get(cell) is holder:
                 del self._holders[cell]
                 del self._scopes[cell]
             self.counters.cells_held.set(len(self._holders))
+        if has_failed:
+            await self._suspend(cell, holder)
+
+    async def _suspend(self, cell: str, holder: holders.Holder) -> None:
+        """Leave a cell to other hosts for a time after an error here.
+
+        The next holder reads the state of the jobs from the store.
+
+        Args:
+            cell: The cell.
+            holder: Its holder, which has ended.
+        """
+        suspension = self._suspensions.setdefault(cell, _Suspension())
+        delay_s = suspension.backoff.next_delay_s()
+        suspension.until_s = anyio.current_time() + delay_s
+        await self._release_claim(cell, holder.cell.claim)
 
     async def release(self, cell: str) -> None:
         """Release a cell, so that another host can claim it at once.
@@ -376,21 +439,22 @@
         holder = self._holders.get(cell)
         if holder is None:
             return
+        is_released = await self._release_claim(cell, holder.cell.claim)
+        if is_released and self._holders.get(cell) is holder:
+            self._scopes[cell].cancel()
+
+    async def _release_claim(self, cell: str, held: claims.Claim) -> bool:
+        """Write that a claim is released; return whether that is stored."""
         try:
             claim = await claims.claim_cell(
-                self.store,
-                cell,
-                holder.cell.claim,
-                "",
-                self.members.incarnation,
+                self.store, cell, held, "", self.members.incarnation
             )
         except errors.PlatformError as exc:
             _LOG.log(job_events.RELEASE_FAILED, cell=cell, cause=str(exc))
-            return
-        if self._holders.get(cell) is holder:
-            self._scopes[cell].cancel()
+            return False
         self.members.record_claim(claim)
         _LOG.log(job_events.CELL_RELEASED, cell=cell, epoch=claim.epoch)
+        return True
 
     async def drain(self) -> None:
         """Release all cells and claim no more."""
--- a/wisteriawood/platform/__main__.py
+++ b/wisteriawood/platform/__main__.py
@@ -2,6 +2,7 @@
 
 import functools
 import signal
+import sys
 
 import anyio
 
@@ -82,6 +83,7 @@
             store=self._store,
             table=directory.OPERATOR_TABLE,
             on_rows=self._process_operator_rows,
+            supervisor=self._host.supervisor,
         )
         self._workers = worker_followers.WorkerFollower(host=self._host)
         self._host.on_claim = self._workers.feed.poll_now
@@ -95,6 +97,8 @@
             try:
                 table, max_bytes = directory.decode_configuration(row.value)
             except errors.MessageError as exc:
+                unreadable = self._host.counters.unreadable
+                unreadable.labels(kind="configuration").inc()
                 _LOG.log(job_events.CONFIGURATION_UNREADABLE, cause=str(exc))
                 continue
             self._front.max_body_bytes = max_bytes
@@ -134,9 +138,17 @@
 
     async def _serve(self) -> None:
         listen = self.config.listen_addrs
-        await https.serve_until(
-            self._front, [listen.front, listen.ready], self._stopping
-        )
+        try:
+            await https.serve_until(
+                self._front, [listen.front, listen.ready], self._stopping
+            )
+        except OSError as exc:
+            _LOG.log(
+                events.DAEMON_FAILED,
+                name=self.config.node_name,
+                cause=f"can't serve on {listen.front}, {listen.ready}: {exc}",
+            )
+            raise
         self._server_closed.set()
 
     async def run(self) -> None:
@@ -146,10 +158,18 @@
         async with anyio.create_task_group() as group:
             group.start_soon(writer.run)
             group.start_soon(self._serve)
-            group.start_soon(self._host.run)
-            group.start_soon(self._intake.run)
-            group.start_soon(self._configuration_feed.run)
-            group.start_soon(self._workers.feed.run)
+            for kind, function in (
+                ("host", self._host.run),
+                ("intake", self._intake.run),
+                ("configuration feed", self._configuration_feed.run),
+                ("worker feed", self._workers.feed.run),
+            ):
+                group.start_soon(
+                    self._host.supervisor.run,
+                    kind,
+                    self.config.node_name,
+                    function,
+                )
             await self._watch_signals()
             _LOG.log(events.DAEMON_STOPPED, name=self.config.node_name)
             group.cancel_scope.cancel()
@@ -178,7 +198,12 @@
 
 def main() -> None:
     """Run the job host that the settings file describes."""
-    anyio.run(functools.partial(_run))
+    try:
+        anyio.run(functools.partial(_run))
+    except* (OSError, errors.SettingsError) as group:
+        # The log has been written, or could not be opened yet.
+        print(f"wisteriawood: {group.exceptions[0]}", file=sys.stderr)
+        sys.exit(errors.WisteriawoodError.exit_code)
 
 
 if __name__ == "__main__":
--- a/wisteriawood/platform/bodies.py
+++ b/wisteriawood/platform/bodies.py
@@ -2,51 +2,51 @@
 
 import dataclasses
 
-import msgspec
-
 from wisteriawood import errors
+from wisteriawood.jobs import jobs
 from wisteriawood.jobs import queues
 from wisteriawood.jobs import specs
+from wisteriawood.links.codecs import bounds
+from wisteriawood.links.codecs import rows
 
 MAX_STEPS = 100
-MAX_TASKS = 10_000
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Step:
-    count: int = 1
+    count: bounds.Amount = 1
     # In millicores.
-    cpu: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
-    est_runtime_ms: float = 0
+    cpu: bounds.Amount = 0
+    mem_mb: bounds.Amount = 0
+    gpus: bounds.Amount = 0
+    est_runtime_ms: bounds.DurationMs = 0
     # Positions of earlier steps in the list, from 0.
-    after: list[int] = dataclasses.field(default_factory=list)
+    after: list[bounds.Amount] = dataclasses.field(default_factory=list)
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     # Label that the worker must have.
-    constraints: str = ""
+    constraints: bounds.Name = ""
     # Rack that stores the data.
-    affinity: str = ""
+    affinity: bounds.Name = ""
     # Most tasks of the step on one worker.
-    anti_affinity: int = 0
+    anti_affinity: bounds.Amount = 0
     speculative: bool = False
     long_running: bool = False
-    image: str = ""
-    target_ms: float = 0
+    image: bounds.Name = ""
+    target_ms: bounds.DurationMs = 0
     fills: bool = False
     # Most tasks that the scheduler may interrupt at the same time.
-    may_miss: int = 0
+    may_miss: bounds.Amount = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Job:
     steps: list[_Step]
     task_spec: str = ""
-    repeat_count: int = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
+    repeat_count: bounds.Amount = 0
+    start_at_ms: bounds.UnixMs = 0
+    interval_ms: bounds.Amount = 0
 
 
 def decode_job(job_id: str, queue: queues.Queue, data: bytes) -> specs.JobSpec:
@@ -61,8 +61,8 @@
         UsageError: The body is not a valid job; the message says why.
     """
     try:
-        job = msgspec.json.decode(data, type=_Job)
-    except msgspec.DecodeError as exc:
+        job = rows.from_json(data, _Job)
+    except errors.MessageError as exc:
         raise errors.UsageError(f"the body is no job: {exc}") from exc
     _check(job)
     return specs.JobSpec(
@@ -80,10 +80,14 @@
     if not 0 < len(job.steps) <= MAX_STEPS:
         raise errors.UsageError(f"give 1 to {MAX_STEPS} steps")
     for number, step in enumerate(job.steps):
-        if not 0 < step.count <= MAX_TASKS:
-            raise errors.UsageError(f"give 1 to {MAX_TASKS} tasks a step")
+        if step.count < 1:
+            raise errors.UsageError("give at least one task a step")
         if any(not 0 <= earlier < number for earlier in step.after):
             raise errors.UsageError("a step may only follow earlier steps")
+    if sum(step.count for step in job.steps) > jobs.MAX_OPEN_TASKS:
+        raise errors.UsageError(
+            f"give at most {jobs.MAX_OPEN_TASKS} tasks a job"
+        )
 
 
 def _decode_step(step: _Step) -> specs.StepSpec:
--- a/wisteriawood/platform/directory.py
+++ b/wisteriawood/platform/directory.py
@@ -1,11 +1,11 @@
 """Decoding of the rows that the operator and the workers write."""
 
 import dataclasses
+import typing
 
-import msgspec
-
-from wisteriawood import errors
 from wisteriawood.jobs import queues
+from wisteriawood.links.codecs import bounds
+from wisteriawood.links.codecs import rows
 from wisteriawood.links import runners
 
 WORKER_TABLE = "servers"
@@ -15,33 +15,33 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Capacity:
-    cpu: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
+    cpu: bounds.Amount = 0
+    mem_mb: bounds.Amount = 0
+    gpus: bounds.Amount = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Worker:
-    service: str
+    service: bounds.Name
     # Address of the worker's API, as host:port.
-    address: str
-    zone: str
-    state: str
+    address: bounds.Name
+    zone: bounds.Name
+    state: typing.Literal["ready", "draining"]
     capacity: _Capacity = dataclasses.field(default_factory=_Capacity)
     # First the kind of the worker, then its rack.
-    labels: list[str] = dataclasses.field(default_factory=list)
-    remaining_ms: float = 0
+    labels: list[bounds.Name] = dataclasses.field(default_factory=list)
+    remaining_ms: bounds.DurationMs = 0
     # Start of this instance of the worker, in Unix milliseconds.
-    born: int = 0
+    born: bounds.UnixMs = 0
     # Clock of the worker when it wrote the entry.
-    clock_ms: float = 0
+    clock_ms: bounds.Measure = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Advice:
-    decide_ms: float = 0
-    each_ms: float = 0
-    valid_ms: float = 0
+    decide_ms: bounds.DurationMs = 0
+    each_ms: bounds.DurationMs = 0
+    valid_ms: bounds.DurationMs = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -51,52 +51,42 @@
     hostname: str = ""
     prefix: str = "/"
     service: str = ""
-    timeout_ms: float = 3000
-    target_duration_ms: float = 0
-    priority: int = 0
-    attempts: int = 1
-    stretch: float = 1.0
+    timeout_ms: bounds.DurationMs = 3000
+    target_duration_ms: bounds.DurationMs = 0
+    priority: bounds.Amount = 0
+    attempts: bounds.Amount = 1
+    stretch: bounds.Measure = 1.0
     advice: _Advice | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Limits:
-    max_body_bytes: int = 262144
+    max_body_bytes: bounds.Amount = 262144
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Configuration:
-    version: int
+    version: bounds.Number
     routes: list[_Route] = dataclasses.field(default_factory=list)
     limits: _Limits = dataclasses.field(default_factory=_Limits)
 
 
-def decode_worker(
-    worker_id: str, data: bytes, services: set[str]
-) -> runners.Registration:
+def decode_worker(worker_id: str, data: bytes) -> runners.Registration:
     """Return the worker that an entry of the directory describes.
 
     Args:
         worker_id: Id of the worker.
         data: The entry, in JSON.
-        services: Services of the configuration; empty if it is unknown.
 
     Raises:
-        MessageError: The entry can't be decoded, or its state or service
-            is unknown.
+        MessageError: The entry can't be decoded, or one of its values is
+            out of bounds.
     """
-    try:
-        entry = msgspec.json.decode(data, type=_Worker)
-    except msgspec.DecodeError as exc:
-        raise errors.MessageError(f"invalid entry of a worker: {exc}") from exc
-    if entry.state not in ("ready", "draining"):
-        raise errors.MessageError(f"unknown state {entry.state!r}")
-    if services and entry.service not in services:
-        raise errors.MessageError(f"unknown service {entry.service!r}")
+    entry = rows.from_json(data, _Worker)
     return runners.Registration(
-        worker_id=worker_id,
+        worker_id=bounds.check_id(worker_id),
         service=entry.service,
-        address=entry.address,
+        address=bounds.check_address(entry.address),
         zone=entry.zone,
         labels=entry.labels,
         rack=entry.labels[1] if len(entry.labels) > 1 else "",
@@ -122,10 +112,7 @@
     Raises:
         MessageError: The configuration can't be decoded.
     """
-    try:
-        document = msgspec.json.decode(data, type=_Configuration)
-    except msgspec.DecodeError as exc:
-        raise errors.MessageError(f"invalid configuration: {exc}") from exc
+    document = rows.from_json(data, _Configuration)
     table = queues.QueueTable(
         version=document.version,
         queues=[_decode_route(route) for route in document.routes],
--- a/wisteriawood/platform/fronts.py
+++ b/wisteriawood/platform/fronts.py
@@ -50,7 +50,7 @@
         if scope["type"] == "lifespan":
             await https.serve_lifespan(receive, send)
             return
-        status, body, retry_after_s = await self._answer(scope, receive)
+        status, body, retry_after_s = await self._answer_safely(scope, receive)
         headers = [JSON_TYPE]
         if retry_after_s:
             retry_after = str(math.ceil(retry_after_s)).encode()
@@ -69,6 +69,18 @@
         )
         await send({"type": "http.response.body", "body": body})
 
+    async def _answer_safely(self, scope, receive) -> Answer:
+        """Answer a request; after an unexpected error, its outcome is unknown.
+
+        The caller then tries again with the same id.
+        """
+        try:
+            return await self._answer(scope, receive)
+        except Exception as exc:
+            name = f"{scope['method']} {scope['path']}"
+            self._host.supervisor.record("request", name, exc)
+            return 502, {"error": "unexpected error; try again"}, 0
+
     async def _answer(self, scope, receive) -> Answer:
         path = scope["path"]
         if path == READY_PATH:
--- a/wisteriawood/platform/settings.py
+++ b/wisteriawood/platform/settings.py
@@ -3,9 +3,8 @@
 import dataclasses
 import os
 
-import msgspec
-
 from wisteriawood import errors
+from wisteriawood.links.codecs import rows
 
 PATH_VARIABLE = "WISTERIAWOOD_SETTINGS"
 DEFAULT_PATH = "/etc/wisteriawood/node.json"
@@ -129,8 +128,8 @@
     path = path or os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
     try:
         with open(path, "rb") as stream:
-            return msgspec.json.decode(stream.read(), type=Settings)
-    except (OSError, msgspec.DecodeError) as exc:
+            return rows.from_json(stream.read(), Settings)
+    except (OSError, errors.MessageError) as exc:
         raise errors.SettingsError(
             file=path,
             path="$",
--- a/wisteriawood/platform/store_client.py
+++ b/wisteriawood/platform/store_client.py
@@ -10,6 +10,7 @@
 
 from wisteriawood import errors
 from wisteriawood.links import clients
+from wisteriawood.links.codecs import rows
 from wisteriawood.links import stores
 
 # The timeout of a call is a multiple of the average time of earlier calls,
@@ -182,8 +183,8 @@
 
     def _decode(self, response: httpx.Response) -> _Answer:
         try:
-            answer = msgspec.json.decode(response.content, type=_Answer)
-        except msgspec.DecodeError as exc:
+            answer = rows.from_json(response.content, _Answer)
+        except errors.MessageError as exc:
             raise errors.TransactionUnknownError(
                 f"the store's answer can't be read: {exc}"
             ) from exc
@@ -220,8 +221,10 @@
             answer = await self._get(
                 "/v1/rows-get", params | {"from": key, "limit": 1}
             )
-            rows = [_decode_row(row) for row in answer.rows if row.key == key]
-            return stores.Page(rows=rows, version=answer.ver)
+            found_rows = [
+                _decode_row(row) for row in answer.rows if row.key == key
+            ]
+            return stores.Page(rows=found_rows, version=answer.ver)
         found: dict[str, stores.StoredRow] = {}
         version = 0
         while True:
--- a/wisteriawood/platform/worker_client.py
+++ b/wisteriawood/platform/worker_client.py
@@ -9,7 +9,13 @@
 from wisteriawood import errors
 from wisteriawood.jobs import tasks
 from wisteriawood.links import clients
+from wisteriawood.links.codecs import bounds
+from wisteriawood.links.codecs import rows
 from wisteriawood.links import runners
+from wisteriawood.telemetry import events
+from wisteriawood.telemetry import job_events
+
+_LOG = events.Logger(name=__name__)
 
 CALL_TIMEOUT_S = 0.8
 # Limit of a whole call to start a run, including the wait for a connection.
@@ -36,17 +42,35 @@
     reason: str = ""
 
 
+class _ActiveRow(msgspec.Struct, array_like=True):
+    """A run that is present on the worker."""
+
+    task: bounds.Name
+    run: bounds.Number
+    checkpoint: str | None = ""
+    percent: bounds.Measure = 0
+    # Tail latency of a latency-sensitive task in ms, of any other task its
+    # CPU usage in millicores.
+    signal: bounds.Measure = 0
+
+
+class _EndRow(msgspec.Struct, array_like=True):
+    """A run that has ended."""
+
+    number: bounds.Number
+    task: bounds.Name
+    run: bounds.Number
+    outcome: tasks.Outcome
+    checkpoint: str | None = ""
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Report:
-    clock_ms: int
-    # [task, run, checkpoint, percent, signal]; the signal is the tail latency
-    # of a latency-sensitive task in ms, of any other task its CPU usage in
-    # millicores.
-    active: list[list] = dataclasses.field(default_factory=list)
-    # [number, task, run, outcome, checkpoint]
-    finished: list[list] = dataclasses.field(default_factory=list)
+    clock_ms: bounds.Number
+    active: list[_ActiveRow] = dataclasses.field(default_factory=list)
+    finished: list[_EndRow] = dataclasses.field(default_factory=list)
     # Start of this instance of the worker, in Unix milliseconds.
-    born: int = 0
+    born: bounds.UnixMs = 0
 
 
 class WorkerClient:
@@ -91,7 +115,7 @@
             raise errors.LinkEndedError(
                 f"the worker ended the connection: {exc!r}"
             ) from exc
-        except httpx.HTTPError as exc:
+        except (httpx.HTTPError, httpx.InvalidURL) as exc:
             raise errors.LinkClosedError(
                 f"the worker does not answer: {exc!r}"
             ) from exc
@@ -195,10 +219,7 @@
             raise errors.LinkClosedError(
                 f"the worker answered {response.status_code}"
             )
-        try:
-            return _decode_report(response.content)
-        except (msgspec.DecodeError, ValueError, TypeError) as exc:
-            raise errors.MessageError(f"invalid report: {exc}") from exc
+        return _decode_report(response.content)
 
     async def aclose(self) -> None:
         """Close the connections."""
@@ -209,33 +230,34 @@
     if response.status_code != 409:
         return ""
     try:
-        return msgspec.json.decode(response.content, type=_Refusal).reason
-    except msgspec.DecodeError:
+        return rows.from_json(response.content, _Refusal).reason
+    except errors.MessageError as exc:
+        _LOG.log(job_events.REFUSAL_UNREADABLE, cause=str(exc))
         return ""
 
 
 def _decode_report(data: bytes) -> runners.RunReport:
-    report = msgspec.json.decode(data, type=_Report)
+    report = rows.from_json(data, _Report)
     return runners.RunReport(
         started_unix_ms=report.born or 1,
         clock_ms=report.clock_ms,
         active=[
             runners.ActiveRun(
-                task_name=row[0],
-                run=row[1],
-                checkpoint=row[2] or "",
-                percent=row[3] if len(row) > 3 else 0,
-                signal=row[4] if len(row) > 4 else 0,
+                task_name=row.task,
+                run=row.run,
+                checkpoint=row.checkpoint or "",
+                percent=row.percent,
+                signal=row.signal,
             )
             for row in report.active
         ],
         ended=[
             runners.EndedRun(
-                number=row[0],
-                task_name=row[1],
-                run=row[2],
-                outcome=tasks.Outcome(row[3]),
-                checkpoint=row[4] or "",
+                number=row.number,
+                task_name=row.task,
+                run=row.run,
+                outcome=row.outcome,
+                checkpoint=row.checkpoint or "",
             )
             for row in report.finished
         ],
--- a/wisteriawood/platform/worker_followers.py
+++ b/wisteriawood/platform/worker_followers.py
@@ -17,11 +17,29 @@
 IDLE_POLL_PAUSE_S = 4.0
 # Longest duration of one of these polls, so that a hung one is given up soon.
 POLL_S = 0.5
+MAX_LOGGED_ID_LENGTH = 64
+
+
+class _Entry:
+    """An entry of the directory as it was last read.
+
+    Args:
+        version: Version of its row.
+        worker: The worker that it describes; None if it can't be read.
+    """
+
+    __slots__ = ("version", "worker")
+
+    def __init__(self, *, version: int, worker: runners.Registration | None):
+        self.version = version
+        self.worker = worker
 
 
 class WorkerFollower:
     """Keeps a host's directory of workers up to date.
 
+    Each version of an entry is decoded once.
+
     Args:
         host: The host.
 
@@ -29,12 +47,14 @@
         feed: Feed of the workers' entries.
     """
 
-    __slots__ = ("_fleet", "_host", "_rows", "feed")
+    __slots__ = ("_entries", "_fleet", "_host", "_misplaced", "feed")
 
     def __init__(self, *, host: job_hosts.JobHost):
         self._host = host
-        self._rows: dict[str, stores.StoredRow] = {}
+        self._entries: dict[str, _Entry] = {}
         self._fleet: dict[str, runners.Registration] = {}
+        # Readable entries of services that the configuration does not have.
+        self._misplaced: set[str] = set()
         self.feed = feeds.Feed(
             store=host.store,
             table=directory.WORKER_TABLE,
@@ -43,6 +63,7 @@
             on_answer=self._confirm,
             wait_s=POLL_S,
             times=host.version_times,
+            supervisor=host.supervisor,
         )
 
     def _pause_s(self) -> float:
@@ -53,34 +74,46 @@
             if row.value is None:
                 self._record_removal(row)
             else:
-                self._rows[row.at.key] = row
+                self._entries[row.at.key] = self._read(row, row.value)
         self.update()
 
+    def _read(self, row: stores.StoredRow, value: bytes) -> _Entry:
+        worker_id = row.at.key
+        try:
+            worker = directory.decode_worker(worker_id, value)
+        except errors.MessageError as exc:
+            self._host.counters.unreadable.labels(kind="worker entry").inc()
+            _LOG.log(
+                job_events.WORKER_ROW_UNREADABLE,
+                worker=worker_id[:MAX_LOGGED_ID_LENGTH],
+                version=row.version,
+                cause=str(exc),
+            )
+            worker = None
+        return _Entry(version=row.version, worker=worker)
+
     def _record_removal(self, removal: stores.StoredRow) -> None:
-        former = self._rows.pop(removal.at.key, None)
-        if former is None:
+        former = self._entries.pop(removal.at.key, None)
+        # An entry that can't be read shows nothing about its worker. Its runs
+        # end by what the worker reports, or with its lease.
+        if former is None or former.worker is None:
             return
-        try:
-            worker = self._decode(former)
-        except errors.MessageError:
-            # It was logged when the entry arrived.
+        if not self._is_of_known_service(former.worker):
             return
         self._host.directory.record_removal(
-            worker,
+            former.worker,
             self._host.version_times.longest_between_s(
                 former.version, removal.version
             ),
         )
 
-    def _decode(self, row: stores.StoredRow) -> runners.Registration:
-        """Return the worker that an entry describes.
-
-        Raises:
-            MessageError: The entry names no worker of this deployment.
-        """
+    def _is_of_known_service(self, worker: runners.Registration) -> bool:
         table = self._host.queues
-        services = table.services() if table else set()
-        return directory.decode_worker(row.at.key, row.value or b"", services)
+        return (
+            table is None
+            or not table.services()
+            or worker.service in table.services()
+        )
 
     def _confirm(self) -> None:
         self._host.directory.confirm(
@@ -93,15 +126,22 @@
         Which entries name a worker depends on the configuration too.
         """
         fleet = {}
-        for worker_id, row in self._rows.items():
-            try:
-                fleet[worker_id] = self._decode(row)
-            except errors.MessageError as exc:
-                _LOG.log(
-                    job_events.WORKER_ROW_UNREADABLE,
-                    worker=worker_id,
-                    cause=str(exc),
-                )
+        misplaced = set()
+        for worker_id, entry in self._entries.items():
+            worker = entry.worker
+            if worker is None:
+                continue
+            if self._is_of_known_service(worker):
+                fleet[worker_id] = worker
+            else:
+                misplaced.add(worker_id)
+        for worker_id in misplaced - self._misplaced:
+            _LOG.log(
+                job_events.WORKER_ROW_UNREADABLE,
+                worker=worker_id,
+                cause="the configuration does not have its service",
+            )
+        self._misplaced = misplaced
         if fleet != self._fleet:
             self._fleet = fleet
             self._host.update_fleet(fleet)
--- a/wisteriawood/standins/job_worlds.py
+++ b/wisteriawood/standins/job_worlds.py
@@ -26,6 +26,7 @@
 MAX_CANCEL_AGE_S = 2.0
 DIRECTORY_PERIOD_S = 0.4
 DIRECTORY_SILENCE_S = 4.5
+FIRST_PORT = 10000
 
 
 class JobWorld:
@@ -120,7 +121,7 @@
             registration=runners.Registration(
                 worker_id=name,
                 service=SERVICE,
-                address=name,
+                address=f"10.0.0.1:{FIRST_PORT + len(self.workers)}",
                 zone=zone,
                 rack=f"rack-{zone}",
                 cpu_millicores=16000,
--- /dev/null
+++ b/wisteriawood/supervision.py
@@ -0,0 +1,124 @@
+"""Contains unexpected errors in the part of a process where they occur."""
+
+import traceback
+import typing
+
+import anyio
+
+from wisteriawood.telemetry import events
+
+_LOG = events.Logger(name=__name__)
+FIRST_DELAY_S = 0.2
+MAX_DELAY_S = 5.0
+# Time without an error after which the delay starts from its first value.
+STABLE_S = 30.0
+# Longest text of a traceback in a log line; its end names the error.
+MAX_TRACEBACK_LENGTH = 4000
+MAX_CAUSE_LENGTH = 300
+
+# Tracebacks that are remembered, so that each is logged once.
+MAX_REMEMBERED = 100
+
+
+class Backoff:
+    """Delays between the restarts of one part of a process."""
+
+    __slots__ = ("_delay_s", "_failed_at_s")
+
+    def __init__(self):
+        self._delay_s = 0.0
+        self._failed_at_s = 0.0
+
+    def next_delay_s(self) -> float:
+        """Return the delay after an error, in seconds."""
+        now_s = anyio.current_time()
+        if now_s - self._failed_at_s > STABLE_S + self._delay_s:
+            self._delay_s = 0.0
+        self._failed_at_s = now_s
+        self._delay_s = min(max(2 * self._delay_s, FIRST_DELAY_S), MAX_DELAY_S)
+        return self._delay_s
+
+
+class Supervisor:
+    """Logs and counts the unexpected errors of a process.
+
+    Args:
+        count: Counts an error; called with the kind of the part it ended.
+    """
+
+    __slots__ = ("_count", "_logged")
+
+    def __init__(
+        self, *, count: typing.Callable[[str], None] = lambda _kind: None
+    ):
+        self._count = count
+        self._logged: set[int] = set()
+
+    def record(self, kind: str, name: str, cause: Exception) -> None:
+        """Record an unexpected error.
+
+        Args:
+            kind: Kind of the part that it ended.
+            name: Which of them.
+            cause: The error.
+        """
+        self._count(kind)
+        text = "".join(traceback.format_exception(cause))
+        text = text[-MAX_TRACEBACK_LENGTH:]
+        fields = {} if hash(text) in self._logged else {"traceback": text}
+        if len(self._logged) < MAX_REMEMBERED:
+            self._logged.add(hash(text))
+        _LOG.log(
+            events.UNIT_FAILED,
+            kind=kind,
+            name=name,
+            cause=repr(cause)[:MAX_CAUSE_LENGTH],
+            **fields,
+        )
+
+    async def run(
+        self,
+        kind: str,
+        name: str,
+        function: typing.Callable[[], typing.Awaitable[None]],
+        *,
+        passed_on: type[Exception] | tuple[type[Exception], ...] = (),
+    ) -> None:
+        """Run a function, and again after a delay if it fails.
+
+        Args:
+            kind: Kind of the part that the function runs.
+            name: Which of them.
+            function: Runs the part.
+            passed_on: Errors that are raised to the caller instead.
+
+        Raises:
+            Exception: One of `passed_on`, or a group that contains one.
+        """
+        backoff = Backoff()
+        while True:
+            try:
+                await function()
+                return
+            except Exception as exc:
+                if contains(exc, passed_on):
+                    raise
+                self.record(kind, name, exc)
+            await anyio.sleep(backoff.next_delay_s())
+
+
+def contains(
+    error: BaseException,
+    types: type[Exception] | tuple[type[Exception], ...],
+) -> bool:
+    """Return whether an error is of some types, or a group that has one.
+
+    Args:
+        error: The error.
+        types: The types.
+    """
+    if isinstance(error, types):
+        return True
+    return isinstance(error, BaseExceptionGroup) and any(
+        contains(inner, types) for inner in error.exceptions
+    )
--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -90,6 +90,19 @@
     1002, "daemon-draining", "A daemon accepts no new work and will exit."
 )
 DAEMON_STOPPED = define(1003, "daemon-stopped", "A daemon exited.")
+DAEMON_FAILED = define(
+    1004,
+    "daemon-failed",
+    "A daemon can't go on and exits; the line says why.",
+    "Correct the cause; the platform starts the daemon again.",
+)
+UNIT_FAILED = define(
+    1005,
+    "unit-failed",
+    "An unexpected error ended a part of a daemon; it starts again after a "
+    "delay, and the other parts go on.",
+    "Report the traceback; the first line of each kind of error has it.",
+)
 PLATFORM_LOST = define(
     1101,
     "platform-lost",
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -210,6 +210,11 @@
     "worker-row-unreadable",
     "A worker's entry in the directory can't be decoded; it is skipped.",
 )
+REFUSAL_UNREADABLE = events.define(
+    2311,
+    "refusal-unreadable",
+    "The reason of a worker's refusal can't be decoded; it counts as unknown.",
+)
 CONFIGURATION_UNREADABLE = events.define(
     2305,
     "configuration-unreadable",
--- a/wisteriawood/telemetry/job_metrics.py
+++ b/wisteriawood/telemetry/job_metrics.py
@@ -20,6 +20,10 @@
         accepted_s: Time from the complete request to its answer.
         started_s: Time from the assignment of a run to its start.
         acknowledged_s: Time from the report of a run's end to its commit.
+        unreadable: Rows and messages of other processes that could not be
+            decoded, by kind.
+        unit_failures: Unexpected errors that ended a part of the host, by
+            kind.
         takeover_s: Time from the claim of a cell until it is open.
         registry: Registry of the metrics.
     """
@@ -38,6 +42,8 @@
         "registry",
         "started_s",
         "takeover_s",
+        "unit_failures",
+        "unreadable",
     )
 
     def __init__(self):
@@ -57,6 +63,12 @@
             "to",
             "outcome",
         )
+        self.unreadable = self._counter(
+            "unreadable", "Values that could not be decoded.", "kind"
+        )
+        self.unit_failures = self._counter(
+            "unit_failures", "Unexpected errors, by the part ended.", "kind"
+        )
         self.lines_left_out = self._counter(
             "log_lines_left_out", "Log lines over the budget."
         )
--- a/wisteriawood/telemetry/lines.py
+++ b/wisteriawood/telemetry/lines.py
@@ -95,6 +95,11 @@
                 written = os.write(self._descriptor, line)
             except BlockingIOError:
                 written = 0
+            except OSError:
+                # Nobody reads the output any more. The daemon goes on.
+                self._lines.clear()
+                self._buffered_bytes = 0
+                return
             self._buffered_bytes -= written
             if written < len(line):
                 self._lines.appendleft(line[written:])
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -41,6 +41,7 @@
 from wisteriawood.standins import job_worlds
 from wisteriawood.standins import stores as store_standins
 from wisteriawood.standins import worlds
+from wisteriawood import supervision
 from wisteriawood.telemetry import job_metrics
 from wisteriawood.telemetry import spans
 
@@ -408,6 +409,7 @@
         version=1,
     )
     cell = cells.Cell(
+        supervisor=supervision.Supervisor(),
         claim=claim,
         store=store_standins.MemoryStore(),
         policy=least_pressed.LeastPressed(),
@@ -476,3 +478,18 @@
 def latency_ratio_at(load):
     """Return the latency ratio at a load."""
     return interference_models.IDLE_LATENCY_RATIO / (1.0 - min(load, 0.98))
+
+
+def counter_total(counter):
+    """Return the sum of a counter of prometheus_client over its labels."""
+    return sum(
+        sample.value
+        for metric in counter.collect()
+        for sample in metric.samples
+        if sample.name.endswith("_total")
+    )
+
+
+def counter_value(counter, **labels):
+    """Return the value of a counter of prometheus_client."""
+    return counter.labels(**labels)._value.get()
--- a/wisteriawood/tests/directory_builders.py
+++ b/wisteriawood/tests/directory_builders.py
@@ -4,10 +4,18 @@
 
 import anyio
 
+from wisteriawood.links import stores
+from wisteriawood.platform import directory
 from wisteriawood.platform import standins as platform_standins
 from wisteriawood.platform import worker_followers
 
 
+def write_entry(world, worker_id, value):
+    """Write the bytes of a directory entry, or remove it if they are None."""
+    at = stores.RowKey(table=directory.WORKER_TABLE, key=worker_id)
+    world.store.apply(stores.Change(writes={at: value}))
+
+
 class StoreDirectory:
     """The workers of a world as entries in its store, which its hosts follow.
 
@@ -21,6 +29,7 @@
     def __init__(self, *, world):
         self._world = world
         self._silent = set()
+        self.followers = {}
         self._group = None
 
     async def run(self):
@@ -37,6 +46,7 @@
 
     def _follow(self, host):
         follower = worker_followers.WorkerFollower(host=host)
+        self.followers[host.name] = follower
         host.on_claim = follower.feed.poll_now
         self._group.start_soon(follower.feed.run)
 
@@ -55,6 +65,10 @@
         )
         platform_standins.write_worker(self._world.store, entry, name)
 
+    def stop_writing(self, name):
+        """Let a worker write its entry no more."""
+        self._silent.add(name)
+
     def drain(self, name):
         """Let a worker write that it drains."""
         worker = self._world.workers[name]
