Let only holders and standbys follow the directory; lighter HTTP transport

Change: the three strongest live hosts of a zone (standbys) and the holders of cells follow the directory; the others know from the heartbeats of the holders which cells have workers, and on which racks. Standbys take over first; a plain host waits longer, as its own heartbeats are further apart (3.2 s). The directory is indexed by service and zone, and a cell whose holder is known to live costs one check. links/transports.py implements the transport interface of httpx with h11 and kept-alive connections to one address.

Ruled out: reading the whole directory rarely on all hosts (a third of the bytes remains, and a new holder would not know which workers left).

--- a/wisteriawood/cells/claims.py
+++ b/wisteriawood/cells/claims.py
@@ -120,6 +120,7 @@
         pending: Number of queued jobs that are not timed, by queue.
         waiting: Number of ready tasks that have no worker.
         workers: Number of workers.
+        racks: Racks of the workers.
     """
 
     epoch: bounds.Number = 0
@@ -138,6 +139,7 @@
     pending: dict[bounds.Name, bounds.Number] = {}
     waiting: bounds.Number = 0
     workers: bounds.Number = 0
+    racks: list[bounds.Name] = []
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -151,6 +153,7 @@
         cells: Load of each cell that it holds, by name.
         is_leaving: Whether it is draining.
         cores: CPU that it may use, in cores; 0 if unknown.
+        period_s: Time until its next heartbeat; 0 if unknown.
     """
 
     zone: bounds.Name
@@ -161,6 +164,7 @@
     )
     is_leaving: bool = False
     cores: bounds.Measure = 0.0
+    period_s: bounds.Measure = 0.0
 
 
 def read_heartbeat(row: stores.StoredRow) -> HostHeartbeat:
--- a/wisteriawood/cells/loads.py
+++ b/wisteriawood/cells/loads.py
@@ -79,4 +79,5 @@
         pending=_pending_by_queue(cell),
         waiting=cell.waiting_count(),
         workers=len(cell.fleet),
+        racks=sorted({w.registration.rack for w in cell.fleet.values()}),
     )
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -13,29 +13,36 @@
 from wisteriawood.telemetry import job_events
 
 _LOG = events.Logger(name=__name__)
-# Period of the heartbeats of a host that holds a cell, and of other hosts.
+# Period of the heartbeats of a host that holds a cell, of one that is ready to
+# take a cell over, and of other hosts.
 HEARTBEAT_PERIOD_S = 0.8
 IDLE_HEARTBEAT_PERIOD_S = 1.6
+PLAIN_HEARTBEAT_PERIOD_S = 3.2
+# Hosts of a zone, the strongest ones, that follow the directory of workers to
+# be ready to take over a cell. They include the holders, as a rule.
+STANDBYS_PER_ZONE = 3
+# Time after its first heartbeat from which a host knows the others.
+STANDBY_START_DELAY_S = 2.0
 # Time without a new heartbeat after which a host counts as failed: three
 # heartbeat periods and a margin for the pause of the feed.
 HOST_SILENCE_S = 2.6
 # Time after a claim by which a heartbeat of its holder must show the same
 # incarnation.
 INCARNATION_MISMATCH_S = 1.8
-# Age up to which the newest heartbeat counts as proof that a host is alive;
-# the second is for hosts without a cell, whose heartbeats are further apart.
+# Age up to which the newest heartbeat of a host with a cell counts as proof
+# that it is alive. Those of other hosts are further apart, and so much older.
 LIVENESS_TIMEOUT_S = 2.0
-IDLE_LIVENESS_TIMEOUT_S = (
-    LIVENESS_TIMEOUT_S + IDLE_HEARTBEAT_PERIOD_S - HEARTBEAT_PERIOD_S
-)
-# Age of this host's own newest heartbeat up to which the store counts as
-# accepting its writes: one idle period and the duration of a slow write.
-MAX_OWN_HEARTBEAT_AGE_S = IDLE_HEARTBEAT_PERIOD_S + 0.8
+# Duration of a slow write. With one idle period it is the age of this host's
+# own newest heartbeat up to which the store counts as accepting its writes.
+SLOW_WRITE_S = 0.8
+MAX_OWN_HEARTBEAT_AGE_S = IDLE_HEARTBEAT_PERIOD_S + SLOW_WRITE_S
 # A host with at least this multiple of another's cores counts as stronger.
 STRONGER_CORES_RATIO = 1.5
 # Pause of the heartbeat feed between calls, so that one answer brings
 # several heartbeats.
 HEARTBEAT_FEED_PAUSE_S = 0.5
+# The same on a host that would not take over a cell.
+PLAIN_FEED_PAUSE_S = 0.8
 
 
 class Member:
@@ -71,6 +78,7 @@
         is_leaving: Whether this host is draining.
         heartbeat_written_at_s: Monotonic time of this host's last
             successful heartbeat; 0 before the first.
+        heartbeat_period_s: Time until this host's next heartbeat.
         by_name: Hosts by name.
         claims: Newest known claim of each cell.
         claim_feed: Feed of the claims.
@@ -79,6 +87,7 @@
 
     __slots__ = (
         "_claim_seen_at_s",
+        "_first_written_at_s",
         "_heartbeat_count",
         "_loads",
         "_store",
@@ -88,6 +97,7 @@
         "claims",
         "cores",
         "heartbeat_feed",
+        "heartbeat_period_s",
         "heartbeat_written_at_s",
         "incarnation",
         "is_leaving",
@@ -109,6 +119,8 @@
         self._store = store
         self._times = times or version_times.VersionTimes()
         self._heartbeat_count = 0
+        self._first_written_at_s = 0.0
+        self.heartbeat_period_s = IDLE_HEARTBEAT_PERIOD_S
         self._loads: dict[str, claims.CellLoad] = {}
         self._claim_seen_at_s: dict[str, float] = {}
         self.name = name
@@ -130,11 +142,20 @@
             store=store,
             table=tables.HOSTS,
             on_rows=self._process_heartbeats,
-            pause_s=lambda: HEARTBEAT_FEED_PAUSE_S,
+            pause_s=self._feed_pause_s,
             times=self._times,
             supervisor=supervisor,
         )
 
+    def _feed_pause_s(self) -> float:
+        return (
+            PLAIN_FEED_PAUSE_S if self.is_plain() else HEARTBEAT_FEED_PAUSE_S
+        )
+
+    def is_plain(self) -> bool:
+        """Return whether this host neither holds a cell nor is a standby."""
+        return self.heartbeat_period_s >= PLAIN_HEARTBEAT_PERIOD_S
+
     def _process_claims(self, rows: list[stores.StoredRow]) -> None:
         for row in rows:
             try:
@@ -204,7 +225,10 @@
             or now_s - self.heartbeat_feed.answered_at_s > HOST_SILENCE_S
         ):
             return 0.0
-        if now_s - self.heartbeat_written_at_s > MAX_OWN_HEARTBEAT_AGE_S:
+        max_own_age_s = MAX_OWN_HEARTBEAT_AGE_S
+        if self.is_plain():
+            max_own_age_s = PLAIN_HEARTBEAT_PERIOD_S + SLOW_WRITE_S
+        if now_s - self.heartbeat_written_at_s > max_own_age_s:
             return 0.0
         member = self.by_name.get(host)
         since_s = readable_since_s
@@ -292,6 +316,24 @@
             if name != self.name and self.cores > 0
         )
 
+    def standbys(self) -> list[str]:
+        """Return the hosts of this zone that should follow the directory.
+
+        They are the strongest live ones; empty while this host does not know
+        the others yet.
+        """
+        started_at_s = self._first_written_at_s
+        if (
+            not started_at_s
+            or anyio.current_time() - started_at_s < STANDBY_START_DELAY_S
+        ):
+            return []
+        ranked = sorted(
+            self.live_hosts(self.zone),
+            key=lambda name: -self.by_name[name].heartbeat.cores,
+        )
+        return ranked[:STANDBYS_PER_ZONE]
+
     def live_hosts(self, zone: str) -> list[str]:
         """Return the names of a zone's live hosts that don't drain.
 
@@ -325,6 +367,7 @@
             cells=cells,
             is_leaving=self.is_leaving,
             cores=self.cores,
+            period_s=self.heartbeat_period_s,
         )
         change = stores.Change(
             writes={tables.host_row(self.name): claims.heartbeat_to_bytes(row)}
@@ -339,15 +382,17 @@
             self._times.clear()
             return False
         self.heartbeat_written_at_s = anyio.current_time()
+        self._first_written_at_s = (
+            self._first_written_at_s or self.heartbeat_written_at_s
+        )
         return True
 
 
 def _liveness_timeout_s(member: Member) -> float:
-    return (
-        LIVENESS_TIMEOUT_S
-        if member.heartbeat.cells
-        else IDLE_LIVENESS_TIMEOUT_S
-    )
+    period_s = member.heartbeat.period_s or IDLE_HEARTBEAT_PERIOD_S
+    if member.heartbeat.cells:
+        period_s = HEARTBEAT_PERIOD_S
+    return LIVENESS_TIMEOUT_S + period_s - HEARTBEAT_PERIOD_S
 
 
 def _is_newer(
--- a/wisteriawood/cells/worker_directories.py
+++ b/wisteriawood/cells/worker_directories.py
@@ -19,6 +19,9 @@
 REMOVAL_RETENTION_S = 60.0
 
 
+Fleet = dict[str, runners.Registration]
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Removal:
     # Time of clocks.elapsed_s.
@@ -44,6 +47,7 @@
 
     __slots__ = (
         "_max_age_s",
+        "_by_cell",
         "_removals",
         "_silence_s",
         "confirmed_at_s",
@@ -55,17 +59,22 @@
         self._max_age_s = max_age_s
         self._silence_s = silence_s
         self._removals: dict[str, _Removal] = {}
-        self.workers: dict[str, runners.Registration] = {}
+        self._by_cell: dict[tuple[str, str], Fleet] = {}
+        self.workers: Fleet = {}
         self.confirmed_at_s = 0.0
         self.unverified: set[str] = set()
 
-    def update(self, workers: dict[str, runners.Registration]) -> None:
+    def update(self, workers: Fleet) -> None:
         """Apply the directory's current list.
 
         Args:
             workers: All listed workers, by id.
         """
         self.workers = workers
+        self._by_cell = {}
+        for worker_id, worker in workers.items():
+            key = (worker.service, worker.zone)
+            self._by_cell.setdefault(key, {})[worker_id] = worker
         for worker_id in self._removals.keys() & workers.keys():
             del self._removals[worker_id]
 
@@ -150,16 +159,15 @@
             return False
         return self.age_s() <= self._max_age_s
 
-    def select(
-        self, is_wanted: typing.Callable[[runners.Registration], bool]
-    ) -> dict[str, runners.Registration]:
-        """Return the workers for which a condition holds, by id.
+    def workers_of(self, service: str, zone: str) -> Fleet:
+        """Return the workers of a service in an availability zone, by id.
 
         Args:
-            is_wanted: The condition.
+            service: The service.
+            zone: The availability zone.
         """
-        return {
-            worker_id: worker
-            for worker_id, worker in self.workers.items()
-            if is_wanted(worker)
-        }
+        return self._by_cell.get((service, zone), {})
+
+    def services(self) -> set[str]:
+        """Return the services that have workers."""
+        return {service for service, _zone in self._by_cell}
--- a/wisteriawood/machines/intakes.py
+++ b/wisteriawood/machines/intakes.py
@@ -260,7 +260,8 @@
         start = zones.index(bucket)
         ordered = zones[start:] + zones[:start]
         near = self._host.zone_of_racks(
-            {step.near_rack for step in spec.steps if step.near_rack}
+            service,
+            {step.near_rack for step in spec.steps if step.near_rack},
         )
         if near:
             ordered = [near] + [zone for zone in ordered if zone != near]
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -31,6 +31,11 @@
 
 _LOG = events.Logger(name=__name__)
 CELL_CHECK_PERIOD_S = 0.2
+# Checks of cells between two of whether this host is a standby.
+STANDBY_CHECK_PERIOD_TICKS = 5
+# Time for which a former standby still follows the directory, so that hosts
+# that come and go cause few reads of the whole of it.
+STANDBY_LINGER_S = 15.0
 # Time for which this host must have held a cell and read heartbeats before
 # it releases the cell for a better holder.
 RELEASE_DELAY_S = 2.0
@@ -81,6 +86,8 @@
         queues: Queues of the configuration in force; None before the first.
         is_draining: Whether the host releases its cells.
         on_claim: Called when this host has claimed a cell.
+        on_directory_needed: Called with whether this host needs the directory
+            of workers when that changes.
         version_times: When changes of the store were made.
         supervisor: Contains unexpected errors.
     """
@@ -93,8 +100,10 @@
         "_lease_s",
         "_max_cancel_age_s",
         "_policy",
+        "_needs_directory",
         "_retention_s",
         "_scopes",
+        "_standby_until_s",
         "_suspensions",
         "_takeovers",
         "counters",
@@ -103,6 +112,7 @@
         "members",
         "name",
         "on_claim",
+        "on_directory_needed",
         "queues",
         "store",
         "supervisor",
@@ -156,6 +166,11 @@
         self.queues: queues.QueueTable | None = None
         self.is_draining = False
         self.on_claim: typing.Callable[[], None] = lambda: None
+        self.on_directory_needed: typing.Callable[[bool], None] = (
+            lambda _is_needed: None
+        )
+        self._needs_directory = False
+        self._standby_until_s = 0.0
         self.directory = worker_directories.WorkerDirectory(
             max_age_s=max_directory_age_s, silence_s=directory_silence_s
         )
@@ -197,9 +212,7 @@
     def _workers_of(self, cell: str) -> dict[str, runners.Registration]:
         service = tables.service_of_cell(cell)
         zone = tables.zone_of_cell(cell)
-        return self.directory.select(
-            lambda worker: worker.service == service and worker.zone == zone
-        )
+        return self.directory.workers_of(service, zone)
 
     def open_cells(self) -> list[str]:
         """Return the names of the cells that this host has opened."""
@@ -210,27 +223,35 @@
         return bool(self._holders)
 
     def has_workers(self, cell: str) -> bool:
-        """Return whether the directory lists a worker of a cell.
+        """Return whether a cell is known to have workers.
+
+        A host that does not follow the directory knows what the holder of
+        the cell reported last.
 
         Args:
             cell: Name of the cell.
         """
-        return bool(self._workers_of(cell))
+        if self._workers_of(cell):
+            return True
+        load = self.members.all_loads().get(cell)
+        return load is not None and load.workers > 0
 
-    def zone_of_racks(self, racks: set[str]) -> str:
-        """Return the zone with the most workers in some racks, or empty.
+    def zone_of_racks(self, service: str, racks: set[str]) -> str:
+        """Return the zone with the most of some racks, or empty.
 
         Args:
+            service: Service whose workers count.
             racks: Names of racks.
         """
         if not racks:
             return ""
-        zones = [
-            worker.zone
-            for worker in self.directory.workers.values()
-            if worker.rack in racks
-        ]
-        return max(sorted(set(zones)), key=zones.count, default="")
+        counts = {
+            tables.zone_of_cell(cell): len(racks.intersection(load.racks))
+            for cell, load in self.members.all_loads().items()
+            if tables.service_of_cell(cell) == service
+        }
+        found = [zone for zone in sorted(counts) if counts[zone]]
+        return max(found, key=counts.__getitem__, default="")
 
     def is_store_unreachable(self) -> bool:
         """Return whether the store has not answered for some time."""
@@ -270,34 +291,54 @@
                 for name, holder in self._holders.items()
                 if holder.is_open
             }
-            is_written = await self.members.write_heartbeat(held)
-            is_idle = is_written and not self._holders
+            period_s = members.PLAIN_HEARTBEAT_PERIOD_S
+            if self._holders:
+                period_s = members.HEARTBEAT_PERIOD_S
+            elif self._needs_directory or not self.members.standbys():
+                period_s = members.IDLE_HEARTBEAT_PERIOD_S
+            self.members.heartbeat_period_s = period_s
+            if not await self.members.write_heartbeat(held):
+                period_s = members.HEARTBEAT_PERIOD_S
             # A new claim ends the pause: it must show in a heartbeat soon.
-            with anyio.move_on_after(
-                members.IDLE_HEARTBEAT_PERIOD_S
-                if is_idle
-                else members.HEARTBEAT_PERIOD_S
-            ):
+            with anyio.move_on_after(period_s):
                 await self._claimed.wait()
                 self._claimed = anyio.Event()
 
     def _all_cells(self) -> list[str]:
-        services = self.queues.services() if self.queues else set()
-        services |= {
-            worker.service for worker in self.directory.workers.values()
-        }
+        services = self.directory.services()
+        if self.queues is not None:
+            services |= self.queues.services()
         return sorted(
             tables.cell_name(service, zone)
             for service in services
             for zone in self.zones
         )
 
+    def _check_standby(self) -> None:
+        """Follow the directory while this host is or was lately a standby."""
+        now_s = anyio.current_time()
+        if self.name in self.members.standbys():
+            self._standby_until_s = now_s + STANDBY_LINGER_S
+        self._need_directory(
+            self.is_holding() or now_s < self._standby_until_s
+        )
+
+    def _need_directory(self, is_needed: bool) -> None:
+        if is_needed != self._needs_directory:
+            self._needs_directory = is_needed
+            self.on_directory_needed(is_needed)
+
     async def _check_cells_forever(self) -> None:
+        ticks = 0
         while True:
             await anyio.sleep(CELL_CHECK_PERIOD_S)
+            ticks += 1
+            if ticks % STANDBY_CHECK_PERIOD_TICKS == 0:
+                self._check_standby()
             if self.is_draining or not self.members.claim_feed.answered_at_s:
                 continue
-            self._share_loads()
+            if self._holders:
+                self._share_loads()
             for cell in self._all_cells():
                 if cell in self._holders:
                     self._check_held(cell)
@@ -360,6 +401,7 @@
             _LOG.log(job_events.CLAIM_FAILED, cell=cell, cause=str(exc))
             return
         self.members.record_claim(claim)
+        self._need_directory(True)
         self.on_claim()
         self._claimed.set()
         _LOG.log(
--- a/wisteriawood/machines/takeovers.py
+++ b/wisteriawood/machines/takeovers.py
@@ -24,8 +24,14 @@
 # Time for which the workers of a cell in another zone must have been
 # reachable before the cell is claimed.
 OTHER_ZONE_REACHABLE_S = 1.2
-# Time for which a free cell is left to a much stronger host of its zone.
+# Time for which a free cell is left to a much stronger host of its zone, or to
+# one that follows the directory of workers.
 STRONGER_HOST_DELAY_S = 0.8
+# Additional silence of the holder after which a plain host claims its cell:
+# what its own rarer heartbeats take longer to show.
+PLAIN_SILENCE_S = (
+    members.PLAIN_HEARTBEAT_PERIOD_S - members.IDLE_HEARTBEAT_PERIOD_S
+)
 # Additional delay before a claim for each cell that the host already holds.
 DELAY_PER_HELD_CELL_S = 0.3
 PROBE_TIMEOUT_S = 0.6
@@ -75,6 +81,8 @@
         """
         previous = self._members.claims.get(cell)
         extra_s = DELAY_PER_HELD_CELL_S * cells_held
+        if self._members.is_plain():
+            extra_s += PLAIN_SILENCE_S
         if tables.zone_of_cell(cell) == self._members.zone:
             silence_s = members.HOST_SILENCE_S + extra_s
             if previous is not None and not self._members.is_holder_gone(
@@ -99,8 +107,12 @@
         return bool(self._members.live_hosts(zone))
 
     def _waits_for_stronger_host(self, cell: str, cells_held: int) -> bool:
-        """Return whether a free cell is left to a stronger host for now."""
-        if not self._members.has_stronger_host(cells_held):
+        """Return whether a free cell is left to another host for now."""
+        standbys = self._members.standbys()
+        is_other_ready = bool(standbys) and self._members.name not in standbys
+        if not is_other_ready and not self._members.has_stronger_host(
+            cells_held
+        ):
             self._free_since_s.pop(cell, None)
             return False
         now_s = anyio.current_time()
@@ -127,15 +139,15 @@
     ) -> bool:
         """Return whether a cell of another zone has no live holder or host."""
         age_s = anyio.current_time() - self._started_at_s
-        if age_s < OTHER_ZONE_START_DELAY_S + extra_s or not self._workers_of(
-            cell
+        if age_s < OTHER_ZONE_START_DELAY_S + extra_s:
+            return False
+        if previous is not None and not self._members.is_holder_gone(
+            previous, OTHER_ZONE_SILENCE_S + extra_s
         ):
             return False
-        if self._members.live_hosts(tables.zone_of_cell(cell)):
+        if not self._workers_of(cell):
             return False
-        return previous is None or self._members.is_holder_gone(
-            previous, OTHER_ZONE_SILENCE_S + extra_s
-        )
+        return not self._members.live_hosts(tables.zone_of_cell(cell))
 
     async def _can_reach_worker(self, cell: str) -> bool:
         """Return whether a worker of a cell answers this host."""
--- a/wisteriawood/platform/__main__.py
+++ b/wisteriawood/platform/__main__.py
@@ -86,7 +86,6 @@
             supervisor=self._host.supervisor,
         )
         self._workers = worker_followers.WorkerFollower(host=self._host)
-        self._host.on_claim = self._workers.feed.poll_now
         self._stopping = anyio.Event()
         self._server_closed = anyio.Event()
 
@@ -162,7 +161,7 @@
                 ("host", self._host.run),
                 ("intake", self._intake.run),
                 ("configuration feed", self._configuration_feed.run),
-                ("worker feed", self._workers.feed.run),
+                ("worker feed", self._workers.run),
             ):
                 group.start_soon(
                     self._host.supervisor.run,
--- a/wisteriawood/platform/store_client.py
+++ b/wisteriawood/platform/store_client.py
@@ -12,6 +12,7 @@
 from wisteriawood.links import clients
 from wisteriawood.links.codecs import rows
 from wisteriawood.links import stores
+from wisteriawood.links import transports
 
 # The timeout of a call is a multiple of the average time of earlier calls,
 # within these bounds.
@@ -107,7 +108,8 @@
             url=f"http://{address}",
             timeout_s=MAX_TIMEOUT_S,
             connections=MAX_CONNECTIONS,
-            transport=transport,
+            transport=transport
+            or transports.KeepAliveTransport(connections=MAX_CONNECTIONS),
         )
         self._average_s = MIN_TIMEOUT_S / TIMEOUT_FACTOR
         self._newest_version = 0
--- a/wisteriawood/platform/worker_client.py
+++ b/wisteriawood/platform/worker_client.py
@@ -12,6 +12,7 @@
 from wisteriawood.links.codecs import bounds
 from wisteriawood.links.codecs import rows
 from wisteriawood.links import runners
+from wisteriawood.links import transports
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
 
@@ -93,7 +94,8 @@
             url=f"http://{registration.address}",
             timeout_s=CALL_TIMEOUT_S,
             connections=MAX_CONNECTIONS,
-            transport=transport,
+            transport=transport
+            or transports.KeepAliveTransport(connections=MAX_CONNECTIONS),
         )
         self._headers = [
             ("content-type", "application/json"),
--- a/wisteriawood/platform/worker_followers.py
+++ b/wisteriawood/platform/worker_followers.py
@@ -1,5 +1,7 @@
 """Follows the workers' entries in the store for a job host."""
 
+import anyio
+
 from wisteriawood import errors
 from wisteriawood.links import feeds
 from wisteriawood.links import runners
@@ -13,7 +15,7 @@
 # Pause between polls of the worker directory. Each worker writes its entry
 # about once a second, and a draining worker must be detected within 2 s.
 POLL_PAUSE_S = 0.4
-# The same on a host without cells; claiming a cell triggers a poll at once.
+# The same on a standby; claiming a cell triggers a poll at once.
 IDLE_POLL_PAUSE_S = 4.0
 # Longest duration of one of these polls, so that a hung one is given up soon.
 POLL_S = 0.5
@@ -38,7 +40,9 @@
 class WorkerFollower:
     """Keeps a host's directory of workers up to date.
 
-    Each version of an entry is decoded once.
+    It reads the directory only while the host needs it: what the workers
+    write there is most of the bytes that the store sends. Each version of an
+    entry is decoded once.
 
     Args:
         host: The host.
@@ -47,7 +51,15 @@
         feed: Feed of the workers' entries.
     """
 
-    __slots__ = ("_entries", "_fleet", "_host", "_misplaced", "feed")
+    __slots__ = (
+        "_entries",
+        "_fleet",
+        "_host",
+        "_misplaced",
+        "_needed",
+        "_scope",
+        "feed",
+    )
 
     def __init__(self, *, host: job_hosts.JobHost):
         self._host = host
@@ -55,7 +67,15 @@
         self._fleet: dict[str, runners.Registration] = {}
         # Readable entries of services that the configuration does not have.
         self._misplaced: set[str] = set()
-        self.feed = feeds.Feed(
+        self._needed = anyio.Event()
+        self._scope = anyio.CancelScope()
+        self.feed = self._make_feed()
+        host.on_claim = self._poll_now
+        host.on_directory_needed = self._set_needed
+
+    def _make_feed(self) -> feeds.Feed:
+        host = self._host
+        return feeds.Feed(
             store=host.store,
             table=directory.WORKER_TABLE,
             on_rows=self._process_rows,
@@ -66,6 +86,32 @@
             supervisor=host.supervisor,
         )
 
+    async def run(self) -> None:
+        """Follow the directory while the host needs it, until cancelled."""
+        while True:
+            await self._needed.wait()
+            with anyio.CancelScope() as self._scope:
+                await self.feed.run()
+            self._forget()
+
+    def _set_needed(self, is_needed: bool) -> None:
+        _LOG.log(job_events.DIRECTORY_NEEDED, is_needed=is_needed)
+        if is_needed:
+            self._needed.set()
+            return
+        self._needed = anyio.Event()
+        self._scope.cancel()
+
+    def _poll_now(self) -> None:
+        self.feed.poll_now()
+
+    def _forget(self) -> None:
+        """Forget the entries, which age while nobody reads them."""
+        self._entries.clear()
+        self._fleet = {}
+        self._host.update_fleet({})
+        self.feed = self._make_feed()
+
     def _pause_s(self) -> float:
         return POLL_PAUSE_S if self._host.is_holding() else IDLE_POLL_PAUSE_S
 
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -210,6 +210,12 @@
     "worker-row-unreadable",
     "A worker's entry in the directory can't be decoded; it is skipped.",
 )
+DIRECTORY_NEEDED = events.define(
+    2312,
+    "directory-needed",
+    "This host began or ceased to follow the directory of workers; holders "
+    "of cells and the standbys of a zone follow it.",
+)
 REFUSAL_UNREADABLE = events.define(
     2311,
     "refusal-unreadable",
--- a/wisteriawood/tests/directory_builders.py
+++ b/wisteriawood/tests/directory_builders.py
@@ -38,6 +38,7 @@
         async with anyio.create_task_group() as group:
             self._group = group
             for host in world.hosts.values():
+                host.update_fleet({})
                 self._follow(host)
             while True:
                 for name in world.workers.keys() - self._silent:
@@ -47,8 +48,7 @@
     def _follow(self, host):
         follower = worker_followers.WorkerFollower(host=host)
         self.followers[host.name] = follower
-        host.on_claim = follower.feed.poll_now
-        self._group.start_soon(follower.feed.run)
+        self._group.start_soon(follower.run)
 
     def restart_host(self, name, zone):
         """Kill a host and start it again at once."""
--- /dev/null
+++ b/wisteriawood/tests/transports_tests.py
@@ -0,0 +1,159 @@
+"""Tests of the HTTP transport, with a server on loopback."""
+
+import functools
+import unittest
+
+import anyio
+import httpx
+
+from wisteriawood.links import clients
+from wisteriawood.links import transports
+
+ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+# Limit of each step of a call.
+TIMEOUT_S = 0.3
+
+
+class Server:
+    """Answers each request on a connection with the next of some texts.
+
+    None ends the connection instead, and an empty text leaves the request
+    without an answer.
+    """
+
+    def __init__(self, answers):
+        self.answers = list(answers)
+        self.connections = 0
+        self.requests = []
+
+    async def handle(self, stream):
+        self.connections += 1
+        async with stream:
+            while True:
+                try:
+                    self.requests.append(await stream.receive())
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    return
+                answer = self.answers.pop(0)
+                if answer is None:
+                    return
+                await stream.send(answer)
+
+
+class TransportTests(unittest.TestCase):
+    def _run(self, answers, check, **fields):
+        async def _main():
+            server = Server(answers)
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            client = clients.Client(
+                url=f"http://127.0.0.1:{port}",
+                timeout_s=TIMEOUT_S,
+                transport=transports.KeepAliveTransport(
+                    **({"connections": 2} | fields)
+                ),
+            )
+            async with anyio.create_task_group() as group:
+                group.start_soon(listener.serve, server.handle)
+                call = functools.partial(client.request, "POST", "/p")
+                await check(server, call)
+                await client.aclose()
+                group.cancel_scope.cancel()
+            await listener.aclose()
+
+        anyio.run(_main)
+
+    def test_calls_share_a_connection(self):
+        async def _check(server, call):
+            for content in (b"", b"body"):
+                answer = await call(content=content)
+                self.assertEqual(
+                    (answer.status_code, answer.text), (200, "ok")
+                )
+            self.assertEqual(server.connections, 1)
+            self.assertIn(b"\r\n\r\nbody", server.requests[1])
+
+        self._run([ANSWER, ANSWER], _check)
+
+    def test_connection_that_the_server_closed_is_not_reused(self):
+        closing = ANSWER.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n")
+
+        async def _check(server, call):
+            for _number in range(3):
+                self.assertEqual((await call()).text, "ok")
+            self.assertEqual(server.connections, 3)
+
+        self._run([closing, closing, ANSWER], _check)
+
+    def test_idle_connection_that_the_server_ended_is_not_reused(self):
+        async def _check(server, call):
+            await call()
+            server.answers = [None, ANSWER]
+            with self.assertRaises(httpx.RemoteProtocolError):
+                await call()
+            self.assertEqual((await call()).text, "ok")
+            self.assertEqual(server.connections, 2)
+
+        self._run([ANSWER], _check)
+
+    def test_call_without_an_answer_ends_its_connection(self):
+        """Its answer, if it comes late, must not become that of another."""
+
+        async def _check(server, call):
+            with self.assertRaises(httpx.ReadTimeout):
+                await call()
+            self.assertEqual((await call()).text, "ok")
+            self.assertEqual(server.connections, 2)
+
+        self._run([b"", ANSWER], _check)
+
+    def test_cancelled_call_ends_its_connection(self):
+        async def _check(server, call):
+            with anyio.move_on_after(0.05):
+                await call()
+            self.assertEqual((await call()).text, "ok")
+            self.assertEqual(server.connections, 2)
+
+        self._run([b"", ANSWER], _check)
+
+    def test_bytes_that_are_no_http(self):
+        async def _check(server, call):
+            with self.assertRaises(httpx.RemoteProtocolError):
+                await call()
+            self.assertEqual((await call()).text, "ok")
+
+        self._run([b"\x00\xff\r\n\r\n", ANSWER], _check)
+
+    def test_part_of_an_answer_is_no_answer(self):
+        async def _check(server, call):
+            with self.assertRaises(httpx.ReadTimeout):
+                await call()
+
+        self._run([ANSWER[:-1]], _check)
+
+    def test_calls_beyond_the_connections_wait(self):
+        async def _check(server, call):
+            async with anyio.create_task_group() as group:
+                for _number in range(4):
+                    group.start_soon(call)
+            self.assertEqual(len(server.requests), 4)
+            self.assertEqual(server.connections, 1)
+
+        self._run([ANSWER] * 4, _check, connections=1)
+
+    def test_unreachable_server(self):
+        async def _check():
+            client = clients.Client(
+                url="http://127.0.0.1:1",
+                timeout_s=TIMEOUT_S,
+                transport=transports.KeepAliveTransport(connections=1),
+            )
+            for _number in range(2):
+                with self.assertRaises(httpx.ConnectError):
+                    await client.request("GET", "/")
+
+        anyio.run(_check)
+
+
+if __name__ == "__main__":
+    unittest.main()
