--- a/wisteriawood/links/clients.py
+++ b/wisteriawood/links/clients.py
@@ -11,7 +11,11 @@
 
 import httpx
 
+from wisteriawood.links import transports
+
 MAX_CONNECTIONS = 100
+HTTP_PORT = 80
+Response = httpx.Response | transports.Answer
 
 
 class Client:
@@ -22,9 +26,11 @@
         timeout_s: Timeout of a call, in seconds.
         connections: Maximum number of connections.
         transport: Transport to use; None to create one.
+        is_light: Whether calls with `request` use transports.py, which costs
+            less CPU time, but neither streams responses nor has TLS.
     """
 
-    __slots__ = ("_prefix", "_timeout", "_transport", "_url")
+    __slots__ = ("_light", "_prefix", "_timeout", "_transport", "_url")
 
     def __init__(
         self,
@@ -33,19 +39,29 @@
         timeout_s: float,
         connections: int = MAX_CONNECTIONS,
         transport: httpx.AsyncBaseTransport | None = None,
+        is_light: bool = False,
     ):
         self._url = httpx.URL(url)
         self._prefix = self._url.path.rstrip("/")
         self._timeout = httpx.Timeout(timeout_s)
-        # Plain HTTP needs no TLS context, so no certificates are loaded.
-        verify: ssl.SSLContext | bool = self._url.scheme == "https"
-        self._transport = transport or httpx.AsyncHTTPTransport(
-            verify=verify,
-            limits=httpx.Limits(
-                max_connections=connections,
-                max_keepalive_connections=connections,
-            ),
-        )
+        self._light: transports.KeepAliveTransport | None = None
+        self._transport = transport
+        if transport is None and is_light:
+            self._light = transports.KeepAliveTransport(
+                host=self._url.host,
+                port=self._url.port or HTTP_PORT,
+                connections=connections,
+            )
+        elif transport is None:
+            # Plain HTTP needs no TLS context, so no certificates are loaded.
+            verify: ssl.SSLContext | bool = self._url.scheme == "https"
+            self._transport = httpx.AsyncHTTPTransport(
+                verify=verify,
+                limits=httpx.Limits(
+                    max_connections=connections,
+                    max_keepalive_connections=connections,
+                ),
+            )
 
     @contextlib.asynccontextmanager
     async def stream(
@@ -60,6 +76,8 @@
     ) -> typing.AsyncIterator[httpx.Response]:
         """Send a request and yield the response before its body is read.
 
+        A light client can't do this.
+
         Args:
             method: HTTP method.
             path: Percent-encoded path and query.
@@ -96,7 +114,7 @@
         headers: list[tuple[str, str]] | None = None,
         content: bytes = b"",
         timeout: httpx.Timeout | None = None,
-    ) -> httpx.Response:
+    ) -> Response:
         """Send a request and return the response with its complete body.
 
         Args:
@@ -112,6 +130,17 @@
         """
         if params:
             path = f"{path}?{httpx.QueryParams(params)}"
+        if self._light is not None:
+            return await self._light.call(
+                method,
+                self._prefix + path,
+                headers=[
+                    (name.encode("ascii"), value.encode("ascii"))
+                    for name, value in headers or ()
+                ],
+                content=content,
+                timeout=timeout or self._timeout,
+            )
         async with self.stream(
             method, path, headers=headers, content=content, timeout=timeout
         ) as response:
@@ -120,4 +149,7 @@
 
     async def aclose(self) -> None:
         """Close the connections."""
-        await self._transport.aclose()
+        if self._light is not None:
+            await self._light.aclose()
+        if self._transport is not None:
+            await self._transport.aclose()
--- a/wisteriawood/links/transports.py
+++ b/wisteriawood/links/transports.py
@@ -1,8 +1,9 @@
-"""HTTP/1.1 transport with kept-alive connections to one address.
+"""HTTP/1.1 calls over kept-alive connections to one address.
 
-It implements the transport interface of httpx on anyio and h11. The one that
-httpx brings took six tenths of the CPU time of a host that holds a cell, most
-of it for proxies, HTTP/2 and the choice among connections to many addresses.
+A host that holds a cell makes hundreds of small calls a second. Through the
+client of httpx they took two thirds of its CPU time, most of it for proxies,
+HTTP/2, and the choice among connections to many addresses. This transport uses
+anyio and h11 directly; its errors are those of httpx.
 """
 
 import select
@@ -18,6 +19,28 @@
 # Errors of a socket that has failed or was closed.
 _BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
+Headers = list[tuple[bytes, bytes]]
+
+
+class Answer:
+    """A response with its complete body.
+
+    Attributes:
+        status_code: HTTP status.
+        content: The body.
+    """
+
+    __slots__ = ("content", "status_code")
+
+    def __init__(self, *, status_code: int, content: bytes):
+        self.status_code = status_code
+        self.content = content
+
+    @property
+    def text(self) -> str:
+        """The body as text; bytes that are no UTF-8 are replaced."""
+        return self.content.decode("utf-8", "replace")
+
 
 class _Connection:
     """One connection, used by one call at a time.
@@ -51,42 +74,56 @@
         )
 
     async def call(
-        self, request: httpx.Request, timeouts_s: dict[str, float | None]
-    ) -> httpx.Response:
-        """Send a request and return the response with its body."""
-        head = h11.Request(
-            method=request.method.encode("ascii"),
-            target=request.url.raw_path,
-            headers=request.headers.raw,
-        )
-        data = self._http.send(head) or b""
-        if request.content:
-            data += self._http.send(h11.Data(data=request.content)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
-        await self._send(data, timeouts_s.get("write"))
-        return await self._receive(timeouts_s.get("read"))
-
-    async def _send(self, data: bytes, timeout_s: float | None) -> None:
+        self, head: h11.Request, content: bytes, timeout_s: float | None
+    ) -> Answer:
+        """Send a request and return the response.
+
+        Args:
+            head: The request without its body.
+            content: The body.
+            timeout_s: Longest time until the response begins, and between
+                two parts of it.
+
+        Raises:
+            httpx.TransportError: The connection failed or timed out.
+            h11.ProtocolError: The request or the response is not valid HTTP.
+        """
+        parts = [self._http.send(head)]
+        if content:
+            parts.append(self._http.send(h11.Data(data=content)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        data = b"".join(part for part in parts if part)
         try:
             with anyio.fail_after(timeout_s):
                 await self._stream.send(data)
+                received = await self._receive()
         except TimeoutError as exc:
-            raise httpx.WriteTimeout("the request was not sent") from exc
+            raise httpx.ReadTimeout("no answer") from exc
         except _BROKEN as exc:
-            raise httpx.WriteError(repr(exc)) from exc
+            raise httpx.ReadError(repr(exc)) from exc
+        return await self._read_answer(received, timeout_s)
+
+    async def _receive(self) -> bytes:
+        try:
+            return await self._stream.receive(READ_BYTES)
+        except anyio.EndOfStream:
+            return b""
 
-    async def _receive(self, timeout_s: float | None) -> httpx.Response:
-        head: h11.Response | None = None
+    async def _read_answer(
+        self, received: bytes, timeout_s: float | None
+    ) -> Answer:
+        status_code = 0
         chunks: list[bytes] = []
+        self._http.receive_data(received)
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                self._http.receive_data(await self._read(timeout_s))
+                self._http.receive_data(await self._read_more(timeout_s))
             elif isinstance(event, h11.Response):
-                head = event
+                status_code = event.status_code
             elif isinstance(event, h11.Data):
                 chunks.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage) and head is not None:
+            elif isinstance(event, h11.EndOfMessage):
                 break
             elif event is h11.PAUSED or isinstance(
                 event, h11.ConnectionClosed
@@ -99,20 +136,14 @@
             and self._http.their_state is h11.DONE
         ):
             self._http.start_next_cycle()
-        return httpx.Response(
-            head.status_code,
-            headers=list(head.headers),
-            content=b"".join(chunks),
-        )
+        return Answer(status_code=status_code, content=b"".join(chunks))
 
-    async def _read(self, timeout_s: float | None) -> bytes:
+    async def _read_more(self, timeout_s: float | None) -> bytes:
         try:
             with anyio.fail_after(timeout_s):
-                return await self._stream.receive(READ_BYTES)
-        except anyio.EndOfStream:
-            return b""
+                return await self._receive()
         except TimeoutError as exc:
-            raise httpx.ReadTimeout("no answer") from exc
+            raise httpx.ReadTimeout("no end of the answer") from exc
         except _BROKEN as exc:
             raise httpx.ReadError(repr(exc)) from exc
 
@@ -122,66 +153,97 @@
             await anyio.aclose_forcefully(self._stream)
 
 
-class KeepAliveTransport(httpx.AsyncBaseTransport):
-    """Transport for calls to one address without TLS.
-
-    Responses are returned with their complete bodies.
+class KeepAliveTransport:
+    """Makes calls to one address without TLS.
 
     Args:
+        host: IP address or name of the server.
+        port: Its port.
         connections: Maximum number of connections; further calls wait.
     """
 
-    __slots__ = ("_idle", "_slots")
+    __slots__ = ("_host", "_host_header", "_idle", "_port", "_slots")
 
-    def __init__(self, *, connections: int):
+    def __init__(self, *, host: str, port: int, connections: int):
+        self._host = host
+        self._port = port
+        name = f"[{host}]" if ":" in host else host
+        self._host_header = f"{name}:{port}".encode("ascii")
         self._slots = anyio.Semaphore(connections)
         # The connection that was used last is reused first.
         self._idle: list[_Connection] = []
 
-    async def handle_async_request(
-        self, request: httpx.Request
-    ) -> httpx.Response:
+    async def call(
+        self,
+        method: str,
+        target: str,
+        *,
+        headers: Headers,
+        content: bytes,
+        timeout: httpx.Timeout,
+    ) -> Answer:
         """Send a request and return the response.
 
+        Args:
+            method: HTTP method.
+            target: Percent-encoded path and query.
+            headers: Header fields without Host and Content-Length.
+            content: Body.
+            timeout: Timeouts; that for reads also limits the write.
+
         Raises:
             httpx.TransportError: The call failed; a ConnectError or a
                 ConnectTimeout if nothing was sent.
         """
-        timeouts_s = request.extensions.get("timeout", {})
         try:
-            with anyio.fail_after(timeouts_s.get("pool")):
-                await self._slots.acquire()
-        except TimeoutError as exc:
-            raise httpx.PoolTimeout("all connections are in use") from exc
+            self._slots.acquire_nowait()
+        except anyio.WouldBlock:
+            await self._wait_for_slot(timeout.pool)
         try:
-            return await self._call(request, timeouts_s)
+            head = h11.Request(
+                method=method,
+                target=target,
+                headers=[
+                    (b"host", self._host_header),
+                    *headers,
+                    (b"content-length", str(len(content)).encode("ascii")),
+                ],
+            )
+            connection = await self._take_idle()
+            if connection is None:
+                connection = await self._connect(timeout.connect)
+            return await self._call_on(connection, head, content, timeout)
+        except h11.LocalProtocolError as exc:
+            raise httpx.LocalProtocolError(str(exc)) from exc
+        except h11.RemoteProtocolError as exc:
+            raise httpx.RemoteProtocolError(str(exc)) from exc
         finally:
             self._slots.release()
 
-    async def _call(
-        self, request: httpx.Request, timeouts_s: dict[str, float | None]
-    ) -> httpx.Response:
-        connection = await self._take_idle()
-        if connection is None:
-            connection = await _connect(request.url, timeouts_s.get("connect"))
+    async def _wait_for_slot(self, timeout_s: float | None) -> None:
         try:
-            response = await connection.call(request, timeouts_s)
-        except h11.ProtocolError as exc:
-            await connection.aclose()
-            error = (
-                httpx.LocalProtocolError
-                if isinstance(exc, h11.LocalProtocolError)
-                else httpx.RemoteProtocolError
-            )
-            raise error(str(exc)) from exc
-        except BaseException:
-            await connection.aclose()
-            raise
-        if connection.is_between_calls():
-            self._idle.append(connection)
-        else:
-            await connection.aclose()
-        return response
+            with anyio.fail_after(timeout_s):
+                await self._slots.acquire()
+        except TimeoutError as exc:
+            raise httpx.PoolTimeout("all connections are in use") from exc
+
+    async def _call_on(
+        self,
+        connection: _Connection,
+        head: h11.Request,
+        content: bytes,
+        timeout: httpx.Timeout,
+    ) -> Answer:
+        is_kept = False
+        try:
+            answer = await connection.call(head, content, timeout.read)
+            is_kept = connection.is_between_calls()
+            return answer
+        finally:
+            if is_kept:
+                self._idle.append(connection)
+            else:
+                await connection.aclose()
 
     async def _take_idle(self) -> _Connection | None:
         while self._idle:
@@ -191,18 +253,17 @@
             await connection.aclose()
         return None
 
+    async def _connect(self, timeout_s: float | None) -> _Connection:
+        try:
+            with anyio.fail_after(timeout_s):
+                stream = await anyio.connect_tcp(self._host, self._port)
+        except TimeoutError as exc:
+            raise httpx.ConnectTimeout("no connection in time") from exc
+        except (OSError, ValueError, OverflowError) as exc:
+            raise httpx.ConnectError(repr(exc)) from exc
+        return _Connection(stream=typing.cast(abc.SocketStream, stream))
+
     async def aclose(self) -> None:
         """Close the idle connections."""
         while self._idle:
             await self._idle.pop().aclose()
-
-
-async def _connect(url: httpx.URL, timeout_s: float | None) -> _Connection:
-    try:
-        with anyio.fail_after(timeout_s):
-            stream = await anyio.connect_tcp(url.host, url.port or 80)
-    except TimeoutError as exc:
-        raise httpx.ConnectTimeout("the connection was not opened") from exc
-    except (OSError, ValueError, OverflowError) as exc:
-        raise httpx.ConnectError(repr(exc)) from exc
-    return _Connection(stream=typing.cast(abc.SocketStream, stream))
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -443,11 +443,12 @@
             with self._scopes[cell]:
                 await holder.run()
         except Exception as exc:
-            if supervision.contains(exc, tables.CellLostError):
-                _LOG.log(job_events.CELL_LOST, cell=cell, cause=str(exc))
-            else:
-                has_failed = True
+            lost = supervision.find(exc, tables.CellLostError)
+            has_failed = lost is None
+            if has_failed:
                 self.supervisor.record("cell", cell, exc)
+            else:
+                _LOG.log(job_events.CELL_LOST, cell=cell, cause=str(lost))
         finally:
             if self._holders.get(cell) is holder:
                 del self._holders[cell]
--- a/wisteriawood/platform/store_client.py
+++ b/wisteriawood/platform/store_client.py
@@ -12,7 +12,6 @@
 from wisteriawood.links import clients
 from wisteriawood.links.codecs import rows
 from wisteriawood.links import stores
-from wisteriawood.links import transports
 
 # The timeout of a call is a multiple of the average time of earlier calls,
 # within these bounds.
@@ -108,8 +107,8 @@
             url=f"http://{address}",
             timeout_s=MAX_TIMEOUT_S,
             connections=MAX_CONNECTIONS,
-            transport=transport
-            or transports.KeepAliveTransport(connections=MAX_CONNECTIONS),
+            transport=transport,
+            is_light=True,
         )
         self._average_s = MIN_TIMEOUT_S / TIMEOUT_FACTOR
         self._newest_version = 0
@@ -127,7 +126,7 @@
         params: dict | None = None,
         content: bytes = b"",
         wait_s: float = 0.0,
-    ) -> httpx.Response:
+    ) -> clients.Response:
         timeout_s = self._timeout_s()
         if wait_s:
             timeout_s = min(timeout_s, MAX_POLL_MARGIN_S)
@@ -183,7 +182,7 @@
             )
         return self._decode(response).ver
 
-    def _decode(self, response: httpx.Response) -> _Answer:
+    def _decode(self, response: clients.Response) -> _Answer:
         try:
             answer = rows.from_json(response.content, _Answer)
         except errors.MessageError as exc:
--- a/wisteriawood/platform/worker_client.py
+++ b/wisteriawood/platform/worker_client.py
@@ -12,7 +12,6 @@
 from wisteriawood.links.codecs import bounds
 from wisteriawood.links.codecs import rows
 from wisteriawood.links import runners
-from wisteriawood.links import transports
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
 
@@ -94,8 +93,8 @@
             url=f"http://{registration.address}",
             timeout_s=CALL_TIMEOUT_S,
             connections=MAX_CONNECTIONS,
-            transport=transport
-            or transports.KeepAliveTransport(connections=MAX_CONNECTIONS),
+            transport=transport,
+            is_light=True,
         )
         self._headers = [
             ("content-type", "application/json"),
@@ -104,7 +103,7 @@
 
     async def _call(
         self, path: str, body: dict, timeout_s: float = CALL_TIMEOUT_S
-    ) -> httpx.Response:
+    ) -> clients.Response:
         try:
             response = await self._client.request(
                 "POST",
@@ -228,7 +227,7 @@
         await self._client.aclose()
 
 
-def _refusal_reason(response: httpx.Response) -> str:
+def _refusal_reason(response: clients.Response) -> str:
     if response.status_code != 409:
         return ""
     try:
--- a/wisteriawood/supervision.py
+++ b/wisteriawood/supervision.py
@@ -81,8 +81,6 @@
         kind: str,
         name: str,
         function: typing.Callable[[], typing.Awaitable[None]],
-        *,
-        passed_on: type[Exception] | tuple[type[Exception], ...] = (),
     ) -> None:
         """Run a function, and again after a delay if it fails.
 
@@ -90,10 +88,6 @@
             kind: Kind of the part that the function runs.
             name: Which of them.
             function: Runs the part.
-            passed_on: Errors that are raised to the caller instead.
-
-        Raises:
-            Exception: One of `passed_on`, or a group that contains one.
         """
         backoff = Backoff()
         while True:
@@ -101,24 +95,22 @@
                 await function()
                 return
             except Exception as exc:
-                if contains(exc, passed_on):
-                    raise
                 self.record(kind, name, exc)
             await anyio.sleep(backoff.next_delay_s())
 
 
-def contains(
-    error: BaseException,
-    types: type[Exception] | tuple[type[Exception], ...],
-) -> bool:
-    """Return whether an error is of some types, or a group that has one.
+def find(
+    error: BaseException, wanted: type[Exception]
+) -> BaseException | None:
+    """Return an error if it is of a type, or the first one in its group.
 
     Args:
-        error: The error.
-        types: The types.
+        error: The error, or a group of errors.
+        wanted: The type.
     """
-    if isinstance(error, types):
-        return True
-    return isinstance(error, BaseExceptionGroup) and any(
-        contains(inner, types) for inner in error.exceptions
-    )
+    if isinstance(error, wanted):
+        return error
+    if not isinstance(error, BaseExceptionGroup):
+        return None
+    found = (find(inner, wanted) for inner in error.exceptions)
+    return next((inner for inner in found if inner is not None), None)
--- a/wisteriawood/tests/odd_input_tests.py
+++ b/wisteriawood/tests/odd_input_tests.py
@@ -30,6 +30,7 @@
 from wisteriawood.platform import worker_client
 from wisteriawood.standins import job_worlds
 from wisteriawood.standins import runners as run_standins
+from wisteriawood import supervision
 from wisteriawood.tests import builders
 from wisteriawood.tests import directory_builders
 from wisteriawood.tests import odd_builders
@@ -431,6 +432,14 @@
         builders.run_job_world(_check, zones=["a"])
 
 
+class FindTests(unittest.TestCase):
+    def test_error_inside_groups(self):
+        lost = tables.CellLostError("newer holder")
+        group = ExceptionGroup("o", [ExceptionGroup("i", [KeyError(), lost])])
+        self.assertIs(supervision.find(group, tables.CellLostError), lost)
+        self.assertIsNone(supervision.find(group, OSError))
+
+
 class LinkErrorTests(unittest.TestCase):
     def test_unusable_address_is_no_answer(self):
         registration = runners.Registration(
--- a/wisteriawood/tests/transports_tests.py
+++ b/wisteriawood/tests/transports_tests.py
@@ -7,7 +7,6 @@
 import httpx
 
 from wisteriawood.links import clients
-from wisteriawood.links import transports
 
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 # Limit of each step of a call.
@@ -49,9 +48,8 @@
             client = clients.Client(
                 url=f"http://127.0.0.1:{port}",
                 timeout_s=TIMEOUT_S,
-                transport=transports.KeepAliveTransport(
-                    **({"connections": 2} | fields)
-                ),
+                is_light=True,
+                **({"connections": 2} | fields),
             )
             async with anyio.create_task_group() as group:
                 group.start_soon(listener.serve, server.handle)
@@ -146,7 +144,7 @@
             client = clients.Client(
                 url="http://127.0.0.1:1",
                 timeout_s=TIMEOUT_S,
-                transport=transports.KeepAliveTransport(connections=1),
+                is_light=True,
             )
             for _number in range(2):
                 with self.assertRaises(httpx.ConnectError):
