--- a/wisteriawood/tests/faults/soak_tests.py
+++ b/wisteriawood/tests/faults/soak_tests.py
@@ -1,6 +1,7 @@
 """A short soak with real processes, and tests of the soak checks."""
 
 import pathlib
+import socket
 import tempfile
 import unittest
 
@@ -19,6 +20,23 @@
 JOB = "0123456789abcdef"
 
 
+class ReservedPortsTests(unittest.TestCase):
+    """Guards against a soak that takes the port of a stopped host."""
+
+    def test_port_stays_reserved_until_the_end(self):
+        own, other = worlds._ReservedPorts(), worlds._ReservedPorts()
+        self.addCleanup(other.close)
+        port = own.reserve()
+        self.assertFalse(other._bind(port, reuses_address=False))
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind(("127.0.0.1", port))
+            listener.listen()
+        self.assertFalse(other._bind(port, reuses_address=False))
+        own.close()
+        self.assertTrue(other._bind(port, reuses_address=False))
+
+
 class SoakTests(unittest.TestCase):
     def test_short_soak_finds_no_breach(self):
         with tempfile.TemporaryDirectory() as folder:
