Rebuild the list of workers only when one has changed; benchmark of the directory

Cause: a holder decodes some 2.5 reads a second in which nearly all entries are heartbeats; each read built the list of all workers anew, compared it, and parsed every address again.

Change: the list is rebuilt if an entry differs in more than its heartbeat; checked addresses are remembered. No decision changes.

--- a/wisteriawood/links/codecs/bounds.py
+++ b/wisteriawood/links/codecs/bounds.py
@@ -4,6 +4,7 @@
 contains it can't be decoded.
 """
 
+import functools
 import ipaddress
 import typing
 
@@ -34,6 +35,8 @@
 Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 
 
+# Workers repeat their addresses in each heartbeat.
+@functools.lru_cache(maxsize=4096)
 def check_address(address: str) -> str:
     """Return an address unchanged if a connection to it can be tried.
 
--- a/wisteriawood/platform/worker_followers.py
+++ b/wisteriawood/platform/worker_followers.py
@@ -116,12 +116,20 @@
         return POLL_PAUSE_S if self._host.is_holding() else IDLE_POLL_PAUSE_S
 
     def _process_rows(self, rows: list[stores.StoredRow]) -> None:
+        has_changed = False
         for row in rows:
+            former = self._entries.get(row.at.key)
             if row.value is None:
                 self._record_removal(row)
-            else:
-                self._entries[row.at.key] = self._read(row, row.value)
-        self.update()
+                has_changed = has_changed or former is not None
+                continue
+            entry = self._read(row, row.value)
+            self._entries[row.at.key] = entry
+            # Most changes are heartbeats, which leave the worker equal.
+            if former is None or former.worker != entry.worker:
+                has_changed = True
+        if has_changed:
+            self.update()
 
     def _read(self, row: stores.StoredRow, value: bytes) -> _Entry:
         worker_id = row.at.key
--- a/wisteriawood/tests/bench_tests.py
+++ b/wisteriawood/tests/bench_tests.py
@@ -29,6 +29,7 @@
             [
                 "configuration",
                 "control",
+                "directories",
                 "recovery",
                 "relay",
                 "requests",
