--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -20,6 +20,8 @@
 from wisteriawood.links import runners
 from wisteriawood.links import stores
 from wisteriawood.links import version_times
+from wisteriawood.machines import directory_needs
+from wisteriawood.machines import suspensions
 from wisteriawood.machines import takeovers
 from wisteriawood.policies import registry
 from wisteriawood.policies import spreading
@@ -33,9 +35,6 @@
 CELL_CHECK_PERIOD_S = 0.2
 # Checks of cells between two of whether this host is a standby.
 STANDBY_CHECK_PERIOD_TICKS = 5
-# Time for which a former standby still follows the directory, so that hosts
-# that come and go cause few reads of the whole of it.
-STANDBY_LINGER_S = 15.0
 # Time for which this host must have held a cell and read heartbeats before
 # it releases the cell for a better holder.
 RELEASE_DELAY_S = 2.0
@@ -46,21 +45,6 @@
 READY_ANSWER_AGE_S = 2.5
 
 
-class _Suspension:
-    """Time for which a host does not claim a cell.
-
-    Attributes:
-        backoff: Lengthens the times of errors that repeat.
-        until_s: Monotonic time of its end.
-    """
-
-    __slots__ = ("backoff", "until_s")
-
-    def __init__(self):
-        self.backoff = supervision.Backoff()
-        self.until_s = 0.0
-
-
 class JobHost:
     """Accepts jobs and holds cells: of its zone, and of zones without hosts.
 
@@ -86,8 +70,7 @@
         queues: Queues of the configuration in force; None before the first.
         is_draining: Whether the host releases its cells.
         on_claim: Called when this host has claimed a cell.
-        on_directory_needed: Called with whether this host needs the directory
-            of workers when that changes.
+        directory_need: Whether this host follows the directory of workers.
         version_times: When changes of the store were made.
         supervisor: Contains unexpected errors.
     """
@@ -100,19 +83,17 @@
         "_lease_s",
         "_max_cancel_age_s",
         "_policy",
-        "_needs_directory",
         "_retention_s",
         "_scopes",
-        "_standby_until_s",
         "_suspensions",
         "_takeovers",
         "counters",
         "directory",
+        "directory_need",
         "is_draining",
         "members",
         "name",
         "on_claim",
-        "on_directory_needed",
         "queues",
         "store",
         "supervisor",
@@ -166,19 +147,16 @@
         self.queues: queues.QueueTable | None = None
         self.is_draining = False
         self.on_claim: typing.Callable[[], None] = lambda: None
-        self.on_directory_needed: typing.Callable[[bool], None] = (
-            lambda _is_needed: None
+        self.directory_need = directory_needs.DirectoryNeed(
+            known_members=self.members
         )
-        self._needs_directory = False
-        self._standby_until_s = 0.0
         self.directory = worker_directories.WorkerDirectory(
             max_age_s=max_directory_age_s, silence_s=directory_silence_s
         )
         self._holders: dict[str, holders.Holder] = {}
         self._claimed = anyio.Event()
         self._scopes: dict[str, anyio.CancelScope] = {}
-        # Cells whose management failed, which this host leaves to others.
-        self._suspensions: dict[str, _Suspension] = {}
+        self._suspensions = suspensions.Suspensions()
         self._group: abc.TaskGroup | None = None
         self._takeovers = takeovers.Takeovers(
             known_members=self.members, dial=dial, workers_of=self._workers_of
@@ -294,7 +272,7 @@
             period_s = members.PLAIN_HEARTBEAT_PERIOD_S
             if self._holders:
                 period_s = members.HEARTBEAT_PERIOD_S
-            elif self._needs_directory or not self.members.standbys():
+            elif self.directory_need.is_needed or not self.members.standbys():
                 period_s = members.IDLE_HEARTBEAT_PERIOD_S
             self.members.heartbeat_period_s = period_s
             if not await self.members.write_heartbeat(held):
@@ -314,27 +292,13 @@
             for zone in self.zones
         )
 
-    def _check_standby(self) -> None:
-        """Follow the directory while this host is or was lately a standby."""
-        now_s = anyio.current_time()
-        if self.name in self.members.standbys():
-            self._standby_until_s = now_s + STANDBY_LINGER_S
-        self._need_directory(
-            self.is_holding() or now_s < self._standby_until_s
-        )
-
-    def _need_directory(self, is_needed: bool) -> None:
-        if is_needed != self._needs_directory:
-            self._needs_directory = is_needed
-            self.on_directory_needed(is_needed)
-
     async def _check_cells_forever(self) -> None:
         ticks = 0
         while True:
             await anyio.sleep(CELL_CHECK_PERIOD_S)
             ticks += 1
             if ticks % STANDBY_CHECK_PERIOD_TICKS == 0:
-                self._check_standby()
+                self.directory_need.check(self.is_holding())
             if self.is_draining or not self.members.claim_feed.answered_at_s:
                 continue
             if self._holders:
@@ -342,21 +306,13 @@
             for cell in self._all_cells():
                 if cell in self._holders:
                     self._check_held(cell)
-                elif self._is_suspended(cell):
+                elif self._suspensions.has(cell):
                     continue
                 elif await self._takeovers.should_claim(
                     cell, len(self._holders)
                 ):
                     await self._claim(cell, self.members.claims.get(cell))
 
-    def _is_suspended(self, cell: str) -> bool:
-        """Return whether a cell is left to others after an error here."""
-        suspension = self._suspensions.get(cell)
-        return (
-            suspension is not None
-            and anyio.current_time() < suspension.until_s
-        )
-
     def _share_loads(self) -> None:
         """Give each held cell the loads of its service's other cells."""
         live_loads = self.members.live_cell_loads()
@@ -401,7 +357,7 @@
             _LOG.log(job_events.CLAIM_FAILED, cell=cell, cause=str(exc))
             return
         self.members.record_claim(claim)
-        self._need_directory(True)
+        self.directory_need.require()
         self.on_claim()
         self._claimed.set()
         _LOG.log(
@@ -466,9 +422,7 @@
             cell: The cell.
             holder: Its holder, which has ended.
         """
-        suspension = self._suspensions.setdefault(cell, _Suspension())
-        delay_s = suspension.backoff.next_delay_s()
-        suspension.until_s = anyio.current_time() + delay_s
+        self._suspensions.add(cell)
         await self._release_claim(cell, holder.cell.claim)
 
     async def release(self, cell: str) -> None:
--- a/wisteriawood/platform/worker_followers.py
+++ b/wisteriawood/platform/worker_followers.py
@@ -71,7 +71,7 @@
         self._scope = anyio.CancelScope()
         self.feed = self._make_feed()
         host.on_claim = self._poll_now
-        host.on_directory_needed = self._set_needed
+        host.directory_need.on_change = self._set_needed
 
     def _make_feed(self) -> feeds.Feed:
         host = self._host
