Test hosts that act on a permission that has run out

A start that is held up for three leases and delivered after a takeover, a holder that wakes beside its successor, and orders around a release.

--- /dev/null
+++ b/wisteriawood/tests/permissions_tests.py
@@ -0,0 +1,146 @@
+"""Tests of hosts that act on a permission that has run out meanwhile.
+
+Reports of operators: a process that had been paused acted on a permission that
+was no longer valid; around a hand-over, two processes gave orders.
+"""
+
+from unittest import mock
+
+import anyio
+
+from wisteriawood.jobs import jobs
+from wisteriawood.jobs import specs
+from wisteriawood.standins import job_worlds
+from wisteriawood.standins import runners as run_standins
+from wisteriawood.tests import builders
+from wisteriawood.tests import cells_tests
+
+JOB = "0123456789abcdef"
+CELL = "shop@a"
+STEP = specs.StepSpec(task_count=4, cpu_millicores=2000, memory_mb=10)
+# Longer than a takeover and than the lease of a worker.
+PAUSE_S = 3 * job_worlds.LEASE_S
+
+
+class PausedHost:
+    """Holds up calls of one host to workers, as a pause of its process does.
+
+    A held call is delivered when the pause ends, whatever has happened since.
+    """
+
+    def __init__(self, *, world):
+        self._world = world
+        self._resumed = anyio.Event()
+        self.name = ""
+        self.held = []
+
+    def patch(self, call):
+        """Return a patch of one call of the links to the workers."""
+        original = getattr(run_standins.MemoryRunLink, call)
+
+        async def _held(link, *args, **fields):
+            if link._host == self.name:
+                self.held.append(call)
+                await self._resumed.wait()
+            return await original(link, *args, **fields)
+
+        return mock.patch.object(run_standins.MemoryRunLink, call, _held)
+
+    def pause(self, name):
+        self.name = name
+        self._world.store.cut_hosts.add(name)
+
+    def resume(self):
+        self._world.store.cut_hosts.discard(self.name)
+        self.name = ""
+        self._resumed.set()
+
+
+class PausedHostTests(cells_tests.SingleRunCase):
+    def _run(self, check, **fields):
+        async def _main(world):
+            paused = PausedHost(world=world)
+            with (
+                paused.patch("start"),
+                paused.patch("stop"),
+                paused.patch("renew"),
+            ):
+                await anyio.sleep(3)
+                await check(world, paused)
+                await anyio.sleep(5)
+                self.check_single_runs(world)
+
+        builders.run_job_world(_main, **({"zones": ["a"]} | fields))
+
+    def test_start_that_is_sent_after_a_takeover(self):
+        """The host was paused between its check and its call."""
+
+        async def _check(world, paused):
+            former = world.holder_of(CELL)
+            paused.name = former
+            world.work_s[JOB] = 2.0
+            await world.submit(JOB, [STEP])
+            await anyio.sleep(0.5)
+            self.assertIn("start", paused.held)
+            paused.pause(former)
+            await anyio.sleep(PAUSE_S)
+            self.assertNotEqual(self._other_holder(world, former), "")
+            paused.resume()
+            await world.wait_for(
+                JOB,
+                jobs.JobState.COMPLETED,
+                host=self._other_holder(world, former),
+            )
+
+        self._run(_check)
+
+    def test_commands_of_a_holder_that_wakes_beside_its_successor(self):
+        """Its renewals and stops must not touch the runs of the other."""
+
+        async def _check(world, paused):
+            former = world.holder_of(CELL)
+            world.work_s[JOB] = 30.0
+            await world.submit(JOB, [STEP])
+            await anyio.sleep(1)
+            paused.pause(former)
+            await anyio.sleep(PAUSE_S)
+            successor = self._other_holder(world, former)
+            running = sum(len(w.runs) for w in world.workers.values())
+            self.assertEqual(running, STEP.task_count)
+            starts = world.starts()
+            paused.resume()
+            await anyio.sleep(4)
+            self.assertEqual(world.starts(), starts)
+            self.assertEqual(world.hosts[former].open_cells(), [])
+            self.assertEqual(world.hosts[successor].open_cells(), [CELL])
+
+        self._run(_check)
+
+    def test_orders_around_a_release(self):
+        """A holder that drains hands its cell over while it starts tasks."""
+
+        async def _check(world, paused):
+            former = world.holder_of(CELL)
+            for number in range(8):
+                await world.submit(f"{number:016x}", [STEP])
+            await world.hosts[former].drain()
+            for number in range(8):
+                await world.wait_for(f"{number:016x}", jobs.JobState.COMPLETED)
+            numbers = {
+                name: [run for run, _at_s, _worker in runs]
+                for name, runs in world.starts().items()
+            }
+            for name, found in numbers.items():
+                self.assertEqual(sorted(set(found)), sorted(found), name)
+
+        self._run(_check)
+
+    def _other_holder(self, world, former):
+        return next(
+            (
+                name
+                for name, host in world.hosts.items()
+                if name != former and CELL in host.open_cells()
+            ),
+            "",
+        )
