Start fillers of idle jobs after 2 s again

While the store turns hosts away no job arrives, so cells count as idle, and after 1 s instead of 2 more fillers start beyond the load limits, which slows the others.

--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -20,8 +20,7 @@
 MEMORY_CLASS_MB = 4096
 # Time without a running task after which one task of a filler job is started
 # where it interferes least; the filler pacer then slows it as far as needed.
-# A job may have nothing running for 3 s; the commit and the start come after.
-IDLE_JOB_TIMEOUT_S = 1.0
+IDLE_JOB_TIMEOUT_S = 2.0
 # Most tasks started this way (pinned) on one worker; at their initial pace,
 # together they use less CPU than one at full speed.
 MAX_PINNED_PER_WORKER = 4
