Check what own rows and entries contain, and lose no error beside a lost cell

Found by reading the change: rows of jobs were decoded without bounds, so that a count of tasks in an odd row took all memory; entries with a wrong type in a field that is not used, or without capacity, named a worker; an unexpected error in a group with a lost cell was not recorded; a row whose processing failed was never passed on again, and an accepted job with it; the log writer and errors of the HTTP server other than those of the operating system ended a host unlogged.

Also: records of rows and reports are dataclasses and tuples; one name for the CPU that is left, for the parts that an error ends, and for standbys.

--- a/wisteriawood/cells/balancers.py
+++ b/wisteriawood/cells/balancers.py
@@ -95,7 +95,7 @@
         view = base.CellView(
             capacity_millicores=max(1, load.capacity_millicores),
             free_millicores=load.free_millicores,
-            left_millicores=load.unused_millicores,
+            left_millicores=load.left_millicores,
             backlog_millicore_s=load.backlog_millicore_s,
             rate_millicores=load.rate_millicores,
         )
--- a/wisteriawood/cells/claims.py
+++ b/wisteriawood/cells/claims.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 import anyio
-import msgspec
 
 from wisteriawood.cells import tables
 from wisteriawood.links.codecs import bounds
@@ -104,7 +103,8 @@
     return Claim(cell=cell, row=row, version=version)
 
 
-class CellLoad(msgspec.Struct, kw_only=True):
+@dataclasses.dataclass(slots=True, kw_only=True)
+class CellLoad:
     """Load of a cell as its holder reports it.
 
     Attributes:
@@ -113,7 +113,7 @@
         free_millicores: CPU that no task has reserved or waits for; below 0
             if more is wanted than there is.
         largest_free_millicores: Most such CPU on one worker.
-        unused_millicores: CPU that is expected to stay unused, less what
+        left_millicores: CPU that is expected to stay unused, less what
             waiting fillers request.
         backlog_millicore_s: Estimated work of fillers that is not done yet.
         rate_millicores: Estimated work of fillers done in a second.
@@ -124,22 +124,18 @@
     """
 
     epoch: bounds.Number = 0
-    capacity_millicores: bounds.Number = msgspec.field(
-        default=0, name="capacity"
-    )
-    free_millicores: bounds.Balance = msgspec.field(default=0, name="free")
-    largest_free_millicores: bounds.Balance = msgspec.field(
-        default=0, name="largest"
-    )
-    unused_millicores: bounds.Balance = msgspec.field(default=0, name="left")
-    backlog_millicore_s: bounds.Number = msgspec.field(
-        default=0, name="backlog"
+    capacity_millicores: bounds.Number = 0
+    free_millicores: bounds.Balance = 0
+    largest_free_millicores: bounds.Balance = 0
+    left_millicores: bounds.Balance = 0
+    backlog_millicore_s: bounds.Number = 0
+    rate_millicores: bounds.Number = 0
+    pending: dict[bounds.Name, bounds.Number] = dataclasses.field(
+        default_factory=dict
     )
-    rate_millicores: bounds.Number = msgspec.field(default=0, name="rate")
-    pending: dict[bounds.Name, bounds.Number] = {}
     waiting: bounds.Number = 0
     workers: bounds.Number = 0
-    racks: list[bounds.Name] = []
+    racks: list[bounds.Name] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/wisteriawood/cells/loads.py
+++ b/wisteriawood/cells/loads.py
@@ -73,7 +73,7 @@
         largest_free_millicores=max(
             (w.free_millicores for w in usable), default=0
         ),
-        unused_millicores=unused - fillers,
+        left_millicores=unused - fillers,
         backlog_millicore_s=_filler_backlog(cell),
         rate_millicores=cell.filler_meter.rate_millicores(),
         pending=_pending_by_queue(cell),
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -16,7 +16,7 @@
 # Period of the heartbeats of a host that holds a cell, of one that is ready to
 # take a cell over, and of other hosts.
 HEARTBEAT_PERIOD_S = 0.8
-IDLE_HEARTBEAT_PERIOD_S = 1.6
+STANDBY_HEARTBEAT_PERIOD_S = 1.6
 PLAIN_HEARTBEAT_PERIOD_S = 3.2
 # Hosts of a zone, the strongest ones, that follow the directory of workers to
 # be ready to take over a cell. They include the holders, as a rule.
@@ -35,7 +35,7 @@
 # Duration of a slow write. With one idle period it is the age of this host's
 # own newest heartbeat up to which the store counts as accepting its writes.
 SLOW_WRITE_S = 0.8
-MAX_OWN_HEARTBEAT_AGE_S = IDLE_HEARTBEAT_PERIOD_S + SLOW_WRITE_S
+MAX_OWN_HEARTBEAT_AGE_S = STANDBY_HEARTBEAT_PERIOD_S + SLOW_WRITE_S
 # A host with at least this multiple of another's cores counts as stronger.
 STRONGER_CORES_RATIO = 1.5
 # Pause of the heartbeat feed between calls, so that one answer brings
@@ -120,7 +120,7 @@
         self._times = times or version_times.VersionTimes()
         self._heartbeat_count = 0
         self._first_written_at_s = 0.0
-        self.heartbeat_period_s = IDLE_HEARTBEAT_PERIOD_S
+        self.heartbeat_period_s = STANDBY_HEARTBEAT_PERIOD_S
         self._loads: dict[str, claims.CellLoad] = {}
         self._claim_seen_at_s: dict[str, float] = {}
         self.name = name
@@ -389,7 +389,7 @@
 
 
 def _liveness_timeout_s(member: Member) -> float:
-    period_s = member.heartbeat.period_s or IDLE_HEARTBEAT_PERIOD_S
+    period_s = member.heartbeat.period_s or STANDBY_HEARTBEAT_PERIOD_S
     if member.heartbeat.cells:
         period_s = HEARTBEAT_PERIOD_S
     return LIVENESS_TIMEOUT_S + period_s - HEARTBEAT_PERIOD_S
--- a/wisteriawood/links/clients.py
+++ b/wisteriawood/links/clients.py
@@ -1,8 +1,9 @@
-"""HTTP calls to one address over an httpx transport.
+"""HTTP calls to one address.
 
-The links use the transport directly because it takes about half the time
-of httpx.AsyncClient, which adds cookies, redirects and authentication that
-the links do not need.
+The links use a transport of httpx directly because it takes about half the
+time of httpx.AsyncClient, which adds cookies, redirects and authentication
+that the links do not need. Those of job hosts, which make hundreds of small
+calls a second, use the lighter one of transports.py.
 """
 
 import contextlib
--- a/wisteriawood/links/codecs/jobs.py
+++ b/wisteriawood/links/codecs/jobs.py
@@ -4,6 +4,8 @@
 job writes its whole row again.
 """
 
+import dataclasses
+
 import msgspec
 
 from wisteriawood import errors
@@ -16,34 +18,35 @@
 FORMAT = 1
 
 
-class _TaskRow(msgspec.Struct, array_like=True):
-    phase: tasks.Phase
-    run: bounds.Number
-    worker_id: bounds.Name
-    failures: bounds.Number
-    checkpoint: str
-
-
-class _SpecRow(msgspec.Struct, array_like=True):
-    format: int
-    cell: bounds.Name
-    spec: specs.JobSpec
-
-
-class _SummaryRow(msgspec.Struct, array_like=True):
-    """The first fields of a progress row."""
-
-    format: int
-    cell: bounds.Name
-    state: jobs.JobState
-
-
-class _ProgressRow(_SummaryRow, array_like=True):
-    ended_unix_ms: bounds.UnixMs
-    next_occurrence: bounds.Number
-    occurrences_done: bounds.Number
-    # Tasks by occurrence and step; 0 for one that has not run.
-    occurrences: dict[str, list[list[_TaskRow | int]]]
+# Most tasks of a row, with its steps or with its open occurrences.
+MAX_TASKS = 10_000
+
+# Phase, run, worker, failures and checkpoint.
+_TaskRow = tuple[tasks.Phase, bounds.Number, bounds.Name, bounds.Number, str]
+# Format, cell and specification.
+_SpecRow = tuple[int, bounds.Name, specs.JobSpec]
+# Format, cell, state, wall time of the end, next occurrence, number of
+# occurrences done, and the tasks of the open ones by occurrence and step; 0
+# stands for a task that has not run.
+_ProgressRow = tuple[
+    int,
+    bounds.Name,
+    jobs.JobState,
+    bounds.UnixMs,
+    bounds.Number,
+    bounds.Number,
+    dict[str, list[list[_TaskRow | int]]],
+]
+# The same; what comes after the state is not decoded.
+_SummaryRow = tuple[
+    int,
+    bounds.Name,
+    jobs.JobState,
+    msgspec.Raw,
+    msgspec.Raw,
+    msgspec.Raw,
+    msgspec.Raw,
+]
 
 
 def spec_to_bytes(spec: specs.JobSpec, cell: str) -> bytes:
@@ -62,8 +65,35 @@
     Raises:
         MessageError: The row can't be decoded.
     """
-    row = rows.from_json(data, _SpecRow)
-    return row.cell, row.spec
+    _format, cell, spec = rows.from_json(data, _SpecRow)
+    check_spec(spec)
+    return cell, spec
+
+
+def check_spec(spec: specs.JobSpec) -> None:
+    """Check the specification of a job that another process wrote.
+
+    Args:
+        spec: The specification.
+
+    Raises:
+        MessageError: A number is out of bounds, a step follows one that is
+            not before it, or there are too many tasks.
+    """
+    for record in (spec, spec.queue, *spec.steps):
+        for field in dataclasses.fields(record):
+            value = getattr(record, field.name)
+            if isinstance(value, int | float) and not (
+                0 <= value <= bounds.MAX_NUMBER
+            ):
+                raise errors.MessageError(f"{field.name} is out of bounds")
+    for number, step in enumerate(spec.steps):
+        if step.task_count < 1:
+            raise errors.MessageError("a step has no task")
+        if any(not 0 <= earlier < number for earlier in step.after):
+            raise errors.MessageError("a step may only follow earlier steps")
+    if not 0 < sum(step.task_count for step in spec.steps) <= MAX_TASKS:
+        raise errors.MessageError(f"a job has 1 to {MAX_TASKS} tasks")
 
 
 def _task_to_list(task: tasks.Task) -> list | int:
@@ -104,11 +134,9 @@
 def _read_task(task: tasks.Task, value: _TaskRow | int) -> None:
     if isinstance(value, int):
         return
-    task.phase = value.phase
-    task.run = value.run
-    task.worker_id = value.worker_id
-    task.failures = value.failures
-    task.checkpoint = value.checkpoint
+    task.phase, task.run, task.worker_id, task.failures, task.checkpoint = (
+        value
+    )
 
 
 def job_from_bytes(spec: specs.JobSpec, bucket: str, data: bytes) -> jobs.Job:
@@ -122,21 +150,25 @@
     Raises:
         MessageError: The row can't be decoded.
     """
-    row = rows.from_json(data, _ProgressRow)
-    job = jobs.Job(spec=spec, cell=row.cell, bucket=bucket)
-    job.state = row.state
-    job.ended_unix_ms = row.ended_unix_ms
-    job.next_occurrence = row.next_occurrence
-    job.occurrences_done = row.occurrences_done
+    _format, cell, state, ended_unix_ms, following, done, occurrences = (
+        rows.from_json(data, _ProgressRow)
+    )
+    if len(occurrences) > jobs.MAX_OPEN_OCCURRENCES:
+        raise errors.MessageError("a job has too many open occurrences")
+    job = jobs.Job(spec=spec, cell=cell, bucket=bucket)
+    job.state = state
+    job.ended_unix_ms = ended_unix_ms
+    job.next_occurrence = following
+    job.occurrences_done = done
     try:
-        for number, steps in row.occurrences.items():
+        for number, steps in occurrences.items():
             job.open_occurrence(int(number))
-            for step, values in enumerate(steps):
-                for task, value in zip(
-                    job.occurrences[int(number)][step], values, strict=True
-                ):
+            for found, values in zip(
+                job.occurrences[int(number)], steps, strict=True
+            ):
+                for task, value in zip(found, values, strict=True):
                     _read_task(task, value)
-    except (ValueError, LookupError) as exc:
+    except ValueError as exc:
         # The progress has other steps or tasks than the specification.
         raise errors.MessageError(f"bad progress of a job: {exc}") from exc
     return job
@@ -148,5 +180,5 @@
     Raises:
         MessageError: The row can't be decoded.
     """
-    row = rows.from_json(data, _SummaryRow)
-    return row.cell, row.state
+    _format, cell, state, *_rest = rows.from_json(data, _SummaryRow)
+    return cell, state
--- a/wisteriawood/links/codecs/rows.py
+++ b/wisteriawood/links/codecs/rows.py
@@ -63,5 +63,5 @@
 
 
 def _message_error(cls: type, cause: Exception) -> errors.MessageError:
-    name = getattr(cls, "__name__", str(cls))
+    name = getattr(cls, "__name__", "value")
     return errors.MessageError(f"bad {name}: {str(cause)[:MAX_CAUSE_LENGTH]}")
--- a/wisteriawood/links/feeds.py
+++ b/wisteriawood/links/feeds.py
@@ -70,7 +70,9 @@
         "_after",
         "_audit_delays_s",
         "_audits_at_s",
+        "_backoffs",
         "_behind_since_s",
+        "_failed_rows",
         "_on_answer",
         "_on_rows",
         "_pause_s",
@@ -110,6 +112,11 @@
         self._pause_s = pause_s
         self._wait_s = wait_s
         self._after: int | None = None
+        # Rows whose processing failed, with the time of the next attempt.
+        self._failed_rows: dict[
+            stores.RowKey, tuple[float, stores.StoredRow]
+        ] = {}
+        self._backoffs: dict[stores.RowKey, supervision.Backoff] = {}
         self._audit_delays_s = FIRST_AUDIT_DELAYS_S
         self._audits_at_s: list[float] = []
         self._wakeup = anyio.Event()
@@ -207,6 +214,7 @@
             if not page.rows and clocks.elapsed_s() - sent_at_s >= wait_s:
                 # Nothing changed while the store waited.
                 self.confirmed_at_s = sent_at_s + wait_s
+        self._retry_failed_rows()
         self.answered_at_s = anyio.current_time()
         if not self.unbroken_since_s:
             self.unbroken_since_s = self.answered_at_s
@@ -260,19 +268,37 @@
     def _pass_on(self, rows: list[stores.StoredRow]) -> None:
         """Pass rows on; after an unexpected error, each one by itself.
 
-        So only the rows that cause the error are lost.
+        Those that cause the error are passed on again later, unless a newer
+        version has replaced them.
         """
+        for row in rows:
+            self._failed_rows.pop(row.at, None)
         try:
             self._on_rows(rows)
             return
         except Exception as exc:
             self._supervisor.record("rows", self.table, exc)
         for row in rows:
-            try:
-                self._on_rows([row])
-            except Exception as exc:
-                name = f"{self.table}/{row.at.key}"
-                self._supervisor.record("row", name, exc)
+            self._pass_on_alone(row)
+
+    def _pass_on_alone(self, row: stores.StoredRow) -> None:
+        try:
+            self._on_rows([row])
+        except Exception as exc:
+            name = f"{self.table}/{row.at.key}"
+            self._supervisor.record("row", name, exc)
+            backoff = self._backoffs.setdefault(row.at, supervision.Backoff())
+            retry_at_s = anyio.current_time() + backoff.next_delay_s()
+            self._failed_rows[row.at] = (retry_at_s, row)
+            return
+        self._backoffs.pop(row.at, None)
+
+    def _retry_failed_rows(self) -> None:
+        now_s = anyio.current_time()
+        for at, (retry_at_s, row) in list(self._failed_rows.items()):
+            if now_s >= retry_at_s:
+                del self._failed_rows[at]
+                self._pass_on_alone(row)
 
     def _audit(self, page: stores.Page) -> None:
         """Apply the rows of a table that the feed missed.
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -130,7 +130,7 @@
         self._policy = spreading_base.SPREADING.get(policy)()
         self.counters = job_metrics.JobMetrics()
         self.supervisor = supervision.Supervisor(
-            count=lambda kind: self.counters.unit_failures.labels(
+            count=lambda kind: self.counters.part_failures.labels(
                 kind=kind
             ).inc()
         )
@@ -273,7 +273,7 @@
             if self._holders:
                 period_s = members.HEARTBEAT_PERIOD_S
             elif self.directory_need.is_needed or not self.members.standbys():
-                period_s = members.IDLE_HEARTBEAT_PERIOD_S
+                period_s = members.STANDBY_HEARTBEAT_PERIOD_S
             self.members.heartbeat_period_s = period_s
             if not await self.members.write_heartbeat(held):
                 period_s = members.HEARTBEAT_PERIOD_S
@@ -399,12 +399,12 @@
             with self._scopes[cell]:
                 await holder.run()
         except Exception as exc:
-            lost = supervision.find(exc, tables.CellLostError)
-            has_failed = lost is None
-            if has_failed:
-                self.supervisor.record("cell", cell, exc)
-            else:
+            lost, unexpected = supervision.split(exc, tables.CellLostError)
+            if lost is not None:
                 _LOG.log(job_events.CELL_LOST, cell=cell, cause=str(lost))
+            if unexpected is not None:
+                has_failed = True
+                self.supervisor.record("cell", cell, unexpected)
         finally:
             if self._holders.get(cell) is holder:
                 del self._holders[cell]
--- a/wisteriawood/machines/takeovers.py
+++ b/wisteriawood/machines/takeovers.py
@@ -30,7 +30,7 @@
 # Additional silence of the holder after which a plain host claims its cell:
 # what its own rarer heartbeats take longer to show.
 PLAIN_SILENCE_S = (
-    members.PLAIN_HEARTBEAT_PERIOD_S - members.IDLE_HEARTBEAT_PERIOD_S
+    members.PLAIN_HEARTBEAT_PERIOD_S - members.STANDBY_HEARTBEAT_PERIOD_S
 )
 # Additional delay before a claim for each cell that the host already holds.
 DELAY_PER_HELD_CELL_S = 0.3
--- a/wisteriawood/platform/__main__.py
+++ b/wisteriawood/platform/__main__.py
@@ -141,12 +141,15 @@
             await https.serve_until(
                 self._front, [listen.front, listen.ready], self._stopping
             )
-        except OSError as exc:
+        except Exception as exc:
             _LOG.log(
                 events.DAEMON_FAILED,
                 name=self.config.node_name,
-                cause=f"can't serve on {listen.front}, {listen.ready}: {exc}",
+                cause=f"can't serve on {listen.front}, {listen.ready}: "
+                f"{exc!r}",
             )
+            with anyio.move_on_after(DRAIN_NOTICE_S):
+                await self._host.drain()
             raise
         self._server_closed.set()
 
@@ -155,9 +158,9 @@
         writer = lines.log_to_output(fields={"host": self.config.node_name})
         _LOG.log(events.DAEMON_STARTED, name=self.config.node_name)
         async with anyio.create_task_group() as group:
-            group.start_soon(writer.run)
             group.start_soon(self._serve)
             for kind, function in (
+                ("log writer", writer.run),
                 ("host", self._host.run),
                 ("intake", self._intake.run),
                 ("configuration feed", self._configuration_feed.run),
--- a/wisteriawood/platform/bodies.py
+++ b/wisteriawood/platform/bodies.py
@@ -7,6 +7,7 @@
 from wisteriawood.jobs import queues
 from wisteriawood.jobs import specs
 from wisteriawood.links.codecs import bounds
+from wisteriawood.links.codecs import jobs as codec
 from wisteriawood.links.codecs import rows
 
 MAX_STEPS = 100
@@ -64,8 +65,13 @@
         job = rows.from_json(data, _Job)
     except errors.MessageError as exc:
         raise errors.UsageError(f"the body is no job: {exc}") from exc
-    _check(job)
-    return specs.JobSpec(
+    if not 0 < len(job.steps) <= MAX_STEPS:
+        raise errors.UsageError(f"give 1 to {MAX_STEPS} steps")
+    if sum(step.count for step in job.steps) > jobs.MAX_OPEN_TASKS:
+        raise errors.UsageError(
+            f"give at most {jobs.MAX_OPEN_TASKS} tasks a job"
+        )
+    spec = specs.JobSpec(
         id=job_id,
         queue=queue,
         payload=job.task_spec,
@@ -74,20 +80,11 @@
         first_due_unix_ms=job.start_at_ms,
         interval_ms=job.interval_ms,
     )
-
-
-def _check(job: _Job) -> None:
-    if not 0 < len(job.steps) <= MAX_STEPS:
-        raise errors.UsageError(f"give 1 to {MAX_STEPS} steps")
-    for number, step in enumerate(job.steps):
-        if step.count < 1:
-            raise errors.UsageError("give at least one task a step")
-        if any(not 0 <= earlier < number for earlier in step.after):
-            raise errors.UsageError("a step may only follow earlier steps")
-    if sum(step.count for step in job.steps) > jobs.MAX_OPEN_TASKS:
-        raise errors.UsageError(
-            f"give at most {jobs.MAX_OPEN_TASKS} tasks a job"
-        )
+    try:
+        codec.check_spec(spec)
+    except errors.MessageError as exc:
+        raise errors.UsageError(f"the body is no job: {exc}") from exc
+    return spec
 
 
 def _decode_step(step: _Step) -> specs.StepSpec:
--- a/wisteriawood/platform/directory.py
+++ b/wisteriawood/platform/directory.py
@@ -15,8 +15,8 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Capacity:
-    cpu: bounds.Amount = 0
-    mem_mb: bounds.Amount = 0
+    cpu: bounds.Amount
+    mem_mb: bounds.Amount
     gpus: bounds.Amount = 0
 
 
@@ -27,9 +27,14 @@
     address: bounds.Name
     zone: bounds.Name
     state: typing.Literal["ready", "draining"]
-    capacity: _Capacity = dataclasses.field(default_factory=_Capacity)
+    capacity: _Capacity
     # First the kind of the worker, then its rack.
-    labels: list[bounds.Name] = dataclasses.field(default_factory=list)
+    labels: list[bounds.Name]
+    # Checked only: an entry with another type here is not a worker's own.
+    version: bounds.Name = ""
+    slots: bounds.Amount = 0
+    sequence: bounds.Number = 0
+    cold_remaining_ms: bounds.DurationMs = 0
     remaining_ms: bounds.DurationMs = 0
     # Start of this instance of the worker, in Unix milliseconds.
     born: bounds.UnixMs = 0
--- a/wisteriawood/platform/odd_entries.py
+++ b/wisteriawood/platform/odd_entries.py
@@ -30,10 +30,31 @@
     return head + b', "' + name.encode() + b'": ' + text + b"}"
 
 
-def odd_entries() -> dict[str, bytes]:
-    """Return entries of the directory that name no worker, by what is odd."""
-    digits = b"9" * 400
-    entries = {
+_ODD_ADDRESSES = (
+    5,
+    "",
+    ":80",
+    "10.0.0.9",
+    "10.0.0.9:",
+    "10.0.0.9:0",
+    "10.0.0.9:-1",
+    "10.0.0.9:65536",
+    "10.0.0.9:99999",
+    "10.0.0.9:" + "9" * 400,
+    "10.0.0.9:80\n",
+    "10.0.0.9:8o",
+    "10.0.0.9:\u0668\u0660",
+    "10.0.0.999:80",
+    "[::1:80",
+    "xn--\u00e4\u2028:80",
+    "a/b:80",
+    "u@10.0.0.9:80",
+)
+
+
+def _odd_texts() -> dict[str, bytes]:
+    """Return entries that are no JSON, or nested too deep."""
+    return {
         "empty": b"",
         "no text": b"\xff\xfe\x00",
         "cut": _entry()[:-9],
@@ -48,6 +69,15 @@
         ),
         "deep and cut": _with_text("more", b"[" * DEPTH),
         "deep capacity": _with_text("capacity", b"[" * DEPTH + b"]" * DEPTH),
+    }
+
+
+def _odd_values() -> dict[str, bytes]:
+    """Return entries with a value of another type, or out of bounds."""
+    digits = b"9" * 400
+    without_capacity = dict(ENTRY)
+    del without_capacity["capacity"]
+    return {
         "digits of cpu": _with_text("capacity", b'{"cpu": ' + digits + b"}"),
         "digits of clock": _with_text("clock_ms", digits),
         "large clock": _with_text("clock_ms", b"1e308"),
@@ -67,29 +97,22 @@
         "number as zone": _entry(zone=7),
         "text as labels": _entry(labels="kind"),
         "number in labels": _entry(labels=["kind", 7]),
+        "text as slots": _entry(slots="8"),
+        "negative slots": _entry(slots=-8),
+        "text as sequence": _entry(sequence="4"),
+        "a list as version": _entry(version=["v1"]),
+        "no capacity": json.dumps(without_capacity).encode(),
+        "empty capacity": _entry(capacity={}),
+    }
+
+
+def odd_entries() -> dict[str, bytes]:
+    """Return entries of the directory that name no worker, by what is odd."""
+    addresses = {
+        f"address {str(address)[:20]!r}": _entry(address=address)
+        for address in _ODD_ADDRESSES
     }
-    for address in (
-        5,
-        "",
-        ":80",
-        "10.0.0.9",
-        "10.0.0.9:",
-        "10.0.0.9:0",
-        "10.0.0.9:-1",
-        "10.0.0.9:65536",
-        "10.0.0.9:99999",
-        "10.0.0.9:" + "9" * 400,
-        "10.0.0.9:80\n",
-        "10.0.0.9:8o",
-        "10.0.0.9:\u0668\u0660",
-        "10.0.0.999:80",
-        "[::1:80",
-        "xn--\u00e4\u2028:80",
-        "a/b:80",
-        "u@10.0.0.9:80",
-    ):
-        entries[f"address {str(address)[:20]!r}"] = _entry(address=address)
-    return entries
+    return _odd_texts() | _odd_values() | addresses
 
 
 def odd_worker_ids() -> list[str]:
--- a/wisteriawood/platform/worker_client.py
+++ b/wisteriawood/platform/worker_client.py
@@ -42,9 +42,14 @@
     reason: str = ""
 
 
-class _ActiveRow(msgspec.Struct, array_like=True):
-    """A run that is present on the worker."""
+# The fields of the short lists in reports.
+_ACTIVE_FIELDS = ("task", "run", "checkpoint", "percent", "signal")
+_END_FIELDS = ("number", "task", "run", "outcome", "checkpoint")
+_ReportedRun = list[int | float | str | None]
 
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _ActiveRun:
     task: bounds.Name
     run: bounds.Number
     checkpoint: str | None = ""
@@ -54,9 +59,8 @@
     signal: bounds.Measure = 0
 
 
-class _EndRow(msgspec.Struct, array_like=True):
-    """A run that has ended."""
-
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _EndedRun:
     number: bounds.Number
     task: bounds.Name
     run: bounds.Number
@@ -67,8 +71,8 @@
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Report:
     clock_ms: bounds.Number
-    active: list[_ActiveRow] = dataclasses.field(default_factory=list)
-    finished: list[_EndRow] = dataclasses.field(default_factory=list)
+    active: list[_ReportedRun] = dataclasses.field(default_factory=list)
+    finished: list[_ReportedRun] = dataclasses.field(default_factory=list)
     # Start of this instance of the worker, in Unix milliseconds.
     born: bounds.UnixMs = 0
 
@@ -242,25 +246,29 @@
     return runners.RunReport(
         started_unix_ms=report.born or 1,
         clock_ms=report.clock_ms,
-        active=[
-            runners.ActiveRun(
-                task_name=row.task,
-                run=row.run,
-                checkpoint=row.checkpoint or "",
-                percent=row.percent,
-                signal=row.signal,
-            )
-            for row in report.active
-        ],
-        ended=[
-            runners.EndedRun(
-                number=row.number,
-                task_name=row.task,
-                run=row.run,
-                outcome=row.outcome,
-                checkpoint=row.checkpoint or "",
-            )
-            for row in report.finished
-        ],
+        active=[_decode_active(row) for row in report.active],
+        ended=[_decode_ended(row) for row in report.finished],
         is_complete=len(report.finished) < MAX_REPORTED_ENDS,
     )
+
+
+def _decode_active(row: _ReportedRun) -> runners.ActiveRun:
+    run = rows.from_value(dict(zip(_ACTIVE_FIELDS, row)), _ActiveRun)
+    return runners.ActiveRun(
+        task_name=run.task,
+        run=run.run,
+        checkpoint=run.checkpoint or "",
+        percent=run.percent,
+        signal=run.signal,
+    )
+
+
+def _decode_ended(row: _ReportedRun) -> runners.EndedRun:
+    run = rows.from_value(dict(zip(_END_FIELDS, row)), _EndedRun)
+    return runners.EndedRun(
+        number=run.number,
+        task_name=run.task,
+        run=run.run,
+        outcome=run.outcome,
+        checkpoint=run.checkpoint or "",
+    )
--- a/wisteriawood/platform/worker_followers.py
+++ b/wisteriawood/platform/worker_followers.py
@@ -16,7 +16,7 @@
 # about once a second, and a draining worker must be detected within 2 s.
 POLL_PAUSE_S = 0.4
 # The same on a standby; claiming a cell triggers a poll at once.
-IDLE_POLL_PAUSE_S = 4.0
+STANDBY_POLL_PAUSE_S = 4.0
 # Longest duration of one of these polls, so that a hung one is given up soon.
 POLL_S = 0.5
 MAX_LOGGED_ID_LENGTH = 64
@@ -113,7 +113,9 @@
         self.feed = self._make_feed()
 
     def _pause_s(self) -> float:
-        return POLL_PAUSE_S if self._host.is_holding() else IDLE_POLL_PAUSE_S
+        return (
+            POLL_PAUSE_S if self._host.is_holding() else STANDBY_POLL_PAUSE_S
+        )
 
     def _process_rows(self, rows: list[stores.StoredRow]) -> None:
         has_changed = False
--- a/wisteriawood/supervision.py
+++ b/wisteriawood/supervision.py
@@ -15,7 +15,7 @@
 # Longest text of a traceback in a log line; its end names the error.
 MAX_TRACEBACK_LENGTH = 4000
 MAX_CAUSE_LENGTH = 300
-
+MAX_NAME_LENGTH = 200
 # Tracebacks that are remembered, so that each is logged once.
 MAX_REMEMBERED = 100
 
@@ -69,9 +69,9 @@
         if len(self._logged) < MAX_REMEMBERED:
             self._logged.add(hash(text))
         _LOG.log(
-            events.UNIT_FAILED,
+            events.PART_FAILED,
             kind=kind,
-            name=name,
+            name=name[:MAX_NAME_LENGTH],
             cause=repr(cause)[:MAX_CAUSE_LENGTH],
             **fields,
         )
@@ -99,18 +99,25 @@
             await anyio.sleep(backoff.next_delay_s())
 
 
-def find(
-    error: BaseException, wanted: type[Exception]
-) -> BaseException | None:
-    """Return an error if it is of a type, or the first one in its group.
+def split(
+    error: Exception, expected: type[Exception]
+) -> tuple[Exception | None, Exception | None]:
+    """Return the first expected error, and what remains.
 
     Args:
-        error: The error, or a group of errors.
-        wanted: The type.
+        error: An error, or a group of errors that may contain groups.
+        expected: Type of the expected errors.
+
+    Returns:
+        The first expected error, None if there is none; and the error
+        without the expected ones, None if nothing remains.
     """
-    if isinstance(error, wanted):
-        return error
-    if not isinstance(error, BaseExceptionGroup):
-        return None
-    found = (find(inner, wanted) for inner in error.exceptions)
-    return next((inner for inner in found if inner is not None), None)
+    if not isinstance(error, ExceptionGroup):
+        if isinstance(error, expected):
+            return error, None
+        return None, error
+    matching, rest = error.split(expected)
+    first: Exception | None = matching
+    while isinstance(first, ExceptionGroup):
+        first = first.exceptions[0]
+    return first, rest
--- a/wisteriawood/telemetry/events.py
+++ b/wisteriawood/telemetry/events.py
@@ -96,9 +96,9 @@
     "A daemon can't go on and exits; the line says why.",
     "Correct the cause; the platform starts the daemon again.",
 )
-UNIT_FAILED = define(
+PART_FAILED = define(
     1005,
-    "unit-failed",
+    "part-failed",
     "An unexpected error ended a part of a daemon; it starts again after a "
     "delay, and the other parts go on.",
     "Report the traceback; the first line of each kind of error has it.",
--- a/wisteriawood/telemetry/job_metrics.py
+++ b/wisteriawood/telemetry/job_metrics.py
@@ -22,7 +22,7 @@
         acknowledged_s: Time from the report of a run's end to its commit.
         unreadable: Rows and messages of other processes that could not be
             decoded, by kind.
-        unit_failures: Unexpected errors that ended a part of the host, by
+        part_failures: Unexpected errors that ended a part of the host, by
             kind.
         takeover_s: Time from the claim of a cell until it is open.
         registry: Registry of the metrics.
@@ -42,7 +42,7 @@
         "registry",
         "started_s",
         "takeover_s",
-        "unit_failures",
+        "part_failures",
         "unreadable",
     )
 
@@ -66,8 +66,8 @@
         self.unreadable = self._counter(
             "unreadable", "Values that could not be decoded.", "kind"
         )
-        self.unit_failures = self._counter(
-            "unit_failures", "Unexpected errors, by the part ended.", "kind"
+        self.part_failures = self._counter(
+            "part_failures", "Unexpected errors, by the part ended.", "kind"
         )
         self.lines_left_out = self._counter(
             "log_lines_left_out", "Log lines over the budget."
--- a/wisteriawood/telemetry/lines.py
+++ b/wisteriawood/telemetry/lines.py
@@ -20,6 +20,8 @@
 MAX_LINES_PER_TYPE_PER_S = 40
 # With more bytes than this waiting for the reader, lines are dropped.
 MAX_BUFFERED_BYTES = 512 * 1024
+# Name under which lines that could not be written are counted.
+UNWRITTEN = "unwritten"
 
 
 class LineWriter:
@@ -96,7 +98,9 @@
             except BlockingIOError:
                 written = 0
             except OSError:
-                # Nobody reads the output any more. The daemon goes on.
+                # Nobody reads the output any more. The daemon goes on, and
+                # says how many lines were lost if somebody reads again.
+                self._dropped[UNWRITTEN] += 1 + len(self._lines)
                 self._lines.clear()
                 self._buffered_bytes = 0
                 return
--- a/wisteriawood/telemetry/records.py
+++ b/wisteriawood/telemetry/records.py
@@ -123,6 +123,12 @@
             spans.append(_to_span(value))
         elif str(value.get("message_type", "")).startswith("W"):
             found_events.append(_to_event(value))
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        RecursionError,
+    ):
         # The line is truncated, or written by another program.
         return
--- a/wisteriawood/tests/guarding_tests.py
+++ b/wisteriawood/tests/guarding_tests.py
@@ -238,7 +238,7 @@
                 cell: claims.CellLoad(
                     capacity_millicores=600000,
                     free_millicores=600000,
-                    unused_millicores=600000,
+                    left_millicores=600000,
                 )
                 for cell in ("s@a", "s@b", "s@c")
             }
--- a/wisteriawood/tests/odd_input_tests.py
+++ b/wisteriawood/tests/odd_input_tests.py
@@ -220,7 +220,7 @@
                 # Each version counts once, however often the list changes.
                 self.assertEqual(counted, len(entries) + 6)
                 self.assertEqual(
-                    builders.counter_total(host.counters.unit_failures), 0
+                    builders.counter_total(host.counters.part_failures), 0
                 )
 
         self._run(_check)
@@ -305,7 +305,7 @@
             )
             for host in world.hosts.values():
                 self.assertEqual(
-                    builders.counter_total(host.counters.unit_failures), 0
+                    builders.counter_total(host.counters.part_failures), 0
                 )
 
         self._run(_check)
@@ -394,7 +394,7 @@
                 )
             self.assertEqual(
                 builders.counter_total(
-                    world.hosts[first].counters.unit_failures
+                    world.hosts[first].counters.part_failures
                 ),
                 1,
             )
@@ -432,12 +432,20 @@
         builders.run_job_world(_check, zones=["a"])
 
 
-class FindTests(unittest.TestCase):
-    def test_error_inside_groups(self):
-        lost = tables.CellLostError("newer holder")
-        group = ExceptionGroup("o", [ExceptionGroup("i", [KeyError(), lost])])
-        self.assertIs(supervision.find(group, tables.CellLostError), lost)
-        self.assertIsNone(supervision.find(group, OSError))
+class SplitTests(unittest.TestCase):
+    def test_unexpected_error_beside_an_expected_one(self):
+        """Guards against a bug that a lost cell hides."""
+        lost, bug = tables.CellLostError("newer holder"), KeyError("bug")
+        group = ExceptionGroup("o", [ExceptionGroup("i", [bug, lost])])
+        found, rest = supervision.split(group, tables.CellLostError)
+        self.assertIs(found, lost)
+        self.assertIs(supervision.split(rest, KeyError)[0], bug)
+        self.assertEqual(
+            supervision.split(lost, tables.CellLostError), (lost, None)
+        )
+        self.assertEqual(
+            supervision.split(bug, tables.CellLostError), (None, bug)
+        )
 
 
 class LinkErrorTests(unittest.TestCase):
--- a/wisteriawood/tests/platform_tests.py
+++ b/wisteriawood/tests/platform_tests.py
@@ -387,7 +387,7 @@
                 answer = await client.post(self.JOB, json=body)
             self.assertEqual(answer.status_code, 502)
             host = world.hosts[min(world.hosts)]
-            failures = host.counters.unit_failures
+            failures = host.counters.part_failures
             self.assertEqual(builders.counter_total(failures), 1)
             answer = await client.post(self.JOB, json=body)
             self.assertEqual(answer.status_code, 200)
