Add review case 2: a standing job that can't run blocks other jobs

A standing task that fits nowhere is lent from cell to cell without end, and each loan's id is longer. Once a key exceeds the store's limit of 200 bytes, the change is sent again without end, and the bucket's writer of that cell writes nothing else: jobs accepted there never run.

--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,104 @@
+"""A standing job that can never run, and the jobs accepted after it."""
+
+import asyncio
+import pathlib
+import sys
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "standins"))
+
+import world  # noqa: E402
+
+WORK_S = 1.0
+EARLY_JOBS = 25
+LATE_JOBS = 60
+STEPS = [{"count": 1, "cpu": 2000, "mem_mb": 1000, "est_runtime_ms": 1000}]
+# More memory than any worker has.
+POISON = [
+    {
+        "count": 1,
+        "cpu": 2000,
+        "mem_mb": 300000,
+        "est_runtime_ms": 500,
+        "long_running": True,
+    }
+]
+POISON_S = 55.0
+STUCK_S = 3.0
+WATCH_S = 5.0
+PERIOD_S = 0.25
+
+
+async def case(record, has_trouble):
+    """Hand in a job that can never be done, and others for some time."""
+    here = world.World(record, ["a", "b", "c"])
+    workers = [
+        (f"worker-{zone}{n}", zone, 64000, 256000, "k")
+        for zone in "abc"
+        for n in (1, 2)
+    ]
+    hosts = [(f"host-{zone}1", zone) for zone in "abc"]
+    try:
+        await here.start(workers, hosts, lambda _task, _run: (WORK_S, "done"))
+        fronts = list(here.hosts.values())
+        accepted = []
+
+        async def _submit(number):
+            job_id = world.new_id()
+            if await here.submit(fronts[number % 3], job_id, STEPS):
+                accepted.append(job_id)
+
+        if has_trouble:
+            if not await here.submit(fronts[0], world.new_id(), POISON):
+                raise world.CannotRun("the job was not accepted")
+        for number in range(EARLY_JOBS):
+            await _submit(number)
+            await asyncio.sleep(POISON_S / EARLY_JOBS)
+        for number in range(LATE_JOBS):
+            await _submit(number)
+            await asyncio.sleep(0.1)
+        record.write("the traffic has ended")
+        await asyncio.sleep(world.BOUNDS["finish_s"])
+        return await _watch(here, fronts[-1], accepted)
+    finally:
+        await here.close()
+
+
+async def _watch(here, host, accepted):
+    """Return the jobs that could run and don't for STUCK_S on end."""
+    idle_s = dict.fromkeys(accepted, 0.0)
+    longest_s = dict(idle_s)
+    states = {}
+    for _tick in range(int(WATCH_S / PERIOD_S)):
+        await asyncio.sleep(PERIOD_S)
+        room = sum(cpu // STEPS[0]["cpu"] for cpu in here.free_cpus())
+        has_room = room >= 2 and here.used_share() < 0.5
+        for job_id in accepted:
+            if states.get(job_id) == "completed":
+                continue
+            _status, answer = await here.send(
+                host, "GET", job_id, quiet=job_id in states
+            )
+            states[job_id] = answer.get("state", "")
+            if states[job_id] == "completed" or not has_room:
+                idle_s[job_id] = 0.0
+            elif here.running(job_id):
+                idle_s[job_id] = 0.0
+            else:
+                idle_s[job_id] += PERIOD_S
+                longest_s[job_id] = max(longest_s[job_id], idle_s[job_id])
+    here.record.write(
+        f"in use {here.used_share():.2f}, free {here.free_cpus()}, "
+        f"{sum(s == 'completed' for s in states.values())} of "
+        f"{len(accepted)} jobs completed"
+    )
+    return [
+        f"LOST: job {job_id} is {states[job_id]!r} and had nothing running "
+        f"for {longest_s[job_id]:.2f} s, with room for it"
+        for job_id in accepted
+        if longest_s[job_id] > STUCK_S
+    ]
+
+
+if __name__ == "__main__":
+    world.main(case, FOLDER)
