Replace review case 5: standing tasks wait long after their worker left

Only one task of a step is lent in a pass, and the next one has to wait for the whole least time anew, so the tasks of a job that find no room in their own zone start one by one, every 1.25 s. The case lets the only worker of a zone leave that runs 16 tasks of a job, with 15 empty workers in the other zones.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""The count of pending jobs after a worker is lost for good."""
+"""A standing job whose worker drains and leaves, with room in other zones."""
 
 import asyncio
 import pathlib
@@ -9,64 +9,79 @@
 
 import world  # noqa: E402
 
-WORK_S = 1.0
-JOBS = 36
-STEPS = [{"count": 1, "cpu": 2000, "mem_mb": 1000, "est_runtime_ms": 1000}]
-WATCH_S = 10.0
+TASKS = 16
+STEPS = [
+    {
+        "count": TASKS,
+        "cpu": 2000,
+        "mem_mb": 2000,
+        "est_runtime_ms": 500,
+        "affinity": "r-a",
+        "long_running": True,
+    }
+]
+DRAIN_S = 4.0
+# The rule: from 6 s after the last run of a task, for 3 s on end, with these
+# and the 4 s before them calm.
+FROM_S = 7.0
+STUCK_S = 3.0
+WATCH_S = 30.0
 PERIOD_S = 0.1
 
 
 async def case(record, has_trouble):
-    """Lose a worker, hand in jobs at once, and ask for the count."""
+    """Let the only worker of zone a leave while it runs a standing job."""
     here = world.World(record, ["a", "b", "c"])
-    workers = [
-        (f"worker-{name}", name[0], 64000, 256000, "k")
-        for name in ("a1", "a2", "b1", "b2", "b3", "c1", "c2", "c3")
-    ]
+    names = ["a1", *(f"b{n}" for n in range(8)), *(f"c{n}" for n in range(7))]
+    workers = [(f"worker-{n}", n[0], 64000, 256000, "k") for n in names]
     hosts = [(f"host-{zone}{n}", zone) for zone in "abc" for n in (1, 2)]
     try:
-        await here.start(workers, hosts, lambda _task, _run: (WORK_S, "done"))
+        await here.start(workers, hosts, lambda _task, _run: None)
+        job_id = await _submit_to_zone_a(here)
         if has_trouble:
-            here.workers["worker-a1"].crash()
-        fronts = list(here.hosts.values())
-        accepted_s = {}
-        for number in range(JOBS):
-            job_id = world.new_id()
-            if await here.submit(fronts[number % len(fronts)], job_id, STEPS):
-                accepted_s[job_id] = record.now_s()
-        return await _watch(here, here.hosts["host-b1"], accepted_s)
+            await here.workers["worker-a1"].leave(DRAIN_S)
+        return await _watch(here, job_id, record.now_s())
     finally:
         await here.close()
 
 
-async def _watch(here, host, accepted_s):
-    """Return the counts that are under half of the true one."""
-    min_age_s = world.BOUNDS["visible_ms"] / 1000 + 2
-    found = []
-    until_s = here.record.now_s() + WATCH_S
-    while here.record.now_s() < until_s:
+async def _submit_to_zone_a(here):
+    """Submit a job whose data is in zone a; return its id."""
+    job_id = world.new_id()
+    if not await here.submit(here.hosts["host-b1"], job_id, STEPS):
+        raise world.CannotRun("the job was refused")
+    await asyncio.sleep(3.0)
+    found = here.running(job_id)
+    if len(found) < TASKS or any(w.zone != "a" for w, _run in found):
+        raise world.CannotRun("the job does not run in zone a")
+    return job_id
+
+
+async def _watch(here, job_id, left_s):
+    """Return the tasks that could run and don't for STUCK_S on end."""
+    names = [f"{job_id}.0.0.{index}" for index in range(TASKS)]
+    idle_s = dict.fromkeys(names, 0.0)
+    longest_s = dict(idle_s)
+    before_s = here.record.now_s()
+    while before_s < left_s + WATCH_S:
         await asyncio.sleep(PERIOD_S)
-        asked_s = here.record.now_s()
-        status, answer = await here.send(host, "GET", "", quiet=True)
-        begun = {task.partition(".")[0] for _at, _w, task, _n in here.starts}
-        waiting = [
-            job_id
-            for job_id, at_s in accepted_s.items()
-            if asked_s - at_s > min_age_s and job_id not in begun
-        ]
-        if status != 200:
-            continue
-        given = answer["pending"]
-        here.record.write(
-            f"{host.name} gives {given} as pending; {len(waiting)} accepted "
-            f"over {min_age_s} s before have not begun"
-        )
-        if given < len(waiting) / 2:
-            found.append(
-                f"MIXED: {given} given as pending, {len(waiting)} jobs have "
-                "not begun"
-            )
-    return found
+        now_s = here.record.now_s()
+        running = {run.task for _worker, run in here.running(job_id)}
+        cpu = STEPS[0]["cpu"]
+        has_room = sum(free // cpu for free in here.free_cpus()) >= 2
+        for name in names:
+            if name in running or not has_room or before_s < left_s + FROM_S:
+                idle_s[name] = 0.0
+            else:
+                idle_s[name] += now_s - before_s
+                longest_s[name] = max(longest_s[name], idle_s[name])
+        before_s = now_s
+    return [
+        f"LOST: {name} did not run for {longest_s[name]:.1f} s, counted from "
+        f"{FROM_S} s after the end of its last run, with room for it"
+        for name in names
+        if longest_s[name] > STUCK_S
+    ]
 
 
 if __name__ == "__main__":
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -146,11 +146,14 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    def close(self):
-        """Stop listening and reset all connections."""
+    def close(self, in_order=False):
+        """Stop listening, and close or reset all connections."""
         if self._server is not None:
             self._server.close()
-        self.abort()
+        if not in_order:
+            self.abort()
+        for writer in list(self._writers):
+            writer.close()
 
 
 class Store:
@@ -512,6 +515,21 @@
             3 * HEARTBEAT_S, self._world.store.put, "servers", self.name, None
         )
 
+    async def leave(self, after_s):
+        """Report that it drains, and end after some time, as scale_in does."""
+        self.state = "draining"
+        self.write_entry()
+        self._world.record.write(f"{self.name} drains")
+        await asyncio.sleep(after_s)
+        self._world.record.write(
+            f"{self.name} has left; {len(self.runs)} runs end with it"
+        )
+        self.is_up = False
+        self.runs.clear()
+        for server in self.servers.values():
+            server.close(in_order=True)
+        self._world.store.put("servers", self.name, None)
+
     def used_cpu(self, cpu_of):
         """Return the CPU of its runs, given that of each task."""
         return sum(cpu_of(task) for task in self.runs)
