--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -70,7 +70,7 @@
 STOP_S = 0.1
 STARTUP_TASK_S = 0.3
 PORT_RANGE = (20000, 32000)
-_GIVEN_PORTS = set()
+_KEPT_SOCKETS = []
 
 
 class Record:
@@ -546,6 +546,9 @@
         self.ready = _free_port()
         self._store_server = HttpServer(self._answer_store)
         self.process = None
+        self._words = []
+        self._env = {}
+        self._log_path = None
 
     async def _answer_store(self, _method, path, params, _headers, body):
         await self._world.pass_cut(self.zone, "")
@@ -646,11 +649,25 @@
         env["PYTHONPATH"] = str(ROOT / "target/deps")
         env["PYTHONDONTWRITEBYTECODE"] = "1"
         env["WISTERIAWOOD_SETTINGS"] = str(path)
-        with open(folder / f"{self.name}.log", "wb") as log:
+        self._words, self._env = words, env
+        self._log_path = folder / f"{self.name}.log"
+        await self._launch()
+
+    async def _launch(self):
+        with open(self._log_path, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                *words, cwd=ROOT, env=env, stdout=log, stderr=log
+                *self._words, cwd=ROOT, env=self._env, stdout=log, stderr=log
             )
 
+    async def lose_power(self, for_s):
+        """Kill the process, and start it again after some time."""
+        self._world.record.write(f"{self.name} loses power for {for_s} s")
+        self.signal(signal.SIGKILL)
+        await self.process.wait()
+        await asyncio.sleep(for_s)
+        await self._launch()
+        self._world.record.write(f"{self.name} starts again")
+
     def signal(self, number):
         """Send a signal to the process."""
         if self.process is not None and self.process.returncode is None:
@@ -666,17 +683,22 @@
 
 
 def _free_port():
-    """Return a free port outside the range of outgoing connections."""
+    """Return a free port outside the range of outgoing connections.
+
+    It stays bound, so that no other case takes it before the host listens; a
+    host that reuses addresses can still do so.
+    """
     while True:
         port = random.randrange(*PORT_RANGE)
-        if port in _GIVEN_PORTS:
-            continue
         try:
-            with socket.socket() as found:
-                found.bind((LOOPBACK, port))
+            with socket.socket() as probe:
+                probe.bind((LOOPBACK, port))
+            kept = socket.socket()
+            kept.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            kept.bind((LOOPBACK, port))
         except OSError:
             continue
-        _GIVEN_PORTS.add(port)
+        _KEPT_SOCKETS.append(kept)
         return port
 
 
