--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,6 +7,7 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins"))
 
+import checks  # noqa: E402
 import world  # noqa: E402
 
 WORK_S = 1.0
@@ -26,7 +27,6 @@
 POISON_S = 55.0
 STUCK_S = 3.0
 WATCH_S = 5.0
-PERIOD_S = 0.25
 
 
 async def case(record, has_trouble):
@@ -59,46 +59,17 @@
             await asyncio.sleep(0.1)
         record.write("the traffic has ended")
         await asyncio.sleep(world.BOUNDS["finish_s"])
-        return await _watch(here, fronts[-1], accepted)
+        return await checks.find_idle_jobs(
+            here,
+            fronts[-1],
+            accepted,
+            cpu=STEPS[0]["cpu"],
+            watch_s=WATCH_S,
+            stuck_s=STUCK_S,
+        )
     finally:
         await here.close()
 
 
-async def _watch(here, host, accepted):
-    """Return the jobs that could run and don't for STUCK_S on end."""
-    idle_s = dict.fromkeys(accepted, 0.0)
-    longest_s = dict(idle_s)
-    states = {}
-    for _tick in range(int(WATCH_S / PERIOD_S)):
-        await asyncio.sleep(PERIOD_S)
-        room = sum(cpu // STEPS[0]["cpu"] for cpu in here.free_cpus())
-        has_room = room >= 2 and here.used_share() < 0.5
-        for job_id in accepted:
-            if states.get(job_id) == "completed":
-                continue
-            _status, answer = await here.send(
-                host, "GET", job_id, quiet=job_id in states
-            )
-            states[job_id] = answer.get("state", "")
-            if states[job_id] == "completed" or not has_room:
-                idle_s[job_id] = 0.0
-            elif here.running(job_id):
-                idle_s[job_id] = 0.0
-            else:
-                idle_s[job_id] += PERIOD_S
-                longest_s[job_id] = max(longest_s[job_id], idle_s[job_id])
-    here.record.write(
-        f"in use {here.used_share():.2f}, free {here.free_cpus()}, "
-        f"{sum(s == 'completed' for s in states.values())} of "
-        f"{len(accepted)} jobs completed"
-    )
-    return [
-        f"LOST: job {job_id} is {states[job_id]!r} and had nothing running "
-        f"for {longest_s[job_id]:.2f} s, with room for it"
-        for job_id in accepted
-        if longest_s[job_id] > STUCK_S
-    ]
-
-
 if __name__ == "__main__":
     world.main(case, FOLDER)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -48,9 +48,7 @@
                 break
         else:
             raise world.CannotRun("the cancelling was not acknowledged")
-        bound_s = (
-            world.BOUNDS["cancel_ms"] + world.BOUNDS["stop_ms"]
-        ) / 1000
+        bound_s = (world.BOUNDS["cancel_ms"] + world.BOUNDS["stop_ms"]) / 1000
         await asyncio.sleep(bound_s)
         at_bound = len(here.running(job_id))
         record.write(f"{at_bound} tasks run {bound_s} s after the cancelling")
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A standing job that is cancelled while the zone that manages it is cut off."""
+"""A standing job that is cancelled while its own zone is cut off."""
 
 import asyncio
 import pathlib
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -438,20 +438,26 @@
         if path == "/v1/run-start":
             return self._start_run(body)
         if path == "/v1/run-stop":
-            run = self.runs.get(body["task"])
-            if run is not None and run.number == body["run"]:
-                if not run.is_stopping:
-                    run.is_stopping = True
-                    asyncio.get_running_loop().call_later(
-                        STOP_S, self.end, run, "stopped"
-                    )
-            elif run is None:
-                self._bar(body["task"], body["run"])
-            return 200, {}
+            return self._stop_run(body)
         if path == "/v1/pace":
             return 200, {}
         if path != "/v1/hold":
             return 404, {}
+        return await self._hold(body)
+
+    def _stop_run(self, body):
+        run = self.runs.get(body["task"])
+        if run is not None and run.number == body["run"]:
+            if not run.is_stopping:
+                run.is_stopping = True
+                asyncio.get_running_loop().call_later(
+                    STOP_S, self.end, run, "stopped"
+                )
+        elif run is None:
+            self._bar(body["task"], body["run"])
+        return 200, {}
+
+    async def _hold(self, body):
         self._extend_lease(body.get("deadline_ms", 0))
         seen = body.get("last_seen", 0)
         for end in self._ends:
@@ -780,9 +786,7 @@
                         "stretch": 2.0,
                     }
                 ],
-                "services": [
-                    {"name": SERVICE, "rejects_overload": False}
-                ],
+                "services": [{"name": SERVICE, "rejects_overload": False}],
                 "limits": {"max_body_bytes": 262144},
             },
         )
@@ -947,7 +951,9 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"case {pathlib.Path(folder).name}, trouble: {has_trouble}")
     try:
-        breaches = asyncio.run(asyncio.wait_for(case(record, has_trouble), 115))
+        breaches = asyncio.run(
+            asyncio.wait_for(case(record, has_trouble), 115)
+        )
     except (CannotRun, TimeoutError, OSError) as exc:
         record.write(f"the case could not run: {exc!r}")
         print(f"could not run: {exc!r}")
