Deliver held starts before held renewals in the tests of paused hosts

The proof that a late start is seen if nothing keeps it out relied on the order in which two calls of 2 ms end after the pause: the held renewal, which is fenced and ends the cell, and the held start. Any other task that wakes beside them could change that order; one more feed in the holder did, and the start was cancelled before it was sent. The renewals now follow 50 ms later. This is stricter for the tests of the guards as well: the late commands always reach the workers.

--- a/wisteriawood/tests/permissions_tests.py
+++ b/wisteriawood/tests/permissions_tests.py
@@ -22,6 +22,9 @@
 # Longer than a takeover and than the lease of a worker.
 PAUSE_S = 3 * job_worlds.LEASE_S
 NEVER_MS = 10**12
+# Time after the held starts at which the held renewals are delivered. A host
+# that is fenced at a renewal sends no start any more.
+RENEWAL_DELAY_S = 0.05
 
 
 class PausedHost:
@@ -44,6 +47,8 @@
             if link._host == self.name:
                 self.held.append(call)
                 await self._resumed.wait()
+                if call == "renew":
+                    await anyio.sleep(RENEWAL_DELAY_S)
             return await original(link, *args, **fields)
 
         return mock.patch.object(run_standins.MemoryRunLink, call, _held)
