Cancel lent tasks without the holder that lent them

Callers saw: a job is cancelled with 200 while its own zone is cut off.

Cause: the cancellation was stored in the table of the job's zone, which only the holders there read. For each lent task the lending holder wrote a further one once it had read it. While it was away, for whatever reason, nobody did.

Why this works: there is one row for each cancelled job, and each holder reads it from the store by itself, so there is nothing to pass on. The check before a start looks at the age of that table. The row outlasts the rows of lent tasks, as a zone may be cut off for longer than ended jobs are retained. The number of rows no longer depends on the number of lent tasks.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -10,7 +10,6 @@
 from wisteriawood.cells import claims
 from wisteriawood.cells import interference_models
 from wisteriawood.cells import job_writers
-from wisteriawood.cells import lending
 from wisteriawood.cells import meters
 from wisteriawood.cells import placers
 from wisteriawood.cells import progress
@@ -55,6 +54,8 @@
     Attributes:
         jobs: All jobs of the cell, by id.
         fleet: The workers, by id.
+        cancelled_ids: Ids of the submitted jobs that were cancelled, in any
+            cell.
         cancels_confirmed_at_s: Returns the time of clocks.elapsed_s as of
             which the cancellations are known.
         last_job_at_s: Monotonic time at which the newest job was accepted.
@@ -67,9 +68,11 @@
 
     __slots__ = (
         "_group",
+        "_ids_by_submitted",
         "_placement_requested",
         "_placer",
         "_waiting",
+        "cancelled_ids",
         "cancels_confirmed_at_s",
         "claim",
         "counters",
@@ -106,7 +109,11 @@
         self.max_cancel_age_s = max_cancel_age_s
         self.cancels_confirmed_at_s: typing.Callable[[], float] = lambda: 0.0
         self.last_job_at_s = -math.inf
+        self.cancelled_ids: set[str] = set()
         self.jobs: dict[str, jobs.Job] = {}
+        # Ids of the jobs here that a submitted job consists of: itself, its
+        # lent tasks or both.
+        self._ids_by_submitted: dict[str, set[str]] = {}
         self.fleet: dict[str, workers.Worker] = {}
         self.other_loads: dict[str, claims.CellLoad] = {}
         self.orphans: dict[str, list[runs.Run]] = {}
@@ -146,11 +153,27 @@
         age_s = time.time() - job.spec.accepted_unix_ms / 1000
         job.accepted_at_s = anyio.current_time() - max(0.0, age_s)
         self.jobs[job.id] = job
+        self._ids_by_submitted.setdefault(job.submitted_id, set()).add(job.id)
         self.last_job_at_s = max(self.last_job_at_s, job.accepted_at_s)
         if not job.is_ended() and job.open_due_occurrences(time.time() * 1000):
             self.counters.jobs_opened.inc()
+        if job.submitted_id in self.cancelled_ids:
+            self.cancel_job(job.submitted_id)
         self.update_waiting(job)
 
+    def remove_job(self, job: jobs.Job) -> None:
+        """Remove a job that this cell no longer manages.
+
+        Args:
+            job: The job.
+        """
+        del self.jobs[job.id]
+        self._waiting.pop(job.id, None)
+        ids = self._ids_by_submitted[job.submitted_id]
+        ids.discard(job.id)
+        if not ids:
+            del self._ids_by_submitted[job.submitted_id]
+
     def update_waiting(self, job: jobs.Job) -> None:
         """Recompute which tasks of a job are ready to start.
 
@@ -340,7 +363,7 @@
                 if run.job is job:
                     self.stop_run(worker, run)
         self.update_waiting(job)
-        return self.writer.schedule_write(job, lending.cancel_lent(job))
+        return self.writer.schedule_write(job)
 
     def stop_run(self, worker: workers.Worker, run: runs.Run) -> None:
         """Request that a run stops; `end_run` is called once it has.
@@ -370,16 +393,16 @@
         if self._group is not None:
             self._group.start_soon(function, *args)
 
-    def cancel_job(self, job_id: str) -> None:
-        """Cancel a job; does nothing if it is unknown or has ended.
+    def cancel_job(self, submitted_id: str) -> None:
+        """Cancel a submitted job and its lent tasks, as far as they are here.
 
         Args:
-            job_id: Id of the job.
+            submitted_id: Id of the submitted job.
         """
-        job = self.jobs.get(job_id)
-        if job is None or job.is_ended():
-            return
-        self.end_job(job, jobs.JobState.CANCELED)
+        for job_id in list(self._ids_by_submitted.get(submitted_id, ())):
+            job = self.jobs[job_id]
+            if not job.is_ended():
+                self.end_job(job, jobs.JobState.CANCELED)
 
     def now_unix_ms(self) -> float:
         """Return the wall-clock time in milliseconds since the epoch."""
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -34,9 +34,9 @@
 # Fencing tokens per epoch; each restart of a worker uses one.
 TOKENS_PER_EPOCH = 1000
 TICK_PERIOD_S = 0.25
-# Longest duration of one poll of the submissions; without new rows, the known
-# cancellations get as old as this.
-SUBMISSIONS_POLL_S = 1.0
+# Longest duration of one poll of the submissions or the cancellations; without
+# new rows, the known cancellations get as old as this.
+JOBS_POLL_S = 1.0
 # Time for which a former holder that can't reach the store may continue to
 # renew leases.
 RENEW_WITHOUT_STORE_S = 12.0
@@ -120,15 +120,15 @@
         """
         started_at_s = anyio.current_time()
         read_at_s = clocks.elapsed_s()
-        submissions = await self._load_jobs()
+        submissions, cancels = await self._load_jobs()
         try:
             async with anyio.create_task_group() as group:
                 self._group = group
                 self.cell.open(group)
                 for bucket in self._zones:
                     group.start_soon(self.cell.writer.write_bucket, bucket)
-                feed = self._follow_submissions(submissions, read_at_s)
-                group.start_soon(feed.run)
+                group.start_soon(self._follow_submissions(submissions).run)
+                group.start_soon(self._follow_cancels(cancels, read_at_s).run)
                 group.start_soon(
                     self.cell.supervisor.run,
                     "weight exchange",
@@ -157,21 +157,39 @@
                     worker.close()
                     await worker.link.aclose()
 
-    def _follow_submissions(
-        self, submissions: stores.Page, read_at_s: float
-    ) -> feeds.Feed:
-        """Return the feed of new submissions and cancellations.
+    def _follow_submissions(self, submissions: stores.Page) -> feeds.Feed:
+        """Return the feed of new submissions.
 
         Args:
             submissions: The table of submissions, read before.
-            read_at_s: Time of clocks.elapsed_s at which that read was sent.
         """
-        feed = feeds.Feed(
+        return feeds.Feed(
             store=self.cell.store,
             table=tables.specs_table(tables.zone_of_cell(self.cell.name)),
             on_rows=self._process_submissions,
             start=submissions,
-            wait_s=SUBMISSIONS_POLL_S,
+            wait_s=JOBS_POLL_S,
+            supervisor=self.cell.supervisor,
+        )
+
+    def _follow_cancels(
+        self, cancels: stores.Page, read_at_s: float
+    ) -> feeds.Feed:
+        """Return the feed of the cancellations in all cells.
+
+        A cell may run a part of any job, and whoever holds the others may be
+        away, so each holder reads them all.
+
+        Args:
+            cancels: The table of cancellations, read before.
+            read_at_s: Time of clocks.elapsed_s at which that read was sent.
+        """
+        feed = feeds.Feed(
+            store=self.cell.store,
+            table=tables.CANCELS,
+            on_rows=self._process_cancels,
+            start=cancels,
+            wait_s=JOBS_POLL_S,
             supervisor=self.cell.supervisor,
         )
         self.cell.cancels_confirmed_at_s = lambda: max(
@@ -179,17 +197,20 @@
         )
         return feed
 
-    async def _load_jobs(self) -> stores.Page:
+    async def _load_jobs(self) -> tuple[stores.Page, stores.Page]:
         """Load the cell's jobs from the store.
 
         Returns:
-            The table of submissions.
+            The tables of submissions and of cancellations.
         """
         name = self.cell.name
         table = tables.specs_table(tables.zone_of_cell(name))
         while True:
             try:
                 submissions = await stores.read_table(self.cell.store, table)
+                cancels = await stores.read_table(
+                    self.cell.store, tables.CANCELS
+                )
                 states = await stores.read_table(self.cell.store, tables.JOBS)
                 break
             except errors.PlatformError as exc:
@@ -198,11 +219,10 @@
                 )
                 await anyio.sleep(feeds.RETRY_DELAY_S)
         state_rows = {row.at.key: row for row in states.rows}
+        self._process_cancels(cancels.rows)
         for row in submissions.rows:
-            if not row.at.key.endswith(tables.CANCEL_SUFFIX):
-                self._load_job(row, state_rows.get(row.at.key))
-        self._process_cancels(submissions.rows)
-        return submissions
+            self._load_job(row, state_rows.get(row.at.key))
+        return submissions, cancels
 
     def _load_job(
         self, row: stores.StoredRow, state: stores.StoredRow | None
@@ -228,7 +248,7 @@
                 self.cell.orphans.setdefault(task.worker_id, []).append(run)
 
     def _process_submissions(self, rows: list[stores.StoredRow]) -> None:
-        """Process new jobs and cancellations.
+        """Process new jobs.
 
         Args:
             rows: Changed rows of the zone's table.
@@ -236,9 +256,7 @@
         for row in rows:
             if row.value is None or row.at.key in self.cell.jobs:
                 continue
-            if not row.at.key.endswith(tables.CANCEL_SUFFIX):
-                self._add_submitted_job(row)
-        self._process_cancels(rows)
+            self._add_submitted_job(row)
         self.cell.request_placement()
 
     def _add_submitted_job(self, row: stores.StoredRow) -> None:
@@ -258,13 +276,17 @@
         self.cell.add_job(job)
 
     def _process_cancels(self, rows: list[stores.StoredRow]) -> None:
+        """Process new and removed cancellations.
+
+        Args:
+            rows: Changed rows of the table of cancellations.
+        """
         for row in rows:
-            if row.value is not None and row.at.key.endswith(
-                tables.CANCEL_SUFFIX
-            ):
-                self.cell.cancel_job(
-                    row.at.key.removesuffix(tables.CANCEL_SUFFIX)
-                )
+            if row.value is None:
+                self.cell.cancelled_ids.discard(row.at.key)
+                continue
+            self.cell.cancelled_ids.add(row.at.key)
+            self.cell.cancel_job(row.at.key)
 
     def update_fleet(self, fleet: dict[str, runners.Registration]) -> None:
         """Apply the directory's current list of the cell's workers.
@@ -412,11 +434,31 @@
             keys = [
                 tables.job_row(job.bucket, job.id),
                 tables.spec_row(job.cell, job.bucket, job.id),
-                tables.cancel_row(job.cell, job.bucket, job.id),
             ]
-            del self.cell.jobs[job.id]
+            if job.id == job.submitted_id:
+                if await self._has_lent_rows(job):
+                    continue
+                keys.append(tables.cancel_row(job.bucket, job.id))
+            self.cell.remove_job(job)
             await job_writers.remove_job(self.cell.store, job, keys)
 
+    async def _has_lent_rows(self, job: jobs.Job) -> bool:
+        """Return whether rows of lent tasks of a job may still exist.
+
+        The cancellation of the job must outlast them: the cell that has a
+        lent task may be cut off for longer than ended jobs are retained.
+        """
+        if not job.has_lent_tasks():
+            return False
+        try:
+            page = await self.cell.store.read(
+                tables.JOBS, job.bucket, prefix=lending.lent_prefix(job.id)
+            )
+        except errors.PlatformError as exc:
+            _LOG.log(job_events.JOB_NOT_REMOVED, job=job.id, cause=str(exc))
+            return True
+        return bool(page.rows)
+
 
 def former_may_renew(
     previous: claims.Claim | None, heartbeats: dict[str, claims.HostHeartbeat]
--- a/wisteriawood/cells/job_writers.py
+++ b/wisteriawood/cells/job_writers.py
@@ -56,8 +56,8 @@
         store: The store.
         claim_key: Key of the claim's row.
         claim_version: Expected version of that row.
-        on_cancel: Called with the id of a job whose write shows that it was
-            cancelled; ends the job.
+        on_cancel: Called with the id of a submitted job if a write shows
+            that it was cancelled; ends it and its lent tasks here.
 
     Attributes:
         commits: Number of committed transactions.
@@ -203,12 +203,11 @@
             for row in conflict.rows
             if row.version != change.expected.get(row.at)
         }
-        cancelled = [
-            job
+        cancelled = {
+            tables.cancel_row(bucket, job.submitted_id): job.submitted_id
             for job in included
-            if tables.cancel_row(job.cell, bucket, job.id) in changed
-        ]
-        if not cancelled or len(cancelled) < len(changed):
+        }
+        if not changed or changed - cancelled.keys():
             _LOG.log(
                 job_events.JOB_ROW_CHANGED,
                 bucket=bucket,
@@ -217,9 +216,13 @@
             raise tables.CellLostError(
                 "another holder has written the cell's rows"
             ) from conflict
-        for job in cancelled:
-            _LOG.log(job_events.JOB_CANCEL_MISSED, job=job.id, cell=job.cell)
-            self._on_cancel(job.id)
+        for at in changed:
+            _LOG.log(
+                job_events.JOB_CANCEL_MISSED,
+                job=cancelled[at],
+                cell=self._claim_key.key,
+            )
+            self._on_cancel(cancelled[at])
 
     def _build_change(
         self,
@@ -253,8 +256,12 @@
         expected={at: job.version},
         writes={at: codec.job_to_bytes(job)} | extra_rows,
     )
+    cancel_at = tables.cancel_row(bucket, job.submitted_id)
     if not job.is_ended():
-        change.expected[tables.cancel_row(job.cell, bucket, job.id)] = 0
+        change.expected[cancel_at] = 0
+    elif job.has_lent_tasks():
+        # One row ends all of them, however many there are.
+        change.writes[cancel_at] = b"{}"
     return change
 
 
--- a/wisteriawood/cells/lending.py
+++ b/wisteriawood/cells/lending.py
@@ -2,7 +2,8 @@
 
 A lent task becomes a separate job in the other cell. Its rows are written in
 the same transaction as those of the lending job, so that only one cell may
-start the task at any time.
+start the task at any time. The row that cancels the submitted job cancels the
+lent task as well: each holder reads it by itself.
 """
 
 import dataclasses
@@ -52,8 +53,18 @@
     return max(candidates, default=(0, ""))[1]
 
 
+def lent_prefix(job_id: str) -> str:
+    """Return the common prefix of the ids of a job's lent tasks.
+
+    Args:
+        job_id: Id of the job.
+    """
+    return f"{job_id}~"
+
+
 def _lent_id(job: jobs.Job, task: tasks.Task) -> str:
-    return f"{job.id}~{task.occurrence}.{task.step}.{task.index}"
+    number = f"{task.occurrence}.{task.step}.{task.index}"
+    return lent_prefix(job.id) + number
 
 
 def lend(
@@ -95,21 +106,6 @@
     }
 
 
-def cancel_lent(job: jobs.Job) -> dict[stores.RowKey, bytes | None]:
-    """Return the rows that cancel the lent tasks of a job.
-
-    Args:
-        job: The job.
-    """
-    return {
-        tables.cancel_row(task.worker_id, job.bucket, _lent_id(job, task)): (
-            b"{}"
-        )
-        for task in job.all_tasks()
-        if task.phase is tasks.Phase.LENT
-    }
-
-
 class Lender:
     """Lends standing tasks that don't fit here to cells with free capacity.
 
--- a/wisteriawood/cells/tables.py
+++ b/wisteriawood/cells/tables.py
@@ -9,7 +9,7 @@
 CLAIMS = "cells"
 HOSTS = "hosts"
 WEIGHTS = "knowledge"
-CANCEL_SUFFIX = "~cancel"
+CANCELS = "cancels"
 
 
 class CellLostError(errors.WisteriawoodError):
@@ -70,10 +70,14 @@
     return stores.RowKey(table=table, part=bucket, key=job_id)
 
 
-def cancel_row(cell: str, bucket: str, job_id: str) -> stores.RowKey:
-    """Return the key of the row that cancels a job."""
-    table = specs_table(zone_of_cell(cell))
-    return stores.RowKey(table=table, part=bucket, key=job_id + CANCEL_SUFFIX)
+def cancel_row(bucket: str, job_id: str) -> stores.RowKey:
+    """Return the key of the row that cancels a job in all cells.
+
+    Args:
+        bucket: Bucket of the job.
+        job_id: Id under which a caller submitted it.
+    """
+    return stores.RowKey(table=CANCELS, part=bucket, key=job_id)
 
 
 def claim_row(cell: str) -> stores.RowKey:
--- a/wisteriawood/jobs/jobs.py
+++ b/wisteriawood/jobs/jobs.py
@@ -87,6 +87,15 @@
         """Id of the job."""
         return self.spec.id
 
+    @property
+    def submitted_id(self) -> str:
+        """Id of the submitted job; for a lent task, that of its job."""
+        return self.spec.submitted_id
+
+    def has_lent_tasks(self) -> bool:
+        """Return whether a task of the job is lent to another cell."""
+        return any(task.phase is tasks.Phase.LENT for task in self.all_tasks())
+
     def task_name(self, task: tasks.Task) -> str:
         """Return the name under which workers know a task.
 
--- a/wisteriawood/jobs/specs.py
+++ b/wisteriawood/jobs/specs.py
@@ -84,6 +84,11 @@
     runs_before: int = 0
     checkpoint: str = ""
 
+    @property
+    def submitted_id(self) -> str:
+        """Id of the submitted job; for a lent task, that of its job."""
+        return self.lent_task.partition(".")[0] or self.id
+
     def is_timed(self) -> bool:
         """Return whether the steps run at scheduled times."""
         return self.occurrence_count > 0
--- a/wisteriawood/links/stores.py
+++ b/wisteriawood/links/stores.py
@@ -125,13 +125,16 @@
             ChangeConflictError: A condition did not hold.
         """
 
-    async def read(self, table: str, part: str, *, key: str = "") -> Page:
+    async def read(
+        self, table: str, part: str, *, key: str = "", prefix: str = ""
+    ) -> Page:
         """Return the rows of a partition.
 
         Args:
             table: The table.
             part: The partition.
             key: Key of the only row to return; empty for all rows.
+            prefix: Common prefix of the keys of the rows to return.
         """
 
     async def parts(self, table: str) -> list[str]:
--- a/wisteriawood/machines/intakes.py
+++ b/wisteriawood/machines/intakes.py
@@ -326,7 +326,7 @@
         if state in jobs.ENDED_STATES:
             return
         bucket = tables.bucket_of(job_id, self._host.zones)
-        at = tables.cancel_row(cell, bucket, job_id)
+        at = tables.cancel_row(bucket, job_id)
         change = stores.Change(expected={at: 0}, writes={at: b"{}"})
         give_up_at_s = anyio.current_time() + min(timeout_s, SUBMIT_TIMEOUT_S)
         outcome = "refused"
--- a/wisteriawood/platform/standins.py
+++ b/wisteriawood/platform/standins.py
@@ -179,6 +179,7 @@
             if at.table == query["table"]
             and at.part == query.get("part", "")
             and at.key >= query.get("from", "")
+            and ("to" not in query or at.key < query["to"])
         ]
         limit = int(query.get("limit", 500))
         return {
--- a/wisteriawood/platform/store_client.py
+++ b/wisteriawood/platform/store_client.py
@@ -87,6 +87,11 @@
     )
 
 
+def _after_prefix(prefix: str) -> str:
+    """Return the first key after all that have an ASCII prefix."""
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+
+
 class TableStore:
     """Client of the store over HTTP; implements links.stores.Store.
 
@@ -214,10 +219,12 @@
         return self._decode(response)
 
     async def read(
-        self, table: str, part: str, *, key: str = ""
+        self, table: str, part: str, *, key: str = "", prefix: str = ""
     ) -> stores.Page:
-        """Return the rows of a partition, or only the one with a key."""
+        """Return the rows of a partition, by key or prefix if given."""
         params = {"table": table, "part": part}
+        if prefix:
+            params |= {"from": prefix, "to": _after_prefix(prefix)}
         if key:
             answer = await self._get(
                 "/v1/rows-get", params | {"from": key, "limit": 1}
--- a/wisteriawood/standins/job_worlds.py
+++ b/wisteriawood/standins/job_worlds.py
@@ -7,6 +7,7 @@
 import anyio
 from anyio import abc
 
+from wisteriawood.cells import tables
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import queues
 from wisteriawood.jobs import specs
@@ -35,6 +36,7 @@
     max_cancel_age_s=MAX_CANCEL_AGE_S,
 )
 FIRST_PORT = 10000
+SUBMIT_TIMEOUT_S = 3.0
 
 
 class JobWorld:
@@ -47,8 +49,8 @@
         workers_per_zone: Number of workers in each zone.
 
     Attributes:
-        work_s: Run time at full speed, in seconds, of the tasks of a job,
-            by job id; DEFAULT_WORK_S for other jobs.
+        work_s: Run time at full speed, in seconds, of a task by its name or
+            of the tasks of a job by its id; DEFAULT_WORK_S for others.
         failing_workers: Names of workers on which every run fails.
         outdated_hosts: Names of hosts that do not read the directory.
     """
@@ -147,7 +149,9 @@
         self.publish_directory()
 
     def _work_s(self, task_name: str) -> float:
-        return self.work_s.get(task_name.partition(".")[0], DEFAULT_WORK_S)
+        job_id = task_name.partition(".")[0]
+        by_job_s = self.work_s.get(job_id, DEFAULT_WORK_S)
+        return self.work_s.get(task_name, by_job_s)
 
     def publish_directory(
         self, *, missing: typing.Collection[str] = ()
@@ -218,6 +222,59 @@
         name = host or min(self.hosts)
         return intakes.Intake(host=self.hosts[name])
 
+    async def submit_to(
+        self, cell: str, job_id: str, steps: list[specs.StepSpec]
+    ) -> None:
+        """Submit a job to a given cell.
+
+        Args:
+            cell: Name of the cell.
+            job_id: Id of the job.
+            steps: Steps of the job.
+        """
+        spec = specs.JobSpec(
+            id=job_id,
+            queue=self.queue,
+            steps=steps,
+            accepted_unix_ms=next(iter(self.hosts.values())).now_unix_ms(),
+        )
+        bucket = tables.bucket_of(job_id, self.zones)
+        give_up_at_s = anyio.current_time() + SUBMIT_TIMEOUT_S
+        await self.intake()._store_job(spec, cell, bucket, give_up_at_s)
+
+    def running(self, zone: str = "") -> dict[str, str]:
+        """Return the worker of each running task, by the task's name.
+
+        Args:
+            zone: Availability zone to look at; empty for all.
+        """
+        return {
+            task: name
+            for name, worker in self.workers.items()
+            if zone in ("", worker.registration.zone)
+            for task in worker.runs
+        }
+
+    def cut_zone(self, zone: str) -> None:
+        """Cut a zone off from the others and from the store.
+
+        Args:
+            zone: Its name.
+        """
+        inside = {n for n, host in self.hosts.items() if host.zone == zone}
+        self.store.cut_hosts |= inside
+        for worker in self.workers.values():
+            is_inside = worker.registration.zone == zone
+            worker.cut_from |= (
+                self.hosts.keys() - inside if is_inside else inside
+            )
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.store.cut_hosts.clear()
+        for worker in self.workers.values():
+            worker.cut_from.clear()
+
     def holder_of(self, cell: str) -> str:
         """Return the host that holds a cell; empty for none.
 
--- a/wisteriawood/standins/stores.py
+++ b/wisteriawood/standins/stores.py
@@ -20,6 +20,7 @@
         cut_hosts: Hosts whose calls get no answer.
         hidden_keys: Keys of rows that polls and reads of whole partitions
             omit, as stale reads after a loss of history do.
+        hidden_tables: Tables of which they omit all rows.
         is_down: Whether calls are refused.
         lost_answer_delay_s: Delay in seconds until a commit whose answer is
             lost takes effect.
@@ -37,6 +38,7 @@
         "commits",
         "cut_hosts",
         "hidden_keys",
+        "hidden_tables",
         "is_down",
         "lost_answer_delay_s",
         "lost_answers",
@@ -51,6 +53,7 @@
         self.is_down = False
         self.cut_hosts: set[str] = set()
         self.hidden_keys: set[str] = set()
+        self.hidden_tables: set[str] = set()
         self.lost_answers = 0
         self.lost_table = ""
         self.lost_answer_delay_s = 0.0
@@ -126,9 +129,13 @@
             for row in self._history
             if row.version > after
             and row.at.table == table
-            and row.at.key not in self.hidden_keys
+            and not self.is_hidden(row.at)
         ]
 
+    def is_hidden(self, at: stores.RowKey) -> bool:
+        """Return whether polls and reads of whole partitions omit a row."""
+        return at.key in self.hidden_keys or at.table in self.hidden_tables
+
     async def wait(self) -> None:
         """Wait for the next change."""
         await self._changed.wait()
@@ -171,18 +178,17 @@
         return store.apply(change)
 
     async def read(
-        self, table: str, part: str, *, key: str = ""
+        self, table: str, part: str, *, key: str = "", prefix: str = ""
     ) -> stores.Page:
-        """Return the rows of a partition, or only the row with a key."""
+        """Return the rows of a partition, by key or prefix if given."""
         await self._apply_call_faults(CALL_DELAY_S)
         rows = [
             row
             for at, row in self._store.rows.items()
             if at.table == table
             and at.part == part
-            and (
-                at.key == key if key else at.key not in self._store.hidden_keys
-            )
+            and at.key.startswith(prefix)
+            and (at.key == key if key else not self._store.is_hidden(at))
         ]
         rows.sort(key=lambda row: row.at.key)
         return stores.Page(rows=rows, version=self._store.version)
--- a/wisteriawood/tests/cells_tests.py
+++ b/wisteriawood/tests/cells_tests.py
@@ -152,7 +152,7 @@
         async def _check(world):
             await anyio.sleep(2)
             await world.submit(JOB, [_step(), _step(after=[0])])
-            world.store.hidden_keys.add(JOB + tables.CANCEL_SUFFIX)
+            world.store.hidden_tables.add(tables.CANCELS)
             await anyio.sleep(0.3)
             await world.intake().cancel(JOB, 3.0)
             await anyio.sleep(4)
--- a/wisteriawood/tests/platform_tests.py
+++ b/wisteriawood/tests/platform_tests.py
@@ -146,6 +146,19 @@
 
         builders.run_virtual(_check)
 
+    def test_read_returns_the_rows_with_a_prefix(self):
+        async def _check():
+            wire, client = _make_store_and_client()
+            for name in ("job", "job~0.0.1", "job~1.0.0", "other"):
+                key = stores.RowKey(table="t", part="p", key=name)
+                wire._store.apply(stores.Change(writes={key: b"1"}))
+            page = await client.read("t", "p", prefix="job~")
+            self.assertEqual(
+                [row.at.key for row in page.rows], ["job~0.0.1", "job~1.0.0"]
+            )
+
+        builders.run_virtual(_check)
+
 
 class WorkerTests(unittest.TestCase):
     def _make_worker_and_client(self, expected="w"):
