Move jobs that can't run in their cell to one that can run them

Cause: a job belonged for good to the cell that was chosen when it was accepted. Only standing tasks were lent to other cells, one at a time. Whatever keeps all workers of a cell from running a task, the task waited for ever: there are none, or none with the label, the memory, the accelerators, the CPU, the room for a gang, or they are full of tasks that never end. A standing task was lent by free CPU only, so that one that fits nowhere went from cell to cell.

Why this works: heartbeats say what fits where, by label, CPU, memory and accelerators, free and in total, in a list of bounded length. A job of which nothing runs moves to a cell that can run it in one transaction of at most six entries, with its progress, run numbers and attempts. Until it is committed the job belongs to the one cell, then to the other. Lent tasks move in the same way and are not lent again, so their ids have one form. What fits nowhere stays.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -1,5 +1,6 @@
 """State of a cell on the host that holds it: its jobs and its workers."""
 
+import collections
 import math
 import time
 import typing
@@ -17,6 +18,7 @@
 from wisteriawood.cells import start_checks
 from wisteriawood.cells import tables
 from wisteriawood.cells import worker_directories
+from wisteriawood.cells import worker_groups
 from wisteriawood.cells import workers
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
@@ -34,6 +36,9 @@
 INTAKE_IDLE_S = 5.0
 # Pause between two placement passes.
 PLACEMENT_PAUSE_S = 0.02
+# Time for which a queued job that moved away is still reported here; the other
+# cell reports it with its next heartbeat.
+MOVED_REPORT_S = 2.0
 # Runs that the log line of one placement pass lists at most.
 MAX_LOGGED_RUNS = 20
 
@@ -69,6 +74,7 @@
     __slots__ = (
         "_group",
         "_ids_by_submitted",
+        "_moved",
         "_placement_requested",
         "_placer",
         "_waiting",
@@ -121,11 +127,13 @@
             store=store,
             claim_key=tables.claim_row(claim.cell),
             claim_version=claim.version,
-            on_cancel=self.cancel_job,
+            on_cancel=self._handle_missed_cancel,
         )
         self.model = interference_models.InterferenceModel()
         self._placer = placers.Placer(policy=policy, model=self.model)
         self._waiting: dict[str, tuple[jobs.Job, list[list[tasks.Task]]]] = {}
+        # Monotonic times and queues of the queued jobs that moved away.
+        self._moved: collections.deque[tuple[float, str]] = collections.deque()
         self.filler_meter = meters.FillerMeter()
         self._group: abc.TaskGroup | None = None
         self._placement_requested = anyio.Event()
@@ -174,6 +182,23 @@
         if not ids:
             del self._ids_by_submitted[job.submitted_id]
 
+    def remove_moved_job(self, job: jobs.Job) -> None:
+        """Remove a job that another cell has now.
+
+        Args:
+            job: The job.
+        """
+        self.remove_job(job)
+        if job.state is jobs.JobState.QUEUED and not job.spec.is_timed():
+            self._moved.append((anyio.current_time(), job.spec.queue.name))
+
+    def recently_moved_queues(self) -> list[str]:
+        """Return the queue of each queued job that moved away of late."""
+        now_s = anyio.current_time()
+        while self._moved and now_s - self._moved[0][0] > MOVED_REPORT_S:
+            self._moved.popleft()
+        return [queue for _moved_at_s, queue in self._moved]
+
     def update_waiting(self, job: jobs.Job) -> None:
         """Recompute which tasks of a job are ready to start.
 
@@ -181,7 +206,7 @@
             job: The job.
         """
         waiting = progress.waiting_steps(job)
-        if waiting:
+        if waiting and job.cell == self.name:
             self._waiting[job.id] = (job, waiting)
         else:
             self._waiting.pop(job.id, None)
@@ -396,14 +421,26 @@
     def cancel_job(self, submitted_id: str) -> None:
         """Cancel a submitted job and its lent tasks, as far as they are here.
 
+        One that is being moved is cancelled by the other cell, or here if the
+        transaction that moves it fails because of the cancellation.
+
         Args:
             submitted_id: Id of the submitted job.
         """
         for job_id in list(self._ids_by_submitted.get(submitted_id, ())):
             job = self.jobs[job_id]
-            if not job.is_ended():
+            if not job.is_ended() and job.cell == self.name:
                 self.end_job(job, jobs.JobState.CANCELED)
 
+    def _handle_missed_cancel(self, submitted_id: str) -> None:
+        """Cancel a submitted job after a write has failed because of that."""
+        for job_id in self._ids_by_submitted.get(submitted_id, ()):
+            job = self.jobs[job_id]
+            if job.moved_from:
+                job.cell = job.moved_from
+                job.moved_from = ""
+        self.cancel_job(submitted_id)
+
     def now_unix_ms(self) -> float:
         """Return the wall-clock time in milliseconds since the epoch."""
         return time.time() * 1000
@@ -420,10 +457,28 @@
             for run in worker.runs.values()
         )
 
+    def racks(self) -> set[str]:
+        """Return the racks of the workers."""
+        return {worker.registration.rack for worker in self.fleet.values()}
+
+    def total_capacity(self) -> list[worker_groups.WorkerGroup]:
+        """Return the listed workers that don't drain, with all capacity."""
+        return worker_groups.summarize(
+            worker.total_group()
+            for worker in self.fleet.values()
+            if not worker.is_gone and not worker.registration.is_draining
+        )
+
+    def waiting_jobs(
+        self,
+    ) -> typing.Iterable[tuple[jobs.Job, list[list[tasks.Task]]]]:
+        """Return each job with its ready but unassigned tasks, by step."""
+        return self._waiting.values()
+
     def waiting_steps(
         self,
     ) -> typing.Iterator[tuple[jobs.Job, list[tasks.Task]]]:
-        """Yield each job with its ready but unassigned tasks, by step."""
+        """Yield each job with the tasks of one step, for all such steps."""
         for job, steps in self._waiting.values():
             for step_tasks in steps:
                 yield job, step_tasks
--- a/wisteriawood/cells/claims.py
+++ b/wisteriawood/cells/claims.py
@@ -5,6 +5,7 @@
 import anyio
 
 from wisteriawood.cells import tables
+from wisteriawood.cells import worker_groups
 from wisteriawood.links.codecs import bounds
 from wisteriawood.links.codecs import rows
 from wisteriawood.links import stores
@@ -112,7 +113,6 @@
         capacity_millicores: CPU of the usable workers.
         free_millicores: CPU that no task has reserved or waits for; below 0
             if more is wanted than there is.
-        largest_free_millicores: Most such CPU on one worker.
         left_millicores: CPU that is expected to stay unused, less what
             waiting fillers request.
         backlog_millicore_s: Estimated work of fillers that is not done yet.
@@ -121,12 +121,14 @@
         waiting: Number of ready tasks that have no worker.
         workers: Number of workers.
         racks: Racks of the workers.
+        free: The usable workers with what no task has reserved.
+        total: The workers with all of their capacity, without those that
+            drain.
     """
 
     epoch: bounds.Number = 0
     capacity_millicores: bounds.Number = 0
     free_millicores: bounds.Balance = 0
-    largest_free_millicores: bounds.Balance = 0
     left_millicores: bounds.Balance = 0
     backlog_millicore_s: bounds.Number = 0
     rate_millicores: bounds.Number = 0
@@ -136,6 +138,12 @@
     waiting: bounds.Number = 0
     workers: bounds.Number = 0
     racks: list[bounds.Name] = dataclasses.field(default_factory=list)
+    free: list[worker_groups.WorkerGroup] = dataclasses.field(
+        default_factory=list
+    )
+    total: list[worker_groups.WorkerGroup] = dataclasses.field(
+        default_factory=list
+    )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -14,6 +14,7 @@
 from wisteriawood.cells import lending
 from wisteriawood.cells import pacers
 from wisteriawood.cells import regrouping
+from wisteriawood.cells import relocation
 from wisteriawood.cells import runs
 from wisteriawood.cells import tables
 from wisteriawood.cells import weight_exchanges
@@ -70,8 +71,8 @@
         "_group",
         "_held_since_s",
         "_lease_s",
-        "_lender",
         "_regrouper",
+        "_relocator",
         "_retention_s",
         "_ticks",
         "_zones",
@@ -102,7 +103,7 @@
         self._group: abc.TaskGroup | None = None
         self._held_since_s = anyio.current_time()
         self._filler_pacer = pacers.FillerPacer(cell=cell)
-        self._lender = lending.Lender(cell=cell)
+        self._relocator = relocation.Relocator(cell=cell)
         self._regrouper = regrouping.Regrouper(cell=cell)
         self._ticks = 0
         self.listed_workers: dict[str, runners.Registration] = {}
@@ -239,6 +240,9 @@
                 job_events.JOB_ROW_UNREADABLE, job=row.at.key, cause=str(exc)
             )
             return
+        if job.cell != self.cell.name:
+            # It has been moved on since its specification was read.
+            return
         job.version = state.version
         self.cell.add_job(job)
         now_s = anyio.current_time()
@@ -269,12 +273,38 @@
             return
         if cell != self.cell.name:
             return
+        if spec.moves:
+            self.cell.run_in_background(self._load_moved_job, row)
+            return
         job = jobs.Job(spec=spec, cell=cell, bucket=row.at.part)
         # Both rows of a job are written in one transaction, so they share
         # a version until the holder writes the row with the progress.
         job.version = row.version
         self.cell.add_job(job)
 
+    async def _load_moved_job(self, row: stores.StoredRow) -> None:
+        """Load a job that another cell has moved here, with its progress.
+
+        Args:
+            row: Row of its specification.
+        """
+        while True:
+            try:
+                page = await self.cell.store.read(
+                    tables.JOBS, row.at.part, key=row.at.key
+                )
+                break
+            except errors.PlatformError as exc:
+                _LOG.log(
+                    job_events.CELL_LOAD_FAILED,
+                    cell=self.cell.name,
+                    cause=str(exc),
+                )
+                await anyio.sleep(feeds.RETRY_DELAY_S)
+        if page.rows and row.at.key not in self.cell.jobs:
+            self._load_job(row, page.rows[0])
+            self.cell.request_placement()
+
     def _process_cancels(self, rows: list[stores.StoredRow]) -> None:
         """Process new and removed cancellations.
 
@@ -369,7 +399,7 @@
             self.cell.open_occurrences()
             self._drop_orphans()
             self._filler_pacer.tick()
-            self._lender.tick()
+            self._relocator.tick()
             evacuations.evacuate(self.cell, anyio.current_time())
             self._regrouper.tick(anyio.current_time())
             self.cell.request_placement()
--- a/wisteriawood/cells/job_writers.py
+++ b/wisteriawood/cells/job_writers.py
@@ -65,6 +65,7 @@
 
     __slots__ = (
         "_batches",
+        "_batches_in_progress",
         "_claim_key",
         "_claim_version",
         "_is_closed",
@@ -88,6 +89,7 @@
         self._claim_key = claim_key
         self._claim_version = claim_version
         self._batches: dict[str, Batch] = {}
+        self._batches_in_progress: dict[str, Batch] = {}
         self._wake: dict[str, anyio.Event] = {}
         self._is_closed = False
         self._writing_since_s: dict[str, float] = {}
@@ -130,6 +132,18 @@
             if not batch.is_saved:
                 raise tables.CellLostError("the cell has another holder")
 
+    def has_unwritten(self, job: jobs.Job) -> bool:
+        """Return whether a scheduled write of a job is not in the store yet.
+
+        Args:
+            job: The job.
+        """
+        batches = (
+            self._batches.get(job.bucket),
+            self._batches_in_progress.get(job.bucket),
+        )
+        return any(batch and job.id in batch.jobs for batch in batches)
+
     def is_keeping_up(self, now_s: float) -> bool:
         """Return whether no transaction in progress is slow.
 
@@ -162,11 +176,13 @@
                 await self._wake[bucket].wait()
             await anyio.sleep(GROUP_COMMIT_DELAY_S)
             batch = self._batches.pop(bucket)
+            self._batches_in_progress[bucket] = batch
             self._writing_since_s[bucket] = anyio.current_time()
             try:
                 await self._write_batch(bucket, batch)
             finally:
                 del self._writing_since_s[bucket]
+                del self._batches_in_progress[bucket]
                 batch.done.set()
 
     async def _write_batch(self, bucket: str, batch: Batch) -> None:
@@ -183,6 +199,7 @@
             self.commits += 1
             for job in included:
                 job.version = version
+                job.moved_from = ""
             waiting = waiting[len(included) :]
         batch.is_saved = True
 
@@ -257,6 +274,11 @@
         writes={at: codec.job_to_bytes(job)} | extra_rows,
     )
     cancel_at = tables.cancel_row(bucket, job.submitted_id)
+    if job.moved_from:
+        former_at = tables.spec_row(job.moved_from, bucket, job.id)
+        change.writes[former_at] = None
+        at = tables.spec_row(job.cell, bucket, job.id)
+        change.writes[at] = codec.spec_to_bytes(job.spec, job.cell)
     if not job.is_ended():
         change.expected[cancel_at] = 0
     elif job.has_lent_tasks():
--- a/wisteriawood/cells/loads.py
+++ b/wisteriawood/cells/loads.py
@@ -6,18 +6,24 @@
 from wisteriawood.cells import claims
 from wisteriawood.cells import placers
 from wisteriawood.cells import tables
+from wisteriawood.cells import worker_groups
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
 
 
 def _pending_by_queue(cell: cells.Cell) -> dict[str, int]:
-    """Return the number of queued jobs that are not timed, by queue."""
+    """Return the number of queued jobs that are not timed, by queue.
+
+    A job that has moved counts until the other cell has reported it.
+    """
     counts: dict[str, int] = {}
     for job in cell.jobs.values():
         if job.state is jobs.JobState.QUEUED and not job.spec.is_timed():
             queue = job.spec.queue.name
             counts[queue] = counts.get(queue, 0) + 1
+    for queue in cell.recently_moved_queues():
+        counts[queue] = counts.get(queue, 0) + 1
     return counts
 
 
@@ -90,14 +96,13 @@
         epoch=cell.claim.epoch,
         capacity_millicores=sum(w.capacity_millicores() for w in usable),
         free_millicores=sum(w.free_millicores for w in usable) - reserved,
-        largest_free_millicores=max(
-            (w.free_millicores for w in usable), default=0
-        ),
         left_millicores=unused - fillers,
         backlog_millicore_s=_filler_backlog(cell),
         rate_millicores=cell.filler_meter.rate_millicores(),
         pending=_pending_by_queue(cell),
         waiting=cell.waiting_count(),
         workers=len(cell.fleet),
-        racks=sorted({w.registration.rack for w in cell.fleet.values()}),
+        racks=sorted(cell.racks()),
+        free=worker_groups.summarize(w.free_group() for w in usable),
+        total=cell.total_capacity(),
     )
--- /dev/null
+++ b/wisteriawood/cells/relocation.py
@@ -0,0 +1,202 @@
+"""Relocation of waiting work to cells whose workers can run it."""
+
+import typing
+
+import anyio
+
+from wisteriawood.cells import claims
+from wisteriawood.cells import lending
+from wisteriawood.cells import moving
+from wisteriawood.cells import worker_groups
+from wisteriawood.jobs import jobs
+from wisteriawood.jobs import specs
+from wisteriawood.jobs import tasks
+from wisteriawood.telemetry import events
+from wisteriawood.telemetry import job_events
+
+if typing.TYPE_CHECKING:
+    from wisteriawood.cells import cells
+
+_LOG = events.Logger(name=__name__)
+# Least time for which a standing task waits for capacity in its own cell, and
+# a job that no worker of its cell can ever run.
+MIN_WAIT_S = 0.8
+# The same for a job that only waits for other work to end. A move may take it
+# away from its data.
+BUSY_WAIT_S = 3.0
+# Most jobs and tasks relocated in one pass; bounded because the reported loads
+# of other cells are about a second old.
+MAX_PER_PASS = 8
+
+
+def choose_cell(
+    loads: dict[str, claims.CellLoad], step: specs.StepSpec, needed: int = 1
+) -> str:
+    """Return the cell that can run most tasks of a step now; empty for none.
+
+    Among equal ones, it is the cell with most free CPU. Tasks that wait there
+    don't count, since what is free does not suffice for them.
+
+    Args:
+        loads: Load that the holders of the other cells last reported, by
+            cell.
+        step: Step of the tasks.
+        needed: Number of tasks that must fit.
+    """
+    candidates = []
+    for cell, load in loads.items():
+        fitting = worker_groups.count_fitting(load.free, step, load.racks)
+        if step.is_filler and load.left_millicores < step.cpu_millicores:
+            continue
+        if fitting >= needed:
+            candidates.append((fitting, load.free_millicores, cell))
+    return max(candidates, default=(0, 0, ""))[2]
+
+
+def can_ever_run(
+    workers: typing.Collection[worker_groups.WorkerGroup],
+    step: specs.StepSpec,
+    racks: typing.Collection[str],
+) -> bool:
+    """Return whether workers could run a step if nothing else ran there.
+
+    Args:
+        workers: The workers with all of their capacity.
+        step: The step.
+        racks: Racks of the workers.
+    """
+    needed = step.task_count if step.is_gang else 1
+    return worker_groups.count_fitting(workers, step, racks) >= needed
+
+
+def can_ever_run_all(load: claims.CellLoad, spec: specs.JobSpec) -> bool:
+    """Return whether a cell could run each step of a job if it were idle.
+
+    Args:
+        load: Load that the holder of the cell last reported.
+        spec: The job.
+    """
+    return all(
+        can_ever_run(load.total, step, load.racks) for step in spec.steps
+    )
+
+
+class Relocator:
+    """Relocates what waits in a cell to cells that can run it.
+
+    A job of which nothing runs here is moved with all of its tasks. Of other
+    jobs, standing tasks are lent.
+
+    Args:
+        cell: The cell.
+    """
+
+    __slots__ = ("_cell", "_left", "_total", "_waiting_since_s")
+
+    def __init__(self, *, cell: "cells.Cell"):
+        self._cell = cell
+        # Monotonic times since which each step has had waiting tasks, by the
+        # id of the job and the numbers of the occurrence and the step.
+        self._waiting_since_s: dict[tuple[str, int, int], float] = {}
+        # How much may still be relocated in this pass.
+        self._left = 0
+        # Workers of the cell with all of their capacity.
+        self._total: list[worker_groups.WorkerGroup] = []
+
+    def tick(self) -> None:
+        """Relocate what has waited long enough, a few in each pass."""
+        if not self._cell.directory.is_current():
+            return
+        now_s = anyio.current_time()
+        known = self._waiting_since_s
+        self._waiting_since_s = {}
+        self._left = MAX_PER_PASS
+        self._total = self._cell.total_capacity()
+        for job, steps in list(self._cell.waiting_jobs()):
+            waits_s = []
+            for step_tasks in steps:
+                first = step_tasks[0]
+                key = (job.id, first.occurrence, first.step)
+                since_s = known.get(key, now_s)
+                self._waiting_since_s[key] = since_s
+                waits_s.append(now_s - since_s)
+            if self._left > 0:
+                self._relocate(job, steps, waits_s)
+
+    def _relocate(
+        self,
+        job: jobs.Job,
+        steps: list[list[tasks.Task]],
+        waits_s: list[float],
+    ) -> None:
+        if self._cell.writer.has_unwritten(job):
+            # The number of changes that one transaction contains is bounded.
+            return
+        if moving.can_move(job):
+            for step_tasks, wait_s in zip(steps, waits_s):
+                if self._move(job, step_tasks, wait_s):
+                    return
+            return
+        for step_tasks, wait_s in zip(steps, waits_s):
+            step = job.step_of(step_tasks[0])
+            if step.is_standing and not step.is_gang and wait_s >= MIN_WAIT_S:
+                self._lend(job, step_tasks)
+
+    def _move(
+        self, job: jobs.Job, step_tasks: list[tasks.Task], wait_s: float
+    ) -> bool:
+        """Move a job if another cell can run its waiting step sooner."""
+        cell = self._cell
+        step = job.step_of(step_tasks[0])
+        fits_here = can_ever_run(self._total, step, cell.racks())
+        is_urgent = step.is_standing or not fits_here
+        if wait_s < (MIN_WAIT_S if is_urgent else BUSY_WAIT_S):
+            return False
+        needed = len(step_tasks) if step.is_gang else 1
+        to = choose_cell(cell.other_loads, step, needed)
+        if not to and not fits_here:
+            to = self._choose_capable_cell(step)
+        if not to:
+            return False
+        self._record(to, step, len(step_tasks))
+        moving.move(cell, job, to)
+        return True
+
+    def _choose_capable_cell(self, step: specs.StepSpec) -> str:
+        """Return a cell that can run a step once it has free capacity."""
+        return max(
+            (
+                (load.free_millicores, cell)
+                for cell, load in self._cell.other_loads.items()
+                if can_ever_run(load.total, step, load.racks)
+            ),
+            default=(0, ""),
+        )[1]
+
+    def _lend(self, job: jobs.Job, step_tasks: list[tasks.Task]) -> None:
+        cell = self._cell
+        step = job.step_of(step_tasks[0])
+        for task in step_tasks[: self._left]:
+            to = choose_cell(cell.other_loads, step)
+            if not to:
+                return
+            self._record(to, step, 1)
+            _LOG.log(
+                job_events.TASK_LENT,
+                task=job.task_name(task),
+                cell=cell.name,
+                to=to,
+            )
+            cell.writer.schedule_write(job, lending.lend(job, task, to))
+            cell.update_waiting(job)
+
+    def _record(self, to: str, step: specs.StepSpec, task_count: int) -> None:
+        """Count relocated tasks until the other cell reports them."""
+        self._left -= 1
+        load = self._cell.other_loads[to]
+        wanted = step.cpu_millicores * task_count
+        if step.is_filler:
+            load.left_millicores -= wanted
+        else:
+            load.free_millicores -= wanted
+        worker_groups.reserve(load.free, step, task_count, load.racks)
--- a/wisteriawood/cells/worker_directories.py
+++ b/wisteriawood/cells/worker_directories.py
@@ -149,15 +149,17 @@
         """Return the time since the entries were known to be current."""
         return clocks.elapsed_s() - self.confirmed_at_s
 
+    def is_current(self) -> bool:
+        """Return whether the entries are recent enough for a start."""
+        return self.age_s() <= self._max_age_s
+
     def is_recent(self, worker_id: str) -> bool:
         """Return whether a worker's entry is recent enough for a start.
 
         Args:
             worker_id: Id of the worker.
         """
-        if worker_id in self.unverified:
-            return False
-        return self.age_s() <= self._max_age_s
+        return worker_id not in self.unverified and self.is_current()
 
     def workers_of(self, service: str, zone: str) -> Fleet:
         """Return the workers of a service in an availability zone, by id.
--- a/wisteriawood/cells/workers.py
+++ b/wisteriawood/cells/workers.py
@@ -10,6 +10,7 @@
 from wisteriawood.cells import probations
 from wisteriawood.cells import runs
 from wisteriawood.cells import share_histories
+from wisteriawood.cells import worker_groups
 from wisteriawood.jobs import specs
 from wisteriawood.links import runners
 
@@ -219,6 +220,25 @@
         step_name = task_name.rpartition(".")[0] + "."
         return self.count_step_tasks(step_name) < step.most_per_worker
 
+    def total_group(self) -> worker_groups.WorkerGroup:
+        """Return the worker with all of its capacity."""
+        entry = self.registration
+        return worker_groups.WorkerGroup(
+            workers=1,
+            cpu_millicores=entry.cpu_millicores,
+            memory_mb=entry.memory_mb,
+            accelerators=entry.accelerators,
+            labels=[name for name in entry.labels if name != entry.rack],
+        )
+
+    def free_group(self) -> worker_groups.WorkerGroup:
+        """Return the worker with the capacity that no task has reserved."""
+        group = self.total_group()
+        group.cpu_millicores = max(0, self.free_millicores)
+        group.memory_mb = max(0, self.free_memory_mb)
+        group.accelerators = max(0, self.free_accelerators)
+        return group
+
     def has_capacity_for(self, step: specs.StepSpec) -> bool:
         """Return whether there is enough free capacity for a task of a step.
 
--- a/wisteriawood/jobs/jobs.py
+++ b/wisteriawood/jobs/jobs.py
@@ -51,6 +51,8 @@
         next_occurrence: Number of the next occurrence to open.
         occurrences_done: Number of occurrences whose tasks are all done.
         version: Version of its row in the store.
+        moved_from: Cell that it is being moved from; empty once that is
+            stored.
     """
 
     __slots__ = (
@@ -58,6 +60,7 @@
         "bucket",
         "cell",
         "ended_unix_ms",
+        "moved_from",
         "next_occurrence",
         "objective_s",
         "occurrences",
@@ -79,6 +82,7 @@
         self.next_occurrence = 0
         self.occurrences_done = 0
         self.version = 0
+        self.moved_from = ""
         self.accepted_at_s = 0.0
         self.objective_s = specs.objective_s(spec)
 
--- a/wisteriawood/jobs/specs.py
+++ b/wisteriawood/jobs/specs.py
@@ -70,6 +70,7 @@
         runs_before: Number of runs of the lent task before it was lent.
         checkpoint: Checkpoint from which the lent task resumes; empty to
             start from the beginning.
+        moves: How often the job was moved to another cell.
     """
 
     id: str
@@ -83,6 +84,7 @@
     lent_task: str = ""
     runs_before: int = 0
     checkpoint: str = ""
+    moves: int = 0
 
     @property
     def submitted_id(self) -> str:
--- a/wisteriawood/machines/intakes.py
+++ b/wisteriawood/machines/intakes.py
@@ -8,6 +8,7 @@
 
 from wisteriawood.cells import balancers
 from wisteriawood.cells import loads
+from wisteriawood.cells import relocation
 from wisteriawood.cells import tables
 from wisteriawood import errors
 from wisteriawood.jobs import jobs
@@ -249,8 +250,9 @@
         """Return the cell for a job, and the load of the cell.
 
         The balancer chooses among the cells that have workers and a live
-        holder. If the job names racks and the cell in their zone is one of
-        these, it is the only candidate.
+        holder, and of these among the ones that can run all steps, if any. If
+        the job names racks and the cell in their zone is one of them, it is
+        the only candidate.
 
         Returns:
             The cell and its load; None as the load if no cell has both
@@ -273,6 +275,11 @@
         open_cells = [name for name in with_workers if name in live_loads]
         if not open_cells:
             return (with_workers or names)[0], None
+        open_cells = [
+            name
+            for name in open_cells
+            if relocation.can_ever_run_all(live_loads[name], spec)
+        ] or open_cells
         if near and open_cells[0] == names[0]:
             open_cells = names[:1]
         hosts = self._host.members.count_live_hosts()
--- a/wisteriawood/standins/job_worlds.py
+++ b/wisteriawood/standins/job_worlds.py
@@ -57,6 +57,7 @@
 
     __slots__ = (
         "_group",
+        "_lost_workers",
         "_scopes",
         "failing_workers",
         "hosts",
@@ -78,6 +79,7 @@
     ):
         self._group = group
         self._scopes: dict[str, anyio.CancelScope] = {}
+        self._lost_workers: set[str] = set()
         self.zones = list(zones)
         self.store = stores.MemoryStore()
         self.work_s: dict[str, float] = {}
@@ -120,13 +122,15 @@
         self.publish_directory()
         return anyio.current_time()
 
-    def add_worker(self, name: str, zone: str) -> None:
+    def add_worker(self, name: str, zone: str, **fields) -> None:
         """Add a worker and publish the directory.
 
         Args:
             name: Id of the worker.
             zone: Availability zone of the worker.
+            **fields: Other fields of its entry in the directory.
         """
+        values = {"cpu_millicores": 16000, "memory_mb": 64000}
         worker = run_standins.MemoryWorker(
             registration=runners.Registration(
                 worker_id=name,
@@ -134,8 +138,7 @@
                 address=f"10.0.0.1:{FIRST_PORT + len(self.workers)}",
                 zone=zone,
                 rack=f"rack-{zone}",
-                cpu_millicores=16000,
-                memory_mb=64000,
+                **(values | fields),
             ),
             work_s=self._work_s,
             outcome_of=lambda _task, _run: (
@@ -164,7 +167,7 @@
         fleet = {
             name: worker.registration
             for name, worker in self.workers.items()
-            if name not in missing
+            if name not in missing and name not in self._lost_workers
         }
         for name, host in self.hosts.items():
             if name not in self.outdated_hosts:
@@ -275,6 +278,20 @@
         for worker in self.workers.values():
             worker.cut_from.clear()
 
+    def lose_worker(self, name: str) -> None:
+        """Let a worker crash for good; its entry is removed later.
+
+        Args:
+            name: Id of the worker.
+        """
+        self.workers[name].crash()
+        self._group.start_soon(self._remove_entry, name)
+
+    async def _remove_entry(self, name: str) -> None:
+        await anyio.sleep(DIRECTORY_SILENCE_S)
+        self._lost_workers.add(name)
+        self.publish_directory()
+
     def holder_of(self, cell: str) -> str:
         """Return the host that holds a cell; empty for none.
 
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -284,6 +284,11 @@
     "task-lent",
     "A long-running task did not fit in its cell and was lent to another.",
 )
+JOB_MOVED = events.define(
+    2114,
+    "job-moved",
+    "A job of which nothing could run in its cell is moved to another.",
+)
 CELL_LOAD = events.define(
     2112,
     "cell-load",
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -12,6 +12,7 @@
 from wisteriawood.cells import leases
 from wisteriawood.cells import runs
 from wisteriawood.cells import worker_directories
+from wisteriawood.cells import worker_groups
 from wisteriawood.cells import workers as run_workers
 from wisteriawood.contracts import grants
 from wisteriawood.contracts import holdings
@@ -401,6 +402,16 @@
     return worker
 
 
+def make_group(*, cores=16, workers=1, memory_mb=64000, **fields):
+    """Return a group of workers with equal capacity."""
+    return worker_groups.WorkerGroup(
+        workers=workers,
+        cpu_millicores=int(cores * 1000),
+        memory_mb=memory_mb,
+        **fields,
+    )
+
+
 def make_cell(fleet=()):
     """Return a cell with some workers; its commands are not sent."""
     claim = claims.Claim(
--- a/wisteriawood/tests/cells_tests.py
+++ b/wisteriawood/tests/cells_tests.py
@@ -6,7 +6,7 @@
 import anyio
 
 from wisteriawood.cells import claims
-from wisteriawood.cells import lending
+from wisteriawood.cells import relocation
 from wisteriawood.cells import tables
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
@@ -371,16 +371,17 @@
 
         loads = {
             "shop@b": claims.CellLoad(
-                free_millicores=-5000, largest_free_millicores=9500
+                free_millicores=-5000, free=[builders.make_group(cores=9.5)]
             ),
             "shop@c": claims.CellLoad(
-                free_millicores=40000, largest_free_millicores=8000
+                free_millicores=40000,
+                free=[builders.make_group(cores=8, workers=5)],
             ),
         }
         step = _step(cpu_millicores=9000, is_standing=True)
-        self.assertEqual(lending.choose_cell(loads, step), "shop@b")
+        self.assertEqual(relocation.choose_cell(loads, step), "shop@b")
         step.cpu_millicores = 10000
-        self.assertEqual(lending.choose_cell(loads, step), "")
+        self.assertEqual(relocation.choose_cell(loads, step), "")
 
     def test_many_waiting_tasks_are_all_lent_soon(self):
         """Regression: some of many waiting tasks were never lent.
