Test jobs with more lent tasks than a transaction has entries

Cause: ending a job wrote one row for each lent task in the transaction of its own row, 112 entries where the store takes 100. The rows of loans themselves added up in the same way while a transaction waited for the store.

These tests hold that down: a cancellation, a failure, and a store that is down while the tasks are lent.

--- a/wisteriawood/tests/lending_tests.py
+++ b/wisteriawood/tests/lending_tests.py
@@ -20,6 +20,11 @@
 FOREVER_S = 100_000.0
 # Time in which the tasks of a cancelled job are stopped.
 STOP_BOUND_S = 1.0
+# Tasks of a job, and how many of them don't fit in its own zone.
+MANY = 126
+MANY_LENT = 110
+# Time in which so many tasks are lent and started.
+LEND_BOUND_S = 8.0
 RETENTION_S = 15.0
 # Duration of a cut that outlasts the retention of ended jobs.
 LONG_CUT_S = RETENTION_S + 20.0
@@ -153,6 +158,61 @@
         builders.run_job_world(_check)
 
 
+class ManyLentTasksTests(cells_tests.SingleRunCase):
+    """Most tasks of a job are lent, more than a transaction has entries."""
+
+    def _run(self, check, *, outage_s=0.0, extra_steps=()):
+        async def _main(world):
+            world.add_worker("home", "a")
+            world.add_worker("away", "b", cpu_millicores=500_000)
+            await anyio.sleep(2)
+            world.work_s[JOB] = FOREVER_S
+            many = _step(task_count=MANY, cpu_millicores=1000)
+            many.is_standing = True
+            await world.submit_to(CELL, JOB, [many, *extra_steps])
+            await anyio.sleep(1.2)
+            if outage_s:
+                world.store.is_down = True
+                await anyio.sleep(outage_s)
+                world.store.is_down = False
+            await anyio.sleep(LEND_BOUND_S)
+            self.assertEqual(len(world.running("a")), MANY - MANY_LENT)
+            self.assertEqual(len(world.running("b")), MANY_LENT)
+            await check(world)
+            self.assertEqual(world.running(), {})
+            self.assertEqual(world.store.rejected, 0)
+            self.check_single_runs(world)
+
+        builders.run_job_world(_main, workers_per_zone=0)
+
+    async def _cancel(self, world):
+        await world.intake().cancel(JOB, 3.0)
+        await anyio.sleep(STOP_BOUND_S)
+
+    def test_the_job_is_cancelled(self):
+        """Regression: UNASKED, its transaction had over 100 entries."""
+        self._run(self._cancel)
+
+    def test_the_store_was_down_while_they_were_lent(self):
+        """Guards against rows of loans that add up while none is stored."""
+        self._run(self._cancel, outage_s=4.0)
+
+    def test_the_job_fails(self):
+        async def _check(world):
+            await world.wait_for(JOB, jobs.JobState.FAILED)
+            await anyio.sleep(STOP_BOUND_S)
+
+        failing = _step(cpu_millicores=1, required_label="fails")
+
+        async def _fail(world):
+            world.failing_workers.add("fails")
+            world.work_s[f"{JOB}.0.1.0"] = 0.1
+            world.add_worker("fails", "a", cpu_millicores=1, labels=["fails"])
+            await _check(world)
+
+        self._run(_fail, extra_steps=[failing])
+
+
 def _job_rows(world):
     """Return the rows of jobs, specifications and cancellations."""
     of_hosts = {tables.HOSTS, tables.CLAIMS, tables.WEIGHTS}
