--- a/wisteriawood/platform/standins.py
+++ b/wisteriawood/platform/standins.py
@@ -203,7 +203,7 @@
             | {_decode_key(r): None for r in body["remove"]},
         )
         try:
-            return {"ver": self._store.apply(change)}
+            return {"ver": self._store.commit(change)}
         except stores.ChangeRejectedError as exc:
             raise StatusError(status=400) from exc
         except stores.ChangeConflictError as exc:
--- a/wisteriawood/standins/stores.py
+++ b/wisteriawood/standins/stores.py
@@ -76,18 +76,28 @@
         """
         return MemoryStoreLink(store=self, host=host)
 
-    def apply(self, change: stores.Change) -> int:
-        """Apply a change and return the version of its rows.
+    def commit(self, change: stores.Change) -> int:
+        """Commit a change of a host and return the version of its rows.
 
         Raises:
             ChangeConflictError: A row does not have the expected version.
-            ChangeRejectedError: The change is too large or spans several
-                partitions.
+            ChangeRejectedError: The change exceeds a limit of the platform.
         """
         reason = _reason_to_reject(change)
         if reason:
             self.rejected += 1
             raise stores.ChangeRejectedError(reason)
+        return self.apply(change)
+
+    def apply(self, change: stores.Change) -> int:
+        """Apply a change within or beyond the limits.
+
+        Returns:
+            The version of its rows.
+
+        Raises:
+            ChangeConflictError: A row does not have the expected version.
+        """
         found = [
             self.rows.get(at, stores.StoredRow(at=at, value=None, version=0))
             for at in change.expected
@@ -190,11 +200,11 @@
             store.lost_answers -= 1
             await anyio.sleep(store.lost_answer_delay_s)
             try:
-                store.apply(change)
+                store.commit(change)
             finally:
                 await anyio.sleep(CALL_TIMEOUT_S)
             raise errors.TransactionUnknownError("the answer was lost")
-        return store.apply(change)
+        return store.commit(change)
 
     async def read(
         self, table: str, part: str, *, key: str = "", prefix: str = ""
