Use the newest entry of a worker that left between two polls

What callers would see: a standing task doesn't run for up to 18 s after its worker has drained and left while its cell changes the holder.

Cause: a standby polls the directory every 4 s, and a worker drains for 2 s. A new holder can learn of the notice and of the removal from one answer. It kept the older entry, so the worker counted as silent instead of gone, and its runs waited for the leases that the former holder may have granted.

Why this works: the directory remembers the entry that was removed, with the notice; the session now judges by that entry.

--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -338,6 +338,11 @@
                 self._log_draining(worker)
         for worker_id, worker in self.cell.fleet.items():
             if worker_id not in fleet and not worker.is_gone:
+                removed = self.cell.directory.removed_entry(worker_id)
+                if removed is not None:
+                    # It may be newer than the entry known here: a worker can
+                    # drain and leave between two polls of a standby.
+                    worker.update(removed)
                 worker.is_gone = True
                 _LOG.log(
                     job_events.RUN_WORKER_DELISTED,
--- a/wisteriawood/tests/leaving_tests.py
+++ b/wisteriawood/tests/leaving_tests.py
@@ -7,12 +7,14 @@
 import dataclasses
 import math
 import unittest
+from unittest import mock
 
 import anyio
 
 from wisteriawood.cells import worker_directories
 from wisteriawood.jobs import specs
 from wisteriawood.links import version_times
+from wisteriawood.platform import worker_followers
 from wisteriawood.tests import builders
 from wisteriawood.tests import directory_builders
 
@@ -31,7 +33,7 @@
 class LeavingWorkerTests(unittest.TestCase):
     """A task runs on a worker that leaves the directory."""
 
-    def _run(self, check, **fields):
+    def _run(self, check, *, drains=True, **fields):
         async def _main(world, directory):
             world.work_s[JOB] = 60.0
             step = specs.StepSpec(
@@ -40,8 +42,9 @@
             await world.submit(JOB, [step])
             await anyio.sleep(2)
             (name,) = (n for n, w in world.workers.items() if w.runs)
-            directory.drain(name)
-            await anyio.sleep(2.4)
+            if drains:
+                directory.drain(name)
+                await anyio.sleep(2.4)
             await check(world, directory, name)
 
         directory_builders.run_followed_world(
@@ -102,6 +105,38 @@
 
         self._run(_check, hosts_per_zone=1)
 
+    def test_task_of_a_worker_that_left_between_two_polls(self):
+        """Regression: LOST, a new holder did not know that a worker drained.
+
+        It learns of the notice and of the removal from the same answer.
+        """
+
+        async def _check(world, directory, name):
+            standby = next(
+                n for n in world.hosts if n != world.holder_of(CELL)
+            )
+            feed = directory.followers[standby].feed
+            polled_at_s = feed.answered_at_s
+            while feed.answered_at_s == polled_at_s:
+                await anyio.sleep(0.05)
+            holder = world.holder_of(CELL)
+            world.store.cut_hosts.add(holder)
+            directory.drain(name)
+            await anyio.sleep(2.4)
+            left_at_s = directory.leave(name)
+            while world.holder_of(CELL) != standby:
+                await anyio.sleep(0.01)
+            self.assertLess(feed.answered_at_s, left_at_s)
+            await anyio.sleep(TAKEOVER_BOUND_S)
+            self.assertEqual(len(self._restarts(world, name)), 1)
+
+        # The answer comes after the cell has been opened.
+        with (
+            mock.patch.object(worker_followers, "STANDBY_POLL_PAUSE_S", 4.0),
+            mock.patch.object(worker_followers.WorkerFollower, "_poll_now"),
+        ):
+            self._run(_check, drains=False)
+
     def test_task_of_a_draining_worker_that_fell_silent(self):
         """Guards against two runs of a task whose worker is only cut off."""
 
