End the wait of a new holder once the former one is known to have ended

Callers saw: a worker is lost, and 0.5 s later the host that manages its zone loses power for 3.5 s.

Cause: whether the former holder may still renew leases was looked up once, at the claim. A host without power looks like one that is cut off from the store, so its successor waited 12 s longer than the lease, whatever became known later.

Why this works: heartbeats tell which former processes of a host have ended and which claims it has given up. The first heartbeat waits until that of the former process has been read. The wait ends one lease after the end of the former holder, which is before the start of the new process, whose age the heartbeat tells, or when it was written that the cell was given up. Another incarnation alone is no longer taken as proof, since a late write of an older process looks the same. A host that stays silent is waited for as before.

--- a/wisteriawood/cells/claims.py
+++ b/wisteriawood/cells/claims.py
@@ -158,6 +158,10 @@
         is_leaving: Whether it is draining.
         cores: CPU that it may use, in cores; 0 if unknown.
         period_s: Time until its next heartbeat; 0 if unknown.
+        age_s: For how long its process has run.
+        ended: Incarnations of former processes of the host, which have ended.
+        given_up: Versions of the claims under which it no longer holds a
+            cell, by cell.
     """
 
     zone: bounds.Name
@@ -169,6 +173,11 @@
     is_leaving: bool = False
     cores: bounds.Measure = 0.0
     period_s: bounds.Measure = 0.0
+    age_s: bounds.Measure = 0.0
+    ended: list[bounds.Name] = dataclasses.field(default_factory=list)
+    given_up: dict[bounds.Name, bounds.Number] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def read_heartbeat(row: stores.StoredRow) -> HostHeartbeat:
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -6,9 +6,9 @@
 from anyio import abc
 
 from wisteriawood.cells import cells
-from wisteriawood.cells import claims
 from wisteriawood.cells import command_senders
 from wisteriawood.cells import evacuations
+from wisteriawood.cells import former_holders
 from wisteriawood.cells import job_writers
 from wisteriawood.cells import leases
 from wisteriawood.cells import lending
@@ -38,9 +38,6 @@
 # Longest duration of one poll of the submissions or the cancellations; without
 # new rows, the known cancellations get as old as this.
 JOBS_POLL_S = 1.0
-# Time for which a former holder that can't reach the store may continue to
-# renew leases.
-RENEW_WITHOUT_STORE_S = 12.0
 EXPIRY_PERIOD_TICKS = 40
 LOAD_LOG_PERIOD_TICKS = 8
 
@@ -56,7 +53,7 @@
         dial: Opens the link to a worker.
         lease_s: Duration of the workers' leases.
         retention_s: Time for which the state of an ended job can be queried.
-        former_may_renew: Whether the former holder may still renew leases.
+        former: The former holder, which may still renew leases.
 
     Attributes:
         cell: The cell.
@@ -67,7 +64,7 @@
     __slots__ = (
         "_dial",
         "_filler_pacer",
-        "_former_leases_lapsed_at_s",
+        "_former",
         "_group",
         "_held_since_s",
         "_lease_s",
@@ -89,17 +86,14 @@
         dial: Dial,
         lease_s: float,
         retention_s: float,
-        former_may_renew: bool,
+        former: former_holders.FormerHolder,
     ):
         self.cell = cell
         self._zones = zones
         self._dial = dial
         self._lease_s = lease_s
         self._retention_s = retention_s
-        lapse_s = lease_s * leases.CLOCK_DRIFT_RATIO + leases.LAPSE_MARGIN_S
-        if former_may_renew:
-            lapse_s += RENEW_WITHOUT_STORE_S
-        self._former_leases_lapsed_at_s = anyio.current_time() + lapse_s
+        self._former = former
         self._group: abc.TaskGroup | None = None
         self._held_since_s = anyio.current_time()
         self._filler_pacer = pacers.FillerPacer(cell=cell)
@@ -381,10 +375,7 @@
             registration=registration,
             link=self._dial(registration),
             token=cell.claim.epoch * TOKENS_PER_EPOCH,
-            lease=leases.Lease(
-                length_s=self._lease_s,
-                lapsed_at_s=self._former_leases_lapsed_at_s,
-            ),
+            lease=leases.Lease(length_s=self._lease_s, former=self._former),
         )
         cell.fleet[worker.id] = worker
         worker_sessions.adopt_runs(worker, cell.orphans.pop(worker.id, []))
@@ -402,7 +393,9 @@
             await anyio.sleep(TICK_PERIOD_S)
             self._ticks += 1
             self.cell.open_occurrences()
+            self._former.update()
             self._drop_orphans()
+            self._drop_lapsed_runs()
             self._filler_pacer.tick()
             self._relocator.tick()
             evacuations.evacuate(self.cell, anyio.current_time())
@@ -436,13 +429,20 @@
             },
         )
 
+    def _drop_lapsed_runs(self) -> None:
+        """Drop the runs of workers whose leases have lapsed."""
+        now_s = anyio.current_time()
+        for worker in self.cell.fleet.values():
+            if worker.runs and worker.lease.has_lapsed(now_s):
+                worker_sessions.drop_runs(self.cell, worker, "lease lapsed")
+
     def _drop_orphans(self) -> None:
         """Drop the runs of workers that were never listed.
 
         This waits until the leases that the former holder may have granted
         have lapsed.
         """
-        if anyio.current_time() < self._former_leases_lapsed_at_s:
+        if anyio.current_time() < self._former.lapsed_at_s:
             return
         for worker_id in list(self.cell.orphans):
             for run in self.cell.orphans.pop(worker_id):
@@ -493,21 +493,3 @@
             _LOG.log(job_events.JOB_NOT_REMOVED, job=job.id, cause=str(exc))
             return True
         return bool(page.rows)
-
-
-def former_may_renew(
-    previous: claims.Claim | None, heartbeats: dict[str, claims.HostHeartbeat]
-) -> bool:
-    """Return whether the former holder may still renew leases.
-
-    Args:
-        previous: The former holder's claim; None if there was none.
-        heartbeats: Newest heartbeat of each host, by name.
-    """
-    if previous is None or not previous.row.holder:
-        return False
-    heartbeat = heartbeats.get(previous.row.holder)
-    # Another incarnation means that the former process has ended.
-    return (
-        heartbeat is None or heartbeat.incarnation == previous.row.incarnation
-    )
--- a/wisteriawood/cells/leases.py
+++ b/wisteriawood/cells/leases.py
@@ -1,5 +1,10 @@
 """The lease of a worker, as its holder tracks it."""
 
+import typing
+
+if typing.TYPE_CHECKING:
+    from wisteriawood.cells import former_holders
+
 # Highest ratio of the time here to the time on a worker's monotonic clock;
 # the platform limits the drift to 2%.
 CLOCK_DRIFT_RATIO = 1.02
@@ -13,30 +18,37 @@
 
     Args:
         length_s: Duration of the lease from each renewal.
-        lapsed_at_s: Monotonic time at which the lease that a former holder
-            may have granted has lapsed.
+        former: The former holder, which may have granted a lease as well;
+            None if there was none.
 
     Attributes:
         granted_until_ms: Latest end granted so far, in milliseconds of the
             worker's clock.
-        lapsed_at_s: Monotonic time from which the lease has certainly
-            ended.
+        lapsed_at_s: Monotonic time from which the leases granted here have
+            certainly ended.
     """
 
     __slots__ = (
         "_clock_at_s",
         "_clock_ms",
+        "_former",
         "granted_until_ms",
         "lapsed_at_s",
         "length_s",
     )
 
-    def __init__(self, *, length_s: float, lapsed_at_s: float):
+    def __init__(
+        self,
+        *,
+        length_s: float,
+        former: "former_holders.FormerHolder | None" = None,
+    ):
         self.length_s = length_s
         self._clock_ms = 0
         self._clock_at_s = 0.0
         self.granted_until_ms = 0
-        self.lapsed_at_s = lapsed_at_s
+        self._former = former
+        self.lapsed_at_s = 0.0
 
     def record_clock(self, clock_ms: int, now_s: float) -> None:
         """Record a reading of the worker's clock.
@@ -92,4 +104,5 @@
         Args:
             now_s: Monotonic time.
         """
-        return now_s >= self.lapsed_at_s
+        former_s = self._former.lapsed_at_s if self._former else 0.0
+        return now_s >= max(self.lapsed_at_s, former_s)
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -1,5 +1,8 @@
 """A host's view of the other hosts and of the holders of cells."""
 
+import math
+import typing
+
 import anyio
 
 from wisteriawood.cells import claims
@@ -38,6 +41,11 @@
 MAX_OWN_HEARTBEAT_AGE_S = STANDBY_HEARTBEAT_PERIOD_S + SLOW_WRITE_S
 # A host with at least this multiple of another's cores counts as stronger.
 STRONGER_CORES_RATIO = 1.5
+# Time for which heartbeats tell what has ended. Longer than any wait for the
+# leases of a former holder.
+ENDED_REPORT_S = 60.0
+# Most former processes of a host that its heartbeats name.
+MAX_ENDED = 4
 # Pause of the heartbeat feed between calls, so that one answer brings
 # several heartbeats.
 HEARTBEAT_FEED_PAUSE_S = 0.5
@@ -51,15 +59,21 @@
     Attributes:
         heartbeat: The newest heartbeat.
         heartbeat_seen_at_s: Monotonic time at which it was first seen.
+        written_by_s: Monotonic time by which it was certainly written.
     """
 
-    __slots__ = ("heartbeat", "heartbeat_seen_at_s")
+    __slots__ = ("heartbeat", "heartbeat_seen_at_s", "written_by_s")
 
     def __init__(
-        self, *, heartbeat: claims.HostHeartbeat, heartbeat_seen_at_s: float
+        self,
+        *,
+        heartbeat: claims.HostHeartbeat,
+        heartbeat_seen_at_s: float,
+        written_by_s: float,
     ):
         self.heartbeat = heartbeat
         self.heartbeat_seen_at_s = heartbeat_seen_at_s
+        self.written_by_s = written_by_s
 
 
 class Members:
@@ -71,6 +85,7 @@
         zone: Its availability zone.
         incarnation: Identifier of its process.
         cores: CPU that it may use, in cores; 0 if unknown.
+        process_age_s: For how long its process has run already.
         times: Records the answers of the store; None for no record.
         supervisor: Records unexpected errors; None to only log them.
 
@@ -81,27 +96,35 @@
         heartbeat_period_s: Time until this host's next heartbeat.
         by_name: Hosts by name.
         claims: Newest known claim of each cell.
+        has_read_heartbeats: Set once the heartbeats have been read, the one of
+            the former process of this host included.
         claim_feed: Feed of the claims.
         heartbeat_feed: Feed of the heartbeats.
+        on_ended: Called when a former process of this host becomes known.
     """
 
     __slots__ = (
         "_claim_seen_at_s",
+        "_ended",
         "_first_written_at_s",
+        "_given_up",
         "_heartbeat_count",
         "_loads",
+        "_started_at_s",
         "_store",
         "_times",
         "by_name",
         "claim_feed",
         "claims",
         "cores",
+        "has_read_heartbeats",
         "heartbeat_feed",
         "heartbeat_period_s",
         "heartbeat_written_at_s",
         "incarnation",
         "is_leaving",
         "name",
+        "on_ended",
         "zone",
     )
 
@@ -113,6 +136,7 @@
         zone: str,
         incarnation: str,
         cores: float = 0.0,
+        process_age_s: float = 0.0,
         times: version_times.VersionTimes | None = None,
         supervisor: supervision.Supervisor | None = None,
     ):
@@ -123,6 +147,12 @@
         self.heartbeat_period_s = STANDBY_HEARTBEAT_PERIOD_S
         self._loads: dict[str, claims.CellLoad] = {}
         self._claim_seen_at_s: dict[str, float] = {}
+        self._started_at_s = anyio.current_time() - process_age_s
+        # Incarnations of former processes of this host, the newest last.
+        self._ended: list[str] = []
+        self.on_ended: typing.Callable[[], None] = lambda: None
+        # Monotonic times and versions of the claims given up, by cell.
+        self._given_up: dict[str, tuple[float, int]] = {}
         self.name = name
         self.zone = zone
         self.incarnation = incarnation
@@ -131,6 +161,7 @@
         self.heartbeat_written_at_s = 0.0
         self.by_name: dict[str, Member] = {}
         self.claims: dict[str, claims.Claim] = {}
+        self.has_read_heartbeats = anyio.Event()
         self.claim_feed = feeds.Feed(
             store=store,
             table=tables.CLAIMS,
@@ -143,6 +174,7 @@
             table=tables.HOSTS,
             on_rows=self._process_heartbeats,
             pause_s=self._feed_pause_s,
+            on_answer=self._note_answer,
             times=self._times,
             supervisor=supervisor,
         )
@@ -175,11 +207,58 @@
         Args:
             claim: The claim.
         """
+        if claim.row.holder == self.name:
+            self._record_incarnation(claim.row.incarnation)
         known = self.claims.get(claim.cell)
         if known is None or known.version < claim.version:
             self.claims[claim.cell] = claim
             self._claim_seen_at_s[claim.cell] = anyio.current_time()
 
+    def _note_answer(self) -> None:
+        self.has_read_heartbeats.set()
+
+    def _record_incarnation(self, incarnation: str) -> None:
+        """Record a process that wrote under the name of this host.
+
+        Any other than this one has ended before this one started.
+        """
+        if incarnation != self.incarnation and incarnation not in self._ended:
+            self._ended = [*self._ended, incarnation][-MAX_ENDED:]
+            self.on_ended()
+
+    def record_given_up(self, claim: claims.Claim) -> None:
+        """Record that this host no longer holds a cell under a claim.
+
+        Args:
+            claim: The claim.
+        """
+        self._given_up[claim.cell] = (anyio.current_time(), claim.version)
+
+    def hold_ended_at_s(self, claim: claims.Claim) -> float:
+        """Return when a holder had certainly stopped to renew leases.
+
+        Args:
+            claim: Its claim.
+
+        Returns:
+            Monotonic time; infinite if the holder may still go on.
+        """
+        host = claim.row.holder
+        if host == self.name and claim.row.incarnation != self.incarnation:
+            return self._started_at_s
+        member = self.by_name.get(host)
+        if member is None:
+            return math.inf
+        heartbeat = member.heartbeat
+        if claim.row.incarnation in heartbeat.ended:
+            return member.written_by_s - heartbeat.age_s
+        if (
+            heartbeat.incarnation == claim.row.incarnation
+            and heartbeat.given_up.get(claim.cell, 0) >= claim.version
+        ):
+            return member.written_by_s
+        return math.inf
+
     def _process_heartbeats(self, rows: list[stores.StoredRow]) -> None:
         now_s = anyio.current_time()
         for row in rows:
@@ -192,11 +271,15 @@
                     cause=str(exc),
                 )
                 continue
+            if row.at.key == self.name:
+                self._record_incarnation(heartbeat.incarnation)
             known = self.by_name.get(row.at.key)
             if known is not None and not _is_newer(heartbeat, known.heartbeat):
                 continue
             self.by_name[row.at.key] = Member(
-                heartbeat=heartbeat, heartbeat_seen_at_s=now_s
+                heartbeat=heartbeat,
+                heartbeat_seen_at_s=now_s,
+                written_by_s=now_s - self._times.known_for_s(row.version),
             )
             for cell, load in heartbeat.cells.items():
                 last = self._loads.get(cell)
@@ -360,6 +443,8 @@
             Whether the store has accepted it.
         """
         self._heartbeat_count += 1
+        now_s = anyio.current_time()
+        age_s = now_s - self._started_at_s
         row = claims.HostHeartbeat(
             zone=self.zone,
             incarnation=self.incarnation,
@@ -368,6 +453,13 @@
             is_leaving=self.is_leaving,
             cores=self.cores,
             period_s=self.heartbeat_period_s,
+            age_s=math.floor(age_s * 10) / 10,
+            ended=self._ended if age_s < ENDED_REPORT_S else [],
+            given_up={
+                cell: version
+                for cell, (ended_at_s, version) in self._given_up.items()
+                if now_s - ended_at_s < ENDED_REPORT_S
+            },
         )
         change = stores.Change(
             writes={tables.host_row(self.name): claims.heartbeat_to_bytes(row)}
--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -135,8 +135,6 @@
                 cause=str(cause),
                 silent_s=round(anyio.current_time() - worker.answered_at_s, 3),
             )
-        if worker.lease.has_lapsed(anyio.current_time()):
-            self._drop_runs("lease lapsed")
 
     async def _renew(self) -> None:
         worker = self._worker
@@ -292,27 +290,34 @@
         # from accepting a start that was sent to the former process.
         worker.token += 1
 
-    def _drop_runs(self, cause: str) -> None:
-        worker = self._worker
-        for run in list(worker.runs.values()):
-            _LOG.log(
-                job_events.RUN_DROPPED,
-                worker=worker.id,
-                task=run.name,
-                run=run.number,
-                cause=cause,
-            )
-            self._cell.end_run(worker, run, tasks.Outcome.LAPSED)
-        self._cell.request_placement()
-
     def _end_session(self) -> None:
         worker = self._worker
-        self._drop_runs("worker left")
+        drop_runs(self._cell, worker, "worker left")
         self._cell.fleet.pop(worker.id, None)
         worker.close()
         _LOG.log(job_events.RUN_WORKER_GONE, worker=worker.id)
 
 
+def drop_runs(cell: cells.Cell, worker: workers.Worker, cause: str) -> None:
+    """Record the runs of a worker on which nothing can run any more.
+
+    Args:
+        cell: The cell of the worker.
+        worker: The worker.
+        cause: Why, for the log.
+    """
+    for run in list(worker.runs.values()):
+        _LOG.log(
+            job_events.RUN_DROPPED,
+            worker=worker.id,
+            task=run.name,
+            run=run.number,
+            cause=cause,
+        )
+        cell.end_run(worker, run, tasks.Outcome.LAPSED)
+    cell.request_placement()
+
+
 def adopt_runs(worker: workers.Worker, adopted: list[runs.Run]) -> None:
     """Reserve capacity for the runs that a former holder assigned.
 
--- a/wisteriawood/links/version_times.py
+++ b/wisteriawood/links/version_times.py
@@ -4,6 +4,8 @@
 import dataclasses
 import math
 
+from wisteriawood.links import clocks
+
 # Time for which an answer is remembered: longer than any interval between two
 # changes that is asked for.
 RETENTION_S = 30.0
@@ -58,6 +60,25 @@
         """
         self._answers.clear()
 
+    def known_for_s(self, version: int) -> float:
+        """Return for how long an answer has shown that a change was made.
+
+        Args:
+            version: Version of the change.
+
+        Returns:
+            The time in seconds; 0 if no recorded answer shows it.
+        """
+        now_s = clocks.elapsed_s()
+        return max(
+            (
+                now_s - answer.answered_at_s
+                for answer in self._answers
+                if answer.version >= version
+            ),
+            default=0.0,
+        )
+
     def longest_between_s(self, earlier: int, later: int) -> float:
         """Return the longest time that may lie between two changes.
 
--- a/wisteriawood/machines/heartbeats.py
+++ b/wisteriawood/machines/heartbeats.py
@@ -53,7 +53,12 @@
         return members.PLAIN_HEARTBEAT_PERIOD_S
 
     async def run(self) -> None:
-        """Write heartbeats until cancelled."""
+        """Write heartbeats until cancelled.
+
+        The first one replaces that of the former process of this host, so it
+        waits until that has been read.
+        """
+        await self._members.has_read_heartbeats.wait()
         while True:
             period_s = self._period_s()
             self._members.heartbeat_period_s = period_s
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -10,6 +10,7 @@
 
 from wisteriawood.cells import cells
 from wisteriawood.cells import claims
+from wisteriawood.cells import former_holders
 from wisteriawood.cells import holders
 from wisteriawood.cells import loads
 from wisteriawood.cells import members
@@ -59,6 +60,7 @@
         limits: Its time limits.
         policy: Name of the spreading policy.
         cores: CPU that the host may use, in cores; 0 if unknown.
+        process_age_s: For how long its process has run already.
 
     Attributes:
         directory: The directory of workers.
@@ -105,6 +107,7 @@
         limits: host_limits.HostLimits,
         policy: str = spreading_base.DEFAULT,
         cores: float = 0.0,
+        process_age_s: float = 0.0,
     ):
         self.name = name
         self.zone = zone
@@ -119,7 +122,7 @@
             count=self.counters.count_part_failure
         )
         self.version_times = version_times.VersionTimes()
-        self.members = self._make_members(cores)
+        self.members = self._make_members(cores, process_age_s)
         self.queues: queues.QueueTable | None = None
         self.is_draining = False
         self.directory_need = directory_needs.DirectoryNeed(
@@ -139,17 +142,21 @@
             report=self._report_loads,
             is_holding=self.is_holding,
         )
+        self.members.on_ended = self._heartbeats.send_soon
         self._takeovers = takeovers.Takeovers(
             known_members=self.members, dial=dial, workers_of=self._workers_of
         )
 
-    def _make_members(self, cores: float) -> members.Members:
+    def _make_members(
+        self, cores: float, process_age_s: float
+    ) -> members.Members:
         return members.Members(
             store=self.store,
             name=self.name,
             zone=self.zone,
             incarnation=uuid.uuid4().hex,
             cores=cores,
+            process_age_s=process_age_s,
             times=self.version_times,
             supervisor=self.supervisor,
         )
@@ -308,10 +315,6 @@
             self._group.start_soon(self.release, cell)
 
     async def _claim(self, cell: str, previous: claims.Claim | None) -> None:
-        newest = {
-            name: member.heartbeat
-            for name, member in self.members.by_name.items()
-        }
         try:
             claim = await claims.claim_cell(
                 self.store, cell, previous, self.name, self.members.incarnation
@@ -346,7 +349,11 @@
             dial=self._dial,
             lease_s=self._limits.lease_s,
             retention_s=self._limits.retention_s,
-            former_may_renew=holders.former_may_renew(previous, newest),
+            former=former_holders.FormerHolder(
+                claim=previous,
+                known_members=self.members,
+                lease_s=self._limits.lease_s,
+            ),
         )
         holder.update_fleet(self._workers_of(cell))
         self._holders[cell] = holder
@@ -371,6 +378,8 @@
             if self._holders.get(cell) is holder:
                 del self._holders[cell]
                 del self._scopes[cell]
+            self.members.record_given_up(holder.cell.claim)
+            self._heartbeats.send_soon()
             self.counters.cells_held.set(len(self._holders))
         if has_failed:
             await self._suspend(cell, holder)
--- a/wisteriawood/platform/__main__.py
+++ b/wisteriawood/platform/__main__.py
@@ -3,9 +3,11 @@
 import functools
 import signal
 import sys
+import time
 
 import anyio
 
+import wisteriawood
 from wisteriawood import errors
 from wisteriawood.links import feeds
 from wisteriawood.links import https
@@ -73,6 +75,7 @@
             dial=_dial,
             limits=_host_limits(config),
             cores=config.limits.cpu_share * config.limits.cores,
+            process_age_s=time.monotonic() - wisteriawood.STARTED_AT_S,
         )
         self._intake = intakes.Intake(host=self._host)
         self._front = fronts.Front(host=self._host, intake=self._intake)
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -395,7 +395,7 @@
         ),
         link=None,
         token=1,
-        lease=leases.Lease(length_s=6.0, lapsed_at_s=0.0),
+        lease=leases.Lease(length_s=6.0),
     )
     worker.started_unix_ms = 1
     worker.answered_at_s = now_s
--- a/wisteriawood/tests/directory_builders.py
+++ b/wisteriawood/tests/directory_builders.py
@@ -71,6 +71,10 @@
     def restart_host(self, name, zone):
         """Kill a host and start it again at once."""
         self._world.kill_host(name)
+        self.start_host(name, zone)
+
+    def start_host(self, name, zone):
+        """Start a host that was killed."""
         self._world.start_host(name, zone)
         self._follow(self._world.hosts[name])
 
--- a/wisteriawood/tests/leaving_tests.py
+++ b/wisteriawood/tests/leaving_tests.py
@@ -25,6 +25,11 @@
 # The same if the holder of the cell is lost in the same moment: the time
 # until another host notices it is added.
 TAKEOVER_BOUND_S = RESTART_BOUND_S + 3.0
+# Time without power of a host.
+HOST_OUTAGE_S = 3.5
+# Longest time without a run of a task whose worker and holder were lost
+# together, if the holder is back after HOST_OUTAGE_S.
+LOST_BOUND_S = 11.0
 # No wait; two readings of the clock at once may differ by microseconds.
 NOW_S = -0.001
 ONE_ZONE = {"zones": ["a"], "hosts_per_zone": 2, "workers_per_zone": 2}
@@ -137,6 +142,59 @@
         ):
             self._run(_check, drains=False)
 
+    def test_worker_and_holder_are_lost_and_the_holder_restarts(self):
+        """Regression: LOST, the task waited 18 s after the takeover."""
+
+        async def _check(world, directory, name):
+            lost_at_s = anyio.current_time()
+            world.workers[name].crash()
+            directory.stop_writing(name)
+            holder = world.holder_of(CELL)
+            await anyio.sleep(0.5)
+            world.kill_host(holder)
+            await anyio.sleep(HOST_OUTAGE_S)
+            directory.start_host(holder, "a")
+            await anyio.sleep(10)
+            (restarted_at_s,) = self._restarts(world, name)
+            self.assertLess(restarted_at_s - lost_at_s, LOST_BOUND_S)
+
+        self._run(_check, drains=False)
+
+    def test_worker_is_lost_while_its_holder_is_cut_off_for_a_while(self):
+        """Regression: LOST, the task waited 18 s after the takeover."""
+
+        async def _check(world, directory, name):
+            holder = world.holder_of(CELL)
+            world.store.cut_hosts.add(holder)
+            await anyio.sleep(2)
+            lost_at_s = anyio.current_time()
+            world.workers[name].crash()
+            directory.stop_writing(name)
+            await anyio.sleep(2)
+            world.store.cut_hosts.discard(holder)
+            await anyio.sleep(10)
+            self.assertNotEqual(world.holder_of(CELL), holder)
+            (restarted_at_s,) = self._restarts(world, name)
+            self.assertLess(restarted_at_s - lost_at_s, LOST_BOUND_S)
+
+        self._run(_check, drains=False)
+
+    def test_worker_is_cut_off_from_its_new_holder_only(self):
+        """Guards against a second run while the former holder renews."""
+
+        async def _check(world, directory, name):
+            holder = world.holder_of(CELL)
+            worker = world.workers[name]
+            world.store.cut_hosts.add(holder)
+            worker.cut_from.update(world.hosts.keys() - {holder})
+            await directory.fall_silent(name)
+            while worker.runs:
+                self.assertEqual(self._restarts(world, name), [])
+                await anyio.sleep(0.1)
+            self.assertNotEqual(world.holder_of(CELL), holder)
+
+        self._run(_check, drains=False)
+
     def test_task_of_a_draining_worker_that_fell_silent(self):
         """Guards against two runs of a task whose worker is only cut off."""
 
--- a/wisteriawood/tests/relocation_tests.py
+++ b/wisteriawood/tests/relocation_tests.py
@@ -57,8 +57,15 @@
             self.assertEqual(set(world.running().values()), {"lost"})
             world.lose_worker("lost")
             await anyio.sleep(RESTART_BOUND_S)
-            self.assertEqual(len(world.running("b")), step.task_count)
-            if not step.is_standing:
+            restarted = [
+                task
+                for task, starts in world.starts().items()
+                if max(starts)[2] in ("b0", "b1")
+            ]
+            self.assertEqual(len(restarted), step.task_count)
+            if step.is_standing:
+                self.assertEqual(len(world.running("b")), step.task_count)
+            else:
                 await world.wait_for(JOB, jobs.JobState.COMPLETED)
                 self.check_single_runs(world)
 
