Count jobs as pending until a worker has started a task of them

Cause: a job counts as running from the choice of a worker for its first task. If that worker has just been lost, nothing starts until its lease has lapsed, and the count has the queued jobs only.

The new test failed before.

Why this works: the count has the jobs of which no worker is known to have started a task, whatever was assigned. A new holder derives that from the rows and rather counts one too many.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -36,7 +36,7 @@
 INTAKE_IDLE_S = 5.0
 # Pause between two placement passes.
 PLACEMENT_PAUSE_S = 0.02
-# Time for which a queued job that moved away is still reported here; the other
+# Time for which a pending job that moved away is reported here; the other
 # cell reports it with its next heartbeat.
 MOVED_REPORT_S = 2.0
 # Runs that the log line of one placement pass lists at most.
@@ -133,7 +133,7 @@
         self.model = interference_models.InterferenceModel()
         self._placer = placers.Placer(policy=policy, model=self.model)
         self._waiting: dict[str, tuple[jobs.Job, list[list[tasks.Task]]]] = {}
-        # Monotonic times and queues of the queued jobs that moved away.
+        # Monotonic times and queues of the pending jobs that moved away.
         self._moved: collections.deque[tuple[float, str]] = collections.deque()
         self.filler_meter = meters.FillerMeter()
         self._group: abc.TaskGroup | None = None
@@ -190,11 +190,11 @@
             job: The job.
         """
         self.remove_job(job)
-        if job.state is jobs.JobState.QUEUED and not job.spec.is_timed():
+        if job.is_pending():
             self._moved.append((anyio.current_time(), job.spec.queue.name))
 
     def recently_moved_queues(self) -> list[str]:
-        """Return the queue of each queued job that moved away of late."""
+        """Return the queue of each pending job that moved away of late."""
         now_s = anyio.current_time()
         while self._moved and now_s - self._moved[0][0] > MOVED_REPORT_S:
             self._moved.popleft()
--- a/wisteriawood/cells/claims.py
+++ b/wisteriawood/cells/claims.py
@@ -117,7 +117,8 @@
             waiting fillers request.
         backlog_millicore_s: Estimated work of fillers that is not done yet.
         rate_millicores: Estimated work of fillers done in a second.
-        pending: Number of queued jobs that are not timed, by queue.
+        pending: Number of jobs that are not timed and have not begun, by
+            queue.
         waiting: Number of ready tasks that have no worker.
         workers: Number of workers.
         racks: Racks of the workers.
--- a/wisteriawood/cells/loads.py
+++ b/wisteriawood/cells/loads.py
@@ -7,19 +7,18 @@
 from wisteriawood.cells import placers
 from wisteriawood.cells import tables
 from wisteriawood.cells import worker_groups
-from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
 
 
 def _pending_by_queue(cell: cells.Cell) -> dict[str, int]:
-    """Return the number of queued jobs that are not timed, by queue.
+    """Return the number of jobs of which no task has started, by queue.
 
     A job that has moved counts until the other cell has reported it.
     """
     counts: dict[str, int] = {}
     for job in cell.jobs.values():
-        if job.state is jobs.JobState.QUEUED and not job.spec.is_timed():
+        if job.is_pending():
             queue = job.spec.queue.name
             counts[queue] = counts.get(queue, 0) + 1
     for queue in cell.recently_moved_queues():
--- a/wisteriawood/cells/runs.py
+++ b/wisteriawood/cells/runs.py
@@ -89,6 +89,7 @@
             now_s: Monotonic time.
         """
         self.is_confirmed = True
+        self.job.has_begun = True
         self.started_at_s = now_s
 
     def is_current(self) -> bool:
--- a/wisteriawood/jobs/jobs.py
+++ b/wisteriawood/jobs/jobs.py
@@ -51,6 +51,7 @@
         next_occurrence: Number of the next occurrence to open.
         occurrences_done: Number of occurrences whose tasks are all done.
         version: Version of its row in the store.
+        has_begun: Whether a worker is known to have started a task.
         moved_from: Cell that it is being moved from; empty once that is
             stored.
     """
@@ -60,6 +61,7 @@
         "bucket",
         "cell",
         "ended_unix_ms",
+        "has_begun",
         "moved_from",
         "next_occurrence",
         "objective_s",
@@ -82,6 +84,7 @@
         self.next_occurrence = 0
         self.occurrences_done = 0
         self.version = 0
+        self.has_begun = is_lent
         self.moved_from = ""
         self.accepted_at_s = 0.0
         self.objective_s = specs.objective_s(spec)
@@ -114,6 +117,13 @@
         """Return whether the job has reached its final state."""
         return self.state in ENDED_STATES
 
+    def is_pending(self) -> bool:
+        """Return whether callers wait for the first task of the job to start.
+
+        Timed jobs start by the clock.
+        """
+        return not (self.has_begun or self.is_ended() or self.spec.is_timed())
+
     def is_standing(self) -> bool:
         """Return whether the job runs until it is cancelled."""
         return any(step.is_standing for step in self.spec.steps)
--- a/wisteriawood/links/codecs/jobs.py
+++ b/wisteriawood/links/codecs/jobs.py
@@ -139,6 +139,13 @@
     )
 
 
+def _has_started(task: tasks.Task) -> bool:
+    """Return whether the progress of a task shows that it has started."""
+    if task.phase in (tasks.Phase.DONE, tasks.Phase.LENT):
+        return True
+    return bool(task.failures or task.checkpoint)
+
+
 def job_from_bytes(spec: specs.JobSpec, bucket: str, data: bytes) -> jobs.Job:
     """Return a job with the progress that its row contains.
 
@@ -171,6 +178,7 @@
     except ValueError as exc:
         # The progress has other steps or tasks than the specification.
         raise errors.MessageError(f"bad progress of a job: {exc}") from exc
+    job.has_begun = job.has_begun or any(map(_has_started, job.all_tasks()))
     return job
 
 
--- a/wisteriawood/tests/relocation_tests.py
+++ b/wisteriawood/tests/relocation_tests.py
@@ -8,6 +8,7 @@
 from wisteriawood.cells import claims
 from wisteriawood.cells import loads
 from wisteriawood.cells import relocation
+from wisteriawood.cells import runs
 from wisteriawood.cells import tables
 from wisteriawood.cells import worker_groups
 from wisteriawood.jobs import jobs
@@ -286,7 +287,33 @@
         self._run(_check)
 
 
-class MovedJobReportTests(unittest.TestCase):
+class PendingJobTests(unittest.TestCase):
+    def test_an_assigned_job_is_pending_until_a_worker_has_started_it(self):
+        """Regression: MIXED, jobs whose start was not answered were missing.
+
+        Their worker had just been lost.
+        """
+
+        async def _check():
+            worker = builders.make_run_worker("w")
+            cell = builders.make_cell([worker])
+            job = builders.make_job()
+            cell.add_job(job)
+            job.state = jobs.JobState.RUNNING
+            (task,) = job.all_tasks()
+            task.assign(worker_id="w", run=1)
+            run = runs.Run(job=job, task=task, assigned_at_s=0.0)
+            worker.add_run(run)
+            self.assertEqual(loads.report(cell).pending, {"q": 1})
+            restored = codec.job_from_bytes(
+                job.spec, "a", codec.job_to_bytes(job)
+            )
+            self.assertTrue(restored.is_pending())
+            run.confirm(1.0)
+            self.assertEqual(loads.report(cell).pending, {})
+
+        builders.run_virtual(_check)
+
     def test_a_moved_job_is_reported_until_the_other_cell_reports_it(self):
         async def _check():
             cell = builders.make_cell()
