Load a job whose progress a stale read omits

What callers would see: after a loss of the store's history, reads return rows that are seconds old. A holder that then loads a job, at a takeover or because another cell moved it here, finds no progress or an older one, and skipped the job until the next change of the holder.

Cause: both rows of a job are written in one transaction, but they are read one after the other. A missing progress row counted as damaged, and one that still named the other cell as a job that had moved on.

Evidence: found by reading the new code for moves. Both new tests time out without the change; one of them needs no move, so the fault is older.

Why this works: a progress row with a lower version than the specification is recognized as stale, and read again by its key, for up to 20 s.

--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -38,6 +38,10 @@
 # Longest duration of one poll of the submissions or the cancellations; without
 # new rows, the known cancellations get as old as this.
 JOBS_POLL_S = 1.0
+# Time for which reads of the progress of a job may be stale, after a loss of
+# history, and the pause between them.
+STALE_READ_S = 20.0
+STALE_READ_RETRY_S = 0.5
 EXPIRY_PERIOD_TICKS = 40
 LOAD_LOG_PERIOD_TICKS = 8
 
@@ -71,6 +75,7 @@
         "_regrouper",
         "_relocator",
         "_retention_s",
+        "_stale_rows",
         "_ticks",
         "_zones",
         "cell",
@@ -100,6 +105,8 @@
         self._relocator = relocation.Relocator(cell=cell)
         self._regrouper = regrouping.Regrouper(cell=cell)
         self._ticks = 0
+        # Specifications whose progress was older when it was read.
+        self._stale_rows: list[stores.StoredRow] = []
         self.listed_workers: dict[str, runners.Registration] = {}
         self.is_open = False
 
@@ -130,6 +137,8 @@
                     self.cell.name,
                     weight_exchanges.WeightExchange(cell=self.cell).run,
                 )
+                for row in self._stale_rows:
+                    group.start_soon(self._load_with_progress, row)
                 self.is_open = True
                 self.update_fleet(self.listed_workers)
                 self._add_removed_workers()
@@ -222,12 +231,19 @@
     def _load_job(
         self, row: stores.StoredRow, state: stores.StoredRow | None
     ) -> None:
+        """Load a job with its progress.
+
+        Args:
+            row: Row of its specification.
+            state: Row of its progress, as far as it is known.
+        """
+        if state is None or state.version < row.version:
+            self._stale_rows.append(row)
+            return
         try:
             cell, spec = codec.spec_from_bytes(row.value or b"")
             if cell != self.cell.name:
                 return
-            if state is None:
-                raise errors.MessageError("the job's progress is missing")
             job = codec.job_from_bytes(spec, row.at.part, state.value or b"")
         except errors.MessageError as exc:
             _LOG.log(
@@ -268,7 +284,7 @@
         if cell != self.cell.name:
             return
         if spec.moves:
-            self.cell.run_in_background(self._load_moved_job, row)
+            self.cell.run_in_background(self._load_with_progress, row)
             return
         job = jobs.Job(spec=spec, cell=cell, bucket=row.at.part)
         # Both rows of a job are written in one transaction, so they share
@@ -276,18 +292,21 @@
         job.version = row.version
         self.cell.add_job(job)
 
-    async def _load_moved_job(self, row: stores.StoredRow) -> None:
-        """Load a job that another cell has moved here, with its progress.
+    async def _load_with_progress(self, row: stores.StoredRow) -> None:
+        """Read the progress of a job and load the job.
+
+        Both rows were written in one transaction, so a row with an older
+        version is one that a stale read returned.
 
         Args:
             row: Row of its specification.
         """
-        while True:
+        give_up_at_s = anyio.current_time() + STALE_READ_S
+        while row.at.key not in self.cell.jobs:
             try:
                 page = await self.cell.store.read(
                     tables.JOBS, row.at.part, key=row.at.key
                 )
-                break
             except errors.PlatformError as exc:
                 _LOG.log(
                     job_events.CELL_LOAD_FAILED,
@@ -295,9 +314,19 @@
                     cause=str(exc),
                 )
                 await anyio.sleep(feeds.RETRY_DELAY_S)
-        if page.rows and row.at.key not in self.cell.jobs:
-            self._load_job(row, page.rows[0])
-            self.cell.request_placement()
+                continue
+            if page.rows and page.rows[0].version >= row.version:
+                self._load_job(row, page.rows[0])
+                self.cell.request_placement()
+                return
+            if anyio.current_time() >= give_up_at_s:
+                _LOG.log(
+                    job_events.JOB_ROW_UNREADABLE,
+                    job=row.at.key,
+                    cause="the job's progress is missing",
+                )
+                return
+            await anyio.sleep(STALE_READ_RETRY_S)
 
     def _process_cancels(self, rows: list[stores.StoredRow]) -> None:
         """Process new and removed cancellations.
--- a/wisteriawood/tests/cells_tests.py
+++ b/wisteriawood/tests/cells_tests.py
@@ -122,6 +122,25 @@
 
         builders.run_job_world(_check)
 
+    def test_a_new_holder_reads_old_progress(self):
+        """Guards against a job that a new holder skips for good.
+
+        Its read of the table omits the row, as after a loss of history.
+        """
+
+        async def _check(world):
+            await anyio.sleep(2)
+            world.work_s[JOB] = 8.0
+            await world.submit(JOB, [_step(), _step(after=[0])])
+            await anyio.sleep(1)
+            world.store.hidden_tables.add(tables.JOBS)
+            for cell in ("shop@a", "shop@b"):
+                world.kill_host(world.holder_of(cell))
+            await world.wait_for(JOB, jobs.JobState.COMPLETED)
+            self.check_single_runs(world)
+
+        builders.run_job_world(_check)
+
     def test_a_cancel_during_a_takeover_is_carried_out(self):
         """Regression: a cancellation during a takeover was not carried out.
 
--- a/wisteriawood/tests/relocation_tests.py
+++ b/wisteriawood/tests/relocation_tests.py
@@ -1,6 +1,7 @@
 """Tests of jobs and tasks that wait where they can't run."""
 
 import unittest
+from unittest import mock
 
 import anyio
 
@@ -14,6 +15,7 @@
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
 from wisteriawood.links.codecs import jobs as codec
+from wisteriawood.standins import stores as store_standins
 from wisteriawood.tests import builders
 from wisteriawood.tests import cells_tests
 
@@ -224,6 +226,34 @@
 
         self._run(_check)
 
+    def test_a_read_of_its_progress_is_stale(self):
+        """Guards against a moved job that no cell has.
+
+        Reads after a loss of history return rows that are seconds old.
+        """
+
+        async def _check(world):
+            await world.submit_to(CELL, JOB, [_step()])
+            bucket = tables.bucket_of(JOB, world.zones)
+            stale = world.store.rows[tables.job_row(bucket, JOB)]
+            read = store_standins.MemoryStoreLink.read
+            stale_until_s = anyio.current_time() + 4.0
+
+            async def _read_stale(link, table, part, **fields):
+                page = await read(link, table, part, **fields)
+                is_stale = anyio.current_time() < stale_until_s
+                if is_stale and fields.get("key") == JOB:
+                    page.rows = [stale]
+                return page
+
+            with mock.patch.object(
+                store_standins.MemoryStoreLink, "read", _read_stale
+            ):
+                await anyio.sleep(6)
+                await world.wait_for(JOB, jobs.JobState.COMPLETED, timeout_s=3)
+
+        self._run(_check)
+
     def test_both_holders_are_killed(self):
         async def _check(world):
             await world.submit_to(CELL, JOB, [_step()])
