Rule out at once what fits nowhere else

In a system that is full, each pass looked through the workers of all cells for each waiting job. The most CPU that one worker has free, and that one cell leaves for fillers, are now looked up once a pass. No decision changes.

--- a/wisteriawood/cells/relocation.py
+++ b/wisteriawood/cells/relocation.py
@@ -91,7 +91,14 @@
         cell: The cell.
     """
 
-    __slots__ = ("_cell", "_left", "_total", "_waiting_since_s")
+    __slots__ = (
+        "_cell",
+        "_left",
+        "_most_free_millicores",
+        "_most_left_millicores",
+        "_total",
+        "_waiting_since_s",
+    )
 
     def __init__(self, *, cell: "cells.Cell"):
         self._cell = cell
@@ -102,6 +109,10 @@
         self._left = 0
         # Workers of the cell with all of their capacity.
         self._total: list[worker_groups.WorkerGroup] = []
+        # Most CPU that a worker of another cell has free, and that another
+        # cell leaves for fillers.
+        self._most_free_millicores = 0
+        self._most_left_millicores = 0
 
     def tick(self) -> None:
         """Relocate what has waited long enough, a few in each pass."""
@@ -112,6 +123,14 @@
         self._waiting_since_s = {}
         self._left = MAX_PER_PASS
         self._total = self._cell.total_capacity()
+        loads = self._cell.other_loads.values()
+        self._most_free_millicores = max(
+            (group.cpu_millicores for load in loads for group in load.free),
+            default=0,
+        )
+        self._most_left_millicores = max(
+            (load.left_millicores for load in loads), default=0
+        )
         for job, steps in list(self._cell.waiting_jobs()):
             waits_s = []
             for step_tasks in steps:
@@ -153,7 +172,7 @@
         if wait_s < (MIN_WAIT_S if is_urgent else BUSY_WAIT_S):
             return False
         needed = len(step_tasks) if step.is_gang else 1
-        to = choose_cell(cell.other_loads, step, needed)
+        to = self._choose_cell(step, needed)
         if not to and not fits_here:
             to = self._choose_capable_cell(step)
         if not to:
@@ -162,6 +181,20 @@
         moving.move(cell, job, to)
         return True
 
+    def _choose_cell(self, step: specs.StepSpec, needed: int) -> str:
+        """Return a cell that can run tasks of a step now; empty for none.
+
+        In a system that is full, most steps are ruled out at once.
+        """
+        most_millicores = (
+            self._most_left_millicores
+            if step.is_filler
+            else self._most_free_millicores
+        )
+        if step.cpu_millicores > most_millicores:
+            return ""
+        return choose_cell(self._cell.other_loads, step, needed)
+
     def _choose_capable_cell(self, step: specs.StepSpec) -> str:
         """Return a cell that can run a step once it has free capacity."""
         return max(
@@ -177,7 +210,7 @@
         cell = self._cell
         step = job.step_of(step_tasks[0])
         for task in step_tasks[: self._left]:
-            to = choose_cell(cell.other_loads, step)
+            to = self._choose_cell(step, 1)
             if not to:
                 return
             self._record(to, step, 1)
