Count the stored jobs that the holder of their cell doesn't know

A job that is in the store and in no holder's memory is never run, and nothing showed it: W2112:cell-load has sums of what is in memory, and a moved job left no line where it arrived.

The holder now keeps the ids of the specifications that its feed reports for its cell, compares them with its memory at each tick, and sets wisteriawood_jobs_unknown; a job that stays unknown for 3 s is logged (W2116:job-unknown), again each 10 s. W2117:job-loaded shows the arrival of a moved job. Loading moves from holders.py to a module of its own; what is loaded, and when, is unchanged.

--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -15,7 +15,7 @@
 from wisteriawood.cells import pacers
 from wisteriawood.cells import regrouping
 from wisteriawood.cells import relocation
-from wisteriawood.cells import runs
+from wisteriawood.cells import stored_jobs
 from wisteriawood.cells import tables
 from wisteriawood.cells import weight_exchanges
 from wisteriawood.cells import worker_sessions
@@ -24,7 +24,6 @@
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import tasks
 from wisteriawood.links import clocks
-from wisteriawood.links.codecs import jobs as codec
 from wisteriawood.links import feeds
 from wisteriawood.links import runners
 from wisteriawood.links import stores
@@ -38,10 +37,6 @@
 # Longest duration of one poll of the submissions or the cancellations; without
 # new rows, the known cancellations get as old as this.
 JOBS_POLL_S = 1.0
-# Time for which reads of the progress of a job may be stale, after a loss of
-# history, and the pause between them.
-STALE_READ_S = 20.0
-STALE_READ_RETRY_S = 0.5
 EXPIRY_PERIOD_TICKS = 40
 LOAD_LOG_PERIOD_TICKS = 8
 
@@ -76,6 +71,7 @@
         "_relocator",
         "_retention_s",
         "_stale_rows",
+        "_stored",
         "_ticks",
         "_zones",
         "cell",
@@ -104,6 +100,7 @@
         self._filler_pacer = pacers.FillerPacer(cell=cell)
         self._relocator = relocation.Relocator(cell=cell)
         self._regrouper = regrouping.Regrouper(cell=cell)
+        self._stored = stored_jobs.StoredJobs(cell=cell)
         self._ticks = 0
         # Specifications whose progress was older when it was read.
         self._stale_rows: list[stores.StoredRow] = []
@@ -138,7 +135,7 @@
                     weight_exchanges.WeightExchange(cell=self.cell).run,
                 )
                 for row in self._stale_rows:
-                    group.start_soon(self._load_with_progress, row)
+                    group.start_soon(self._stored.load_with_progress, row)
                 self.is_open = True
                 self.update_fleet(self.listed_workers)
                 self._add_removed_workers()
@@ -155,6 +152,7 @@
                 await self._tick_forever()
         finally:
             self.is_open = False
+            self._stored.close()
             self.cell.writer.close()
             with anyio.CancelScope(shield=True):
                 for worker in list(self.cell.fleet.values()):
@@ -170,7 +168,7 @@
         return feeds.Feed(
             store=self.cell.store,
             table=tables.specs_table(tables.zone_of_cell(self.cell.name)),
-            on_rows=self._process_submissions,
+            on_rows=self._stored.process,
             start=submissions,
             wait_s=JOBS_POLL_S,
             supervisor=self.cell.supervisor,
@@ -222,112 +220,10 @@
                     job_events.CELL_LOAD_FAILED, cell=name, cause=str(exc)
                 )
                 await anyio.sleep(feeds.RETRY_DELAY_S)
-        state_rows = {row.at.key: row for row in states.rows}
         self._process_cancels(cancels.rows)
-        for row in submissions.rows:
-            self._load_job(row, state_rows.get(row.at.key))
+        self._stale_rows = self._stored.load_all(submissions.rows, states.rows)
         return submissions, cancels
 
-    def _load_job(
-        self, row: stores.StoredRow, state: stores.StoredRow | None
-    ) -> None:
-        """Load a job with its progress.
-
-        Args:
-            row: Row of its specification.
-            state: Row of its progress, as far as it is known.
-        """
-        if state is None or state.version < row.version:
-            self._stale_rows.append(row)
-            return
-        try:
-            cell, spec = codec.spec_from_bytes(row.value or b"")
-            if cell != self.cell.name:
-                return
-            job = codec.job_from_bytes(spec, row.at.part, state.value or b"")
-        except errors.MessageError as exc:
-            _LOG.log(
-                job_events.JOB_ROW_UNREADABLE, job=row.at.key, cause=str(exc)
-            )
-            return
-        if job.cell != self.cell.name:
-            # It has been moved on since its specification was read.
-            return
-        job.version = state.version
-        self.cell.add_job(job)
-        now_s = anyio.current_time()
-        for task in job.all_tasks():
-            if task.phase is tasks.Phase.ASSIGNED:
-                run = runs.Run(job=job, task=task, assigned_at_s=now_s)
-                self.cell.orphans.setdefault(task.worker_id, []).append(run)
-
-    def _process_submissions(self, rows: list[stores.StoredRow]) -> None:
-        """Process new jobs.
-
-        Args:
-            rows: Changed rows of the zone's table.
-        """
-        for row in rows:
-            if row.value is None or row.at.key in self.cell.jobs:
-                continue
-            self._add_submitted_job(row)
-        self.cell.request_placement()
-
-    def _add_submitted_job(self, row: stores.StoredRow) -> None:
-        try:
-            cell, spec = codec.spec_from_bytes(row.value or b"")
-        except errors.MessageError as exc:
-            _LOG.log(
-                job_events.JOB_ROW_UNREADABLE, job=row.at.key, cause=str(exc)
-            )
-            return
-        if cell != self.cell.name:
-            return
-        if spec.moves:
-            self.cell.run_in_background(self._load_with_progress, row)
-            return
-        job = jobs.Job(spec=spec, cell=cell, bucket=row.at.part)
-        # Both rows of a job are written in one transaction, so they share
-        # a version until the holder writes the row with the progress.
-        job.version = row.version
-        self.cell.add_job(job)
-
-    async def _load_with_progress(self, row: stores.StoredRow) -> None:
-        """Read the progress of a job and load the job.
-
-        Both rows were written in one transaction, so a row with an older
-        version is one that a stale read returned.
-
-        Args:
-            row: Row of its specification.
-        """
-        give_up_at_s = anyio.current_time() + STALE_READ_S
-        while row.at.key not in self.cell.jobs:
-            try:
-                page = await self.cell.store.read(
-                    tables.JOBS, row.at.part, key=row.at.key
-                )
-            except errors.PlatformError as exc:
-                _LOG.log(
-                    job_events.CELL_LOAD_FAILED,
-                    cell=self.cell.name,
-                    cause=str(exc),
-                )
-                await anyio.sleep(feeds.RETRY_DELAY_S)
-                continue
-            if page.rows and page.rows[0].version >= row.version:
-                self._load_job(row, page.rows[0])
-                self.cell.request_placement()
-                return
-            if anyio.current_time() >= give_up_at_s:
-                _LOG.log(
-                    job_events.JOB_ROW_UNREADABLE,
-                    job=row.at.key,
-                    cause="the job's progress is missing",
-                )
-                return
-            await anyio.sleep(STALE_READ_RETRY_S)
-
     def _process_cancels(self, rows: list[stores.StoredRow]) -> None:
         """Process new and removed cancellations.
 
@@ -425,6 +321,7 @@
             self._former.update()
             self._drop_orphans()
             self._drop_lapsed_runs()
+            self._stored.check()
             self._filler_pacer.tick()
             self._relocator.tick()
             evacuations.evacuate(self.cell, anyio.current_time())
@@ -504,6 +401,7 @@
                     continue
                 keys.append(tables.cancel_row(job.bucket, job.id))
             self.cell.remove_job(job)
+            self._stored.forget(job.id)
             await job_writers.remove_job(self.cell.store, job, keys)
 
     async def _has_lent_rows(self, job: jobs.Job) -> bool:
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -296,6 +296,18 @@
     "job-moved",
     "A job of which nothing could run in its cell is moved to another.",
 )
+JOB_UNKNOWN = events.define(
+    2116,
+    "job-unknown",
+    "The store has a job for a cell whose holder does not know it.",
+    "If it lasts, let another host take the cell over: restart this one.",
+)
+JOB_LOADED = events.define(
+    2117,
+    "job-loaded",
+    "The holder of an open cell read a job with its progress, for instance "
+    "one that was moved here.",
+)
 CELL_LOAD = events.define(
     2112,
     "cell-load",
--- a/wisteriawood/telemetry/job_metrics.py
+++ b/wisteriawood/telemetry/job_metrics.py
@@ -17,6 +17,8 @@
         calls: Calls to the store and to workers, by outcome.
         lines_left_out: Log lines that were dropped.
         cells_held: Cells that this host holds.
+        jobs_unknown: Stored jobs of a held cell that this host does not know,
+            by cell.
         accepted_s: Time from the complete request to its answer.
         started_s: Time from the assignment of a run to its start.
         acknowledged_s: Time from the report of a run's end to its commit.
@@ -36,6 +38,7 @@
         "ends",
         "submissions",
         "jobs_ended",
+        "jobs_unknown",
         "lines_left_out",
         "paces",
         "jobs_opened",
@@ -77,6 +80,12 @@
             "Cells that this host holds.",
             registry=self.registry,
         )
+        self.jobs_unknown = prometheus_client.Gauge(
+            "wisteriawood_jobs_unknown",
+            "Stored jobs of a held cell that its holder does not know.",
+            ["cell"],
+            registry=self.registry,
+        )
         self.accepted_s = self._histogram(
             "handin_seconds", "From the whole request to its answer."
         )
--- /dev/null
+++ b/wisteriawood/tests/stored_jobs_tests.py
@@ -0,0 +1,104 @@
+"""Tests of jobs that the store has and the holder of their cell lacks."""
+
+import dataclasses
+import unittest
+from unittest import mock
+
+import anyio
+
+from wisteriawood.cells import stored_jobs
+from wisteriawood.cells import tables
+from wisteriawood.links.codecs import jobs as codec
+from wisteriawood.links import stores
+from wisteriawood.telemetry import events
+from wisteriawood.telemetry import job_events
+from wisteriawood.tests import builders
+
+
+def _spec_row(job, version, cell="shop@a"):
+    spec = dataclasses.replace(job.spec, moves=1)
+    return stores.StoredRow(
+        at=tables.spec_row(cell, job.bucket, job.id),
+        value=codec.spec_to_bytes(spec, cell),
+        version=version,
+    )
+
+
+class UnknownJobTests(unittest.TestCase):
+    """The holder knows of a job from its feed and has not loaded it."""
+
+    def _run(self, check):
+        async def _main():
+            cell = builders.make_cell()
+            await check(cell, stored_jobs.StoredJobs(cell=cell))
+
+        builders.run_virtual(_main)
+
+    def _count(self, cell):
+        return builders.counter_value(
+            cell.counters.jobs_unknown, cell="shop@a"
+        )
+
+    def test_it_is_counted_until_it_is_loaded(self):
+        """Guards against a stored job without an owner that nothing shows."""
+
+        async def _check(cell, stored):
+            job = builders.make_job("j1")
+            stored.process([_spec_row(job, 5)])
+            stored.check()
+            self.assertEqual(self._count(cell), 1)
+            cell.add_job(job)
+            stored.check()
+            self.assertEqual(self._count(cell), 0)
+
+        self._run(_check)
+
+    def test_it_is_not_counted_once_another_cell_has_it(self):
+        async def _check(cell, stored):
+            job = builders.make_job("j1")
+            for gone in (
+                _spec_row(job, 6, cell="shop@b"),
+                stores.StoredRow(
+                    at=tables.spec_row("shop@a", job.bucket, job.id),
+                    value=None,
+                    version=6,
+                ),
+            ):
+                stored.process([_spec_row(job, 5)])
+                stored.process([gone])
+                stored.check()
+                self.assertEqual(self._count(cell), 0)
+
+        self._run(_check)
+
+    def test_it_is_logged_from_time_to_time(self):
+        async def _check(cell, stored):
+            stored.process([_spec_row(builders.make_job("j1"), 5)])
+            with mock.patch.object(events.Logger, "log") as log:
+                for _second in range(20):
+                    stored.check()
+                    await anyio.sleep(1)
+            logged = [
+                call
+                for call in log.call_args_list
+                if call.args == (job_events.JOB_UNKNOWN,)
+            ]
+            self.assertEqual(
+                [call.kwargs["for_s"] for call in logged], [3.0, 13.0]
+            )
+
+        self._run(_check)
+
+    def test_the_count_ends_with_the_hold(self):
+        async def _check(cell, stored):
+            stored.process([_spec_row(builders.make_job("j1"), 5)])
+            stored.check()
+            stored.close()
+            samples = [
+                sample
+                for metric in cell.counters.jobs_unknown.collect()
+                for sample in metric.samples
+            ]
+            self.assertEqual(samples, [])
+
+        self._run(_check)
