Test that a job that moves to and fro keeps an owner (known red)

A cell moves a job away; the other cell can't run it and moves it back before the first one knows that its transaction is stored, because a later transaction of the same batch is slow or the answer is late. The feed of the first cell skips the row of a job that it still has, then the cell removes the moved job. The job is stored, no holder has it, and it never runs again.

The stand-in of the store can delay commits and answers by key.

--- a/wisteriawood/standins/job_worlds.py
+++ b/wisteriawood/standins/job_worlds.py
@@ -130,14 +130,17 @@
             zone: Availability zone of the worker.
             **fields: Other fields of its entry in the directory.
         """
-        values = {"cpu_millicores": 16000, "memory_mb": 64000}
+        values = {
+            "cpu_millicores": 16000,
+            "memory_mb": 64000,
+            "rack": f"rack-{zone}",
+        }
         worker = run_standins.MemoryWorker(
             registration=runners.Registration(
                 worker_id=name,
                 service=SERVICE,
                 address=f"10.0.0.1:{FIRST_PORT + len(self.workers)}",
                 zone=zone,
-                rack=f"rack-{zone}",
                 **(values | fields),
             ),
             work_s=self._work_s,
--- a/wisteriawood/standins/stores.py
+++ b/wisteriawood/standins/stores.py
@@ -25,6 +25,8 @@
             omit, as stale reads after a loss of history do.
         hidden_tables: Tables of which they omit all rows.
         is_down: Whether calls are refused.
+        late_answers: Seconds by which the answers to commits that write rows
+            of a key are delayed, by key.
         lost_answer_delay_s: Delay in seconds until a commit whose answer is
             lost takes effect.
         lost_answers: Number of subsequent commits that take effect but
@@ -32,6 +34,8 @@
         lost_table: Table to which lost_answers is limited; empty for all.
         rejected: Number of changes that exceeded a limit.
         rows: Current rows, without deleted ones.
+        slow_keys: Seconds by which commits that write rows of a key are
+            delayed, by key.
         version: Version of the latest commit.
     """
 
@@ -44,11 +48,13 @@
         "hidden_keys",
         "hidden_tables",
         "is_down",
+        "late_answers",
         "lost_answer_delay_s",
         "lost_answers",
         "lost_table",
         "rejected",
         "rows",
+        "slow_keys",
         "version",
     )
 
@@ -62,6 +68,8 @@
         self.lost_answers = 0
         self.lost_table = ""
         self.lost_answer_delay_s = 0.0
+        self.late_answers: dict[str, float] = {}
+        self.slow_keys: dict[str, float] = {}
         self.commits = 0
         self.rejected = 0
         self._history: list[stores.StoredRow] = []
@@ -123,6 +131,14 @@
         touched = {at.table for at in change.writes}
         return not self.lost_table or self.lost_table in touched
 
+    def delay_s(self, change: stores.Change) -> float:
+        """Return the seconds until the commit of a change takes effect."""
+        return COMMIT_DELAY_S + _longest_s(self.slow_keys, change)
+
+    def answer_delay_s(self, change: stores.Change) -> float:
+        """Return the seconds from then until its answer arrives."""
+        return _longest_s(self.late_answers, change)
+
     def compact_history(self) -> None:
         """Delete the history of changes, as a compaction does."""
         self._history.clear()
@@ -153,6 +169,12 @@
         await self._changed.wait()
 
 
+def _longest_s(delays_s: dict[str, float], change: stores.Change) -> float:
+    """Return the longest delay of the rows that a change writes."""
+    found_s = (delays_s.get(at.key, 0.0) for at in change.writes)
+    return max(found_s, default=0.0)
+
+
 def _reason_to_reject(change: stores.Change) -> str:
     """Return which limit a change exceeds; empty if it exceeds none."""
     touched = {*change.expected, *change.writes}
@@ -195,7 +217,7 @@
     async def commit(self, change: stores.Change) -> int:
         """Commit a change and return the version of its rows."""
         store = self._store
-        await self._apply_call_faults(COMMIT_DELAY_S)
+        await self._apply_call_faults(store.delay_s(change))
         if store.is_answer_lost(change):
             store.lost_answers -= 1
             await anyio.sleep(store.lost_answer_delay_s)
@@ -204,7 +226,9 @@
             finally:
                 await anyio.sleep(CALL_TIMEOUT_S)
             raise errors.TransactionUnknownError("the answer was lost")
-        return store.commit(change)
+        version = store.commit(change)
+        await anyio.sleep(store.answer_delay_s(change))
+        return version
 
     async def read(
         self, table: str, part: str, *, key: str = "", prefix: str = ""
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -11,6 +11,7 @@
 from wisteriawood.cells import interference_models
 from wisteriawood.cells import leases
 from wisteriawood.cells import runs
+from wisteriawood.cells import tables
 from wisteriawood.cells import worker_directories
 from wisteriawood.cells import worker_groups
 from wisteriawood.cells import workers as run_workers
@@ -25,6 +26,7 @@
 from wisteriawood.jobs import queues
 from wisteriawood.jobs import specs
 from wisteriawood.links import clocks
+from wisteriawood.links.codecs import jobs as job_codec
 from wisteriawood.links.codecs import rows
 from wisteriawood.links import platforms
 from wisteriawood.links import runners
@@ -81,6 +83,48 @@
     run_virtual(_main)
 
 
+def make_job_ids(bucket, zones, count):
+    """Return ids of jobs whose rows are in a bucket."""
+    found = []
+    number = 0
+    while len(found) < count:
+        job_id = f"{number:016x}"
+        if tables.bucket_of(job_id, zones) == bucket:
+            found.append(job_id)
+        number += 1
+    return found
+
+
+def held_jobs(world):
+    """Return the jobs that the holder of each cell has, by cell and id."""
+    return {
+        name: host._holders[name].cell.jobs
+        for host in world.hosts.values()
+        for name in host.open_cells()
+    }
+
+
+def find_unowned_jobs(world):
+    """Return the stored jobs that the holder of their cell does not have.
+
+    Jobs that have ended and jobs of cells without a holder are left out.
+    """
+    held = held_jobs(world)
+    found = []
+    for at, row in world.store.rows.items():
+        if not at.table.startswith(tables.specs_table("")):
+            continue
+        cell, _spec = job_codec.spec_from_bytes(row.value)
+        progress = world.store.rows[tables.job_row(at.part, at.key)]
+        _cell, state = job_codec.summary_from_bytes(progress.value)
+        if state in jobs.ENDED_STATES or cell not in held:
+            continue
+        job = held[cell].get(at.key)
+        if job is None or job.cell != cell:
+            found.append(at.key)
+    return found
+
+
 def run_world(function, *, seed=1):
     """Run an async function on a new world in virtual time."""
 
