Load the stored jobs that their cell's holder doesn't know

Callers saw accepted jobs that were never run, though workers had room (LOST): the store had a job for a cell, and no holder had it in memory.

Cause: a job moves from cell A to B, and B moves it back before A knows that its own transaction is stored, since the answer is late or a later transaction of the same batch is slow. A's feed skipped the row, because the job was still in A's memory as one on its way out; then A removed it. The feed doesn't repeat a row, so nobody loaded the job until the next holder. A load that gave up after stale reads for 20 s left a job in the same state.

Holders now compare the specifications that the feed reports for their cell with the jobs that they have, and read what they lack, however it was lost. An attempt that fails is repeated with a growing pause, instead of being given up. A row that is not newer than the move that removed the job is forgotten with it, so moves cost no further reads.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -64,6 +64,7 @@
         cancels_confirmed_at_s: Returns the time of clocks.elapsed_s as of
             which the cancellations are known.
         last_job_at_s: Monotonic time at which the newest job was accepted.
+        on_job_removed: Called with a job that the cell no longer manages.
         writer: Writes the rows of the jobs.
         model: Estimates of the load that fillers add to serving tasks.
         filler_meter: Measures the rate at which fillers complete work.
@@ -89,6 +90,7 @@
         "last_job_at_s",
         "max_cancel_age_s",
         "model",
+        "on_job_removed",
         "orphans",
         "other_loads",
         "store",
@@ -115,6 +117,9 @@
         self.max_cancel_age_s = max_cancel_age_s
         self.cancels_confirmed_at_s: typing.Callable[[], float] = lambda: 0.0
         self.last_job_at_s = -math.inf
+        self.on_job_removed: typing.Callable[[jobs.Job], None] = (
+            lambda _job: None
+        )
         self.cancelled_ids: set[str] = set()
         self.jobs: dict[str, jobs.Job] = {}
         # Ids of the jobs here that a submitted job consists of: itself, its
@@ -182,6 +187,7 @@
         ids.discard(job.id)
         if not ids:
             del self._ids_by_submitted[job.submitted_id]
+        self.on_job_removed(job)
 
     def remove_moved_job(self, job: jobs.Job) -> None:
         """Remove a job that another cell has now.
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -70,7 +70,6 @@
         "_regrouper",
         "_relocator",
         "_retention_s",
-        "_stale_rows",
         "_stored",
         "_ticks",
         "_zones",
@@ -102,8 +101,6 @@
         self._regrouper = regrouping.Regrouper(cell=cell)
         self._stored = stored_jobs.StoredJobs(cell=cell)
         self._ticks = 0
-        # Specifications whose progress was older when it was read.
-        self._stale_rows: list[stores.StoredRow] = []
         self.listed_workers: dict[str, runners.Registration] = {}
         self.is_open = False
 
@@ -134,8 +131,6 @@
                     self.cell.name,
                     weight_exchanges.WeightExchange(cell=self.cell).run,
                 )
-                for row in self._stale_rows:
-                    group.start_soon(self._stored.load_with_progress, row)
                 self.is_open = True
                 self.update_fleet(self.listed_workers)
                 self._add_removed_workers()
@@ -221,7 +216,7 @@
                 )
                 await anyio.sleep(feeds.RETRY_DELAY_S)
         self._process_cancels(cancels.rows)
-        self._stale_rows = self._stored.load_all(submissions.rows, states.rows)
+        self._stored.load_all(submissions.rows, states.rows)
         return submissions, cancels
 
     def _process_cancels(self, rows: list[stores.StoredRow]) -> None:
@@ -401,7 +396,6 @@
                     continue
                 keys.append(tables.cancel_row(job.bucket, job.id))
             self.cell.remove_job(job)
-            self._stored.forget(job.id)
             await job_writers.remove_job(self.cell.store, job, keys)
 
     async def _has_lent_rows(self, job: jobs.Job) -> bool:
