Don't wait for the leases of a claim that was never held

Cause: a host claimed a cell, the store applied it and its answer was lost. The host gave the claim up, later read it as the newest one, claimed again, and took its own unanswered claim for a former holder that may renew leases for 12 s more. Nothing ever says that this hold ended, since it never began.

The host now remembers which claim it replaced without an answer, and waits for that holder instead, whose heartbeats say when it has ended. Safe: the host itself granted no lease under a claim that it never held.

--- a/wisteriawood/cells/former_holders.py
+++ b/wisteriawood/cells/former_holders.py
@@ -16,6 +16,56 @@
 RENEW_WITHOUT_STORE_S = 12.0
 
 
+class UnansweredClaims:
+    """Claims of a host whose commits got no answer.
+
+    One that took effect is later read as the claim of a former holder,
+    although nobody held the cell under it. Whoever held the cell before may
+    still renew leases.
+    """
+
+    __slots__ = ("_former",)
+
+    def __init__(self):
+        # Newest claim before the unanswered ones, by cell.
+        self._former: dict[str, "claims.Claim | None"] = {}
+
+    def add(self, cell: str, former: "claims.Claim | None") -> None:
+        """Record that a claim got no answer.
+
+        Args:
+            cell: Name of the cell.
+            former: Newest claim under which another process may have held
+                the cell before; None if there is none.
+        """
+        self._former[cell] = former
+
+    def find_former(
+        self,
+        cell: str,
+        newest: "claims.Claim | None",
+        incarnation: str,
+    ) -> "claims.Claim | None":
+        """Return the newest claim under which a cell may have been held.
+
+        Args:
+            cell: Name of the cell; this host does not hold it.
+            newest: The newest claim; None if there is none.
+            incarnation: Identifier of this host's process.
+        """
+        if newest is None or newest.row.incarnation != incarnation:
+            return newest
+        return self._former.get(cell, newest)
+
+    def discard(self, cell: str) -> None:
+        """Forget the claims of a cell, which this host holds now.
+
+        Args:
+            cell: Name of the cell.
+        """
+        self._former.pop(cell, None)
+
+
 class FormerHolder:
     """The former holder of a cell, whose leases may outlast its claim.
 
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -82,6 +82,7 @@
         "_scopes",
         "_suspensions",
         "_takeovers",
+        "_unanswered_claims",
         "counters",
         "directory",
         "directory_need",
@@ -143,6 +144,7 @@
             is_holding=self.is_holding,
         )
         self.members.on_ended = self._heartbeats.send_soon
+        self._unanswered_claims = former_holders.UnansweredClaims()
         self._takeovers = takeovers.Takeovers(
             known_members=self.members, dial=dial, workers_of=self._workers_of
         )
@@ -315,13 +317,19 @@
             self._group.start_soon(self.release, cell)
 
     async def _claim(self, cell: str, previous: claims.Claim | None) -> None:
+        former = self._unanswered_claims.find_former(
+            cell, previous, self.members.incarnation
+        )
         try:
             claim = await claims.claim_cell(
                 self.store, cell, previous, self.name, self.members.incarnation
             )
         except errors.PlatformError as exc:
+            if isinstance(exc, errors.TransactionUnknownError):
+                self._unanswered_claims.add(cell, former)
             _LOG.log(job_events.CLAIM_FAILED, cell=cell, cause=str(exc))
             return
+        self._unanswered_claims.discard(cell)
         self.members.record_claim(claim)
         self.directory_need.require()
         self._heartbeats.send_soon()
@@ -329,9 +337,9 @@
             job_events.CELL_CLAIMED,
             cell=cell,
             epoch=claim.epoch,
-            former=previous.row.holder if previous else "",
+            former=former.row.holder if former else "",
             silent_s=round(
-                self.members.silence_s(previous.row.holder) if previous else 0,
+                self.members.silence_s(former.row.holder) if former else 0,
                 3,
             ),
         )
@@ -350,7 +358,7 @@
             lease_s=self._limits.lease_s,
             retention_s=self._limits.retention_s,
             former=former_holders.FormerHolder(
-                claim=previous,
+                claim=former,
                 known_members=self.members,
                 lease_s=self._limits.lease_s,
             ),
--- a/wisteriawood/tests/leaving_tests.py
+++ b/wisteriawood/tests/leaving_tests.py
@@ -11,6 +11,8 @@
 
 import anyio
 
+from wisteriawood.cells import claims
+from wisteriawood.cells import tables
 from wisteriawood.cells import worker_directories
 from wisteriawood.jobs import specs
 from wisteriawood.links import version_times
@@ -179,6 +181,37 @@
 
         self._run(_check, drains=False)
 
+    def test_worker_is_lost_and_the_claim_of_the_new_holder_unanswered(self):
+        """Regression: LOST, the new holder waited 18 s for its own leases.
+
+        Its first claim took effect, and it never held the cell under it.
+        """
+
+        async def _check(world, directory, name):
+            holder = world.holder_of(CELL)
+            (standby,) = world.hosts.keys() - {holder}
+            lost_at_s = anyio.current_time()
+            world.workers[name].crash()
+            directory.stop_writing(name)
+            world.store.lost_table = tables.CLAIMS
+            await world.hosts[holder].drain()
+            world.store.lost_answers = 1
+            at = tables.claim_row(CELL)
+            while standby.encode() not in world.store.rows[at].value:
+                await anyio.sleep(0.01)
+            world.store.cut_hosts.add(standby)
+            await anyio.sleep(claims.CLAIM_TIMEOUT_S)
+            world.store.cut_hosts.discard(standby)
+            await anyio.sleep(10)
+            self.assertEqual(world.holder_of(CELL), standby)
+            (restarted_at_s,) = self._restarts(world, name)
+            self.assertLess(
+                restarted_at_s - lost_at_s,
+                claims.CLAIM_TIMEOUT_S + LOST_BOUND_S,
+            )
+
+        self._run(_check, drains=False)
+
     def test_worker_is_cut_off_from_its_new_holder_only(self):
         """Guards against a second run while the former holder renews."""
 
