Tell in heartbeats for how long a claim has been given up

Cause: the holder was cut off for 14 s, lost the cell 6 s after the cut began, and could tell so only 8 s later. The next holder took the time of that heartbeat for the end of the hold, and waited for leases that had ended 8 s before. Meanwhile the tasks counted as assigned, so that their jobs could neither start them nor move.

Heartbeats now contain the age of each given-up claim, rounded down, and a host uses its own record for its own claims.

--- a/wisteriawood/cells/claims.py
+++ b/wisteriawood/cells/claims.py
@@ -163,6 +163,7 @@
         ended: Incarnations of former processes of the host, which have ended.
         given_up: Versions of the claims under which it no longer holds a
             cell, by cell.
+        given_up_s: For how long it has no longer held them, by cell.
     """
 
     zone: bounds.Name
@@ -179,6 +180,9 @@
     given_up: dict[bounds.Name, bounds.Number] = dataclasses.field(
         default_factory=dict
     )
+    given_up_s: dict[bounds.Name, bounds.Measure] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def read_heartbeat(row: stores.StoredRow) -> HostHeartbeat:
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -246,6 +246,9 @@
         host = claim.row.holder
         if host == self.name and claim.row.incarnation != self.incarnation:
             return self._started_at_s
+        if host == self.name:
+            ended_at_s, version = self._given_up.get(claim.cell, (0.0, 0))
+            return ended_at_s if version >= claim.version else math.inf
         member = self.by_name.get(host)
         if member is None:
             return math.inf
@@ -256,7 +259,9 @@
             heartbeat.incarnation == claim.row.incarnation
             and heartbeat.given_up.get(claim.cell, 0) >= claim.version
         ):
-            return member.written_by_s
+            return member.written_by_s - heartbeat.given_up_s.get(
+                claim.cell, 0.0
+            )
         return math.inf
 
     def _process_heartbeats(self, rows: list[stores.StoredRow]) -> None:
@@ -445,6 +450,11 @@
         self._heartbeat_count += 1
         now_s = anyio.current_time()
         age_s = now_s - self._started_at_s
+        given_up = {
+            cell: (ended_at_s, version)
+            for cell, (ended_at_s, version) in self._given_up.items()
+            if now_s - ended_at_s < ENDED_REPORT_S
+        }
         row = claims.HostHeartbeat(
             zone=self.zone,
             incarnation=self.incarnation,
@@ -453,12 +463,14 @@
             is_leaving=self.is_leaving,
             cores=self.cores,
             period_s=self.heartbeat_period_s,
-            age_s=math.floor(age_s * 10) / 10,
+            age_s=_floor_tenth(age_s),
             ended=self._ended if age_s < ENDED_REPORT_S else [],
             given_up={
-                cell: version
-                for cell, (ended_at_s, version) in self._given_up.items()
-                if now_s - ended_at_s < ENDED_REPORT_S
+                cell: version for cell, (_at_s, version) in given_up.items()
+            },
+            given_up_s={
+                cell: _floor_tenth(now_s - ended_at_s)
+                for cell, (ended_at_s, _version) in given_up.items()
             },
         )
         change = stores.Change(
@@ -480,6 +492,11 @@
         return True
 
 
+def _floor_tenth(value: float) -> float:
+    """Return a number rounded down to tenths, which keeps rows short."""
+    return math.floor(value * 10) / 10
+
+
 def _liveness_timeout_s(member: Member) -> float:
     period_s = member.heartbeat.period_s or STANDBY_HEARTBEAT_PERIOD_S
     if member.heartbeat.cells:
--- a/wisteriawood/tests/leaving_tests.py
+++ b/wisteriawood/tests/leaving_tests.py
@@ -212,6 +212,26 @@
 
         self._run(_check, drains=False)
 
+    def test_worker_is_lost_while_its_holder_is_cut_off_for_long(self):
+        """Regression: LOST, a holder's end counted from when it was told.
+
+        The holder loses its cell soon, and can tell so only much later.
+        """
+
+        async def _check(world, directory, name):
+            holder = world.holder_of(CELL)
+            world.store.cut_hosts.add(holder)
+            world.workers[name].crash()
+            directory.stop_writing(name)
+            await anyio.sleep(12)
+            self.assertNotIn(world.holder_of(CELL), ("", holder))
+            self.assertEqual(self._restarts(world, name), [])
+            world.store.cut_hosts.discard(holder)
+            await anyio.sleep(RESTART_BOUND_S)
+            self.assertEqual(len(self._restarts(world, name)), 1)
+
+        self._run(_check, drains=False)
+
     def test_worker_is_cut_off_from_its_new_holder_only(self):
         """Guards against a second run while the former holder renews."""
 
