Keep a cell while its tasks wait for leases of the former holder

Cause: a host released a cell for a better holder while it waited until the leases of the holder before it had certainly lapsed. The next holder can't know when these were granted and waits for the whole time again.

Hosts that drain release their cells as before. The test failed before: no run 2 s after the end of the wait.

--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -108,6 +108,18 @@
         """Return for how long the cell has been held."""
         return anyio.current_time() - self._held_since_s
 
+    def awaits_former_leases(self) -> bool:
+        """Return whether tasks wait for leases of the former holder to end.
+
+        The next holder would not know when they were granted, and wait anew.
+        """
+        if anyio.current_time() >= self._former.lapsed_at_s:
+            return False
+        return bool(self.cell.orphans) or any(
+            worker.runs and not worker.answered_at_s
+            for worker in self.cell.fleet.values()
+        )
+
     async def run(self) -> None:
         """Manage the cell until cancelled.
 
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -306,12 +306,13 @@
         count = len(self._holders)
         if not self._takeovers.has_better_holder(cell, count):
             return
-        if not self._holders[cell].is_open:
+        holder = self._holders[cell]
+        if not holder.is_open or holder.awaits_former_leases():
             return
         stable_s = min(
             anyio.current_time()
             - self.members.heartbeat_feed.unbroken_since_s,
-            self._holders[cell].age_s(),
+            holder.age_s(),
         )
         if stable_s > RELEASE_DELAY_S and self._group is not None:
             self._group.start_soon(self.release, cell)
--- a/wisteriawood/tests/directory_builders.py
+++ b/wisteriawood/tests/directory_builders.py
@@ -73,9 +73,9 @@
         self._world.kill_host(name)
         self.start_host(name, zone)
 
-    def start_host(self, name, zone):
-        """Start a host that was killed."""
-        self._world.start_host(name, zone)
+    def start_host(self, name, zone, **fields):
+        """Start a host, a new one or one that was killed."""
+        self._world.start_host(name, zone, **fields)
         self._follow(self._world.hosts[name])
 
     def _write(self, name):
--- a/wisteriawood/tests/leaving_tests.py
+++ b/wisteriawood/tests/leaving_tests.py
@@ -12,11 +12,13 @@
 import anyio
 
 from wisteriawood.cells import claims
+from wisteriawood.cells import former_holders
 from wisteriawood.cells import tables
 from wisteriawood.cells import worker_directories
 from wisteriawood.jobs import specs
 from wisteriawood.links import version_times
 from wisteriawood.platform import worker_followers
+from wisteriawood.standins import job_worlds
 from wisteriawood.tests import builders
 from wisteriawood.tests import directory_builders
 
@@ -232,6 +234,25 @@
 
         self._run(_check, drains=False)
 
+    def test_worker_is_lost_and_a_better_holder_comes_during_the_wait(self):
+        """Regression: LOST, each change of the holder began a new wait."""
+
+        async def _check(world, directory, name):
+            world.workers[name].crash()
+            directory.stop_writing(name)
+            world.kill_host(world.holder_of(CELL))
+            while not world.holder_of(CELL):
+                await anyio.sleep(0.05)
+            waits_s = former_holders.RENEW_WITHOUT_STORE_S + job_worlds.LEASE_S
+            await anyio.sleep(waits_s - 3)
+            directory.start_host("host-a-strong", "a", cores=2.0)
+            await anyio.sleep(3 + 2)
+            self.assertEqual(len(self._restarts(world, name)), 1)
+            await anyio.sleep(RESTART_BOUND_S)
+            self.assertEqual(world.holder_of(CELL), "host-a-strong")
+
+        self._run(_check, drains=False)
+
     def test_worker_is_cut_off_from_its_new_holder_only(self):
         """Guards against a second run while the former holder renews."""
 
