Take over the runs of jobs that are loaded after a cell was opened

Callers saw tasks wait after a change of the holder although their workers answered.

Cause: a job that the first read of a new holder lacked was loaded later, and its assigned tasks became orphans, which only a worker that is added takes over. Workers that were there already reported the runs as unknown, so they were stopped, and the tasks waited until the leases of the former holder had lapsed. A run that ended before the load was worse off: its end was acknowledged and dropped, so a task that was done would have run again.

The runs of such a job are now adopted by the worker that is there, and the ends of unknown runs are kept (1000 at most) until their job is loaded.

Evidence: two tests of stored_jobs_tests failed before: 0 of 2 tasks run 4 s after the takeover, and a job whose tasks had ended is not completed.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -23,6 +23,7 @@
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
+from wisteriawood.links import runners
 from wisteriawood.links import stores
 from wisteriawood.policies.spreading import base as spreading
 from wisteriawood import supervision
@@ -39,6 +40,8 @@
 # Time for which a pending job that moved away is reported here; the other
 # cell reports it with its next heartbeat.
 MOVED_REPORT_S = 2.0
+# Ends of runs of unknown jobs that are kept at most.
+MAX_UNCLAIMED_ENDS = 1000
 # Runs that the log line of one placement pass lists at most.
 MAX_LOGGED_RUNS = 20
 
@@ -69,6 +72,8 @@
         model: Estimates of the load that fillers add to serving tasks.
         filler_meter: Measures the rate at which fillers complete work.
         orphans: Stored runs of workers not in the directory yet, by worker.
+        unclaimed_ends: Newest reported ends of runs that no known job has, by
+            task name and number of the run.
         other_loads: Last reported loads of the service's other cells, by cell.
     """
 
@@ -95,6 +100,7 @@
         "other_loads",
         "store",
         "supervisor",
+        "unclaimed_ends",
         "writer",
     )
 
@@ -128,6 +134,9 @@
         self.fleet: dict[str, workers.Worker] = {}
         self.other_loads: dict[str, claims.CellLoad] = {}
         self.orphans: dict[str, list[runs.Run]] = {}
+        self.unclaimed_ends: collections.OrderedDict[
+            tuple[str, int], runners.EndedRun
+        ] = collections.OrderedDict()
         self.writer = job_writers.JobWriter(
             store=store,
             claim_key=tables.claim_row(claim.cell),
@@ -331,6 +340,18 @@
             run.job, run.task, outcome, checkpoint or run.checkpoint
         )
 
+    def keep_unclaimed_end(self, end: runners.EndedRun) -> None:
+        """Keep the end of a run whose job may be loaded later.
+
+        The worker forgets it once it is acknowledged.
+
+        Args:
+            end: The end.
+        """
+        self.unclaimed_ends[end.task_name, end.run] = end
+        if len(self.unclaimed_ends) > MAX_UNCLAIMED_ENDS:
+            self.unclaimed_ends.popitem(last=False)
+
     def record_run_end(
         self,
         job: jobs.Job,
--- a/wisteriawood/cells/stored_jobs.py
+++ b/wisteriawood/cells/stored_jobs.py
@@ -13,6 +13,7 @@
 from wisteriawood.cells import cells
 from wisteriawood.cells import runs
 from wisteriawood.cells import tables
+from wisteriawood.cells import worker_sessions
 from wisteriawood import errors
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
@@ -227,13 +228,31 @@
             return f"its progress names {job.cell}"
         job.version = state.version
         self._cell.add_job(job)
-        now_s = anyio.current_time()
-        for task in job.all_tasks():
+        for task in list(job.all_tasks()):
             if task.phase is tasks.Phase.ASSIGNED:
-                run = runs.Run(job=job, task=task, assigned_at_s=now_s)
-                self._cell.orphans.setdefault(task.worker_id, []).append(run)
+                self._adopt_run(job, task)
         return ""
 
+    def _adopt_run(self, job: jobs.Job, task: tasks.Task) -> None:
+        """Take over the run of an assigned task that was loaded.
+
+        Args:
+            job: Its job.
+            task: The task.
+        """
+        cell = self._cell
+        end = cell.unclaimed_ends.pop((job.task_name(task), task.run), None)
+        if end is not None:
+            cell.record_run_end(job, task, end.outcome, end.checkpoint)
+            return
+        now_s = anyio.current_time()
+        run = runs.Run(job=job, task=task, assigned_at_s=now_s)
+        worker = cell.fleet.get(task.worker_id)
+        if worker is None:
+            cell.orphans.setdefault(task.worker_id, []).append(run)
+            return
+        worker_sessions.adopt_runs(worker, [run])
+
     def _log_unreadable(self, job_id: str, cause: str) -> None:
         unknown = self._unknown.get(job_id)
         if unknown is None or unknown.cause != cause:
--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -216,6 +216,7 @@
             worker.last_processed_end = end.number
             run = worker.runs.get(end.task_name)
             if run is None or run.number != end.run:
+                self._cell.keep_unclaimed_end(end)
                 continue
             batch = self._cell.end_run(
                 worker, run, end.outcome, end.checkpoint
--- a/wisteriawood/tests/stored_jobs_tests.py
+++ b/wisteriawood/tests/stored_jobs_tests.py
@@ -8,11 +8,16 @@
 
 from wisteriawood.cells import stored_jobs
 from wisteriawood.cells import tables
+from wisteriawood.jobs import jobs
+from wisteriawood.jobs import specs
 from wisteriawood.links.codecs import jobs as codec
 from wisteriawood.links import stores
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
 from wisteriawood.tests import builders
+from wisteriawood.tests import cells_tests
+
+JOB = "0123456789abcdef"
 
 
 def _spec_row(job, version, cell="shop@a"):
@@ -102,3 +107,49 @@
             self.assertEqual(samples, [])
 
         self._run(_check)
+
+
+class LateLoadTests(cells_tests.SingleRunCase):
+    """A new holder's first read lacks the progress of a job that runs."""
+
+    def _run(self, check, work_s):
+        async def _main(world):
+            await anyio.sleep(3)
+            world.work_s[JOB] = work_s
+            step = specs.StepSpec(task_count=2, cpu_millicores=2000)
+            await world.submit_to("shop@a", JOB, [step])
+            await anyio.sleep(1)
+            self.assertEqual(len(world.running()), 2)
+            world.store.hidden_tables.add(tables.JOBS)
+            world.kill_host(world.holder_of("shop@a"))
+            while not world.holder_of("shop@a"):
+                await anyio.sleep(0.1)
+            await check(world)
+            self.check_single_runs(world)
+
+        builders.run_job_world(
+            _main, zones=["a"], hosts_per_zone=2, workers_per_zone=2
+        )
+
+    def test_its_tasks_go_on_soon(self):
+        """Guards against tasks that wait for the leases of a former holder.
+
+        The new holder stopped their runs, which it did not know yet.
+        """
+
+        async def _check(world):
+            await anyio.sleep(4)
+            self.assertEqual(len(world.running()), 2)
+
+        self._run(_check, 60.0)
+
+    def test_tasks_that_were_done_before_the_load_are_not_run_again(self):
+        """Guards against a second run after an acknowledged end (TWICE)."""
+
+        async def _check(world):
+            await world.wait_for(JOB, jobs.JobState.COMPLETED, timeout_s=4)
+            for starts in world.starts().values():
+                self.assertEqual(len(starts), 1)
+
+        # The tasks end while no host holds the cell.
+        self._run(_check, 2.0)
