Load a job with its progress if its specification may be old

Callers saw nothing of this by itself: a holder lost its cell, and its jobs waited for the next one.

Cause: a specification that the first read of a holder lacked is found by an audit seconds later. The holder took it for a new job and forgot the progress that the former holder had stored. The first write conflicted, and the cell was given up; with several such rows, several times.

Feeds now say whether the rows that they pass on come from a read of the whole table; such a job is read with its progress, one call. Rows of polls are new, as before.

--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -172,14 +172,17 @@
         Args:
             submissions: The table of submissions, read before.
         """
-        return feeds.Feed(
+        feed = feeds.Feed(
             store=self.cell.store,
             table=tables.specs_table(tables.zone_of_cell(self.cell.name)),
-            on_rows=self._stored.process,
+            on_rows=lambda rows: self._stored.process(
+                rows, may_be_old=feed.is_reading_table
+            ),
             start=submissions,
             wait_s=JOBS_POLL_S,
             supervisor=self.cell.supervisor,
         )
+        return feed
 
     def _follow_cancels(
         self, cancels: stores.Page, read_at_s: float
--- a/wisteriawood/cells/stored_jobs.py
+++ b/wisteriawood/cells/stored_jobs.py
@@ -101,18 +101,21 @@
             if cause:
                 self._note_unknown(row.at.key, now_s).cause = cause
 
-    def process(self, rows: list[stores.StoredRow]) -> None:
+    def process(
+        self, rows: list[stores.StoredRow], *, may_be_old: bool = False
+    ) -> None:
         """Process changed specifications.
 
         Args:
             rows: Changed rows of the zone's table.
+            may_be_old: Whether the jobs may have made progress since.
         """
         now_s = anyio.current_time()
         for row in rows:
             spec = self._record(row)
             if spec is None or row.at.key in self._cell.jobs:
                 continue
-            if spec.moves:
+            if spec.moves or may_be_old:
                 unknown = self._note_unknown(row.at.key, now_s)
                 self._start_load(unknown, row.at, row)
                 continue
--- a/wisteriawood/links/feeds.py
+++ b/wisteriawood/links/feeds.py
@@ -55,6 +55,9 @@
             known to be current: that at which the last poll with a complete
             answer or the first read was sent, or at which a poll without
             changes ended; 0 before the first.
+        is_reading_table: Whether the rows that are passed on may be older
+            than the last poll: they come from a read of the whole table, or
+            they are passed on once more.
         is_caught_up: Whether the last answer to a poll had all changes. If
             not, the next poll follows without a pause.
         table: The table.
@@ -86,6 +89,7 @@
         "answered_at_s",
         "confirmed_at_s",
         "is_caught_up",
+        "is_reading_table",
         "table",
         "unbroken_since_s",
         "unverified",
@@ -129,6 +133,7 @@
         self.answered_at_s = 0.0
         self.confirmed_at_s = 0.0
         self.is_caught_up = True
+        self.is_reading_table = True
         self._behind_since_s = 0.0
         self.unbroken_since_s = 0.0
         if start is not None:
@@ -205,7 +210,9 @@
                     sent_at_s=sent_at_s,
                     answered_at_s=clocks.elapsed_s(),
                 )
+            self.is_reading_table = False
             self._apply_page(page)
+            self.is_reading_table = True
             self._after = page.version
             self._record_progress(page.is_complete)
             may_pause = page.is_complete
--- a/wisteriawood/tests/stored_jobs_tests.py
+++ b/wisteriawood/tests/stored_jobs_tests.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from wisteriawood.cells import claims
 from wisteriawood.cells import stored_jobs
 from wisteriawood.cells import tables
 from wisteriawood.jobs import jobs
@@ -112,7 +113,7 @@
 class LateLoadTests(cells_tests.SingleRunCase):
     """A new holder's first read lacks the progress of a job that runs."""
 
-    def _run(self, check, work_s):
+    def _run(self, check, work_s, hidden_key=""):
         async def _main(world):
             await anyio.sleep(3)
             world.work_s[JOB] = work_s
@@ -121,6 +122,7 @@
             await anyio.sleep(1)
             self.assertEqual(len(world.running()), 2)
             world.store.hidden_tables.add(tables.JOBS)
+            world.store.hidden_keys.add(hidden_key)
             world.kill_host(world.holder_of("shop@a"))
             while not world.holder_of("shop@a"):
                 await anyio.sleep(0.1)
@@ -153,3 +155,19 @@
 
         # The tasks end while no host holds the cell.
         self._run(_check, 2.0)
+
+    def test_a_job_that_the_first_read_lacked_keeps_its_progress(self):
+        """Guards against a job that starts anew once an audit finds it.
+
+        Its first write would show that, and cost the holder the cell.
+        """
+
+        async def _check(world):
+            world.store.hidden_keys.discard(JOB)
+            world.store.hidden_tables.clear()
+            await anyio.sleep(5)
+            self.assertEqual(len(world.running()), 2)
+            row = world.store.rows[tables.claim_row("shop@a")]
+            self.assertEqual(claims.read_claim(row).epoch, 2)
+
+        self._run(_check, 60.0, hidden_key=JOB)
