Report the jobs of which nothing runs, with the reason

Operators could not see why an accepted job did not run although workers had room: whether each pass left its tasks out, whether they were assigned to a worker without a run behind it, waited for a write or a move, or were unknown to the placer.

The new event 2115:job-idle shows for such a job the cell, how long nothing has run, its moves, the phases of its ready tasks and a pending write or move. For a waiting task it counts the workers by what rules them out, as the placer decides it, and shows the timers of pinning; for assigned tasks it shows the run, what is known of it and whether the worker answers, or that it is an orphan or that no worker has it. Lines are bounded: two a second for a cell, one in 10 s for a job. The gauge wisteriawood_jobs_idle counts the jobs by cell and reason, and is removed when the cell is given up.

The reasons come from the functions that decide: Worker.find_fault, find_conflict and find_shortage replace the bodies of is_usable, accepts and has_capacity_for, and spreading policies name the limit that keeps them from choosing a worker. Decisions do not change.

Tests: idle_jobs_tests has one test or more for each reason, for the bounds, and for jobs that give no line.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -158,6 +158,11 @@
         """Name of the cell."""
         return self.claim.cell
 
+    @property
+    def placer(self) -> placers.Placer:
+        """Assigns the waiting tasks."""
+        return self._placer
+
     def open(self, group: abc.TaskGroup) -> None:
         """Start placing tasks.
 
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -9,6 +9,7 @@
 from wisteriawood.cells import command_senders
 from wisteriawood.cells import evacuations
 from wisteriawood.cells import former_holders
+from wisteriawood.cells import idle_jobs
 from wisteriawood.cells import job_writers
 from wisteriawood.cells import leases
 from wisteriawood.cells import lending
@@ -143,6 +144,12 @@
                     self.cell.name,
                     weight_exchanges.WeightExchange(cell=self.cell).run,
                 )
+                group.start_soon(
+                    self.cell.supervisor.run,
+                    "idle jobs",
+                    self.cell.name,
+                    idle_jobs.IdleJobMonitor(cell=self.cell).run,
+                )
                 self.is_open = True
                 self.update_fleet(self.listed_workers)
                 self._add_removed_workers()
--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -192,8 +192,7 @@
         candidates = [
             worker
             for worker in self._candidates(job, task, step, usable, math.inf)
-            if sum(run.is_pinned for run in worker.runs.values())
-            < MAX_PINNED_PER_WORKER
+            if _may_pin_another(worker)
         ]
         if not candidates:
             return 0
@@ -211,6 +210,87 @@
         del self._idle_since_s[job.id]
         return 1
 
+    def find_obstacle(
+        self,
+        job: jobs.Job,
+        task: tasks.Task,
+        worker: workers.Worker,
+        now_s: float,
+    ) -> str:
+        """Return why a task is not placed on a worker in a pass.
+
+        Args:
+            job: The job.
+            task: A waiting task of the job.
+            worker: The worker.
+            now_s: Monotonic time.
+
+        Returns:
+            The reason; empty if the worker is suitable.
+        """
+        step = job.step_of(task)
+        if step.is_standing and not step.is_filler:
+            # Such a task ignores the block of its image if it has to.
+            blocked_at_s = math.inf
+        else:
+            blocked_at_s = now_s
+        return (
+            worker.find_fault(now_s)
+            or worker.find_conflict(step, job.task_name(task), blocked_at_s)
+            or self._policy.find_limit(worker, step, self._model)
+        )
+
+    def find_pinning_obstacle(
+        self,
+        job: jobs.Job,
+        task: tasks.Task,
+        worker: workers.Worker,
+        now_s: float,
+    ) -> str:
+        """Return why a filler is not started beyond a worker's load limits.
+
+        Args:
+            job: The job.
+            task: A waiting task of a filler step.
+            worker: The worker.
+            now_s: Monotonic time.
+
+        Returns:
+            The reason; empty if the worker is suitable.
+        """
+        step = job.step_of(task)
+        obstacle = worker.find_fault(now_s) or worker.find_conflict(
+            step, job.task_name(task), math.inf
+        )
+        if obstacle or _may_pin_another(worker):
+            return obstacle
+        return "pinned limit"
+
+    def idle_s(self, job: jobs.Job, now_s: float) -> float | None:
+        """Return for how long a job counts as idle for pinning.
+
+        Args:
+            job: The job.
+            now_s: Monotonic time.
+
+        Returns:
+            The time in seconds; None if it does not count as idle.
+        """
+        since_s = self._idle_since_s.get(job.id)
+        return None if since_s is None else now_s - since_s
+
+    def skipped_millicores(self, step: specs.StepSpec) -> int | None:
+        """Return the CPU from which the last pass skipped tasks like these.
+
+        Args:
+            step: The step.
+
+        Returns:
+            The CPU that a similar task requested that did not fit; None if
+            there was no such task.
+        """
+        return self._unplaced_millicores.get(_placement_class(step))
+
     def _choose(
         self,
         job: jobs.Job,
@@ -239,7 +319,9 @@
         """Return workers that accept a task, near its data if possible."""
         name = job.task_name(task)
         candidates = [
-            worker for worker in usable if worker.accepts(step, name, now_s)
+            worker
+            for worker in usable
+            if not worker.find_conflict(step, name, now_s)
         ]
         if step.near_rack:
             near = [
@@ -286,6 +368,11 @@
         return 0
 
 
+def _may_pin_another(worker: workers.Worker) -> bool:
+    pinned = sum(run.is_pinned for run in worker.runs.values())
+    return pinned < MAX_PINNED_PER_WORKER
+
+
 def _placement_class(step: specs.StepSpec) -> tuple:
     """Return the key of steps whose requirements differ only in CPU.
 
--- a/wisteriawood/cells/workers.py
+++ b/wisteriawood/cells/workers.py
@@ -1,5 +1,6 @@
 """Workers of a cell: their capacity, runs and expected loads."""
 
+import copy
 import math
 import typing
 
@@ -209,16 +210,34 @@
             task_name: Name of the task.
             now_s: Monotonic time.
         """
-        if not self.has_capacity_for(step) or not self.is_unblocked_for(
-            step, now_s
-        ):
-            return False
+        return not self.find_conflict(step, task_name, now_s)
+
+    def find_conflict(
+        self, step: specs.StepSpec, task_name: str, now_s: float
+    ) -> str:
+        """Return why a task may not be placed here.
+
+        Args:
+            step: Step of the task.
+            task_name: Name of the task.
+            now_s: Monotonic time.
+
+        Returns:
+            The reason; empty if the task may be placed here.
+        """
+        shortage = self.find_shortage(step)
+        if shortage:
+            return shortage
+        if not self.is_unblocked_for(step, now_s):
+            return "blocked for fillers" if step.is_filler else "blocked image"
         if step.required_label not in ("", *self.registration.labels):
-            return False
+            return "label"
         if not step.most_per_worker:
-            return True
+            return ""
         step_name = task_name.rpartition(".")[0] + "."
-        return self.count_step_tasks(step_name) < step.most_per_worker
+        if self.count_step_tasks(step_name) < step.most_per_worker:
+            return ""
+        return "anti-affinity"
 
     def total_group(self) -> worker_groups.WorkerGroup:
         """Return the worker with all of its capacity."""
@@ -247,11 +266,24 @@
         Args:
             step: The step.
         """
+        return not self.find_shortage(step)
+
+    def find_shortage(self, step: specs.StepSpec) -> str:
+        """Return which resource does not suffice for a task of a step.
+
+        Args:
+            step: The step.
+
+        Returns:
+            The resource; empty if there is enough free capacity.
+        """
         if step.memory_mb > self.free_memory_mb:
-            return False
+            return "memory"
         if step.accelerators > self.free_accelerators:
-            return False
-        return step.is_filler or step.cpu_millicores <= self.free_millicores
+            return "accelerators"
+        if step.is_filler or step.cpu_millicores <= self.free_millicores:
+            return ""
+        return "CPU"
 
     def is_usable(self, now_s: float) -> bool:
         """Return whether new runs may be sent here.
@@ -259,13 +291,35 @@
         Args:
             now_s: Monotonic time.
         """
-        return (
-            not self.is_gone
-            and not self.registration.is_draining
-            and self.started_unix_ms > 0
-            and self.has_answered_recently(now_s)
-            and now_s >= self.avoided_until_s
-        )
+        return not self.find_fault(now_s)
+
+    def find_fault(self, now_s: float) -> str:
+        """Return why no new runs may be sent here.
+
+        Args:
+            now_s: Monotonic time.
+
+        Returns:
+            The reason; empty if new runs may be sent.
+        """
+        if self.is_gone:
+            return "gone"
+        if self.registration.is_draining:
+            return "draining"
+        if self.started_unix_ms <= 0:
+            return "never answered"
+        if not self.has_answered_recently(now_s):
+            return "silent"
+        if now_s < self.avoided_until_s:
+            return "on probation or refusing"
+        return ""
+
+    def snapshot(self) -> "Worker":
+        """Return a copy whose forecasts are not kept by this worker."""
+        found = copy.copy(self)
+        found._projected_loads = dict(self._projected_loads)
+        found._baseline_loads = dict(self._baseline_loads)
+        return found
 
     def is_unblocked_for(self, step: specs.StepSpec, now_s: float) -> bool:
         """Return whether no temporary block excludes tasks of a step.
--- a/wisteriawood/policies/spreading/base.py
+++ b/wisteriawood/policies/spreading/base.py
@@ -27,6 +27,23 @@
             model: Model of how fillers slow latency-sensitive tasks.
         """
 
+    def find_limit(
+        self,
+        worker: workers.Worker,
+        step: specs.StepSpec,
+        model: interference_models.InterferenceModel,
+    ) -> str:
+        """Return why a worker with enough free capacity is never chosen.
+
+        Args:
+            worker: The worker.
+            step: Step of the task.
+            model: Model of how fillers slow latency-sensitive tasks.
+
+        Returns:
+            The limit that it would exceed; empty if it may be chosen.
+        """
+
 
 SPREADING: registry.Registry[type[SpreadingPolicy]] = registry.Registry(
     kind="spreading policy"
--- a/wisteriawood/policies/spreading/first_fit.py
+++ b/wisteriawood/policies/spreading/first_fit.py
@@ -21,3 +21,13 @@
         """Return the worker with the lowest id."""
         del step, model
         return min(candidates, key=lambda worker: worker.id)
+
+    def find_limit(
+        self,
+        worker: workers.Worker,
+        step: specs.StepSpec,
+        model: interference_models.InterferenceModel,
+    ) -> str:
+        """Return an empty string: there are no load limits."""
+        del worker, step, model
+        return ""
--- a/wisteriawood/policies/spreading/least_pressed.py
+++ b/wisteriawood/policies/spreading/least_pressed.py
@@ -46,6 +46,19 @@
         # The tightest fit keeps large amounts free on other workers.
         return min(candidates, key=lambda w: (w.free_millicores, w.id))
 
+    def find_limit(
+        self,
+        worker: workers.Worker,
+        step: specs.StepSpec,
+        model: interference_models.InterferenceModel,
+    ) -> str:
+        """Return which load limit keeps a filler off a worker."""
+        if self.choose([worker], step, model) is not None:
+            return ""
+        if worker.unused_millicores() < MIN_UNUSED_SHARE * step.cpu_millicores:
+            return "unused CPU"
+        return "serving load"
+
 
 def _choose_for_filler(
     candidates: list[workers.Worker],
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -308,6 +308,15 @@
     "The holder of an open cell read a job with its progress, for instance "
     "one that was moved here.",
 )
+JOB_IDLE = events.define(
+    2115,
+    "job-idle",
+    "Nothing of a job runs although a step of it is ready; `reason` says "
+    "whether its tasks are passed over (`obstacles` counts the workers by "
+    "what rules them out), lack a usable worker, are assigned without running "
+    "(`assigned` lists their runs), wait for a write, or are not queued.",
+    "See OPERATIONS.md, A job that doesn't run.",
+)
 CELL_LOAD = events.define(
     2112,
     "cell-load",
--- a/wisteriawood/telemetry/job_metrics.py
+++ b/wisteriawood/telemetry/job_metrics.py
@@ -19,6 +19,9 @@
         cells_held: Cells that this host holds.
         jobs_unknown: Stored jobs of a held cell that this host does not know,
             by cell.
+        jobs_idle: Jobs of which nothing runs although a step is ready, by
+            cell and reason: passed_over, no_worker, assigned, pending_write
+            or not_queued.
         accepted_s: Time from the complete request to its answer.
         started_s: Time from the assignment of a run to its start.
         acknowledged_s: Time from the report of a run's end to its commit.
@@ -39,6 +42,7 @@
         "submissions",
         "jobs_ended",
         "jobs_unknown",
+        "jobs_idle",
         "lines_left_out",
         "paces",
         "jobs_opened",
@@ -86,6 +90,12 @@
             ["cell"],
             registry=self.registry,
         )
+        self.jobs_idle = prometheus_client.Gauge(
+            "wisteriawood_jobs_idle",
+            "Jobs with a ready step of which nothing runs, by reason.",
+            ("cell", "reason"),
+            registry=self.registry,
+        )
         self.accepted_s = self._histogram(
             "handin_seconds", "From the whole request to its answer."
         )
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -1,9 +1,11 @@
 """Builders of test data."""
 
+import contextlib
 import functools
 import random
 
 import anyio
+import eliot
 import trio.testing
 
 from wisteriawood.cells import cells
@@ -45,6 +47,7 @@
 from wisteriawood.standins import stores as store_standins
 from wisteriawood.standins import worlds
 from wisteriawood import supervision
+from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_metrics
 from wisteriawood.telemetry import spans
 
@@ -71,6 +74,24 @@
     )
 
 
+@contextlib.contextmanager
+def record_events(event):
+    """Yield the list to which the lines of an event are added."""
+    lines, is_open = [], False
+
+    def _add(message):
+        # A new destination first gets the lines that eliot has kept.
+        if is_open and message["message_type"] == events.message_type(event):
+            lines.append(message)
+
+    eliot.add_destinations(_add)
+    is_open = True
+    try:
+        yield lines
+    finally:
+        eliot.remove_destination(_add)
+
+
 def run_job_world(function, **fields):
     """Run an async function on a new world of jobs in virtual time."""
 
