Test that paused fillers resume, and random faults (known red)

A filler that is paused beside a serving task stays paused for good if its cell gets another holder, or if the commands that speed it up are lost: the holder knows only the pace it has sent itself. Its job counts as running, so that its other tasks neither move to another cell nor start beyond the load limits.

The randomized test overlaps faults of workers, hosts and the store in three small cells. Stand-ins: stale reads, lost changes of pace, and an end for each run of a crashed worker.

--- a/wisteriawood/standins/runners.py
+++ b/wisteriawood/standins/runners.py
@@ -69,6 +69,7 @@
         lost_answers: Number of subsequent calls that the fault applies to;
             starts and stops among them are executed but their answers are
             lost.
+        lost_paces: Number of subsequent changes of pace that are lost.
     """
 
     __slots__ = (
@@ -92,6 +93,7 @@
         "tail_latencies_ms",
         "token",
         "lost_answers",
+        "lost_paces",
     )
 
     def __init__(
@@ -107,6 +109,7 @@
         self.starts: list[tuple[str, int, float]] = []
         self.ends: list[tuple[str, int, str, float]] = []
         self.lost_answers = 0
+        self.lost_paces = 0
         self.lost_answer_delay_s = 0.0
         self.cut_from: set[str] = set()
         self.has_left = False
@@ -132,6 +135,9 @@
     def crash(self) -> None:
         """Simulate a crash of the worker process, which ends all runs."""
         self.is_dead = True
+        now_s = anyio.current_time()
+        for name, run in self.runs.items():
+            self.ends.append((name, run.command.run, "lost", now_s))
         self.runs.clear()
 
     def leave(self) -> None:
@@ -341,6 +347,9 @@
     ) -> None:
         """Set the speed of a run, as a percentage of full speed."""
         await self._apply_call_faults()
+        if self._worker.lost_paces > 0:
+            self._worker.lost_paces -= 1
+            await self._apply_answer_faults(True)
         self._worker.check_token(token)
         held = self._worker.runs.get(task_name)
         if held is not None and held.command.run == run:
--- a/wisteriawood/standins/stores.py
+++ b/wisteriawood/standins/stores.py
@@ -34,6 +34,8 @@
         lost_table: Table to which lost_answers is limited; empty for all.
         rejected: Number of changes that exceeded a limit.
         rows: Current rows, without deleted ones.
+        stale_rows: Rows that all reads return in place of the current ones, as
+            after a loss of history; None if reads are current.
         slow_keys: Seconds by which commits that write rows of a key are
             delayed, by key.
         version: Version of the latest commit.
@@ -55,6 +57,7 @@
         "rejected",
         "rows",
         "slow_keys",
+        "stale_rows",
         "version",
     )
 
@@ -70,6 +73,7 @@
         self.lost_answer_delay_s = 0.0
         self.late_answers: dict[str, float] = {}
         self.slow_keys: dict[str, float] = {}
+        self.stale_rows: dict[stores.RowKey, stores.StoredRow] | None = None
         self.commits = 0
         self.rejected = 0
         self._history: list[stores.StoredRow] = []
@@ -144,6 +148,10 @@
         self._history.clear()
         self._compacted_version = self.version
 
+    def readable_rows(self) -> dict[stores.RowKey, stores.StoredRow]:
+        """Return the rows that reads show."""
+        return self.rows if self.stale_rows is None else self.stale_rows
+
     def changes(self, table: str, after: int) -> list[stores.StoredRow]:
         """Return the changes of a table after a version.
 
@@ -237,7 +245,7 @@
         await self._apply_call_faults(CALL_DELAY_S)
         rows = [
             row
-            for at, row in self._store.rows.items()
+            for at, row in self._store.readable_rows().items()
             if at.table == table
             and at.part == part
             and at.key.startswith(prefix)
@@ -250,7 +258,11 @@
         """Return the partitions of a table."""
         await self._apply_call_faults(CALL_DELAY_S)
         return sorted(
-            {at.part for at in self._store.rows if at.table == table}
+            {
+                at.part
+                for at in self._store.readable_rows()
+                if at.table == table
+            }
         )
 
     async def feed(self, table: str, after: int, wait_s: float) -> stores.Page:
--- a/wisteriawood/tests/ownership_tests.py
+++ b/wisteriawood/tests/ownership_tests.py
@@ -1,16 +1,24 @@
 """Tests that an accepted job always has an owner and runs if it can."""
 
+import random
+import unittest
+
 import anyio
 
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
 from wisteriawood.tests import builders
 from wisteriawood.tests import cells_tests
+from wisteriawood.tests import ownership_builders
 
 CELL = "shop@a"
 # Time in which work that a worker has room for starts, whatever happened
 # before.
 START_BOUND_S = 14.0
+# Time after which all accepted work is done, once load and faults are over.
+DRAIN_BOUND_S = 60.0
+LOAD_S = 40.0
+SEEDS = (1, 2)
 
 
 def _filler(**fields):
@@ -86,3 +94,123 @@
             self.check_single_runs(world)
 
         builders.run_job_world(_check, workers_per_zone=0)
+
+
+class PausedFillerTests(unittest.TestCase):
+    """A filler is paused beside a serving task, whose latency then falls."""
+
+    def _run(self, resume):
+        serving_id, job_id = f"{1:016x}", f"{2:016x}"
+
+        async def _check(world):
+            latencies_ms = world.workers["w-a-0"].tail_latencies_ms
+            await anyio.sleep(3)
+            world.work_s[serving_id] = ownership_builders.FOREVER_S
+            serving = specs.StepSpec(
+                task_count=1,
+                cpu_millicores=2000,
+                is_standing=True,
+                image="serves",
+                tail_target_ms=10.0,
+            )
+            await world.submit_to(CELL, serving_id, [serving])
+            await anyio.sleep(1)
+            latencies_ms[f"{serving_id}.0.0.0"] = 3.0
+            world.work_s[job_id] = 8.0
+            filler = _filler(is_checkpointing=False)
+            await world.submit_to(CELL, job_id, [filler])
+            await anyio.sleep(2)
+            (run,) = (
+                run
+                for name, run in world.workers["w-a-0"].runs.items()
+                if name.startswith(job_id)
+            )
+            latencies_ms[f"{serving_id}.0.0.0"] = 12.0
+            while run.percent:
+                await anyio.sleep(0.1)
+            await resume(
+                world,
+                lambda: latencies_ms.update({f"{serving_id}.0.0.0": 3.0}),
+            )
+            await anyio.sleep(START_BOUND_S)
+            self.assertEqual(run.percent, 100)
+            await world.wait_for(job_id, jobs.JobState.COMPLETED)
+
+        builders.run_job_world(
+            _check, zones=["a"], hosts_per_zone=2, workers_per_zone=1
+        )
+
+    def test_it_resumes(self):
+        async def _resume(_world, calm):
+            calm()
+
+        self._run(_resume)
+
+    def test_it_resumes_under_another_holder(self):
+        """Guards against fillers that stay paused after a takeover."""
+
+        async def _resume(world, calm):
+            world.kill_host(world.holder_of(CELL))
+            while not world.holder_of(CELL):
+                await anyio.sleep(0.1)
+            calm()
+
+        self._run(_resume)
+
+    def test_it_resumes_after_commands_without_answer(self):
+        """Guards against fillers that stay paused as commands are lost."""
+
+        async def _resume(world, calm):
+            world.workers["w-a-0"].lost_paces = 4
+            calm()
+
+        self._run(_resume)
+
+
+class RandomFaultTests(unittest.TestCase):
+    """Overlapping faults under load, in three zones of two workers."""
+
+    def _run(self, seed, names):
+        async def _check(world):
+            rng = random.Random(seed)
+            await anyio.sleep(3)
+            for number in range(3):
+                job_id = f"{number:x}" * 16
+                world.work_s[job_id] = ownership_builders.FOREVER_S
+                steps = ownership_builders.make_standing_steps(rng)
+                await world.submit_to(CELL, job_id, steps)
+            until_s = anyio.current_time() + LOAD_S
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    ownership_builders.vary_latencies, world, rng, until_s
+                )
+                async with anyio.create_task_group() as load:
+                    load.start_soon(
+                        ownership_builders.submit, world, rng, until_s
+                    )
+                    await ownership_builders.inject(world, rng, names, until_s)
+                ownership_builders.heal(world)
+                await self._check_jobs(world)
+                group.cancel_scope.cancel()
+
+        builders.run_job_world(
+            _check, zones=["a", "b", "c"], workers_per_zone=2
+        )
+
+    async def _check_jobs(self, world):
+        starved = await ownership_builders.find_starved_jobs(
+            world, START_BOUND_S
+        )
+        self.assertEqual(builders.find_unowned_jobs(world), [])
+        self.assertEqual(starved, [])
+        self.assertEqual(ownership_builders.find_overlaps(world), [])
+        await anyio.sleep(DRAIN_BOUND_S - START_BOUND_S)
+        unfinished = ownership_builders.find_unfinished_jobs(world)
+        self.assertEqual(unfinished, [])
+
+    def test_accepted_jobs_have_an_owner_and_run(self):
+        """Guards against accepted jobs that wait for good (LOST)."""
+        names = ownership_builders.FAULTS.names()
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self._run(seed, names)
