Test stale progress and work that is passed over (known red)

Five tests fail on the current code: a moved job that its new cell gives up after an outage; tasks that wait for leases after a takeover that read old progress; and work that waits beside free workers because of work that fits nowhere, because its rack is full, or because another task of its job runs slowly in a full cell.

--- a/wisteriawood/tests/ownership_tests.py
+++ b/wisteriawood/tests/ownership_tests.py
@@ -5,6 +5,8 @@
 
 import anyio
 
+from wisteriawood.cells import holders
+from wisteriawood.cells import tables
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
 from wisteriawood.tests import builders
@@ -167,6 +169,149 @@
         self._run(_resume)
 
 
+class StaleProgressTests(cells_tests.SingleRunCase):
+    """A holder reads the progress of a job late."""
+
+    def test_outage_and_stale_read_after_a_move(self):
+        """Guards against a moved job that its new cell gives up.
+
+        The store is away when the cell reads the progress, and the first
+        read after that is stale.
+        """
+
+        async def _check(world):
+            world.add_worker("b0", "b")
+            await anyio.sleep(3)
+            (job_id,) = builders.make_job_ids("a", world.zones, 1)
+            await world.submit_to(CELL, job_id, [_filler()])
+            before = dict(world.store.rows)
+            spec_at = tables.spec_row("shop@b", "a", job_id)
+            while spec_at not in world.store.rows:
+                await anyio.sleep(0.001)
+            world.store.is_down = True
+            await anyio.sleep(holders.STALE_READ_S + 1)
+            world.store.compact_history()
+            world.store.stale_rows = before
+            world.store.is_down = False
+            await anyio.sleep(2)
+            world.store.stale_rows = None
+            await anyio.sleep(START_BOUND_S)
+            self.assertEqual(builders.find_unowned_jobs(world), [])
+            state = await world.intake().state(job_id)
+            self.assertEqual(state, jobs.JobState.COMPLETED)
+            self.check_single_runs(world)
+
+        builders.run_job_world(_check, workers_per_zone=0)
+
+    def test_stale_progress_in_a_takeover(self):
+        """Guards against tasks that wait for leases of a gone holder.
+
+        The new holder stops their runs, since it doesn't know them yet.
+        """
+
+        async def _check(world):
+            await anyio.sleep(3)
+            job_id = f"{1:016x}"
+            world.work_s[job_id] = 60.0
+            await world.submit_to(CELL, job_id, [_filler(task_count=2)])
+            await anyio.sleep(1)
+            self.assertEqual(len(world.running()), 2)
+            world.store.hidden_tables.add(tables.JOBS)
+            world.kill_host(world.holder_of(CELL))
+            while not world.holder_of(CELL):
+                await anyio.sleep(0.1)
+            await anyio.sleep(START_BOUND_S)
+            self.assertEqual(len(world.running()), 2)
+            self.check_single_runs(world)
+
+        builders.run_job_world(
+            _check, zones=["a"], hosts_per_zone=2, workers_per_zone=2
+        )
+
+
+class PassedOverTests(unittest.TestCase):
+    """Work waits although a worker has room for it."""
+
+    def test_another_job_needs_more_memory_than_there_is(self):
+        """Guards against work that waits behind work that fits nowhere."""
+
+        async def _check(world):
+            world.add_worker("w", "a", memory_mb=11_000)
+            await anyio.sleep(3)
+            for number, memory_mb in enumerate((12_000, 9984)):
+                step = _filler(is_filler=False, memory_mb=memory_mb)
+                await world.submit_to(CELL, f"{number:016x}", [step])
+            await anyio.sleep(START_BOUND_S)
+            state = await world.intake().state(f"{1:016x}")
+            self.assertEqual(state, jobs.JobState.COMPLETED)
+
+        builders.run_job_world(_check, zones=["a"], workers_per_zone=0)
+
+    def test_the_rack_with_the_data_is_full(self):
+        """Guards against fillers that wait for their rack beside free ones."""
+
+        async def _check(world):
+            world.add_worker("near", "a", rack="r1", labels=["r1"])
+            world.add_worker("far", "a", rack="r2")
+            await anyio.sleep(3)
+            job_ids = [f"{number:016x}" for number in range(2)]
+            world.work_s = dict.fromkeys(job_ids, 60.0)
+            full = specs.StepSpec(
+                task_count=1,
+                cpu_millicores=16_000,
+                is_standing=True,
+                required_label="r1",
+            )
+            await world.submit_to(CELL, job_ids[0], [full])
+            await anyio.sleep(1)
+            self.assertEqual(list(world.running().values()), ["near"])
+            fillers = _filler(
+                task_count=20, cpu_millicores=7800, near_rack="r1"
+            )
+            await world.submit_to(CELL, job_ids[1], [fillers])
+            await anyio.sleep(START_BOUND_S)
+            self.assertIn("far", world.running().values())
+
+        builders.run_job_world(_check, zones=["a"], workers_per_zone=0)
+
+    def test_another_task_of_the_job_runs_slowly(self):
+        """Guards against fillers that wait beside cells without work.
+
+        A serving task is near its bound, so that the fillers on its worker
+        are stopped. One starts again at a low pace, and the other one waits
+        although another cell is free.
+        """
+
+        async def _check(world):
+            await anyio.sleep(3)
+            job_ids = [f"{number:016x}" for number in range(2)]
+            world.work_s = dict.fromkeys(job_ids, ownership_builders.FOREVER_S)
+            serving = specs.StepSpec(
+                task_count=1,
+                cpu_millicores=8000,
+                is_standing=True,
+                image=ownership_builders.SERVING_IMAGE,
+                tail_target_ms=ownership_builders.TAIL_TARGET_MS,
+            )
+            await world.submit_to(CELL, job_ids[0], [serving])
+            await anyio.sleep(1)
+            latencies_ms = world.workers["w-a-0"].tail_latencies_ms
+            latencies_ms[f"{job_ids[0]}.0.0.0"] = 2.0
+            await anyio.sleep(3)
+            await world.submit_to(CELL, job_ids[1], [_filler(task_count=2)])
+            await anyio.sleep(6)
+            self.assertEqual(set(world.running().values()), {"w-a-0"})
+            self.assertEqual(len(world.running()), 3)
+            latencies_ms[f"{job_ids[0]}.0.0.0"] = 14.0
+            await anyio.sleep(2)
+            latencies_ms[f"{job_ids[0]}.0.0.0"] = 9.0
+            await anyio.sleep(4 + START_BOUND_S)
+            fillers = [n for n in world.running() if n.startswith(job_ids[1])]
+            self.assertEqual(len(fillers), 2)
+
+        builders.run_job_world(_check, workers_per_zone=1)
+
+
 class RandomFaultTests(unittest.TestCase):
     """Overlapping faults under load, in three zones of two workers."""
 
