Skip tasks of a pass only if they need as much CPU and memory

Callers saw tasks wait although a worker had room for them.

Cause: a placement pass skips what a task that did not fit rules out. Tasks were compared by CPU in classes of 4 GiB of memory, so one of 12,000 MB that fits nowhere ruled out one of 9,984 MB for good, if it needs no less CPU; fillers were started one by one in the end, other work never.

What did not fit is now kept with its CPU and memory, and rules out only what needs at least as much of both.

--- a/wisteriawood/cells/idle_jobs.py
+++ b/wisteriawood/cells/idle_jobs.py
@@ -29,6 +29,8 @@
 MAX_LINES = 2
 # Most assigned tasks that one line lists.
 MAX_LOGGED_TASKS = 4
+# Most needs of similar tasks that one line lists.
+MAX_NEEDS = 4
 # Counts the workers that nothing rules out.
 NO_OBSTACLE = "none"
 
@@ -254,7 +256,7 @@
             "waiting_jobs": sum(1 for _entry in cell.waiting_jobs()),
             "obstacles": dict(obstacles),
             "pinning_obstacles": dict(pinning),
-            "skipped_from_millicores": cell.placer.skipped_millicores(step),
+            "unplaced_needs": cell.placer.unplaced_needs(step)[:MAX_NEEDS],
             "intake_idle_s": _rounded(now_s - cell.last_job_at_s),
             "is_intake_idle": cell.placer.is_intake_idle,
             "pinning_idle_s": _rounded(cell.placer.idle_s(job, now_s)),
--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -15,9 +15,6 @@
 # Jobs in a row without a placed task after which a pass ends, to bound its
 # time. Tasks of a class that did not fit are skipped for the rest of a pass.
 MAX_CONSECUTIVE_MISSES = 500
-# Granularity of the memory request in a placement class; more than most tasks
-# request.
-MEMORY_CLASS_MB = 4096
 # Time without a running task after which one task of a filler job is started
 # where it interferes least; the filler pacer then slows it as far as needed.
 IDLE_JOB_TIMEOUT_S = 2.0
@@ -76,7 +73,7 @@
         "_idle_since_s",
         "_model",
         "_policy",
-        "_unplaced_millicores",
+        "_unplaced",
         "is_intake_idle",
     )
 
@@ -89,8 +86,8 @@
         self._policy = policy
         self._model = model
         self._idle_since_s: dict[str, float] = {}
-        # CPU of the tasks that did not fit in this pass, by class.
-        self._unplaced_millicores: dict[tuple, int] = {}
+        # CPU and memory of the tasks that did not fit in this pass, by class.
+        self._unplaced: dict[tuple, list[tuple[int, int]]] = {}
         self.is_intake_idle = True
 
     def place(
@@ -114,7 +111,7 @@
         if not usable:
             return []
         assigned: list[tuple[workers.Worker, runs.Run]] = []
-        self._unplaced_millicores.clear()
+        self._unplaced.clear()
         for job_id in self._idle_since_s.keys() - waiting.keys():
             del self._idle_since_s[job_id]
         misses = 0
@@ -144,18 +141,13 @@
         if step.is_gang:
             return self._place_gang(job, step_tasks, usable, assigned, now_s)
         placed = 0
-        placement_class = _placement_class(step)
         for task in step_tasks:
-            if step.cpu_millicores >= self._unplaced_millicores.get(
-                placement_class, math.inf
-            ):
+            if self._is_ruled_out(step):
                 break
             worker = self._choose(job, task, step, usable, now_s)
             if worker is None:
                 if not step.most_per_worker:
-                    self._unplaced_millicores[placement_class] = (
-                        step.cpu_millicores
-                    )
+                    self._rule_out(step)
                 break
             assigned.append((worker, _assign(job, task, worker, now_s)))
             placed += 1
@@ -170,6 +162,24 @@
             )
         return placed
 
+    def _is_ruled_out(self, step: specs.StepSpec) -> bool:
+        """Return whether a task that needs no more did not fit in this pass.
+
+        Args:
+            step: Step of a task.
+        """
+        return any(
+            step.cpu_millicores >= cpu_millicores
+            and step.memory_mb >= memory_mb
+            for cpu_millicores, memory_mb in self._unplaced.get(
+                _placement_class(step), ()
+            )
+        )
+
+    def _rule_out(self, step: specs.StepSpec) -> None:
+        needs = (step.cpu_millicores, step.memory_mb)
+        self._unplaced.setdefault(_placement_class(step), []).append(needs)
+
     def _has_idled_too_long(self, job: jobs.Job, now_s: float) -> bool:
         """Return whether no task of a job has run for IDLE_JOB_TIMEOUT_S."""
         if any(t.phase is tasks.Phase.ASSIGNED for t in job.all_tasks()):
@@ -279,17 +289,18 @@
         since_s = self._idle_since_s.get(job.id)
         return None if since_s is None else now_s - since_s
 
-    def skipped_millicores(self, step: specs.StepSpec) -> int | None:
-        """Return the CPU from which the last pass skipped tasks like these.
+    def unplaced_needs(self, step: specs.StepSpec) -> list[tuple[int, int]]:
+        """Return what similar tasks needed that the last pass did not place.
+
+        Tasks that need as much or more were skipped.
 
         Args:
             step: The step.
 
         Returns:
-            The CPU that a similar task requested that did not fit; None if
-            there was no such task.
+            CPU in millicores and memory in MB, one pair for each such task.
         """
-        return self._unplaced_millicores.get(_placement_class(step))
+        return self._unplaced.get(_placement_class(step), [])
 
     def _choose(
         self,
@@ -374,10 +385,7 @@
 
 
 def _placement_class(step: specs.StepSpec) -> tuple:
-    """Return the key of steps whose requirements differ only in CPU.
-
-    Memory is rounded down to a multiple of MEMORY_CLASS_MB.
-    """
+    """Return the key of steps that differ only in CPU and memory."""
     return (
         step.is_filler,
         step.image,
@@ -385,7 +393,6 @@
         step.required_label,
         step.near_rack,
         step.accelerators,
-        step.memory_mb // MEMORY_CLASS_MB,
     )
 
 
--- a/wisteriawood/tests/idle_jobs_tests.py
+++ b/wisteriawood/tests/idle_jobs_tests.py
@@ -94,7 +94,7 @@
             self.assertEqual(line["obstacles"], {"serving load": 3})
             self.assertEqual(line["pinning_obstacles"], {"none": 3})
             self.assertFalse(line["is_intake_idle"])
-            self.assertEqual(line["skipped_from_millicores"], 4000)
+            self.assertEqual(line["unplaced_needs"], [(4000, 8)])
             self.assertEqual(self.gauge(cell, "passed_over"), 1)
             self.assertEqual(self.gauge(cell, "assigned"), 0)
 
--- a/wisteriawood/tests/ownership_tests.py
+++ b/wisteriawood/tests/ownership_tests.py
@@ -5,7 +5,6 @@
 
 import anyio
 
-from wisteriawood.cells import holders
 from wisteriawood.cells import tables
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
@@ -17,6 +16,8 @@
 # Time in which work that a worker has room for starts, whatever happened
 # before.
 START_BOUND_S = 14.0
+# Time for which reads may be stale after a loss of history.
+STALE_READ_S = 20.0
 # Time after which all accepted work is done, once load and faults are over.
 DRAIN_BOUND_S = 60.0
 LOAD_S = 40.0
@@ -189,7 +190,7 @@
             while spec_at not in world.store.rows:
                 await anyio.sleep(0.001)
             world.store.is_down = True
-            await anyio.sleep(holders.STALE_READ_S + 1)
+            await anyio.sleep(STALE_READ_S + 1)
             world.store.compact_history()
             world.store.stale_rows = before
             world.store.is_down = False
