Don't forget a stored job because an audit does not show it

Callers could lose an accepted job whose cell had not loaded it yet: after an outage of the store the holder forgot it, and no poll repeats a row.

Cause: the audits of a feed that were due during an outage run as soon as the store returns. If it has lost its history, their reads may be as old as what they check, and the last audit removes the rows that it lacks.

A removal by an audit now leaves the job on the list of stored jobs. One that is not in memory is read by its key until 20 s of reads have not shown it, which is longer than reads are stale.

--- a/wisteriawood/cells/stored_jobs.py
+++ b/wisteriawood/cells/stored_jobs.py
@@ -31,10 +31,14 @@
 # further one.
 RETRY_DELAY_S = 0.5
 MAX_RETRY_DELAY_S = 5.0
+# Time for which reads may be stale after a loss of history. A specification
+# that reads have not shown for longer is gone.
+STALE_READ_S = 20.0
 # Time after which a stored job that the holder does not know is logged, and
 # the pause before it is logged again.
 UNKNOWN_LOG_DELAY_S = 3.0
 UNKNOWN_LOG_PERIOD_S = 10.0
+_NOT_THERE = "its specification is not there"
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -48,6 +52,8 @@
             during an attempt.
         delay_s: Pause after that attempt.
         cause: Why the last attempt failed; empty before the first.
+        missing_since_s: Monotonic time since which reads have not shown its
+            specification; infinite if the last attempt did.
     """
 
     since_s: float
@@ -55,6 +61,7 @@
     load_at_s: float
     delay_s: float = RETRY_DELAY_S
     cause: str = ""
+    missing_since_s: float = math.inf
 
 
 class StoredJobs:
@@ -112,6 +119,10 @@
         """
         now_s = anyio.current_time()
         for row in rows:
+            if row.value is None and may_be_old:
+                # An audit may be as stale as what it checks. A job that is
+                # not in memory is read once more.
+                continue
             spec = self._record(row)
             if spec is None or row.at.key in self._cell.jobs:
                 continue
@@ -295,7 +306,14 @@
         except Exception as exc:
             unknown.cause = repr(exc)
             self._cell.supervisor.record("load of a job", at.key, exc)
-        unknown.load_at_s = anyio.current_time() + unknown.delay_s
+        now_s = anyio.current_time()
+        if unknown.cause != _NOT_THERE:
+            unknown.missing_since_s = math.inf
+        elif now_s - unknown.missing_since_s >= STALE_READ_S:
+            self._rows.pop(at.key, None)
+        else:
+            unknown.missing_since_s = min(unknown.missing_since_s, now_s)
+        unknown.load_at_s = now_s + unknown.delay_s
         unknown.delay_s = min(2 * unknown.delay_s, MAX_RETRY_DELAY_S)
 
     async def _read_and_load(
@@ -309,7 +327,7 @@
         if row is None:
             row = await self._read(at)
         if row is None or row.value is None:
-            return "its specification is not there"
+            return _NOT_THERE
         state = await self._read(tables.job_row(at.part, at.key))
         cell, spec = codec.spec_from_bytes(row.value)
         if cell != self._cell.name:
--- a/wisteriawood/tests/stored_jobs_tests.py
+++ b/wisteriawood/tests/stored_jobs_tests.py
@@ -13,6 +13,7 @@
 from wisteriawood.jobs import specs
 from wisteriawood.links.codecs import jobs as codec
 from wisteriawood.links import stores
+from wisteriawood.standins import stores as store_standins
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
 from wisteriawood.tests import builders
@@ -95,6 +96,34 @@
 
         self._run(_check)
 
+    def test_it_is_forgotten_once_reads_no_longer_show_it(self):
+        """Guards against jobs that are given up by the word of an old audit.
+
+        The job is read until stale reads are ruled out, and no longer.
+        """
+
+        async def _main():
+            store = store_standins.MemoryStore()
+            cell = builders.make_cell(store=store.link("host"))
+            stored = stored_jobs.StoredJobs(cell=cell)
+            row = _spec_row(builders.make_job("j1"), 5)
+            gone = dataclasses.replace(row, value=None, version=6)
+            stored.load_all([row], [])
+            async with anyio.create_task_group() as group:
+                cell.open(group)
+                stored.process([gone], may_be_old=True)
+                for _second in range(15):
+                    await anyio.sleep(1)
+                    stored.check()
+                self.assertEqual(self._count(cell), 1)
+                for _second in range(15):
+                    await anyio.sleep(1)
+                    stored.check()
+                self.assertEqual(self._count(cell), 0)
+                group.cancel_scope.cancel()
+
+        builders.run_virtual(_main)
+
     def test_the_count_ends_with_the_hold(self):
         async def _check(cell, stored):
             stored.process([_spec_row(builders.make_job("j1"), 5)])
