Start the next task of an idle job without a wait

And an assigned task counted as running wherever it was: one on a worker that was lost beside a change of the holder held up all others until its lease had lapsed, up to 18 s.

A task counts only on a worker that answers, and for 2 s until it is confirmed. The first pinned start comes after 1 s, the next ones at once, as long as the job fits nowhere.

--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -16,8 +16,13 @@
 # time. Tasks of a class that did not fit are skipped for the rest of a pass.
 MAX_CONSECUTIVE_MISSES = 500
 # Time without a running task after which one task of a filler job is started
-# where it interferes least; the filler pacer then slows it as far as needed.
-IDLE_JOB_TIMEOUT_S = 2.0
+# where it interferes least; the filler pacer then slows it as far as needed. A
+# job that can run is to have a running task at least each 3 s, and a start may
+# take up to a second.
+IDLE_JOB_TIMEOUT_S = 1.0
+# Time after which an assigned run that no worker has confirmed no longer
+# counts as about to run.
+START_TIMEOUT_S = 2.0
 # Most tasks started this way (pinned) on one worker; at their initial pace,
 # together they use less CPU than one at full speed.
 MAX_PINNED_PER_WORKER = 4
@@ -70,8 +75,10 @@
     """
 
     __slots__ = (
+        "_active_ids",
         "_idle_since_s",
         "_model",
+        "_pinned_ids",
         "_policy",
         "_unplaced",
         "is_intake_idle",
@@ -86,6 +93,10 @@
         self._policy = policy
         self._model = model
         self._idle_since_s: dict[str, float] = {}
+        # Waiting jobs whose last start was pinned.
+        self._pinned_ids: set[str] = set()
+        # Jobs with a running task; None until this pass needs them.
+        self._active_ids: set[str] | None = None
         # CPU and memory of the tasks that did not fit in this pass, by class.
         self._unplaced: dict[tuple, list[tuple[int, int]]] = {}
         self.is_intake_idle = True
@@ -112,8 +123,10 @@
             return []
         assigned: list[tuple[workers.Worker, runs.Run]] = []
         self._unplaced.clear()
+        self._active_ids = None
         for job_id in self._idle_since_s.keys() - waiting.keys():
             del self._idle_since_s[job_id]
+        self._pinned_ids &= waiting.keys()
         misses = 0
         ordered = sorted(
             waiting.values(), key=lambda entry: start_order(entry[0], now_s)
@@ -151,11 +164,12 @@
                 break
             assigned.append((worker, _assign(job, task, worker, now_s)))
             placed += 1
-        if (
-            not placed
-            and step.is_filler
+        if placed:
+            self._pinned_ids.discard(job.id)
+        elif (
+            step.is_filler
             and self.is_intake_idle
-            and self._has_idled_too_long(job, now_s)
+            and self._has_idled_too_long(job, usable, now_s)
         ):
             return self._place_least_disruptive(
                 job, step_tasks[0], usable, assigned, now_s
@@ -180,11 +194,26 @@
         needs = (step.cpu_millicores, step.memory_mb)
         self._unplaced.setdefault(_placement_class(step), []).append(needs)
 
-    def _has_idled_too_long(self, job: jobs.Job, now_s: float) -> bool:
-        """Return whether no task of a job has run for IDLE_JOB_TIMEOUT_S."""
-        if any(t.phase is tasks.Phase.ASSIGNED for t in job.all_tasks()):
+    def _has_idled_too_long(
+        self, job: jobs.Job, usable: list[workers.Worker], now_s: float
+    ) -> bool:
+        """Return whether a job has had no running task for too long.
+
+        A run on a worker that does not answer does not count. There is no
+        wait after a pinned task: the job still fits nowhere.
+
+        Args:
+            job: The job.
+            usable: The workers that may get new runs.
+            now_s: Monotonic time.
+        """
+        if self._active_ids is None:
+            self._active_ids = _jobs_with_active_runs(usable, now_s)
+        if job.id in self._active_ids:
             self._idle_since_s.pop(job.id, None)
             return False
+        if job.id in self._pinned_ids:
+            return True
         since_s = self._idle_since_s.setdefault(job.id, now_s)
         return now_s - since_s >= IDLE_JOB_TIMEOUT_S
 
@@ -217,7 +246,10 @@
         run = _assign(job, task, worker, now_s)
         run.is_pinned = True
         assigned.append((worker, run))
-        del self._idle_since_s[job.id]
+        self._idle_since_s.pop(job.id, None)
+        self._pinned_ids.add(job.id)
+        if self._active_ids is not None:
+            self._active_ids.add(job.id)
         return 1
 
     def find_obstacle(
@@ -384,6 +416,24 @@
     return pinned < MAX_PINNED_PER_WORKER
 
 
+def _jobs_with_active_runs(
+    fleet: typing.Iterable[workers.Worker], now_s: float
+) -> set[str]:
+    """Return the ids of the jobs of which a task runs or is about to.
+
+    Args:
+        fleet: Workers that answer.
+        now_s: Monotonic time.
+    """
+    return {
+        run.job.id
+        for worker in fleet
+        for run in worker.runs.values()
+        if not run.is_stopping
+        and (run.is_confirmed or now_s - run.assigned_at_s < START_TIMEOUT_S)
+    }
+
+
 def _placement_class(step: specs.StepSpec) -> tuple:
     """Return the key of steps that differ only in CPU and memory."""
     return (
--- a/wisteriawood/tests/placing_tests.py
+++ b/wisteriawood/tests/placing_tests.py
@@ -11,6 +11,7 @@
 from wisteriawood.cells import placers
 from wisteriawood.cells import progress
 from wisteriawood.cells import share_histories
+from wisteriawood.cells import workers
 from wisteriawood.jobs import queues
 from wisteriawood.jobs import tasks
 from wisteriawood.links.codecs import jobs as codec
@@ -210,6 +211,66 @@
         builders.run_virtual(_main)
 
 
+class StartedJobTests(unittest.TestCase):
+    """A heavy filler job, one task of which was started on a worker."""
+
+    def _run(self, check):
+        async def _main():
+            await anyio.sleep(100)
+            model = interference_models.InterferenceModel()
+            builders.set_weights(model, "serves", {"fills": 6.0})
+            placer = placers.Placer(
+                policy=least_pressed.LeastPressed(), model=model
+            )
+            now_s = anyio.current_time()
+            fleet = [
+                builders.make_run_worker(f"w{n}", now_s=now_s)
+                for n in range(2)
+            ]
+            serving = builders.make_serving_job(
+                task_count=2, most_per_worker=1
+            )
+            placer.place(_waiting(serving), fleet, now_s)
+            job = _job("f", task_count=4, is_filler=True, image="fills")
+            placer.place(_waiting(job), fleet, now_s)
+            now_s += placers.IDLE_JOB_TIMEOUT_S
+            ((worker, run),) = placer.place(_waiting(job), fleet, now_s)
+            run.confirm(now_s)
+            check(placer, fleet, job, worker, run, now_s)
+            for worker in fleet:
+                worker.close()
+
+        builders.run_virtual(_main)
+
+    def test_the_next_one_follows_at_once(self):
+        """Guards against a job with nothing running between its tasks.
+
+        With 2 s before each of them, an unanswered start was enough for LOST.
+        """
+
+        def _check(placer, fleet, job, worker, run, now_s):
+            self.assertEqual(placer.place(_waiting(job), fleet, now_s), [])
+            worker.remove_run(run)
+            run.task.release(tasks.Phase.DONE)
+            found = placer.place(_waiting(job), fleet, now_s)
+            self.assertEqual([run.is_pinned for _worker, run in found], [True])
+
+        self._run(_check)
+
+    def test_a_task_on_a_silent_worker_does_not_hold_up_the_others(self):
+        """Regression: LOST, a job waited for the lease of one lost worker."""
+
+        def _check(placer, fleet, job, worker, run, now_s):
+            now_s += workers.MAX_ANSWER_AGE_S + 0.1
+            for other in fleet:
+                if other is not worker:
+                    other.answered_at_s = now_s
+            found = placer.place(_waiting(job), fleet, now_s)
+            self.assertEqual([w is worker for w, _run in found], [False])
+
+        self._run(_check)
+
+
 class InterferenceModelTests(unittest.TestCase):
     """The baseline load changes slowly, and fillers change within seconds."""
 
