Compare the pace of fillers with what their workers report

Callers saw fillers stand still for good although the tasks beside them had calmed down, and the other tasks of their jobs wait.

Cause: a holder knew the pace of a filler only from its own commands, each sent once. After a takeover it believed in full speed, so it never sped up what the former holder had paused; the same after commands without answer.

The pace of a run that is taken over is now the one that its worker reports first. A filler that reports no speed for 3 s although it should run counts as paused, and is sped up again as far as the loads allow.

--- a/wisteriawood/cells/pacers.py
+++ b/wisteriawood/cells/pacers.py
@@ -27,6 +27,9 @@
 # covers half a second.
 PACE_CHANGE_INTERVAL_S = 0.6
 SPEEDUP_PERCENT = 25
+# Time without any speed after which a filler counts as paused whatever pace
+# was set: the command got no answer, or an older one took effect after it.
+STANDSTILL_S = 3.0
 # Pace below which a filler is stopped if it can resume on another worker from
 # a checkpoint.
 MOVE_BELOW_PERCENT = 30
@@ -39,19 +42,53 @@
         cell: The cell.
     """
 
-    __slots__ = ("_cell", "_overloaded_since_s", "_pace_changed_at_s")
+    __slots__ = (
+        "_cell",
+        "_overloaded_since_s",
+        "_pace_changed_at_s",
+        "_still_since_s",
+    )
 
     def __init__(self, *, cell: cells.Cell):
         self._cell = cell
         self._overloaded_since_s: dict[str, float] = {}
         self._pace_changed_at_s: dict[str, float] = {}
+        # Monotonic times since which fillers have stood still that should not,
+        # by task name and number of the run.
+        self._still_since_s: dict[tuple[str, int], float] = {}
 
     def tick(self) -> None:
         """Slow down or speed up fillers as the tail latencies require."""
         now_s = anyio.current_time()
+        known, self._still_since_s = self._still_since_s, {}
         for worker in self._cell.fleet.values():
+            self._check_speeds(worker, known, now_s)
             self._check_worker(worker, now_s)
 
+    def _check_speeds(
+        self,
+        worker: workers.Worker,
+        known: dict[tuple[str, int], float],
+        now_s: float,
+    ) -> None:
+        """Count fillers as paused that stand still although they should not.
+
+        Args:
+            worker: Their worker.
+            known: Since when fillers were known to stand still.
+            now_s: Monotonic time.
+        """
+        for run in worker.runs.values():
+            if not run.step.is_filler or not run.is_confirmed:
+                continue
+            if run.speed_percent or not run.pace_percent:
+                continue
+            key = (run.name, run.number)
+            since_s = self._still_since_s[key] = known.get(key, now_s)
+            if now_s - since_s >= STANDSTILL_S:
+                run.pace_percent = 0
+                worker.record_shares(now_s)
+
     def _check_worker(self, worker: workers.Worker, now_s: float) -> None:
         most_loaded, load = self._find_most_loaded(worker, now_s)
         if load < interference_models.BOUND_LOAD:
--- a/wisteriawood/cells/runs.py
+++ b/wisteriawood/cells/runs.py
@@ -30,6 +30,8 @@
         signal: Tail latency in milliseconds for a serving task, CPU use in
             millicores for any other.
         pace_percent: Speed limit last set, in percent of full speed.
+        is_pace_known: Whether that is known; a former holder may have set it
+            for a run that was taken over, until a report shows it.
     """
 
     __slots__ = (
@@ -38,6 +40,7 @@
         "checkpoint",
         "is_answered",
         "is_confirmed",
+        "is_pace_known",
         "is_pinned",
         "is_stopping",
         "job",
@@ -72,6 +75,7 @@
         self.speed_percent = 0.0
         self.signal = 0.0
         self.pace_percent = 100
+        self.is_pace_known = True
 
     def mark_answered(self, now_s: float) -> None:
         """Record that the worker has answered the last command.
--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -245,6 +245,9 @@
             if active.checkpoint:
                 run.checkpoint = active.checkpoint
             run.speed_percent = active.percent
+            if not run.is_pace_known:
+                run.is_pace_known = True
+                run.pace_percent = min(100, int(active.percent))
             run.signal = active.signal
         return listed
 
@@ -331,6 +334,7 @@
     """
     for run in adopted:
         run.was_sent = True
+        run.is_pace_known = not run.step.is_filler
         # Earlier than any renewal, so that the first report decides.
         run.mark_answered(-1.0)
         worker.add_run(run)
