Place fillers away from their data if its rack takes none

Callers saw 19 of 20 tasks of a job wait beside an empty worker.

Cause: fillers reserve no CPU, so workers of the rack with the data accept them until the load limits are asked; that the limits refuse all of them was not followed by a look at the other workers.

The policy is now asked for the other workers too, once it refuses those near the data.

--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -236,7 +236,7 @@
         if not candidates:
             return 0
         worker = min(
-            candidates,
+            _near_first(candidates, step)[0],
             key=lambda w: (
                 now_s < w.no_fillers_until_s,
                 w.load_with(step, self._model),
@@ -347,9 +347,11 @@
             # The block of an image improves the grouping of serving tasks. It
             # must not keep one from running.
             candidates = self._candidates(job, task, step, usable, math.inf)
-        if not candidates:
-            return None
-        return self._policy.choose(candidates, step, self._model)
+        for group in _near_first(candidates, step):
+            worker = self._policy.choose(group, step, self._model)
+            if worker is not None:
+                return worker
+        return None
 
     def _candidates(
         self,
@@ -359,21 +361,13 @@
         usable: list[workers.Worker],
         now_s: float,
     ) -> list[workers.Worker]:
-        """Return workers that accept a task, near its data if possible."""
+        """Return workers that accept a task."""
         name = job.task_name(task)
-        candidates = [
+        return [
             worker
             for worker in usable
             if not worker.find_conflict(step, name, now_s)
         ]
-        if step.near_rack:
-            near = [
-                worker
-                for worker in candidates
-                if worker.registration.rack == step.near_rack
-            ]
-            candidates = near or candidates
-        return candidates
 
     def _place_gang(
         self,
@@ -411,6 +405,24 @@
         return 0
 
 
+def _near_first(
+    candidates: list[workers.Worker], step: specs.StepSpec
+) -> list[list[workers.Worker]]:
+    """Return the workers near the data of a step, then all the others.
+
+    Args:
+        candidates: The workers.
+        step: The step.
+    """
+    if not step.near_rack:
+        return [candidates] if candidates else []
+    near, others = [], []
+    for worker in candidates:
+        is_near = worker.registration.rack == step.near_rack
+        (near if is_near else others).append(worker)
+    return [group for group in (near, others) if group]
+
+
 def _may_pin_another(worker: workers.Worker) -> bool:
     pinned = sum(run.is_pinned for run in worker.runs.values())
     return pinned < MAX_PINNED_PER_WORKER
