Move idle fillers where there is room, and bound moves to and fro

Cause: a filler that fits nowhere in its cell is started there beyond the load limits before its job may move. It crawls, and as long as a task of a job is assigned, the job can't move and its other tasks wait. Where all cells are near their limits, jobs moved on every 3 s instead, since the reports of cells don't show these limits, and each arrival counted as new intake, which put off such starts by 5 s.

A job that has not moved yet now moves first, if another cell reports room; its crawling tasks are stopped at their checkpoints. A job that has moved starts where it is, the wait before each further move grows by 3 s, and a job that moves in is no intake.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -182,7 +182,8 @@
         job.accepted_at_s = anyio.current_time() - max(0.0, age_s)
         self.jobs[job.id] = job
         self._ids_by_submitted.setdefault(job.submitted_id, set()).add(job.id)
-        self.last_job_at_s = max(self.last_job_at_s, job.accepted_at_s)
+        if not job.spec.moves:
+            self.last_job_at_s = max(self.last_job_at_s, job.accepted_at_s)
         if not job.is_ended() and job.open_due_occurrences(time.time() * 1000):
             self.counters.jobs_opened.inc()
         if job.submitted_id in self.cancelled_ids:
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -99,6 +99,7 @@
         self._held_since_s = anyio.current_time()
         self._filler_pacer = pacers.FillerPacer(cell=cell)
         self._relocator = relocation.Relocator(cell=cell)
+        cell.placer.should_move = self._relocator.is_better_elsewhere
         self._regrouper = regrouping.Regrouper(cell=cell)
         self._stored = stored_jobs.StoredJobs(cell=cell)
         self._ticks = 0
--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -4,6 +4,7 @@
 import typing
 
 from wisteriawood.cells import interference_models
+from wisteriawood.cells import moving
 from wisteriawood.cells import progress
 from wisteriawood.cells import runs
 from wisteriawood.cells import workers
@@ -72,6 +73,8 @@
         is_intake_idle: Whether no job was submitted recently. Only then
             are fillers of idle jobs started beyond the load limits, since
             jobs that can still meet their objective need the CPU more.
+        should_move: Returns whether a job that fits nowhere here moves to
+            another cell instead.
     """
 
     __slots__ = (
@@ -82,6 +85,7 @@
         "_policy",
         "_unplaced",
         "is_intake_idle",
+        "should_move",
     )
 
     def __init__(
@@ -100,6 +104,9 @@
         # CPU and memory of the tasks that did not fit in this pass, by class.
         self._unplaced: dict[tuple, list[tuple[int, int]]] = {}
         self.is_intake_idle = True
+        self.should_move: typing.Callable[[jobs.Job, specs.StepSpec], bool] = (
+            lambda _job, _step: False
+        )
 
     def place(
         self,
@@ -170,6 +177,7 @@
             step.is_filler
             and self.is_intake_idle
             and self._has_idled_too_long(job, usable, now_s)
+            and not (moving.can_move(job) and self.should_move(job, step))
         ):
             return self._place_least_disruptive(
                 job, step_tasks[0], usable, assigned, now_s
--- a/wisteriawood/cells/relocation.py
+++ b/wisteriawood/cells/relocation.py
@@ -85,7 +85,8 @@
     """Relocates what waits in a cell to cells that can run it.
 
     A job of which nothing runs here is moved with all of its tasks. Of other
-    jobs, standing tasks are lent.
+    jobs, standing tasks are lent; fillers that only crawl are stopped, so that
+    their job can be moved.
 
     Args:
         cell: The cell.
@@ -116,6 +117,7 @@
 
     def tick(self) -> None:
         """Relocate what has waited long enough, a few in each pass."""
+        self._most_free_millicores = self._most_left_millicores = 0
         if not self._cell.directory.is_current():
             return
         now_s = anyio.current_time()
@@ -160,6 +162,38 @@
             step = job.step_of(step_tasks[0])
             if step.is_standing and not step.is_gang and wait_s >= MIN_WAIT_S:
                 self._lend(job, step_tasks)
+            if wait_s >= BUSY_WAIT_S and self.is_better_elsewhere(job, step):
+                self._stop_crawling(job)
+
+    def is_better_elsewhere(self, job: jobs.Job, step: specs.StepSpec) -> bool:
+        """Return whether a filler that fits nowhere here should move.
+
+        A job that has moved before starts beyond the load limits instead,
+        since the reports of other cells don't show these limits.
+
+        Args:
+            job: The job.
+            step: Step of the filler.
+        """
+        return (
+            step.is_filler
+            and not job.spec.moves
+            and bool(self._choose_cell(step, 1))
+        )
+
+    def _stop_crawling(self, job: jobs.Job) -> None:
+        """Stop the runs of a job if all of them were started beyond limits."""
+        found = []
+        for task in job.all_tasks():
+            if task.phase is not tasks.Phase.ASSIGNED:
+                continue
+            worker = self._cell.fleet.get(task.worker_id)
+            run = worker and worker.runs.get(job.task_name(task))
+            if not run or not run.is_pinned or not run.step.is_checkpointing:
+                return
+            found.append((worker, run))
+        for worker, run in found:
+            self._cell.stop_run(worker, run)
 
     def _move(
         self, job: jobs.Job, step_tasks: list[tasks.Task], wait_s: float
@@ -168,8 +202,7 @@
         cell = self._cell
         step = job.step_of(step_tasks[0])
         fits_here = can_ever_run(self._total, step, cell.racks())
-        is_urgent = step.is_standing or not fits_here
-        if wait_s < (MIN_WAIT_S if is_urgent else BUSY_WAIT_S):
+        if wait_s < self._min_wait_s(job, step, fits_here):
             return False
         needed = len(step_tasks) if step.is_gang else 1
         to = self._choose_cell(step, needed)
@@ -181,6 +214,25 @@
         moving.move(cell, job, to)
         return True
 
+    def _min_wait_s(
+        self, job: jobs.Job, step: specs.StepSpec, fits_here: bool
+    ) -> float:
+        """Return for how long a step must have waited before its job moves.
+
+        Args:
+            job: The job.
+            step: The step.
+            fits_here: Whether a worker here could run it if it were idle.
+        """
+        if step.is_standing or not fits_here:
+            return MIN_WAIT_S
+        if self._cell.placer.is_intake_idle and self.is_better_elsewhere(
+            job, step
+        ):
+            return MIN_WAIT_S
+        # Bounds the moves to and fro between cells that are all full.
+        return BUSY_WAIT_S * (1 + job.spec.moves)
+
     def _choose_cell(self, step: specs.StepSpec, needed: int) -> str:
         """Return a cell that can run tasks of a step now; empty for none.
 
--- a/wisteriawood/tests/ownership_tests.py
+++ b/wisteriawood/tests/ownership_tests.py
@@ -313,6 +313,50 @@
         builders.run_job_world(_check, workers_per_zone=1)
 
 
+class TightCellsTests(unittest.TestCase):
+    """Serving tasks of all cells are near their bounds."""
+
+    def test_a_filler_settles_in_one_of_them(self):
+        """Guards against jobs that move to and fro and never run."""
+
+        async def _check(world):
+            await anyio.sleep(3)
+            for number, zone in enumerate(world.zones):
+                job_id = f"{number + 1:016x}"
+                world.work_s[job_id] = ownership_builders.FOREVER_S
+                serving = specs.StepSpec(
+                    task_count=1,
+                    cpu_millicores=8000,
+                    is_standing=True,
+                    image=ownership_builders.SERVING_IMAGE,
+                    tail_target_ms=ownership_builders.TAIL_TARGET_MS,
+                )
+                await world.submit_to(f"shop@{zone}", job_id, [serving])
+                latencies_ms = world.workers[f"w-{zone}-0"].tail_latencies_ms
+                latencies_ms[f"{job_id}.0.0.0"] = 9.5
+            await anyio.sleep(8)
+            job_id = f"{9:016x}"
+            world.work_s[job_id] = ownership_builders.FOREVER_S
+            await world.submit_to(CELL, job_id, [_filler(task_count=2)])
+            idle_ticks = longest_ticks = 0
+            for _tick in range(200):
+                await anyio.sleep(0.1)
+                is_running = any(n.startswith(job_id) for n in world.running())
+                idle_ticks = 0 if is_running else idle_ticks + 1
+                if _tick > 80:
+                    longest_ticks = max(longest_ticks, idle_ticks)
+            self.assertLess(longest_ticks, 30)
+            (moves,) = (
+                job.spec.moves
+                for held in builders.held_jobs(world).values()
+                for job in held.values()
+                if job.id == job_id
+            )
+            self.assertLessEqual(moves, 3)
+
+        builders.run_job_world(_check, workers_per_zone=1)
+
+
 class RandomFaultTests(unittest.TestCase):
     """Overlapping faults under load, in three zones of two workers."""
 
