--- a/wisteriawood/tests/ownership_builders.py
+++ b/wisteriawood/tests/ownership_builders.py
@@ -30,7 +30,7 @@
 def _choose_worker(world, rng):
     """Return a live worker, or None if too few are left."""
     live = [name for name, w in world.workers.items() if not w.is_dead]
-    return rng.choice(live) if len(live) > 2 else None
+    return rng.choice(live) if len(live) > 1 else None
 
 
 def _choose_host(world, rng):
@@ -180,7 +180,7 @@
 @FAULTS.register("store-slow")
 async def slow_store(world, rng):
     """Delay commits and answers that concern some of the rows."""
-    keys = {at.key for at in world.store.rows if at.table == "jobs"}
+    keys = {at.key for at in world.store.rows if at.table == tables.JOBS}
     for delays_s in (world.store.slow_keys, world.store.late_answers):
         count = rng.randint(0, min(8, len(keys)))
         for key in rng.sample(sorted(keys), count):
@@ -190,6 +190,16 @@
     world.store.late_answers.clear()
 
 
+@FAULTS.register("store-answers-late")
+async def delay_store_answers(world, rng):
+    """Delay the answers to commits that concern half of the jobs."""
+    for at in sorted(world.store.rows, key=lambda at: at.key):
+        if at.table == tables.JOBS and rng.random() < 0.5:
+            world.store.late_answers[at.key] = rng.uniform(0.5, 2.4)
+    await anyio.sleep(rng.uniform(1, 5))
+    world.store.late_answers.clear()
+
+
 @FAULTS.register("store-down")
 async def stop_store(world, rng):
     """Let the store refuse all calls."""
@@ -281,7 +291,7 @@
 
 
 async def vary_latencies(world, rng, until_s):
-    """Let workers report random tail latencies, and low ones in the end.
+    """Let workers report random tail latencies, and then low ones.
 
     Args:
         world: The world.
--- a/wisteriawood/tests/ownership_tests.py
+++ b/wisteriawood/tests/ownership_tests.py
@@ -22,6 +22,18 @@
 DRAIN_BOUND_S = 60.0
 LOAD_S = 40.0
 SEEDS = (1, 2)
+# Faults that let jobs move often, in cells of one worker, while the store is
+# slow.
+MOVING_FAULTS = (
+    "history-lost",
+    "store-answers-late",
+    "store-answers-late",
+    "store-answers-lost",
+    "worker-drained",
+    "worker-restarted",
+    "worker-silent",
+)
+MOVING_SEEDS = (1, 3, 6)
 
 
 def _filler(**fields):
@@ -358,9 +370,9 @@
 
 
 class RandomFaultTests(unittest.TestCase):
-    """Overlapping faults under load, in three zones of two workers."""
+    """Overlapping faults under load, in three small zones."""
 
-    def _run(self, seed, names):
+    def _run(self, seed, names, *, check, is_calm=False, workers_per_zone=2):
         async def _check(world):
             rng = random.Random(seed)
             await anyio.sleep(3)
@@ -372,7 +384,10 @@
             until_s = anyio.current_time() + LOAD_S
             async with anyio.create_task_group() as group:
                 group.start_soon(
-                    ownership_builders.vary_latencies, world, rng, until_s
+                    ownership_builders.vary_latencies,
+                    world,
+                    rng,
+                    0.0 if is_calm else until_s,
                 )
                 async with anyio.create_task_group() as load:
                     load.start_soon(
@@ -380,13 +395,18 @@
                     )
                     await ownership_builders.inject(world, rng, names, until_s)
                 ownership_builders.heal(world)
-                await self._check_jobs(world)
+                await check(world)
                 group.cancel_scope.cancel()
 
         builders.run_job_world(
-            _check, zones=["a", "b", "c"], workers_per_zone=2
+            _check, zones=["a", "b", "c"], workers_per_zone=workers_per_zone
         )
 
+    async def _check_owners(self, world):
+        await anyio.sleep(START_BOUND_S)
+        self.assertEqual(builders.find_unowned_jobs(world), [])
+        self.assertEqual(ownership_builders.find_overlaps(world), [])
+
     async def _check_jobs(self, world):
         starved = await ownership_builders.find_starved_jobs(
             world, START_BOUND_S
@@ -403,4 +423,16 @@
         names = ownership_builders.FAULTS.names()
         for seed in SEEDS:
             with self.subTest(seed=seed):
-                self._run(seed, names)
+                self._run(seed, names, check=self._check_jobs)
+
+    def test_jobs_that_often_move_keep_an_owner(self):
+        """Guards against returned jobs that no holder has (LOST)."""
+        for seed in MOVING_SEEDS:
+            with self.subTest(seed=seed):
+                self._run(
+                    seed,
+                    MOVING_FAULTS,
+                    check=self._check_owners,
+                    is_calm=True,
+                    workers_per_zone=1,
+                )
