Wait for the holders before the former one as well

A task could have run twice (TWICE): a holder that is cut off renews its workers' leases; a second one takes the cell over and gives it up at once; the third one waited only for the leases of the second.

The test failed before: the task started on another worker 6.5 s after the second takeover, while the first holder went on.

--- a/wisteriawood/cells/former_holders.py
+++ b/wisteriawood/cells/former_holders.py
@@ -67,23 +67,30 @@
 
 
 class FormerHolder:
-    """The former holder of a cell, whose leases may outlast its claim.
+    """The former holders of a cell, whose leases may outlast their claims.
 
     A host tells in its heartbeats which holds it has given up, and which of
-    its former processes have ended. Until one of the two is known, the former
-    holder may be cut off from the store and go on.
+    its former processes have ended. Until one of the two is known, a former
+    holder may be cut off from the store and go on. So may the one before it,
+    if the former one held the cell for a short time only.
 
     Args:
-        claim: Its claim; None if the cell had no holder.
+        claim: The claim of the last one; None if the cell had no holder.
         known_members: The host's view of the other hosts.
         lease_s: Duration of the workers' leases.
 
     Attributes:
-        lapsed_at_s: Monotonic time from which the leases that it granted have
-            certainly lapsed.
+        lapsed_at_s: Monotonic time from which the leases that they granted
+            have certainly lapsed.
     """
 
-    __slots__ = ("_claim", "_lapse_s", "_members", "lapsed_at_s")
+    __slots__ = (
+        "_holds",
+        "_lapse_s",
+        "_members",
+        "_released_at_s",
+        "lapsed_at_s",
+    )
 
     def __init__(
         self,
@@ -96,19 +103,32 @@
         self._lapse_s = (
             lease_s * leases.CLOCK_DRIFT_RATIO + leases.LAPSE_MARGIN_S
         )
-        self._claim = claim if claim is not None and claim.row.holder else None
         now_s = anyio.current_time()
-        self.lapsed_at_s = now_s + self._lapse_s
-        if self._claim is not None:
-            self.lapsed_at_s += RENEW_WITHOUT_STORE_S
+        # Claims with the monotonic times until which their holders may renew
+        # leases at the latest.
+        self._holds: list[tuple[float, "claims.Claim"]] = []
+        if claim is not None:
+            self._holds = [
+                (replaced_at_s + RENEW_WITHOUT_STORE_S, replaced)
+                for replaced_at_s, replaced in known_members.replaced_claims(
+                    claim.cell
+                )
+                if replaced.version < claim.version
+                and not known_members.is_own_unheld(replaced)
+            ]
+        released_at_s = now_s
+        if claim is not None and claim.row.holder:
+            self._holds.append((now_s + RENEW_WITHOUT_STORE_S, claim))
+            released_at_s = -math.inf
+        self._released_at_s = released_at_s
+        self.lapsed_at_s = math.inf
         self.update()
 
     def update(self) -> None:
         """Apply what has become known since the last call."""
-        if self._claim is None:
-            return
-        ended_at_s = self._members.hold_ended_at_s(self._claim)
-        if math.isfinite(ended_at_s):
-            self.lapsed_at_s = min(
-                self.lapsed_at_s, ended_at_s + self._lapse_s
-            )
+        ends_s = [
+            min(latest_s, self._members.hold_ended_at_s(claim))
+            for latest_s, claim in self._holds
+        ]
+        ended_at_s = max([self._released_at_s, *ends_s])
+        self.lapsed_at_s = min(self.lapsed_at_s, ended_at_s + self._lapse_s)
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -44,6 +44,8 @@
 # Time for which heartbeats tell what has ended. Longer than any wait for the
 # leases of a former holder.
 ENDED_REPORT_S = 60.0
+# Most replaced claims of a cell that are remembered.
+MAX_REPLACED = 8
 # Most former processes of a host that its heartbeats name.
 MAX_ENDED = 4
 # Pause of the heartbeat feed between calls, so that one answer brings
@@ -110,6 +112,7 @@
         "_given_up",
         "_heartbeat_count",
         "_loads",
+        "_replaced",
         "_started_at_s",
         "_store",
         "_times",
@@ -147,6 +150,7 @@
         self.heartbeat_period_s = STANDBY_HEARTBEAT_PERIOD_S
         self._loads: dict[str, claims.CellLoad] = {}
         self._claim_seen_at_s: dict[str, float] = {}
+        self._replaced: dict[str, list[tuple[float, claims.Claim]]] = {}
         self._started_at_s = anyio.current_time() - process_age_s
         # Incarnations of former processes of this host, the newest last.
         self._ended: list[str] = []
@@ -210,9 +214,29 @@
         if claim.row.holder == self.name:
             self._record_incarnation(claim.row.incarnation)
         known = self.claims.get(claim.cell)
-        if known is None or known.version < claim.version:
-            self.claims[claim.cell] = claim
-            self._claim_seen_at_s[claim.cell] = anyio.current_time()
+        if known is not None and known.version >= claim.version:
+            return
+        now_s = anyio.current_time()
+        self.claims[claim.cell] = claim
+        self._claim_seen_at_s[claim.cell] = now_s
+        if known is not None and known.row.holder and claim.row.holder:
+            replaced = self._replaced.setdefault(claim.cell, [])
+            replaced.append((now_s, known))
+            del replaced[:-MAX_REPLACED]
+
+    def replaced_claims(self, cell: str) -> list[tuple[float, claims.Claim]]:
+        """Return the claims of a cell that were replaced by another holder.
+
+        Those that were released are left out.
+
+        Args:
+            cell: Name of the cell.
+
+        Returns:
+            The claims, the newest last, each with the monotonic time at which
+            it was known to be replaced.
+        """
+        return self._replaced.get(cell, [])
 
     def _note_answer(self) -> None:
         self.has_read_heartbeats.set()
@@ -234,6 +258,18 @@
         """
         self._given_up[claim.cell] = (anyio.current_time(), claim.version)
 
+    def is_own_unheld(self, claim: claims.Claim) -> bool:
+        """Return whether this process wrote a claim and never held under it.
+
+        Args:
+            claim: A claim that has been replaced.
+        """
+        _at_s, version = self._given_up.get(claim.cell, (0.0, 0))
+        return (
+            claim.row.incarnation == self.incarnation
+            and version < claim.version
+        )
+
     def hold_ended_at_s(self, claim: claims.Claim) -> float:
         """Return when a holder had certainly stopped to renew leases.
 
--- a/wisteriawood/tests/leaving_tests.py
+++ b/wisteriawood/tests/leaving_tests.py
@@ -60,6 +60,10 @@
             _main, settle_s=3.0, **(ONE_ZONE | fields)
         )
 
+    def _claim_holder(self, world):
+        row = world.store.rows[tables.claim_row(CELL)]
+        return claims.read_claim(row).row.holder
+
     def _restarts(self, world, name):
         return [
             at_s
@@ -269,6 +273,37 @@
 
         self._run(_check, drains=False)
 
+    def test_worker_is_cut_off_from_two_new_holders(self):
+        """Guards against a second run while the first holder renews (TWICE).
+
+        The second holder gives the cell up at once.
+        """
+
+        async def _check(world, directory, name):
+            first = world.holder_of(CELL)
+            world.store.cut_hosts.add(first)
+            for worker in world.workers.values():
+                worker.cut_from.update(world.hosts.keys() - {first})
+            world.add_worker("other", "a")
+            world.workers["other"].cut_from.add(first)
+            directory.stop_writing(name)
+            while self._claim_holder(world) in ("", first):
+                await anyio.sleep(0.05)
+            taken_at_s = anyio.current_time()
+            second = self._claim_holder(world)
+            await world.hosts[second].drain()
+            await anyio.sleep(directory.expiry_s)
+            directory.remove_entry(name)
+            self.assertNotIn(self._claim_holder(world), ("", first, second))
+            renewed_s = former_holders.RENEW_WITHOUT_STORE_S - 1
+            while anyio.current_time() < taken_at_s + renewed_s:
+                self.assertEqual(self._restarts(world, name), [])
+                await anyio.sleep(0.1)
+            await anyio.sleep(job_worlds.LEASE_S + RESTART_BOUND_S)
+            self.assertEqual(len(self._restarts(world, name)), 1)
+
+        self._run(_check, drains=False, hosts_per_zone=3)
+
     def test_task_of_a_draining_worker_that_fell_silent(self):
         """Guards against two runs of a task whose worker is only cut off."""
 
