--- a/wisteriawood/standins/runners.py
+++ b/wisteriawood/standins/runners.py
@@ -139,6 +139,8 @@
         for name, run in self.runs.items():
             self.ends.append((name, run.command.run, "lost", now_s))
         self.runs.clear()
+        # Commands that the process has received end with it.
+        self._deferred.clear()
 
     def leave(self) -> None:
         """Shut down the worker process, which ends all runs."""
--- a/wisteriawood/tests/ownership_builders.py
+++ b/wisteriawood/tests/ownership_builders.py
@@ -374,7 +374,7 @@
     while idle and anyio.current_time() < until_s:
         await anyio.sleep(0.1)
         idle.intersection_update(find_idle_jobs(world))
-    await anyio.sleep(until_s - anyio.current_time())
+    await anyio.sleep(max(0.0, until_s - anyio.current_time()))
     return sorted(idle)
 
 
