Record rows and runs of unfinished jobs in the soak

When accepted jobs are not done at the end, the soak now writes the rows of these jobs and of the claims, and the starts and ends that the workers saw, to unfinished.json beside the logs of the hosts. Without them the logs could not show whether a job had an owner at the end.

--- a/wisteriawood/soak/checks.py
+++ b/wisteriawood/soak/checks.py
@@ -253,23 +253,30 @@
 
     def unfinished(self) -> list[str]:
         """Return what is still outstanding, one description for each job."""
-        found = []
-        for sent in self.sent.values():
-            running = self.runs_of(sent)
-            if sent.cancelled_at_s:
-                if running:
-                    found.append(f"{sent.spec.id} is cancelled but runs")
-            elif not sent.is_accepted or sent.is_cancel_sent:
-                # A cancel without an answer may have taken effect.
-                continue
-            elif sent.is_standing():
-                if len(running) < len(sent.names()):
-                    found.append(f"{sent.spec.id} has tasks that do not run")
-            elif len(sent.ended) < len(sent.names()):
-                found.append(f"{sent.spec.id} is not done")
-            elif not sent.is_reported_completed:
-                found.append(f"{sent.spec.id} is not reported as completed")
-        return found
+        found = [self.outstanding(sent) for sent in self.sent.values()]
+        return [what for what in found if what]
+
+    def outstanding(self, sent: SentJob) -> str:
+        """Return what is still outstanding of a job; empty for nothing.
+
+        Args:
+            sent: The job.
+        """
+        running = self.runs_of(sent)
+        if sent.cancelled_at_s:
+            return f"{sent.spec.id} is cancelled but runs" if running else ""
+        if not sent.is_accepted or sent.is_cancel_sent:
+            # A cancel without an answer may have taken effect.
+            return ""
+        if sent.is_standing():
+            if len(running) < len(sent.names()):
+                return f"{sent.spec.id} has tasks that do not run"
+            return ""
+        if len(sent.ended) < len(sent.names()):
+            return f"{sent.spec.id} is not done"
+        if not sent.is_reported_completed:
+            return f"{sent.spec.id} is not reported as completed"
+        return ""
 
 
 class WatchedWorker(run_standins.MemoryWorker):
--- a/wisteriawood/soak/worlds.py
+++ b/wisteriawood/soak/worlds.py
@@ -21,6 +21,7 @@
 from wisteriawood.soak import faults
 from wisteriawood.soak import hosts
 from wisteriawood.soak import proxies
+from wisteriawood.soak import records
 from wisteriawood.standins import stores
 
 ZONES = ("a", "b")
@@ -351,6 +352,7 @@
             if self.checker.now_s() > deadline_s:
                 for what in self.checker.unfinished():
                     self.checker.record_breach("lost", what)
+                records.write_unfinished(self, self._folder)
                 return
             await caller.query_finished_jobs()
             await anyio.sleep(WATCH_PERIOD_S)
