Show that a job that returns to a cell early is forgotten

Callers saw an accepted job that was never finished. A job moves to another cell; the store has applied that, but its answer is late. The other cell moves the job back meanwhile. The first holder skips the row of its return, since the job is still in its memory, and forgets the job once the late answer arrives. The job is then in the store, and in no holder's memory until the cell has another holder.

--- a/wisteriawood/tests/relocation_tests.py
+++ b/wisteriawood/tests/relocation_tests.py
@@ -25,6 +25,8 @@
 FOREVER_S = 100_000.0
 # The lease of a lost worker, a wait and the time to move and start.
 RESTART_BOUND_S = 10.0
+# Delay of an answer of the store, below the longest timeout of a call.
+LATE_ANSWER_S = 2.0
 # Most bytes of a key that the platform's store takes.
 MAX_KEY_BYTES = 200
 
@@ -188,6 +190,38 @@
 
         self._run(_check)
 
+    def test_it_returns_before_its_move_is_acknowledged(self):
+        """Guards against a job in the store that no holder has in memory.
+
+        The other cell moves it back while the answer to the transaction that
+        moved it there is still on its way.
+        """
+        commit = store_standins.MemoryStoreLink.commit
+
+        async def _check(world):
+            was_delayed = False
+
+            async def _commit_late(link, change):
+                nonlocal was_delayed
+                version = await commit(link, change)
+                to = tables.specs_table("b")
+                is_move = any(at.table == to for at in change.writes)
+                if is_move and not was_delayed:
+                    was_delayed = True
+                    for number in range(2):
+                        world.drain_worker(f"b{number}")
+                    world.add_worker("a0", "a")
+                    await anyio.sleep(LATE_ANSWER_S)
+                return version
+
+            with mock.patch.object(
+                store_standins.MemoryStoreLink, "commit", _commit_late
+            ):
+                await world.submit_to(CELL, JOB, [_step()])
+                await world.wait_for(JOB, jobs.JobState.COMPLETED)
+
+        self._run(_check)
+
     def test_a_cancellation_that_no_read_shows(self):
         """Guards against the start of a job that was cancelled on its way."""
 
