--- a/wisteriawood/platform/standins.py
+++ b/wisteriawood/platform/standins.py
@@ -7,6 +7,7 @@
 """
 
 import base64
+import contextlib
 import json
 import typing
 from urllib import parse
@@ -25,6 +26,8 @@
 
 # Period at which a waiting call checks for ended runs.
 END_POLL_PERIOD_S = 0.02
+# Time after which the connection of an unanswered order is closed.
+UNANSWERED_S = 5.0
 
 _REFUSAL_REASONS = {
     runners.StartResult.FENCED: "fence",
@@ -96,14 +99,20 @@
         lost_answers: Number of next changes that are committed without an
             answer to the host.
         lost_answer_delay_s: Delay before such a change is committed.
+        slow_parts: Partitions to which the delays apply.
+        delay_s: Delay before a change of these partitions is committed.
+        answer_delay_s: Delay of the answer after such a change is committed.
     """
 
     __slots__ = (
         "_addresses",
         "_store",
+        "answer_delay_s",
+        "delay_s",
         "lost_answer_delay_s",
-        "status",
         "lost_answers",
+        "slow_parts",
+        "status",
     )
 
     def __init__(
@@ -117,6 +126,9 @@
         self.status = 0
         self.lost_answers = 0
         self.lost_answer_delay_s = 0.0
+        self.slow_parts: typing.Collection[str] = ()
+        self.delay_s = 0.0
+        self.answer_delay_s = 0.0
 
     async def __call__(self, scope, receive, send) -> None:
         """Answer one call."""
@@ -128,10 +140,17 @@
         if self.status:
             await _send(send, self.status, {})
             return
-        is_dropped = scope["path"] == "/v1/rows-tx" and self.lost_answers > 0
+        is_change = scope["path"] == "/v1/rows-tx"
+        is_dropped = is_change and self.lost_answers > 0
         if is_dropped:
             self.lost_answers -= 1
             await anyio.sleep(self.lost_answer_delay_s)
+        is_slow = is_change and any(
+            row["part"] in self.slow_parts
+            for row in (*body["set_keys"], *body["remove"])
+        )
+        if is_slow:
+            await anyio.sleep(self.delay_s)
         try:
             answer = await self._answer(scope["path"], query, body)
         except StatusError as exc:
@@ -139,6 +158,8 @@
             return
         if is_dropped:
             raise errors.LinkClosedError("the answer was dropped")
+        if is_slow:
+            await anyio.sleep(self.answer_delay_s)
         await _send(send, 200, answer)
 
     def _encode_for_host(self, row: stores.StoredRow) -> dict:
@@ -256,6 +277,10 @@
         if expected.decode() != self._worker_id:
             await _send(send, 421, {})
             return
+        if self._loses_answer(scope["path"], body):
+            # Longer than any host waits for the answer to an order.
+            await anyio.sleep(UNANSWERED_S)
+            raise errors.LinkClosedError("the order gets no answer")
         try:
             if scope["path"] == "/v1/hold":
                 await self._renew_and_wait(body)
@@ -269,6 +294,24 @@
         clock = {"clock_ms": self._worker.clock_ms()}
         await _send(send, 200, clock | answer)
 
+    def _loses_answer(self, path: str, body: dict) -> bool:
+        """Return whether an order is carried out late and gets no answer."""
+        worker = self._worker
+        if path not in ("/v1/run-start", "/v1/run-stop"):
+            return False
+        if worker.lost_answers <= 0:
+            return False
+        worker.lost_answers -= 1
+        instance = worker.started_unix_ms
+        worker.defer(lambda: self._carry_out(path, body, instance))
+        return True
+
+    def _carry_out(self, path: str, body: dict, instance: int) -> None:
+        if self._worker.started_unix_ms != instance:
+            return
+        with contextlib.suppress(StatusError, runners.FencedError):
+            self._answer(path, body)
+
     async def _renew_and_wait(self, body: dict) -> None:
         """Renew the lease and wait up to wait_ms for the end of a run."""
         worker = self._worker
@@ -440,7 +483,11 @@
             "mem_mb": step.memory_mb,
             "est_runtime_ms": step.expected_run_ms,
             "after": step.after,
+            "checkpointing": step.is_checkpointing,
             "long_running": step.is_standing,
+            "image": step.image,
+            "target_ms": step.tail_target_ms,
+            "fills": step.is_filler,
         }
         for step in spec.steps
     ]
--- a/wisteriawood/soak/__main__.py
+++ b/wisteriawood/soak/__main__.py
@@ -15,8 +15,15 @@
 DEFAULT_LOAD_S = 14.0
 
 
-async def _run_soak(seed: int, folder: pathlib.Path, load_s: float) -> int:
-    world = worlds.SoakWorld(seed=seed, folder=folder, load_s=load_s)
+async def _run_soak(folder: pathlib.Path, options: argparse.Namespace) -> int:
+    seed = options.seed or 1
+    world = worlds.SoakWorld(
+        seed=seed,
+        folder=folder,
+        load_s=options.load,
+        is_wide=options.wide,
+        fault_names=options.faults.split(",") if options.faults else [],
+    )
     await world.run()
     checker = world.checker
     accepted = sum(sent.is_accepted for sent in checker.sent.values())
@@ -38,24 +45,25 @@
     return 1 if checker.breaches else 0
 
 
-def _run_seed(seed: int, load_s: float, keep: str) -> int:
+def _run_seed(options: argparse.Namespace) -> int:
     """Run one seed; logs are kept only if a folder for them is given."""
-    parent = pathlib.Path(keep) if keep else None
+    parent = pathlib.Path(options.keep) if options.keep else None
     if parent is not None:
         parent.mkdir(parents=True, exist_ok=True)
     with tempfile.TemporaryDirectory(prefix="soak-") as found:
-        folder = parent / f"seed-{seed}" if parent else pathlib.Path(found)
+        name = f"seed-{options.seed or 1}"
+        folder = parent / name if parent else pathlib.Path(found)
         folder.mkdir(exist_ok=True)
-        return anyio.run(_run_soak, seed, folder, load_s)
+        return anyio.run(_run_soak, folder, options)
 
 
-def _run_seeds(seeds: list[int], jobs: int, load_s: float, keep: str) -> int:
+def _run_seeds(seeds: list[int], jobs: int, arguments: list[str]) -> int:
     """Run each seed in its own process, up to a number at a time."""
     waiting = list(reversed(seeds))
     running: list[subprocess.Popen] = []
     failed = 0
     try:
-        failed = _run_in_processes(waiting, running, jobs, load_s, keep)
+        failed = _run_in_processes(waiting, running, jobs, arguments)
     finally:
         for process in running:
             process.terminate()
@@ -67,21 +75,15 @@
     waiting: list[int],
     running: list[subprocess.Popen],
     jobs: int,
-    load_s: float,
-    keep: str,
+    arguments: list[str],
 ) -> int:
     """Run the waiting seeds; return the number with breaches."""
     failed = 0
     while waiting or running:
         while waiting and len(running) < jobs:
-            arguments = ["--seed", str(waiting.pop()), "--load", str(load_s)]
-            if keep:
-                arguments += ["--keep", keep]
-            running.append(
-                subprocess.Popen(
-                    [sys.executable, "-m", "wisteriawood.soak", *arguments]
-                )
-            )
+            command = [sys.executable, "-m", "wisteriawood.soak", *arguments]
+            command += ["--seed", str(waiting.pop())]
+            running.append(subprocess.Popen(command))
         failed += running[0].wait() != 0
         running.pop(0)
     return failed
@@ -111,15 +113,27 @@
         help="duration of the load in seconds",
     )
     parser.add_argument("--keep", default="", help="folder to keep logs in")
+    parser.add_argument(
+        "--wide",
+        action="store_true",
+        help="add wide jobs, and faults that move and stop them",
+    )
+    parser.add_argument(
+        "--faults", default="", help="names of the only faults, with commas"
+    )
     options = parser.parse_args()
+    arguments = ["--load", str(options.load), "--keep", options.keep]
+    arguments += ["--faults", options.faults]
+    if options.wide:
+        arguments.append("--wide")
     if options.cases:
         seeds = sorted(cases.CASES)
-        return _run_seeds(seeds, options.jobs, options.load, options.keep)
+        return _run_seeds(seeds, options.jobs, arguments)
     if options.seeds:
         first, _dash, last = options.seeds.partition("-")
         seeds = list(range(int(first), int(last or first) + 1))
-        return _run_seeds(seeds, options.jobs, options.load, options.keep)
-    return _run_seed(options.seed or 1, options.load, options.keep)
+        return _run_seeds(seeds, options.jobs, arguments)
+    return _run_seed(options)
 
 
 if __name__ == "__main__":
--- a/wisteriawood/soak/callers.py
+++ b/wisteriawood/soak/callers.py
@@ -9,6 +9,7 @@
 from wisteriawood.jobs import queues
 from wisteriawood.jobs import specs
 from wisteriawood.platform import standins
+from wisteriawood.policies import registry
 from wisteriawood.soak import checks
 
 CALL_TIMEOUT_S = 3.0
@@ -21,6 +22,52 @@
 # Share of jobs whose tasks run until they are cancelled.
 LONG_RUNNING_SHARE = 0.1
 
+JobMaker = typing.Callable[[random.Random], list[specs.StepSpec]]
+# Kinds of jobs that fill the cells.
+WIDE_JOBS: registry.Registry[JobMaker] = registry.Registry(kind="wide job")
+
+
+@WIDE_JOBS.register("wide")
+def _make_wide_steps(rng: random.Random) -> list[specs.StepSpec]:
+    return [
+        specs.StepSpec(
+            task_count=rng.randint(6, 20),
+            cpu_millicores=rng.choice((4000, 7800)),
+            memory_mb=9984,
+            expected_run_ms=600,
+            is_checkpointing=True,
+        )
+    ]
+
+
+@WIDE_JOBS.register("filler")
+def _make_filler_steps(rng: random.Random) -> list[specs.StepSpec]:
+    return [
+        specs.StepSpec(
+            task_count=rng.randint(4, 12),
+            cpu_millicores=rng.choice((2000, 4000, 7800)),
+            memory_mb=4096,
+            expected_run_ms=600,
+            image=rng.choice(("filler-1", "filler-2")),
+            is_checkpointing=True,
+            is_filler=True,
+        )
+    ]
+
+
+@WIDE_JOBS.register("serving")
+def _make_serving_steps(rng: random.Random) -> list[specs.StepSpec]:
+    return [
+        specs.StepSpec(
+            task_count=rng.randint(1, 3),
+            cpu_millicores=2000,
+            memory_mb=1024,
+            image=rng.choice(("serving-1", "serving-2")),
+            is_standing=True,
+            tail_target_ms=100,
+        )
+    ]
+
 
 class Caller:
     """A caller with persistent connections to the hosts.
@@ -32,6 +79,7 @@
         rng: Source of random choices.
         work_s: Run time of the tasks of each job in seconds, by job id;
             the caller adds its jobs.
+        wide_share: Share of jobs that are of a wide kind.
     """
 
     __slots__ = (
@@ -40,6 +88,7 @@
         "_client",
         "_queue",
         "_rng",
+        "_wide_share",
         "_work_s",
     )
 
@@ -51,12 +100,14 @@
         queue: queues.Queue,
         rng: random.Random,
         work_s: dict[str, float],
+        wide_share: float = 0.0,
     ):
         self._checker = checker
         self._caller_ports = caller_ports
         self._queue = queue
         self._rng = rng
         self._work_s = work_s
+        self._wide_share = wide_share
         self._client = httpx.AsyncClient(timeout=CALL_TIMEOUT_S)
 
     async def run(self, until_s: float) -> None:
@@ -111,8 +162,25 @@
 
     def _make_job(self) -> specs.JobSpec:
         job_id = f"{self._rng.getrandbits(64):016x}"
+        # Without wide jobs, the random choices stay those of earlier seeds.
+        if self._wide_share and self._rng.random() < self._wide_share:
+            kind = self._rng.choice(WIDE_JOBS.names())
+            steps = WIDE_JOBS.get(kind)(self._rng)
+        else:
+            steps = self._make_mixed_steps()
+        is_standing = steps[0].is_standing
+        work_s = 1e6 if is_standing else self._rng.uniform(0.2, 1.5)
+        self._work_s[job_id] = work_s
+        return specs.JobSpec(
+            id=job_id,
+            queue=self._queue,
+            payload=f"payload of {job_id}",
+            steps=steps,
+        )
+
+    def _make_mixed_steps(self) -> list[specs.StepSpec]:
         is_standing = self._rng.random() < LONG_RUNNING_SHARE
-        steps = [
+        return [
             specs.StepSpec(
                 task_count=self._rng.randint(1, 4),
                 cpu_millicores=self._rng.choice((500, 1500, 4000)),
@@ -123,14 +191,6 @@
             )
             for number in range(1 if is_standing else self._rng.randint(1, 3))
         ]
-        work_s = 1e6 if is_standing else self._rng.uniform(0.2, 1.5)
-        self._work_s[job_id] = work_s
-        return specs.JobSpec(
-            id=job_id,
-            queue=self._queue,
-            payload=f"payload of {job_id}",
-            steps=steps,
-        )
 
     async def _submit(self) -> checks.SentJob:
         sent = checks.SentJob(spec=self._make_job())
--- a/wisteriawood/soak/checks.py
+++ b/wisteriawood/soak/checks.py
@@ -15,6 +15,8 @@
 # the delay that slow links may add.
 DRAIN_GRACE_S = 2.0
 LINK_DELAY_S = 0.6
+# Tail latency of an undisturbed serving task, divided by its bound.
+CALM_TAIL_RATIO = 0.2
 
 
 class SentJob:
@@ -195,11 +197,14 @@
     def _check_capacity(
         self, worker: "WatchedWorker", step: specs.StepSpec, where: str
     ) -> None:
-        used = step.cpu_millicores + sum(
-            self.step_of(name).cpu_millicores for name in worker.runs
-        )
+        steps = [step, *(self.step_of(name) for name in worker.runs)]
+        # Fillers reserve no CPU.
+        used = sum(s.cpu_millicores for s in steps if not s.is_filler)
         if used > worker.registration.cpu_millicores:
             self.record_breach("limit", f"{where}: {used} millicores in use")
+        used_mb = sum(s.memory_mb for s in steps)
+        if used_mb > worker.registration.memory_mb:
+            self.record_breach("limit", f"{where}: {used_mb} MB in use")
 
     def step_of(self, name: str) -> specs.StepSpec:
         """Return the step of a task.
@@ -289,15 +294,23 @@
     Attributes:
         drains_since_s: Time at which its entry first said that it drains, in
             seconds since the start of the soak; 0 if it does not.
+        tail_ratio: Tail latencies of the serving tasks here, divided by their
+            bounds.
     """
 
-    __slots__ = ("_checker", "_expired_up_to", "drains_since_s")
+    __slots__ = (
+        "_checker",
+        "_expired_up_to",
+        "drains_since_s",
+        "tail_ratio",
+    )
 
     def __init__(self, *, checker: Checker, **fields):
         self._checker = checker
         # Ends up to this number precede an expiry of the lease.
         self._expired_up_to = 0
         self.drains_since_s = 0.0
+        self.tail_ratio = CALM_TAIL_RATIO
         super().__init__(**fields)
 
     def record_entry(self) -> None:
@@ -344,6 +357,9 @@
                 continue
             if end.outcome is tasks.Outcome.DONE:
                 self._checker.check_acknowledged_end(end)
+        for name in self.runs:
+            bound_ms = self._checker.step_of(name).tail_target_ms
+            self.tail_latencies_ms[name] = self.tail_ratio * bound_ms
         return super().report(acknowledged)
 
     def _record_expiry(self) -> None:
--- a/wisteriawood/soak/faults.py
+++ b/wisteriawood/soak/faults.py
@@ -6,7 +6,9 @@
 
 import anyio
 
+from wisteriawood import errors
 from wisteriawood.policies import registry
+from wisteriawood.soak import checks
 from wisteriawood.soak import proxies
 
 if typing.TYPE_CHECKING:
@@ -16,6 +18,28 @@
     ["worlds.SoakWorld", random.Random], typing.Awaitable[None]
 ]
 FAULTS: registry.Registry[Fault] = registry.Registry(kind="fault")
+# Further faults for soaks with wide jobs. They are separate so that the seeds
+# of other soaks still choose the same faults.
+WIDE_FAULTS: registry.Registry[Fault] = registry.Registry(kind="fault")
+
+
+def choose(names: typing.Collection[str], is_wide: bool) -> dict[str, Fault]:
+    """Return the faults to inject, by name.
+
+    Args:
+        names: Names of the faults; empty for all.
+        is_wide: Whether those for wide jobs are among all.
+
+    Raises:
+        UsageError: A name is not registered.
+    """
+    known = {name: FAULTS.get(name) for name in FAULTS.names()}
+    if is_wide:
+        known |= {name: WIDE_FAULTS.get(name) for name in WIDE_FAULTS.names()}
+    for name in names:
+        if name not in known:
+            raise errors.UsageError(f"unknown fault {name!r}")
+    return {name: known[name] for name in names or known}
 
 
 def _choose_host(world: "worlds.SoakWorld", rng: random.Random):
@@ -187,3 +211,138 @@
 async def _configure(world: "worlds.SoakWorld", rng: random.Random) -> None:
     del rng
     world.configure()
+
+
+def _workers_of_zone(
+    world: "worlds.SoakWorld", zone: str
+) -> list["checks.WatchedWorker"]:
+    return [w for w in world.workers.values() if w.registration.zone == zone]
+
+
+async def _drain_zone(
+    world: "worlds.SoakWorld", zone: str, duration_s: float
+) -> None:
+    """Drain all workers of a zone, then restart them one by one."""
+    drained = [
+        worker
+        for worker in _workers_of_zone(world, zone)
+        if not worker.is_dead and not worker.registration.is_draining
+    ]
+    for worker in drained:
+        worker.registration.is_draining = True
+    await anyio.sleep(duration_s)
+    for worker in drained:
+        if not worker.is_dead:
+            worker.crash()
+            await anyio.sleep(0.2)
+            worker.restart()
+        worker.registration.is_draining = False
+
+
+@WIDE_FAULTS.register("drain-zone")
+async def _drain_one_zone(
+    world: "worlds.SoakWorld", rng: random.Random
+) -> None:
+    zone = rng.choice(world.zones())
+    await _drain_zone(world, zone, rng.uniform(1.5, 5.0))
+
+
+async def _slow_down_store(
+    world: "worlds.SoakWorld",
+    rng: random.Random,
+    duration_s: float,
+    **delays_s: float,
+) -> None:
+    """Delay changes, in some partitions of jobs or in all partitions."""
+    parts = rng.choice([[zone] for zone in world.zones()] + [world.zones()])
+    if rng.random() < 0.3:
+        # The heartbeats of the hosts.
+        parts = [*parts, ""]
+    for store in world.stores.values():
+        store.slow_parts = parts
+        store.delay_s = delays_s.get("before", 0.0)
+        store.answer_delay_s = delays_s.get("after", 0.0)
+    await anyio.sleep(duration_s)
+    for store in world.stores.values():
+        store.slow_parts = ()
+
+
+@WIDE_FAULTS.register("store-answers-late")
+async def _answer_late(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    """Delay answers to changes, which the store commits at once."""
+    delay_s = rng.uniform(0.3, 2.2)
+    await _slow_down_store(world, rng, rng.uniform(1.0, 8.0), after=delay_s)
+
+
+@WIDE_FAULTS.register("drain-zones-in-turn")
+async def _drain_zones_in_turn(
+    world: "worlds.SoakWorld", rng: random.Random
+) -> None:
+    """Make waiting jobs move away and back beside a fault of the store."""
+    zones = world.zones()
+    rng.shuffle(zones)
+    link = world.store_links[_choose_host(world, rng).name]
+    async with anyio.create_task_group() as group:
+        if rng.random() < 0.5:
+            group.start_soon(_hold_links, world, [link], rng, 5.0)
+        else:
+            group.start_soon(_answer_late, world, rng)
+        for zone in [*zones, *zones]:
+            await _drain_zone(world, zone, rng.uniform(1.0, 2.5))
+
+
+@WIDE_FAULTS.register("crash-zone")
+async def _crash_zone(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    crashed = [
+        worker
+        for worker in _workers_of_zone(world, rng.choice(world.zones()))
+        if not worker.is_dead
+    ]
+    for worker in crashed:
+        worker.crash()
+    await anyio.sleep(rng.uniform(0.5, 5.0))
+    for worker in crashed:
+        worker.restart()
+
+
+@WIDE_FAULTS.register("cut-zone-from-workers")
+async def _cut_zone(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    names = {
+        worker.registration.worker_id
+        for worker in _workers_of_zone(world, rng.choice(world.zones()))
+    }
+    links = [
+        link
+        for of_host in world.worker_links.values()
+        for worker_id, link in of_host.items()
+        if worker_id in names
+    ]
+    await _hold_links(world, links, rng, 4.0)
+
+
+@WIDE_FAULTS.register("worker-obeys-late")
+async def _obey_late(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    """Leave orders to a worker unanswered and carry them out late."""
+    worker = world.workers[rng.choice(sorted(world.workers))]
+    worker.lost_answer_delay_s = rng.choice((0.0, 0.3, 1.0))
+    worker.lost_answers = rng.randint(2, 12)
+    await anyio.sleep(rng.uniform(0.5, 4.0))
+    worker.lost_answers = 0
+
+
+@WIDE_FAULTS.register("high-tail-latency")
+async def _raise_tails(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    count = rng.randint(1, len(world.workers))
+    strained = rng.sample(sorted(world.workers), count)
+    for worker_id in strained:
+        world.workers[worker_id].tail_ratio = rng.uniform(0.8, 1.6)
+    await anyio.sleep(rng.uniform(0.5, 4.0))
+    for worker_id in strained:
+        world.workers[worker_id].tail_ratio = checks.CALM_TAIL_RATIO
+
+
+@WIDE_FAULTS.register("slow-store")
+async def _slow_store(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    """Delay changes, so that many jobs are written together."""
+    delay_s = rng.uniform(0.1, 1.0)
+    await _slow_down_store(world, rng, rng.uniform(1.0, 6.0), before=delay_s)
--- a/wisteriawood/soak/worlds.py
+++ b/wisteriawood/soak/worlds.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import socket
+import typing
 
 import anyio
 from anyio import abc
@@ -40,6 +41,10 @@
 STARTUP_S = 4.0
 # Time after the last fault within which all accepted jobs must complete.
 FINISH_TIMEOUT_S = 25.0
+# The same with wide jobs, of which a worker runs few tasks at a time.
+FINISH_WIDE_TIMEOUT_S = 60.0
+# Share of wide jobs in soaks with such jobs.
+WIDE_SHARE = 0.3
 
 
 class _ReservedPorts:
@@ -95,6 +100,9 @@
         seed: Seed of the load and the faults.
         folder: Folder for settings and logs.
         load_s: Duration of the load and the faults in seconds.
+        is_wide: Whether some jobs are wide, with the faults that make them
+            move between zones and their runs stop.
+        fault_names: Names of the faults to inject; empty for all.
 
     Attributes:
         checker: Checker that records breaches.
@@ -110,7 +118,9 @@
     """
 
     __slots__ = (
+        "_fault_names",
         "_folder",
+        "_is_wide",
         "_load_s",
         "_odd_rng",
         "_ports",
@@ -130,8 +140,18 @@
         "workers",
     )
 
-    def __init__(self, *, seed: int, folder: pathlib.Path, load_s: float):
+    def __init__(
+        self,
+        *,
+        seed: int,
+        folder: pathlib.Path,
+        load_s: float,
+        is_wide: bool = False,
+        fault_names: typing.Collection[str] = (),
+    ):
+        self._fault_names = fault_names
         self._folder = folder
+        self._is_wide = is_wide
         self._load_s = load_s
         self._rng = random.Random(seed)
         self._ports = _ReservedPorts()
@@ -158,6 +178,10 @@
         self.injected_faults: list[str] = []
         self.longest_pause_s = 0.0
 
+    def zones(self) -> list[str]:
+        """Return the names of the zones."""
+        return list(ZONES)
+
     def links_of(self, host: str) -> list[proxies.Proxy]:
         """Return all links of a host.
 
@@ -329,24 +353,28 @@
             queue=self.queue,
             rng=random.Random(self._rng.getrandbits(32)),
             work_s=self._work_s,
+            wide_share=WIDE_SHARE if self._is_wide else 0.0,
         )
 
     async def _inject_faults(self, until_s: float) -> None:
         """Inject random faults, which may overlap."""
+        known = faults.choose(self._fault_names, self._is_wide)
         async with anyio.create_task_group() as group:
             while self.checker.now_s() < until_s:
                 await anyio.sleep(self._rng.uniform(0.2, 2.0))
-                name = self._rng.choice(sorted(faults.FAULTS.names()))
+                name = self._rng.choice(sorted(known))
                 self.injected_faults.append(
                     f"{self.checker.now_s():.2f} {name}"
                 )
                 rng = random.Random(self._rng.getrandbits(32))
-                fault = faults.FAULTS.get(name)
-                group.start_soon(functools.partial(fault, self, rng))
+                group.start_soon(functools.partial(known[name], self, rng))
 
     async def _wait_until_finished(self) -> None:
         """Wait until all accepted jobs are done and reported as completed."""
-        deadline_s = self.checker.now_s() + FINISH_TIMEOUT_S
+        timeout_s = (
+            FINISH_WIDE_TIMEOUT_S if self._is_wide else FINISH_TIMEOUT_S
+        )
+        deadline_s = self.checker.now_s() + timeout_s
         caller = self._make_caller()
         while self.checker.unfinished():
             if self.checker.now_s() > deadline_s:
--- a/wisteriawood/tests/faults/soak_tests.py
+++ b/wisteriawood/tests/faults/soak_tests.py
@@ -7,11 +7,13 @@
 
 import anyio
 
+from wisteriawood import errors
 from wisteriawood.jobs import queues
 from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
 from wisteriawood.links import runners
 from wisteriawood.soak import checks
+from wisteriawood.soak import faults
 from wisteriawood.soak import worlds
 from wisteriawood.tests import builders
 
@@ -37,6 +39,19 @@
         self.assertTrue(other._bind(port, reuses_address=False))
 
 
+class FaultTests(unittest.TestCase):
+    def test_faults_of_wide_jobs_are_only_added_on_request(self):
+        plain = set(faults.choose([], False))
+        self.assertNotIn("drain-zone", plain)
+        self.assertLess(plain, set(faults.choose([], True)))
+
+    def test_only_the_named_faults_are_chosen(self):
+        chosen = faults.choose(["drain-zone"], True)
+        self.assertEqual(set(chosen), {"drain-zone"})
+        with self.assertRaises(errors.UsageError):
+            faults.choose(["drain-zone"], False)
+
+
 class SoakTests(unittest.TestCase):
     def test_short_soak_finds_no_breach(self):
         with tempfile.TemporaryDirectory() as folder:
@@ -82,6 +97,7 @@
                         address="a",
                         zone="a",
                         cpu_millicores=4000,
+                        memory_mb=1000,
                     ),
                     work_s=lambda _name: 1.0,
                 )
@@ -144,6 +160,21 @@
 
         self.assertIn("limit", self._run(_check))
 
+    def test_runs_over_the_memory_of_a_worker(self):
+        def _check(checker, _sent):
+            self._start(checker, "w1")
+            self._start(checker, "w1", index=1)
+
+        step = {"cpu_millicores": 1000, "memory_mb": 600}
+        self.assertIn("1200 MB", self._run(_check, **step))
+
+    def test_fillers_reserve_no_cpu(self):
+        def _check(checker, _sent):
+            self._start(checker, "w1")
+            self._start(checker, "w1", index=1)
+
+        self.assertEqual(self._run(_check, is_filler=True), "")
+
     def test_step_that_starts_before_its_predecessor(self):
         def _check(checker, _sent):
             self._start(checker, "w1", step=1)
