Keep the cell when a move took effect without an answer

Cause: the store applied a move and its answer was lost. Before the move was sent again, the other cell had changed the job, so the condition of the repeated transaction failed, and the holder concluded that another one has its cell.

A job that is on its way out and whose row has changed was moved by the first attempt; it is left out (W2118), and the rest of the batch is written. If the row was changed by a new holder of this cell, the job isn't this one's either, and any other write still shows that.

Evidence: the test failed before (epoch 2 instead of 1).

--- a/wisteriawood/cells/job_writers.py
+++ b/wisteriawood/cells/job_writers.py
@@ -50,7 +50,8 @@
     fails if another host has written one of the jobs. In the bucket that is
     also the partition of the claim's row, it fails too if the claim of the
     cell has changed. It also fails if one of the jobs was cancelled and this
-    host does not know it yet; it is then repeated with that job cancelled.
+    host does not know it yet; it is then repeated with that job cancelled. A
+    job whose move took effect without an answer is left out.
     If the store can never accept it, its jobs are written one by one, so that
     at most one of them is the reason.
 
@@ -202,7 +203,8 @@
             try:
                 version = await stores.commit_with_retry(self._store, change)
             except stores.ChangeConflictError as exc:
-                self._handle_conflict(bucket, change, included, exc)
+                left = self._handle_conflict(bucket, change, included, exc)
+                waiting = [job for job in waiting if job not in left]
                 continue
             except stores.ChangeRejectedError as exc:
                 if len(included) == 1:
@@ -240,8 +242,15 @@
         change: stores.Change,
         included: list[jobs.Job],
         conflict: stores.ChangeConflictError,
-    ) -> None:
-        """Cancel the jobs that are the only reason of a conflict.
+    ) -> list[jobs.Job]:
+        """Cancel or leave out the jobs that are the only reason of a conflict.
+
+        A job that is being moved away was moved by an attempt without an
+        answer, if its row has changed since: its new holder did that, and the
+        job is no longer this cell's. If it is, it is loaded again.
+
+        Returns:
+            The jobs that have left the cell.
 
         Raises:
             CellLostError: There is another reason.
@@ -255,7 +264,12 @@
             tables.cancel_row(bucket, job.submitted_id): job.submitted_id
             for job in included
         }
-        if not changed or changed - cancelled.keys():
+        moved = {
+            tables.job_row(bucket, job.id): job
+            for job in included
+            if job.moved_from
+        }
+        if not changed or changed - cancelled.keys() - moved.keys():
             _LOG.log(
                 job_events.JOB_ROW_CHANGED,
                 bucket=bucket,
@@ -264,13 +278,18 @@
             raise tables.CellLostError(
                 "another holder has written the cell's rows"
             ) from conflict
-        for at in changed:
+        left = [moved[at] for at in changed & moved.keys()]
+        for job in left:
+            job.moved_from = ""
+            _LOG.log(job_events.JOB_LEFT, job=job.id, to=job.cell)
+        for at in changed & cancelled.keys():
             _LOG.log(
                 job_events.JOB_CANCEL_MISSED,
                 job=cancelled[at],
                 cell=self._claim_key.key,
             )
             self._on_cancel(cancelled[at])
+        return left
 
     def _build_change(
         self,
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -308,6 +308,12 @@
     "The holder of an open cell read a job with its progress, for instance "
     "one that was moved here.",
 )
+JOB_LEFT = events.define(
+    2118,
+    "job-left",
+    "A move took effect without an answer; the other cell has changed the "
+    "job since.",
+)
 JOB_IDLE = events.define(
     2115,
     "job-idle",
--- a/wisteriawood/tests/relocation_tests.py
+++ b/wisteriawood/tests/relocation_tests.py
@@ -222,6 +222,24 @@
 
         self._run(_check)
 
+    def test_a_lost_answer_does_not_cost_the_cell(self):
+        """Guards against a holder that gives all of its jobs up for one.
+
+        The other cell has started the job before the move is sent again.
+        """
+
+        async def _check(world):
+            await world.submit_to(CELL, JOB, [_step()])
+            world.store.lost_table = tables.specs_table("b")
+            world.store.lost_answers = 1
+            await world.wait_for(JOB, jobs.JobState.COMPLETED, timeout_s=8)
+            await anyio.sleep(2)
+            claim = world.store.rows[tables.claim_row(CELL)]
+            self.assertEqual(claims.read_claim(claim).epoch, 1)
+            self.assertEqual(builders.held_jobs(world)[CELL], {})
+
+        self._run(_check)
+
     def test_a_cancellation_that_no_read_shows(self):
         """Guards against the start of a job that was cancelled on its way."""
 
