Remember the holder before one whose claim was read as released

A host that reads the claim of the second holder only once it is released did not count the first one, which may be cut off and go on: the third holder waited 6.3 s instead of 18. A release keeps the epoch of the claim that it ends, which tells the two apart. The test failed before.

--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -219,7 +219,11 @@
         now_s = anyio.current_time()
         self.claims[claim.cell] = claim
         self._claim_seen_at_s[claim.cell] = now_s
-        if known is not None and known.row.holder and claim.row.holder:
+        if known is None or not known.row.holder:
+            return
+        # A release keeps the epoch of the claim that it ends.
+        is_released = not claim.row.holder and claim.epoch == known.epoch
+        if not is_released:
             replaced = self._replaced.setdefault(claim.cell, [])
             replaced.append((now_s, known))
             del replaced[:-MAX_REPLACED]
--- a/wisteriawood/tests/members_tests.py
+++ b/wisteriawood/tests/members_tests.py
@@ -5,6 +5,7 @@
 import anyio
 
 from wisteriawood.cells import claims
+from wisteriawood.cells import former_holders
 from wisteriawood.cells import members
 from wisteriawood.cells import tables
 from wisteriawood.links.codecs import rows
@@ -184,6 +185,24 @@
 
         self._run(_check)
 
+    def test_a_claim_is_read_only_after_its_release(self):
+        """Guards against a second run while an earlier holder goes on."""
+
+        async def _check(view, _write_heartbeat):
+            view.record_claim(_claim("first", "x"))
+            row = claims.ClaimRow(holder="", incarnation="y", epoch=2)
+            released = claims.Claim(cell=CELL, row=row, version=3)
+            view.record_claim(released)
+            former = former_holders.FormerHolder(
+                claim=released, known_members=view, lease_s=6.0
+            )
+            self.assertGreater(
+                former.lapsed_at_s - anyio.current_time(),
+                former_holders.RENEW_WITHOUT_STORE_S,
+            )
+
+        self._run(_check)
+
     def test_unreadable_rows_are_skipped(self):
         async def _check(view, write_heartbeat):
             write_heartbeat("before", 5)
