Stop no more crawling fillers than fit elsewhere

One free place in another cell stopped the runs of all jobs that crawl, and all but one were started again. And the wait before a further move grew for work of any kind, so a batch job that had moved for good reasons waited 15 s instead of 3 s.

What a stopped job will take is now reserved, for its whole step, once its runs are 3 s old, and it moves to that cell. The wait grows only for fillers that could start here beyond the load limits, up to 12 s.

--- a/wisteriawood/cells/relocation.py
+++ b/wisteriawood/cells/relocation.py
@@ -24,6 +24,10 @@
 # The same for a job that only waits for other work to end. A move may take it
 # away from its data.
 BUSY_WAIT_S = 3.0
+# Time in which the runs of a job that is to move must have stopped.
+LEAVING_TIMEOUT_S = 3.0
+# Moves of a job that lengthen the wait before the next one.
+MAX_COUNTED_MOVES = 3
 # Most jobs and tasks relocated in one pass; bounded because the reported loads
 # of other cells are about a second old.
 MAX_PER_PASS = 8
@@ -46,7 +50,8 @@
     candidates = []
     for cell, load in loads.items():
         fitting = worker_groups.count_fitting(load.free, step, load.racks)
-        if step.is_filler and load.left_millicores < step.cpu_millicores:
+        wanted = step.cpu_millicores * needed
+        if step.is_filler and load.left_millicores < wanted:
             continue
         if fitting >= needed:
             candidates.append((fitting, load.free_millicores, cell))
@@ -94,6 +99,7 @@
 
     __slots__ = (
         "_cell",
+        "_leaving",
         "_left",
         "_most_free_millicores",
         "_most_left_millicores",
@@ -108,6 +114,9 @@
         self._waiting_since_s: dict[tuple[str, int, int], float] = {}
         # How much may still be relocated in this pass.
         self._left = 0
+        # Cells to which jobs move whose runs are being stopped, and until
+        # when, by the id of the job.
+        self._leaving: dict[str, tuple[str, float]] = {}
         # Workers of the cell with all of their capacity.
         self._total: list[worker_groups.WorkerGroup] = []
         # Most CPU that a worker of another cell has free, and that another
@@ -124,6 +133,11 @@
         known = self._waiting_since_s
         self._waiting_since_s = {}
         self._left = MAX_PER_PASS
+        self._leaving = {
+            job_id: leaving
+            for job_id, leaving in self._leaving.items()
+            if now_s < leaving[1]
+        }
         self._total = self._cell.total_capacity()
         loads = self._cell.other_loads.values()
         self._most_free_millicores = max(
@@ -163,7 +177,7 @@
             if step.is_standing and not step.is_gang and wait_s >= MIN_WAIT_S:
                 self._lend(job, step_tasks)
             if wait_s >= BUSY_WAIT_S and self.is_better_elsewhere(job, step):
-                self._stop_crawling(job)
+                self._stop_crawling(job, step_tasks)
 
     def is_better_elsewhere(self, job: jobs.Job, step: specs.StepSpec) -> bool:
         """Return whether a filler that fits nowhere here should move.
@@ -175,15 +189,29 @@
             job: The job.
             step: Step of the filler.
         """
+        if job.id in self._leaving:
+            return True
         return (
             step.is_filler
             and not job.spec.moves
             and bool(self._choose_cell(step, 1))
         )
 
-    def _stop_crawling(self, job: jobs.Job) -> None:
-        """Stop the runs of a job if all of them were started beyond limits."""
+    def _stop_crawling(
+        self, job: jobs.Job, step_tasks: list[tasks.Task]
+    ) -> None:
+        """Stop the runs of a job if all of them were started beyond limits.
+
+        Another cell must have room for the whole step, which is reserved.
+
+        Args:
+            job: The job.
+            step_tasks: Waiting tasks of one of its steps.
+        """
+        if self._left <= 0 or job.id in self._leaving:
+            return
         found = []
+        now_s = anyio.current_time()
         for task in job.all_tasks():
             if task.phase is not tasks.Phase.ASSIGNED:
                 continue
@@ -191,7 +219,16 @@
             run = worker and worker.runs.get(job.task_name(task))
             if not run or not run.is_pinned or not run.step.is_checkpointing:
                 return
+            if now_s - run.started_at_s < BUSY_WAIT_S:
+                return
             found.append((worker, run))
+        step = job.step_of(step_tasks[0])
+        unfinished = len(step_tasks) + len(found)
+        to = self._choose_cell(step, unfinished)
+        if not to:
+            return
+        self._record(to, step, unfinished)
+        self._leaving[job.id] = (to, now_s + LEAVING_TIMEOUT_S)
         for worker, run in found:
             self._cell.stop_run(worker, run)
 
@@ -204,6 +241,10 @@
         fits_here = can_ever_run(self._total, step, cell.racks())
         if wait_s < self._min_wait_s(job, step, fits_here):
             return False
+        to, _until_s = self._leaving.pop(job.id, ("", 0.0))
+        if to in self._cell.other_loads:
+            moving.move(cell, job, to)
+            return True
         needed = len(step_tasks) if step.is_gang else 1
         to = self._choose_cell(step, needed)
         if not to and not fits_here:
@@ -230,8 +271,17 @@
             job, step
         ):
             return MIN_WAIT_S
-        # Bounds the moves to and fro between cells that are all full.
-        return BUSY_WAIT_S * (1 + job.spec.moves)
+        if step.is_filler and self._has_memory_for(step):
+            # Bounds the moves to and fro between cells that are all near
+            # their load limits, which reports don't show.
+            return BUSY_WAIT_S * (1 + min(job.spec.moves, MAX_COUNTED_MOVES))
+        return BUSY_WAIT_S
+
+    def _has_memory_for(self, step: specs.StepSpec) -> bool:
+        return any(
+            worker.has_capacity_for(step)
+            for worker in self._cell.fleet.values()
+        )
 
     def _choose_cell(self, step: specs.StepSpec, needed: int) -> str:
         """Return a cell that can run tasks of a step now; empty for none.
--- a/wisteriawood/tests/relocation_tests.py
+++ b/wisteriawood/tests/relocation_tests.py
@@ -1,5 +1,6 @@
 """Tests of jobs and tasks that wait where they can't run."""
 
+import dataclasses
 import unittest
 from unittest import mock
 
@@ -458,6 +459,76 @@
         )
 
 
+class FillerMoveTests(unittest.TestCase):
+    """Fillers wait in a cell while the other one reports room."""
+
+    def _run(self, check):
+        async def _main():
+            await anyio.sleep(100)
+            worker = builders.make_run_worker("w", now_s=anyio.current_time())
+            cell = builders.make_cell([worker])
+            await check(cell, worker, relocation.Relocator(cell=cell))
+            worker.close()
+
+        builders.run_virtual(_main)
+
+    async def _tick(self, cell, relocator, cores):
+        """Let 3.5 s pass, in which the other cell has some cores left."""
+        group = builders.make_group(cores=cores)
+        cell.other_loads = {
+            "shop@b": claims.CellLoad(
+                free_millicores=1000 * cores,
+                left_millicores=1000 * cores,
+                free=[group],
+                total=[group],
+            )
+        }
+        for _tick in range(14):
+            builders.confirm_views(cell)
+            relocator.tick()
+            await anyio.sleep(relocation.BUSY_WAIT_S / 12)
+
+    def test_no_more_crawling_jobs_are_stopped_than_fit_elsewhere(self):
+        """Guards against fillers that are stopped for the same free place."""
+
+        async def _check(cell, worker, relocator):
+            found = []
+            for number in range(4):
+                job = builders.make_job(
+                    f"j{number}",
+                    task_count=2,
+                    cpu_millicores=8000,
+                    is_filler=True,
+                    is_checkpointing=True,
+                    image="fills",
+                )
+                cell.add_job(job)
+                run = builders.put_run(worker, job)
+                run.is_pinned = True
+                cell.update_waiting(job)
+                found.append(run)
+            await self._tick(cell, relocator, 24)
+            self.assertEqual(sum(run.is_stopping for run in found), 1)
+
+        self._run(_check)
+
+    def test_earlier_moves_of_other_work_do_not_count(self):
+        """Guards against batch jobs that wait longer after each move."""
+
+        async def _check(cell, worker, relocator):
+            other = builders.make_job("o", cpu_millicores=16000)
+            cell.add_job(other)
+            builders.put_run(worker, other)
+            cell.update_waiting(other)
+            job = builders.make_job("j", cpu_millicores=8000)
+            job.spec = dataclasses.replace(job.spec, moves=4)
+            cell.add_job(job)
+            await self._tick(cell, relocator, 64)
+            self.assertEqual(job.cell, "shop@b")
+
+        self._run(_check)
+
+
 class GroupTests(unittest.TestCase):
     """What a cell reports of its workers."""
 
