Keep room for standing tasks that don't fit

Cause: in a full system it needs more CPU than any worker has free at a time, and smaller tasks take each part that becomes free.

A placement pass now keeps the room of one worker for each such task, the one with most free CPU that will have room once all tasks there have ended that do end; at most a quarter of the workers. Both tests failed before.

--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -7,6 +7,7 @@
 from wisteriawood.cells import moving
 from wisteriawood.cells import progress
 from wisteriawood.cells import runs
+from wisteriawood.cells import worker_groups
 from wisteriawood.cells import workers
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
@@ -27,6 +28,8 @@
 # Most tasks started this way (pinned) on one worker; at their initial pace,
 # together they use less CPU than one at full speed.
 MAX_PINNED_PER_WORKER = 4
+# Workers of a cell for each one that is reserved for standing tasks at most.
+MIN_WORKERS_PER_RESERVED = 4
 # Multiple of its objective after which the result of a job has no value.
 NO_VALUE_FACTOR = 3.0
 
@@ -80,9 +83,11 @@
     __slots__ = (
         "_active_ids",
         "_idle_since_s",
+        "_lasting_groups",
         "_model",
         "_pinned_ids",
         "_policy",
+        "_reserved_ids",
         "_unplaced",
         "is_intake_idle",
         "should_move",
@@ -101,6 +106,10 @@
         self._pinned_ids: set[str] = set()
         # Jobs with a running task; None until this pass needs them.
         self._active_ids: set[str] | None = None
+        # Capacity of workers that no standing task has, as this pass needs it.
+        self._lasting_groups: dict[str, worker_groups.WorkerGroup] = {}
+        # Workers whose room is kept in this pass for standing tasks.
+        self._reserved_ids: set[str] = set()
         # CPU and memory of the tasks that did not fit in this pass, by class.
         self._unplaced: dict[tuple, list[tuple[int, int]]] = {}
         self.is_intake_idle = True
@@ -130,6 +139,8 @@
             return []
         assigned: list[tuple[workers.Worker, runs.Run]] = []
         self._unplaced.clear()
+        self._reserved_ids.clear()
+        self._lasting_groups.clear()
         self._active_ids = None
         for job_id in self._idle_since_s.keys() - waiting.keys():
             del self._idle_since_s[job_id]
@@ -171,6 +182,8 @@
                 break
             assigned.append((worker, _assign(job, task, worker, now_s)))
             placed += 1
+        if step.is_standing and not step.is_filler:
+            self._reserve(job, step_tasks[placed:], step, usable)
         if placed:
             self._pinned_ids.discard(job.id)
         elif (
@@ -184,6 +197,64 @@
             )
         return placed
 
+    def _reserve(
+        self,
+        job: jobs.Job,
+        step_tasks: list[tasks.Task],
+        step: specs.StepSpec,
+        usable: list[workers.Worker],
+    ) -> None:
+        """Keep the room of workers for standing tasks that did not fit.
+
+        Smaller tasks would take each part of it that becomes free. One worker
+        is reserved for each task, if it will have room once all tasks there
+        have ended that do end.
+
+        Args:
+            job: The job.
+            step_tasks: Its tasks that did not fit.
+            step: Their step.
+            usable: The workers that may get new runs.
+        """
+        most = max(1, len(usable) // MIN_WORKERS_PER_RESERVED)
+        for task in step_tasks[: most - len(self._reserved_ids)]:
+            candidates = [
+                worker
+                for worker in usable
+                if worker.id not in self._reserved_ids
+                and self._will_fit(job, task, step, worker)
+            ]
+            if not candidates:
+                return
+            worker = max(
+                candidates,
+                key=lambda w: (
+                    w.free_memory_mb >= step.memory_mb,
+                    w.free_millicores,
+                    w.id,
+                ),
+            )
+            self._reserved_ids.add(worker.id)
+
+    def _will_fit(
+        self,
+        job: jobs.Job,
+        task: tasks.Task,
+        step: specs.StepSpec,
+        worker: workers.Worker,
+    ) -> bool:
+        """Return whether a task fits once all others that end have ended."""
+        group = self._lasting_groups.get(worker.id)
+        if group is None:
+            group = self._lasting_groups[worker.id] = worker.lasting_group()
+        if step.required_label not in ("", *worker.registration.labels):
+            return False
+        if not group.count_per_worker(step):
+            return False
+        return not step.most_per_worker or worker.accepts_beside(
+            step, job.task_name(task)
+        )
+
     def _is_ruled_out(self, step: specs.StepSpec) -> bool:
         """Return whether a task that needs no more did not fit in this pass.
 
@@ -374,7 +445,8 @@
         return [
             worker
             for worker in usable
-            if not worker.find_conflict(step, name, now_s)
+            if (step.is_standing or worker.id not in self._reserved_ids)
+            and not worker.find_conflict(step, name, now_s)
         ]
 
     def _place_gang(
--- a/wisteriawood/cells/workers.py
+++ b/wisteriawood/cells/workers.py
@@ -232,12 +232,32 @@
             return "blocked for fillers" if step.is_filler else "blocked image"
         if step.required_label not in ("", *self.registration.labels):
             return "label"
-        if not step.most_per_worker:
-            return ""
+        if step.most_per_worker and not self.accepts_beside(step, task_name):
+            return "anti-affinity"
+        return ""
+
+    def accepts_beside(self, step: specs.StepSpec, task_name: str) -> bool:
+        """Return whether few enough tasks of a step are here already.
+
+        Args:
+            step: The step, which limits their number.
+            task_name: Name of a further task.
+        """
         step_name = task_name.rpartition(".")[0] + "."
-        if self.count_step_tasks(step_name) < step.most_per_worker:
-            return ""
-        return "anti-affinity"
+        return self.count_step_tasks(step_name) < step.most_per_worker
+
+    def lasting_group(self) -> worker_groups.WorkerGroup:
+        """Return the worker with the capacity that no standing task has."""
+        group = self.free_group()
+        for run in self.runs.values():
+            step = run.step
+            if step.is_standing:
+                continue
+            if not step.is_filler:
+                group.cpu_millicores += step.cpu_millicores
+            group.memory_mb += step.memory_mb
+            group.accelerators += step.accelerators
+        return group
 
     def total_group(self) -> worker_groups.WorkerGroup:
         """Return the worker with all of its capacity."""
--- a/wisteriawood/tests/placing_tests.py
+++ b/wisteriawood/tests/placing_tests.py
@@ -165,6 +165,68 @@
         self._run(_check)
 
 
+class FullCellTests(unittest.TestCase):
+    """Batch tasks fill all workers, and more of them wait."""
+
+    def _run(self, check):
+        async def _main():
+            await anyio.sleep(100)
+            placer = placers.Placer(
+                policy=least_pressed.LeastPressed(),
+                model=interference_models.InterferenceModel(),
+            )
+            now_s = anyio.current_time()
+            fleet = [
+                builders.make_run_worker(f"w{n}", now_s=now_s)
+                for n in range(4)
+            ]
+            batch = _job("b", task_count=64, cpu_millicores=4000)
+            placer.place(_waiting(batch), fleet, now_s)
+            check(placer, fleet, batch, now_s)
+            for worker in fleet:
+                worker.close()
+
+        builders.run_virtual(_main)
+
+    def _end_one(self, worker):
+        run = min(worker.runs.values(), key=lambda run: run.number)
+        worker.remove_run(run)
+        run.task.release(tasks.Phase.DONE)
+
+    def test_a_large_standing_task_gets_room(self):
+        """Guards against standing tasks that wait behind smaller ones (LOST).
+
+        On moves-beside-lost-workers one waited 16.9 s.
+        """
+
+        def _check(placer, fleet, batch, now_s):
+            standing = _job("s", cpu_millicores=10_000, is_standing=True)
+            for _round in range(3):
+                for worker in fleet:
+                    self._end_one(worker)
+                placer.place(_waiting(standing, batch), fleet, now_s)
+            (task,) = standing.all_tasks()
+            self.assertEqual(task.phase, tasks.Phase.ASSIGNED)
+
+        self._run(_check)
+
+    def test_the_other_workers_go_on(self):
+        """No room is kept where the task would never fit, nor everywhere."""
+
+        def _check(placer, fleet, batch, now_s):
+            huge = _job("h", cpu_millicores=17_000, is_standing=True)
+            wide = _job(
+                "s", task_count=9, cpu_millicores=10_000, is_standing=True
+            )
+            for waiting, kept in (([huge], 0), ([huge, wide], 1)):
+                for worker in fleet:
+                    self._end_one(worker)
+                found = placer.place(_waiting(*waiting, batch), fleet, now_s)
+                self.assertEqual(len(found), 4 - kept)
+
+        self._run(_check)
+
+
 class IdleJobTests(unittest.TestCase):
     """Many heavy filler jobs wait, and no new jobs are submitted."""
 
