Read the jobs again if a worker reports a newer run

A task that was done could run again after a takeover (TWICE).

Cause: after a loss of history a new holder read the progress of a job from before its tasks were assigned. Their ends belonged to no run that it knew, so they were acknowledged, and the worker forgot them. Its own starts conflicted, the cell was read anew, and the tasks counted as lapsed.

A run is started only once it is stored, so a report of a newer run than the one in memory proves that the read was old. The holder gives the cell up before it acknowledges anything, and reads the jobs again.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -358,6 +358,29 @@
         if len(self.unclaimed_ends) > MAX_UNCLAIMED_ENDS:
             self.unclaimed_ends.popitem(last=False)
 
+    def check_reported_run(self, task_name: str, run: int) -> None:
+        """Check that a run that is not known here is no newer than its task.
+
+        A run is started once it is stored, so a newer one shows that the
+        job was read before.
+
+        Args:
+            task_name: Name of the task.
+            run: Number of the run that a worker reports.
+
+        Raises:
+            CellLostError: The jobs must be read again.
+        """
+        job_id, _dot, path = task_name.partition(".")
+        job = self.jobs.get(job_id)
+        if job is None or job.is_ended():
+            return
+        for task in job.all_tasks():
+            if tasks.task_name(job_id, task) != task_name:
+                continue
+            if task.phase is not tasks.Phase.LENT and task.run < run:
+                raise tables.CellLostError(f"{task_name} has a newer run")
+
     def record_run_end(
         self,
         job: jobs.Job,
--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -69,7 +69,8 @@
         answers at the worker's address.
 
         Raises:
-            CellLostError: The worker has a newer holder.
+            CellLostError: The worker has a newer holder, or reports a run
+                that is newer than what was read of its job.
         """
         delay_s = RETRY_DELAY_S
         backoff = supervision.Backoff()
@@ -82,6 +83,8 @@
                 ) from exc
             except runners.OtherInstanceError:
                 break
+            except tables.CellLostError:
+                raise
             except errors.LinkError as exc:
                 self._handle_no_answer(exc)
                 await anyio.sleep(delay_s)
@@ -213,8 +216,10 @@
         for end in report.ended:
             if end.number <= worker.last_processed_end:
                 continue
-            worker.last_processed_end = end.number
             run = worker.runs.get(end.task_name)
+            if run is None or run.number != end.run:
+                self._cell.check_reported_run(end.task_name, end.run)
+            worker.last_processed_end = end.number
             if run is None or run.number != end.run:
                 self._cell.keep_unclaimed_end(end)
                 continue
@@ -233,6 +238,7 @@
         for active in report.active:
             run = worker.runs.get(active.task_name)
             if run is None or run.number != active.run:
+                self._cell.check_reported_run(active.task_name, active.run)
                 self._stop_unknown_run(active)
                 continue
             listed.add(run.name)
--- a/wisteriawood/tests/stored_jobs_tests.py
+++ b/wisteriawood/tests/stored_jobs_tests.py
@@ -11,6 +11,7 @@
 from wisteriawood.cells import tables
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
+from wisteriawood.jobs import tasks
 from wisteriawood.links.codecs import jobs as codec
 from wisteriawood.links import stores
 from wisteriawood.standins import stores as store_standins
@@ -200,3 +201,45 @@
             self.assertEqual(claims.read_claim(row).epoch, 2)
 
         self._run(_check, 60.0, hidden_key=JOB)
+
+    def test_tasks_that_were_done_after_a_stale_read_are_not_run_again(self):
+        """Guards against a second run after an acknowledged end (TWICE).
+
+        The new holder reads the progress of before the tasks were assigned.
+        """
+
+        async def _check(world):
+            at = tables.job_row("a", JOB)
+            while at not in world.store.rows:
+                await anyio.sleep(0.001)
+            stale = dict(world.store.rows)
+            await anyio.sleep(1)
+            self.assertEqual(len(world.running()), 2)
+            current = dict(world.store.rows)
+            world.kill_host(world.holder_of("shop@a"))
+            world.store.stale_rows = current | {at: stale[at]}
+            while not world.holder_of("shop@a"):
+                await anyio.sleep(0.02)
+            await anyio.sleep(0.5)
+            world.store.stale_rows = None
+            await world.wait_for(JOB, jobs.JobState.COMPLETED, timeout_s=14)
+            for ends in world.ends().values():
+                done = [end for end in ends if end[1] == tasks.Outcome.DONE]
+                self.assertEqual(len(done), 1)
+
+        for work_s in (2.0, 3.0, 4.0):
+            with self.subTest(work_s=work_s):
+                self._run_stale(_check, work_s)
+
+    def _run_stale(self, check, work_s):
+        async def _main(world):
+            await anyio.sleep(3)
+            world.work_s[JOB] = work_s
+            step = specs.StepSpec(task_count=2, cpu_millicores=2000)
+            async with anyio.create_task_group() as group:
+                group.start_soon(world.submit_to, "shop@a", JOB, [step])
+                await check(world)
+
+        builders.run_job_world(
+            _main, zones=["a"], hosts_per_zone=2, workers_per_zone=2
+        )
