Acknowledge no end of a job that is being loaded

The next one found neither the runs nor their ends, so tasks that were done ran again.

While a job is known to be missing, for 5 s at most, the report is processed up to its first end only, and its active runs are left alone. The worker lists them again.

Open: the same for a job whose specification was missed as well.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -68,6 +68,8 @@
             which the cancellations are known.
         last_job_at_s: Monotonic time at which the newest job was accepted.
         on_job_removed: Called with a job that the cell no longer manages.
+        is_loading: Returns whether a submitted job, or a lent task of it, is
+            known to be in the store and will soon be loaded.
         writer: Writes the rows of the jobs.
         model: Estimates of the load that fillers add to serving tasks.
         filler_meter: Measures the rate at which fillers complete work.
@@ -91,6 +93,7 @@
         "directory",
         "filler_meter",
         "fleet",
+        "is_loading",
         "jobs",
         "last_job_at_s",
         "max_cancel_age_s",
@@ -123,6 +126,7 @@
         self.max_cancel_age_s = max_cancel_age_s
         self.cancels_confirmed_at_s: typing.Callable[[], float] = lambda: 0.0
         self.last_job_at_s = -math.inf
+        self.is_loading: typing.Callable[[str], bool] = lambda _job_id: False
         self.on_job_removed: typing.Callable[[jobs.Job], None] = (
             lambda _job: None
         )
--- a/wisteriawood/cells/stored_jobs.py
+++ b/wisteriawood/cells/stored_jobs.py
@@ -11,6 +11,7 @@
 import anyio
 
 from wisteriawood.cells import cells
+from wisteriawood.cells import lending
 from wisteriawood.cells import runs
 from wisteriawood.cells import tables
 from wisteriawood.cells import worker_sessions
@@ -31,6 +32,8 @@
 # further one.
 RETRY_DELAY_S = 0.5
 MAX_RETRY_DELAY_S = 5.0
+# Time in which a job that is missing is usually loaded.
+LOAD_TIMEOUT_S = 5.0
 # Time for which reads may be stale after a loss of history. A specification
 # that reads have not shown for longer is gone.
 STALE_READ_S = 20.0
@@ -82,6 +85,7 @@
         self._rows: dict[str, stores.StoredRow] = {}
         self._unknown: dict[str, UnknownJob] = {}
         cell.on_job_removed = self._forget
+        cell.is_loading = self._is_loading
 
     def close(self) -> None:
         """Remove the count of a cell that is no longer held."""
@@ -149,6 +153,20 @@
         if row is not None and row.version <= job.version:
             del self._rows[job.id]
 
+    def _is_loading(self, submitted_id: str) -> bool:
+        """Return whether a job was found to be missing a short time ago.
+
+        Args:
+            submitted_id: Id of the submitted job.
+        """
+        now_s = anyio.current_time()
+        lent_prefix = lending.lent_prefix(submitted_id)
+        return any(
+            (job_id == submitted_id or job_id.startswith(lent_prefix))
+            and now_s - unknown.since_s < LOAD_TIMEOUT_S
+            for job_id, unknown in self._unknown.items()
+        )
+
     def check(self) -> None:
         """Count and load the stored jobs that the holder does not know."""
         now_s = anyio.current_time()
--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -191,13 +191,16 @@
             self._reset_after_restart(report)
         worker.started_unix_ms = report.started_unix_ms
         batches = self._process_ended_runs(report)
+        has_all_ends = report.is_complete and all(
+            end.number <= worker.last_processed_end for end in report.ended
+        )
         listed = self._process_active_runs(report, now_s)
         for run in list(worker.runs.values()):
             # A report lists all runs on the worker. A run that it omits, and
             # for which the worker answered before the renewal, has ended; how,
             # the next report tells if this one has not all ends.
             if (
-                report.is_complete
+                has_all_ends
                 and run.name not in listed
                 and run.is_answered
                 and run.answered_at_s < sent_at_s
@@ -219,6 +222,9 @@
             run = worker.runs.get(end.task_name)
             if run is None or run.number != end.run:
                 self._cell.check_reported_run(end.task_name, end.run)
+                if self._is_loading(end.task_name):
+                    # The worker lists it again, and the later ones.
+                    break
             worker.last_processed_end = end.number
             if run is None or run.number != end.run:
                 self._cell.keep_unclaimed_end(end)
@@ -239,7 +245,8 @@
             run = worker.runs.get(active.task_name)
             if run is None or run.number != active.run:
                 self._cell.check_reported_run(active.task_name, active.run)
-                self._stop_unknown_run(active)
+                if not self._is_loading(active.task_name):
+                    self._stop_unknown_run(active)
                 continue
             listed.add(run.name)
             if run.job.is_ended() and not run.is_stopping:
@@ -257,6 +264,9 @@
             run.signal = active.signal
         return listed
 
+    def _is_loading(self, task_name: str) -> bool:
+        return self._cell.is_loading(task_name.partition(".")[0])
+
     def _stop_unknown_run(self, active: runners.ActiveRun) -> None:
         worker = self._worker
         _LOG.log(
--- a/wisteriawood/tests/stored_jobs_tests.py
+++ b/wisteriawood/tests/stored_jobs_tests.py
@@ -143,7 +143,7 @@
 class LateLoadTests(cells_tests.SingleRunCase):
     """A new holder's first read lacks the progress of a job that runs."""
 
-    def _run(self, check, work_s, hidden_key=""):
+    def _run(self, check, work_s, *, hidden_key="", hosts_per_zone=2):
         async def _main(world):
             await anyio.sleep(3)
             world.work_s[JOB] = work_s
@@ -160,7 +160,10 @@
             self.check_single_runs(world)
 
         builders.run_job_world(
-            _main, zones=["a"], hosts_per_zone=2, workers_per_zone=2
+            _main,
+            zones=["a"],
+            hosts_per_zone=hosts_per_zone,
+            workers_per_zone=2,
         )
 
     def test_its_tasks_go_on_soon(self):
@@ -202,6 +205,19 @@
 
         self._run(_check, 60.0, hidden_key=JOB)
 
+    def test_tasks_are_not_run_again_if_this_holder_is_lost_as_well(self):
+        """Guards against a second run after an acknowledged end (TWICE)."""
+
+        async def _check(world):
+            await anyio.sleep(0.5)
+            world.kill_host(world.holder_of("shop@a"))
+            world.store.hidden_tables.clear()
+            await world.wait_for(JOB, jobs.JobState.COMPLETED, timeout_s=30)
+            for starts in world.starts().values():
+                self.assertEqual(len(starts), 1)
+
+        self._run(_check, 3.0, hosts_per_zone=3)
+
     def test_tasks_that_were_done_after_a_stale_read_are_not_run_again(self):
         """Guards against a second run after an acknowledged end (TWICE).
 
