--- a/wisteriawood/tests/stored_jobs_tests.py
+++ b/wisteriawood/tests/stored_jobs_tests.py
@@ -208,15 +208,20 @@
     def test_tasks_are_not_run_again_if_this_holder_is_lost_as_well(self):
         """Guards against a second run after an acknowledged end (TWICE)."""
 
-        async def _check(world):
-            await anyio.sleep(0.5)
-            world.kill_host(world.holder_of("shop@a"))
-            world.store.hidden_tables.clear()
-            await world.wait_for(JOB, jobs.JobState.COMPLETED, timeout_s=30)
-            for starts in world.starts().values():
-                self.assertEqual(len(starts), 1)
-
-        self._run(_check, 3.0, hosts_per_zone=3)
+        self._run(self._lose_holder, 3.0, hosts_per_zone=3)
+
+    def test_tasks_of_a_job_that_no_read_showed_are_not_run_again(self):
+        """Guards against the same if the specification is missing too."""
+        self._run(self._lose_holder, 3.0, hidden_key=JOB, hosts_per_zone=3)
+
+    async def _lose_holder(self, world):
+        await anyio.sleep(0.5)
+        world.kill_host(world.holder_of("shop@a"))
+        world.store.hidden_tables.clear()
+        world.store.hidden_keys.clear()
+        await world.wait_for(JOB, jobs.JobState.COMPLETED, timeout_s=30)
+        for starts in world.starts().values():
+            self.assertEqual(len(starts), 1)
 
     def test_tasks_that_were_done_after_a_stale_read_are_not_run_again(self):
         """Guards against a second run after an acknowledged end (TWICE).
