Do not extend the lease of a lost worker with starts

Each start carried a lease that was granted anew, as long as the last answer of the worker was at most 2.5 s old. The placer chose such a worker for as long, although its session had failed. While batch tasks waited, starts went on to the dead worker, each moved the end of its lease, and all of its runs counted for up to 2.5 s longer: 8.9 s, of the 9 s that a standing task may be away.

A start now carries the lease of the last renewal; it grants one only where none is left. A worker whose renewal has failed gets no starts until it answers again.

--- a/wisteriawood/cells/leases.py
+++ b/wisteriawood/cells/leases.py
@@ -98,6 +98,14 @@
         )
         return until_ms
 
+    def is_granted(self, now_s: float) -> bool:
+        """Return whether a lease is granted that has not ended yet.
+
+        Args:
+            now_s: Monotonic time.
+        """
+        return self.clock_ms(now_s) < self.granted_until_ms
+
     def has_lapsed(self, now_s: float) -> bool:
         """Return whether nothing can run under the lease any more.
 
--- a/wisteriawood/cells/start_checks.py
+++ b/wisteriawood/cells/start_checks.py
@@ -28,6 +28,8 @@
     registration = worker.registration
     if worker.is_gone:
         return "the worker is not in the directory"
+    if not worker.is_answering:
+        return "the worker does not answer"
     if registration.is_draining:
         return "the worker drains"
     if registration.started_unix_ms not in (0, worker.started_unix_ms):
--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -48,7 +48,6 @@
     __slots__ = (
         "_cell",
         "_has_ended_connection",
-        "_is_failing",
         "_uncommitted",
         "_worker",
     )
@@ -56,7 +55,6 @@
     def __init__(self, *, cell: cells.Cell, worker: workers.Worker):
         self._cell = cell
         self._worker = worker
-        self._is_failing = True
         # Whether the worker itself ended the connection of the first call
         # that failed.
         self._has_ended_connection = False
@@ -105,7 +103,7 @@
     def _is_finished(self) -> bool:
         """Return whether nothing can run on the worker any more."""
         worker = self._worker
-        if not worker.is_gone or not self._is_failing:
+        if not worker.is_gone or worker.is_answering:
             return False
         return self._has_left() or worker.lease.has_lapsed(
             anyio.current_time()
@@ -126,8 +124,8 @@
 
     def _handle_no_answer(self, cause: Exception) -> None:
         worker = self._worker
-        if not self._is_failing:
-            self._is_failing = True
+        if worker.is_answering:
+            worker.is_answering = False
             self._has_ended_connection = isinstance(
                 cause, errors.LinkEndedError
             )
@@ -145,7 +143,7 @@
         token = worker.token
         # After a failed call the lease is not extended: if the worker is
         # partitioned, the end of its lease is what stops its runs.
-        is_answering = not self._is_failing
+        is_answering = worker.is_answering
         until_ms = worker.lease.grant(sent_at_s) if is_answering else 0
         report = await worker.link.renew(
             token=token,
@@ -162,8 +160,8 @@
         now_s = anyio.current_time()
         worker.lease.record_clock(report.clock_ms, now_s)
         worker.answered_at_s = now_s
-        if self._is_failing:
-            self._is_failing = False
+        if not is_answering:
+            worker.is_answering = True
             _LOG.log(
                 job_events.RUN_WORKER_FOUND,
                 worker=worker.id,
--- a/wisteriawood/cells/workers.py
+++ b/wisteriawood/cells/workers.py
@@ -52,6 +52,7 @@
         started_unix_ms: Start of the worker's known process, as wall time; 0
             before its first answer.
         answered_at_s: Monotonic time of the last answer; 0 before the first.
+        is_answering: Whether the last renewal of the lease was answered.
         commands: Sending end of the queue of runs to start or stop.
         commands_out: Receiving end of that queue.
         free_millicores: CPU that no task has reserved; fillers reserve none.
@@ -85,6 +86,7 @@
         "free_accelerators",
         "free_memory_mb",
         "free_millicores",
+        "is_answering",
         "is_closed",
         "is_gone",
         "last_processed_end",
@@ -114,6 +116,7 @@
         self.last_processed_end = 0
         self.started_unix_ms = 0
         self.answered_at_s = 0.0
+        self.is_answering = False
         self.is_gone = False
         self.is_closed = False
         self.avoided_until_s = 0.0
@@ -328,7 +331,7 @@
             return "draining"
         if self.started_unix_ms <= 0:
             return "never answered"
-        if not self.has_answered_recently(now_s):
+        if not self.is_answering or not self.has_answered_recently(now_s):
             return "silent"
         if now_s < self.avoided_until_s:
             return "on probation or refusing"
@@ -363,14 +366,17 @@
     def lease_for_start(self, now_s: float) -> int:
         """Return the end of the lease to send with a start.
 
+        Only renewals extend a lease: a start that a lost worker never
+        answers must not prolong the wait for the end of its lease.
+
         Args:
             now_s: Monotonic time.
 
         Returns:
-            End of a renewed lease on the worker's clock, in milliseconds,
-            while the worker answers, else that of the last lease.
+            End of the lease on the worker's clock, in milliseconds. If the
+            worker answers and has none, that of a new one.
         """
-        if self.has_answered_recently(now_s):
+        if self.is_answering and not self.lease.is_granted(now_s):
             return self.lease.grant(now_s)
         return self.lease.granted_until_ms
 
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -464,6 +464,7 @@
     )
     worker.started_unix_ms = 1
     worker.answered_at_s = now_s
+    worker.is_answering = True
     return worker
 
 
--- a/wisteriawood/tests/worker_sessions_tests.py
+++ b/wisteriawood/tests/worker_sessions_tests.py
@@ -15,6 +15,48 @@
 ONE_WORKER = {"zones": ["a"], "hosts_per_zone": 1, "workers_per_zone": 1}
 
 
+class LostWorkerTests(unittest.TestCase):
+    """A worker is lost while batch tasks wait for room."""
+
+    def _run(self, check):
+        async def _main():
+            await anyio.sleep(100)
+            worker = builders.make_run_worker("w", now_s=anyio.current_time())
+            worker.lease.record_clock(5000, anyio.current_time())
+            worker.lease.grant(anyio.current_time())
+            lapsed_at_s = worker.lease.lapsed_at_s
+            await anyio.sleep(2)
+            check(worker, anyio.current_time())
+            self.assertEqual(worker.lease.lapsed_at_s, lapsed_at_s)
+            worker.close()
+
+        builders.run_virtual(_main)
+
+    def test_starts_do_not_extend_its_lease(self):
+        """Guards against runs that count for 8.9 s after a loss (LOST).
+
+        Each start to the lost worker granted a lease of 6 s until its last
+        answer was 2.5 s old.
+        """
+
+        def _check(worker, now_s):
+            until_ms = worker.lease.granted_until_ms
+            self.assertEqual(worker.lease_for_start(now_s), until_ms)
+
+        self._run(_check)
+
+    def test_no_run_is_sent_after_a_renewal_has_failed(self):
+        """Guards against tasks that are assigned to a lost worker."""
+
+        def _check(worker, now_s):
+            self.assertTrue(worker.is_usable(now_s))
+            worker.is_answering = False
+            self.assertFalse(worker.is_usable(now_s))
+            worker.lease_for_start(now_s)
+
+        self._run(_check)
+
+
 class RestartedWorkerTests(unittest.TestCase):
     """A worker restarts at once, and numbers its ends from one again."""
 
