Keep room for standing tasks while a lease runs

The runs of a lost worker count until its lease has lapsed, 6.3 s after the last renewal. Only then did the placer learn that they need room. In a full cell, batch tasks had taken each part of a worker that became free, and whole workers were kept for standing tasks one by one, a quarter of the cell at most, so that 15 tasks waited for each other.

A placement pass now keeps room, in the order of the jobs, for standing tasks that wait or are expected to: those on workers that do not answer or that drain. It keeps the amounts that they need, on the worker where they fit now, or will once all tasks have ended that end; batch tasks get the rest. There is no bound for tasks that have run before; for new ones it stays at one for each four workers. Tasks that no worker here will have room for are known by then as well.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -263,7 +263,11 @@
 
     def _assign_waiting(self) -> None:
         """Assign waiting tasks, write their rows and start the runs."""
-        if not self._waiting or self._group is None:
+        expected = self._expected_steps()
+        has_kept = self._placer.kept.entries or self._placer.homeless
+        if not (self._waiting or expected or has_kept):
+            return
+        if self._group is None:
             return
         now_s = anyio.current_time()
         self._placer.is_intake_idle = (
@@ -274,7 +278,9 @@
             for worker in self.fleet.values()
             if not start_checks.find_obstacle(self, worker)
         ]
-        assigned = self._placer.place(self._waiting, startable, now_s)
+        assigned = self._placer.place(
+            self._waiting, startable, now_s, expected
+        )
         if not assigned:
             return
         _LOG.log(
@@ -302,6 +308,32 @@
             batches.append(self.writer.schedule_write(job))
         self.run_in_background(self._start_assigned, assigned, batches)
 
+    def _expected_steps(self) -> list[placers.ExpectedStep]:
+        """Return the standing tasks that will probably need a worker soon.
+
+        Their workers do not answer, so that their runs count until their
+        leases have lapsed, or drain.
+        """
+        endangered = [
+            run
+            for worker in self.fleet.values()
+            if not worker.is_answering or worker.registration.is_draining
+            for run in worker.runs.values()
+        ]
+        for orphans in self.orphans.values():
+            endangered += orphans
+        found: dict[tuple[str, int, int], placers.ExpectedStep] = {}
+        for run in endangered:
+            job, step, task = run.job, run.step, run.task
+            if not step.is_standing or step.is_filler or job.is_ended():
+                continue
+            if run.is_current():
+                found.setdefault(
+                    (job.id, task.occurrence, task.step),
+                    placers.ExpectedStep(job=job, tasks=[]),
+                ).tasks.append(task)
+        return list(found.values())
+
     async def _start_assigned(
         self,
         assigned: list[tuple[workers.Worker, runs.Run]],
--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -1,13 +1,14 @@
 """Assignment of waiting tasks to workers, in order of their jobs."""
 
+import itertools
 import math
 import typing
 
 from wisteriawood.cells import interference_models
+from wisteriawood.cells import kept_room
 from wisteriawood.cells import moving
 from wisteriawood.cells import progress
 from wisteriawood.cells import runs
-from wisteriawood.cells import worker_groups
 from wisteriawood.cells import workers
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
@@ -28,8 +29,12 @@
 # Most tasks started this way (pinned) on one worker; at their initial pace,
 # together they use less CPU than one at full speed.
 MAX_PINNED_PER_WORKER = 4
-# Workers of a cell for each one that is reserved for standing tasks at most.
-MIN_WORKERS_PER_RESERVED = 4
+# Workers of a cell for each standing task that has never run and for which
+# room is kept. A task that has run gets room on any worker.
+MIN_WORKERS_PER_NEW_TASK = 4
+# Most steps, and tasks of each, for which other cells get room in a pass.
+MAX_ASKED_STEPS = 64
+MAX_ASKED_TASKS = 500
 # Multiple of its objective after which the result of a job has no value.
 NO_VALUE_FACTOR = 3.0
 
@@ -57,7 +62,7 @@
         now_s: Monotonic time.
     """
     age_s = now_s - job.accepted_at_s
-    if job.is_standing() or job.spec.is_timed():
+    if _comes_first(job):
         return (0, job.spec.queue.priority, job.accepted_at_s, job.id)
     is_late = age_s + progress.remaining_s(job) > job.objective_s
     rank = 3 if has_no_value(job, now_s) else 2 if is_late else 1
@@ -65,6 +70,21 @@
     return (rank, job.spec.queue.priority, due_s, job.id)
 
 
+class ExpectedStep:
+    """Standing tasks of a step that will probably need a worker soon.
+
+    Args:
+        job: The job.
+        tasks: The tasks; their workers do not answer, or drain.
+    """
+
+    __slots__ = ("job", "tasks")
+
+    def __init__(self, *, job: jobs.Job, tasks: list[tasks.Task]):
+        self.job = job
+        self.tasks = tasks
+
+
 class Placer:
     """Assigns waiting tasks to workers.
 
@@ -78,18 +98,22 @@
             jobs that can still meet their objective need the CPU more.
         should_move: Returns whether a job that fits nowhere here moves to
             another cell instead.
+        kept: The room that the last pass kept for standing tasks.
+        homeless: Steps of the standing tasks that have run and for which no
+            worker here will have room, one for each task, by task name.
     """
 
     __slots__ = (
         "_active_ids",
         "_idle_since_s",
-        "_lasting_groups",
         "_model",
+        "_new_tasks_left",
         "_pinned_ids",
         "_policy",
-        "_reserved_ids",
         "_unplaced",
+        "homeless",
         "is_intake_idle",
+        "kept",
         "should_move",
     )
 
@@ -106,10 +130,11 @@
         self._pinned_ids: set[str] = set()
         # Jobs with a running task; None until this pass needs them.
         self._active_ids: set[str] | None = None
-        # Capacity of workers that no standing task has, as this pass needs it.
-        self._lasting_groups: dict[str, worker_groups.WorkerGroup] = {}
-        # Workers whose room is kept in this pass for standing tasks.
-        self._reserved_ids: set[str] = set()
+        self.kept = kept_room.KeptRoom()
+        self.homeless: dict[str, specs.StepSpec] = {}
+        # Standing tasks that have never run for which this pass may still
+        # keep room.
+        self._new_tasks_left = 0
         # CPU and memory of the tasks that did not fit in this pass, by class.
         self._unplaced: dict[tuple, list[tuple[int, int]]] = {}
         self.is_intake_idle = True
@@ -122,34 +147,81 @@
         waiting: dict[str, tuple[jobs.Job, list[list[tasks.Task]]]],
         fleet: typing.Collection[workers.Worker],
         now_s: float,
+        expected: typing.Iterable[ExpectedStep] = (),
+        asked: typing.Iterable[specs.StepSpec] = (),
     ) -> list[tuple[workers.Worker, runs.Run]]:
         """Assign as many waiting tasks as fit now.
 
+        Room for standing tasks that don't fit, and for those that are
+        expected, is kept in the order of their jobs; what comes after them
+        can't take it.
+
         Args:
             waiting: Jobs with their tasks that may start, by job id.
             fleet: The workers of the cell.
             now_s: Monotonic time.
+            expected: Standing tasks that will probably wait soon.
+            asked: Steps for which other cells ask for room, each with the
+                number of tasks.
 
         Returns:
             The assigned runs; the rows of their jobs must be written before
             the runs are started.
         """
         usable = [worker for worker in fleet if worker.is_usable(now_s)]
-        if not usable:
-            return []
+        self._begin_pass(waiting, usable)
+        entries = [(job, steps, False) for job, steps in waiting.values()]
+        entries += [(step.job, [step.tasks], True) for step in expected]
+        entries.sort(key=lambda entry: start_order(entry[0], now_s))
+        first = [entry for entry in entries if _comes_first(entry[0])]
         assigned: list[tuple[workers.Worker, runs.Run]] = []
+        self._place_all(first, usable, assigned, now_s)
+        for step in itertools.islice(asked, MAX_ASKED_STEPS):
+            for _number in range(min(step.task_count, MAX_ASKED_TASKS)):
+                if not self.kept.keep(step, usable):
+                    break
+        if not usable:
+            return assigned
+        others = [entry for entry in entries if not _comes_first(entry[0])]
+        self._place_all(others, usable, assigned, now_s)
+        return assigned
+
+    def _begin_pass(
+        self,
+        waiting: typing.Mapping[str, typing.Any],
+        usable: list[workers.Worker],
+    ) -> None:
         self._unplaced.clear()
-        self._reserved_ids.clear()
-        self._lasting_groups.clear()
+        self.kept.clear()
+        self.homeless.clear()
+        self._new_tasks_left = max(1, len(usable) // MIN_WORKERS_PER_NEW_TASK)
         self._active_ids = None
         for job_id in self._idle_since_s.keys() - waiting.keys():
             del self._idle_since_s[job_id]
         self._pinned_ids &= waiting.keys()
+
+    def _place_all(
+        self,
+        entries: list[tuple[jobs.Job, list[list[tasks.Task]], bool]],
+        usable: list[workers.Worker],
+        assigned: list[tuple[workers.Worker, runs.Run]],
+        now_s: float,
+    ) -> None:
+        """Assign the tasks of some jobs, and keep room for expected ones.
+
+        Args:
+            entries: Each job with its tasks, by step, and whether they are
+                only expected.
+            usable: The workers that may get new runs.
+            assigned: The assigned runs, to which others are added.
+            now_s: Monotonic time.
+        """
         misses = 0
-        ordered = sorted(
-            waiting.values(), key=lambda entry: start_order(entry[0], now_s)
-        )
-        for job, steps in ordered:
+        for job, steps, is_expected in entries:
+            if is_expected:
+                for step_tasks in steps:
+                    self._keep_room(job, step_tasks, usable)
+                continue
             placed = 0
             for step_tasks in steps:
                 placed += self._place_step(
@@ -158,7 +230,6 @@
             misses = 0 if placed else misses + 1
             if misses >= MAX_CONSECUTIVE_MISSES:
                 break
-        return assigned
 
     def _place_step(
         self,
@@ -181,9 +252,10 @@
                     self._rule_out(step)
                 break
             assigned.append((worker, _assign(job, task, worker, now_s)))
+            self.kept.record_assigned(worker)
             placed += 1
         if step.is_standing and not step.is_filler:
-            self._reserve(job, step_tasks[placed:], step, usable)
+            self._keep_room(job, step_tasks[placed:], usable)
         if placed:
             self._pinned_ids.discard(job.id)
         elif (
@@ -197,63 +269,32 @@
             )
         return placed
 
-    def _reserve(
+    def _keep_room(
         self,
         job: jobs.Job,
         step_tasks: list[tasks.Task],
-        step: specs.StepSpec,
         usable: list[workers.Worker],
     ) -> None:
-        """Keep the room of workers for standing tasks that did not fit.
+        """Keep room for standing tasks of a step.
 
-        Smaller tasks would take each part of it that becomes free. One worker
-        is reserved for each task, if it will have room once all tasks there
-        have ended that do end.
+        Smaller tasks would take each part of it that becomes free.
 
         Args:
             job: The job.
-            step_tasks: Its tasks that did not fit.
-            step: Their step.
+            step_tasks: The tasks.
             usable: The workers that may get new runs.
         """
-        most = max(1, len(usable) // MIN_WORKERS_PER_RESERVED)
-        for task in step_tasks[: most - len(self._reserved_ids)]:
-            candidates = [
-                worker
-                for worker in usable
-                if worker.id not in self._reserved_ids
-                and self._will_fit(job, task, step, worker)
-            ]
-            if not candidates:
-                return
-            worker = max(
-                candidates,
-                key=lambda w: (
-                    w.free_memory_mb >= step.memory_mb,
-                    w.free_millicores,
-                    w.id,
-                ),
-            )
-            self._reserved_ids.add(worker.id)
-
-    def _will_fit(
-        self,
-        job: jobs.Job,
-        task: tasks.Task,
-        step: specs.StepSpec,
-        worker: workers.Worker,
-    ) -> bool:
-        """Return whether a task fits once all others that end have ended."""
-        group = self._lasting_groups.get(worker.id)
-        if group is None:
-            group = self._lasting_groups[worker.id] = worker.lasting_group()
-        if step.required_label not in ("", *worker.registration.labels):
-            return False
-        if not group.count_per_worker(step):
-            return False
-        return not step.most_per_worker or worker.accepts_beside(
-            step, job.task_name(task)
-        )
+        will_fit = True
+        for task in step_tasks:
+            step = job.step_of(task)
+            has_run = task.run > 0
+            if not has_run and self._new_tasks_left <= 0:
+                continue
+            will_fit = will_fit and self.kept.keep(step, usable, job, task)
+            if will_fit and not has_run:
+                self._new_tasks_left -= 1
+            if has_run and not will_fit:
+                self.homeless[job.task_name(task)] = step
 
     def _is_ruled_out(self, step: specs.StepSpec) -> bool:
         """Return whether a task that needs no more did not fit in this pass.
@@ -445,7 +486,7 @@
         return [
             worker
             for worker in usable
-            if (step.is_standing or worker.id not in self._reserved_ids)
+            if self.kept.leaves_room_for(worker, step)
             and not worker.find_conflict(step, name, now_s)
         ]
 
@@ -485,6 +526,11 @@
         return 0
 
 
+def _comes_first(job: jobs.Job) -> bool:
+    """Return whether a job is placed before room is kept for other cells."""
+    return job.is_standing() or job.spec.is_timed()
+
+
 def _near_first(
     candidates: list[workers.Worker], step: specs.StepSpec
 ) -> list[list[workers.Worker]]:
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -12,6 +12,7 @@
 from wisteriawood.cells import claims
 from wisteriawood.cells import interference_models
 from wisteriawood.cells import leases
+from wisteriawood.cells import progress
 from wisteriawood.cells import runs
 from wisteriawood.cells import tables
 from wisteriawood.cells import worker_directories
@@ -522,6 +523,11 @@
     return job
 
 
+def make_waiting(*found):
+    """Return the waiting tasks of some jobs, as a placer takes them."""
+    return {job.id: (job, progress.waiting_steps(job)) for job in found}
+
+
 def make_serving_job(job_id="s", *, image="serves", **fields):
     """Return a long-running job with a tail-latency target of 10 ms."""
     return make_job(
--- a/wisteriawood/tests/placing_tests.py
+++ b/wisteriawood/tests/placing_tests.py
@@ -13,16 +13,14 @@
 from wisteriawood.cells import share_histories
 from wisteriawood.cells import workers
 from wisteriawood.jobs import queues
+from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
 from wisteriawood.links.codecs import jobs as codec
 from wisteriawood.policies.spreading import least_pressed
 from wisteriawood.tests import builders
 
 _job = builders.make_job
-
-
-def _waiting(*found):
-    return {job.id: (job, progress.waiting_steps(job)) for job in found}
+_waiting = builders.make_waiting
 
 
 class PlacingTests(unittest.TestCase):
@@ -226,6 +224,98 @@
 
         self._run(_check)
 
+    def _expect(self, **fields):
+        """Return the step of a job that runs on a worker without answers."""
+        job = _job("e", is_standing=True, **fields)
+        step_tasks = list(job.all_tasks())
+        for number, task in enumerate(step_tasks):
+            task.assign(worker_id=f"lost{number}", run=1)
+        return placers.ExpectedStep(job=job, tasks=step_tasks)
+
+    def test_room_is_kept_while_a_lease_runs(self):
+        """Guards against tasks of lost workers that find no room (LOST).
+
+        Two workers of vkz-sched were lost at once. Room was sought only once
+        their leases had lapsed, for one task at a time.
+        """
+
+        def _check(placer, fleet, batch, now_s):
+            step = self._expect(task_count=4, cpu_millicores=10_000)
+            for _round in range(3):
+                for worker in fleet:
+                    self._end_one(worker)
+                placer.place(_waiting(batch), fleet, now_s, [step])
+            for task in step.tasks:
+                task.release(tasks.Phase.WAITING)
+            found = placer.place(_waiting(step.job, batch), fleet, now_s)
+            standing = [run for _w, run in found if run.job is step.job]
+            self.assertEqual(len(standing), 4)
+
+        self._run(_check)
+
+    def test_batch_tasks_get_what_is_not_kept(self):
+        """Only the amounts are kept, not all of a worker."""
+
+        def _check(placer, fleet, batch, now_s):
+            step = self._expect(task_count=4, cpu_millicores=4000)
+            for worker in fleet:
+                self._end_one(worker)
+                self._end_one(worker)
+            found = placer.place(_waiting(batch), fleet, now_s, [step])
+            self.assertEqual(len(found), 4)
+            self.assertEqual(len(placer.kept.entries), 4)
+
+        self._run(_check)
+
+    def test_a_worker_has_room_for_few_tasks_of_a_step(self):
+        """Room for tasks that may not share a worker is on different ones."""
+
+        def _check(placer, fleet, batch, now_s):
+            step = self._expect(
+                task_count=5, cpu_millicores=1000, most_per_worker=1
+            )
+            placer.place(_waiting(batch), fleet, now_s, [step])
+            ids = [kept.worker.id for kept in placer.kept.entries]
+            self.assertEqual(sorted(ids), [worker.id for worker in fleet])
+            self.assertEqual(len(placer.homeless), 1)
+
+        self._run(_check)
+
+    def test_tasks_that_will_fit_nowhere_are_homeless(self):
+        """They must be lent to other cells at once."""
+
+        def _check(placer, fleet, batch, now_s):
+            step = self._expect(task_count=3, cpu_millicores=17_000)
+            placer.place(_waiting(batch), fleet, now_s, [step])
+            self.assertEqual(len(placer.homeless), 3)
+            self.assertEqual(placer.kept.entries, [])
+            placer.place(_waiting(batch), fleet, now_s)
+            self.assertEqual(placer.homeless, {})
+
+        self._run(_check)
+
+    def test_room_for_other_cells(self):
+        """Guards against lent tasks that wait behind batch tasks (LOST)."""
+
+        def _check(placer, fleet, batch, now_s):
+            asked = specs.StepSpec(
+                task_count=9, cpu_millicores=9000, is_standing=True
+            )
+            for _round in range(3):
+                for worker in fleet:
+                    self._end_one(worker)
+                placer.place(_waiting(batch), fleet, now_s, (), [asked])
+            (group,) = placer.kept.kept_for_others()
+            self.assertEqual((group.workers, group.cpu_millicores), (4, 9000))
+            self.assertTrue(all(w.free_millicores >= 9000 for w in fleet))
+            standing = _job(
+                "s", task_count=4, cpu_millicores=9000, is_standing=True
+            )
+            found = placer.place(_waiting(standing, batch), fleet, now_s)
+            self.assertEqual(len(found), 4)
+
+        self._run(_check)
+
 
 class IdleJobTests(unittest.TestCase):
     """Many heavy filler jobs wait, and no new jobs are submitted."""
