Ask other cells for room before a lease has lapsed

The heartbeat of a cell now lists what its standing tasks will need and no worker of it will have. Each other cell keeps an equal part of it, as it does for its own tasks, and lists what it keeps. Such tasks are lent or moved there as soon as they wait; the room is theirs, so up to 32 go in a pass, where 8 go to cells that only report room.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -14,6 +14,7 @@
 from wisteriawood.cells import meters
 from wisteriawood.cells import placers
 from wisteriawood.cells import progress
+from wisteriawood.cells import room_needs
 from wisteriawood.cells import runs
 from wisteriawood.cells import start_checks
 from wisteriawood.cells import tables
@@ -264,8 +265,9 @@
     def _assign_waiting(self) -> None:
         """Assign waiting tasks, write their rows and start the runs."""
         expected = self._expected_steps()
+        asked = self._asked_steps()
         has_kept = self._placer.kept.entries or self._placer.homeless
-        if not (self._waiting or expected or has_kept):
+        if not (self._waiting or expected or asked or has_kept):
             return
         if self._group is None:
             return
@@ -279,7 +281,7 @@
             if not start_checks.find_obstacle(self, worker)
         ]
         assigned = self._placer.place(
-            self._waiting, startable, now_s, expected
+            self._waiting, startable, now_s, expected, asked
         )
         if not assigned:
             return
@@ -334,6 +336,14 @@
                 ).tasks.append(task)
         return list(found.values())
 
+    def _asked_steps(self) -> list[specs.StepSpec]:
+        """Return the steps for which other cells ask for room here."""
+        return [
+            step
+            for load in self.other_loads.values()
+            for step in room_needs.share_of(load.needs, len(self.other_loads))
+        ]
+
     async def _start_assigned(
         self,
         assigned: list[tuple[workers.Worker, runs.Run]],
--- a/wisteriawood/cells/claims.py
+++ b/wisteriawood/cells/claims.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from wisteriawood.cells import room_needs
 from wisteriawood.cells import tables
 from wisteriawood.cells import worker_groups
 from wisteriawood.links.codecs import bounds
@@ -125,6 +126,10 @@
         free: The usable workers with what no task has reserved.
         total: The workers with all of their capacity, without those that
             drain.
+        needs: Standing tasks that have run and for which the cell will have
+            no room; it asks the other cells to keep some.
+        kept: Room for standing tasks that the cell keeps for others, one
+            worker for each task.
     """
 
     epoch: bounds.Number = 0
@@ -145,6 +150,10 @@
     total: list[worker_groups.WorkerGroup] = dataclasses.field(
         default_factory=list
     )
+    needs: list[room_needs.RoomNeed] = dataclasses.field(default_factory=list)
+    kept: list[worker_groups.WorkerGroup] = dataclasses.field(
+        default_factory=list
+    )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/wisteriawood/cells/relocation.py
+++ b/wisteriawood/cells/relocation.py
@@ -31,6 +31,26 @@
 # Most jobs and tasks relocated in one pass; bounded because the reported loads
 # of other cells are about a second old.
 MAX_PER_PASS = 8
+# The same for tasks for which another cell keeps room.
+MAX_KEPT_PER_PASS = 32
+
+
+def choose_keeper(
+    loads: dict[str, claims.CellLoad], step: specs.StepSpec
+) -> str:
+    """Return the cell that keeps most room for a step; empty for none.
+
+    Args:
+        loads: Load that the holders of the other cells last reported, by
+            cell.
+        step: Step of standing tasks.
+    """
+    fitting = {
+        cell: worker_groups.count_fitting(load.kept, step, load.racks)
+        for cell, load in loads.items()
+    }
+    best = max(sorted(fitting), key=fitting.__getitem__, default="")
+    return best if best and fitting[best] else ""
 
 
 def choose_cell(
@@ -99,6 +119,7 @@
 
     __slots__ = (
         "_cell",
+        "_kept_left",
         "_leaving",
         "_left",
         "_most_free_millicores",
@@ -114,6 +135,8 @@
         self._waiting_since_s: dict[tuple[str, int, int], float] = {}
         # How much may still be relocated in this pass.
         self._left = 0
+        # The same for tasks for which another cell keeps room.
+        self._kept_left = 0
         # Cells to which jobs move whose runs are being stopped, and until
         # when, by the id of the job.
         self._leaving: dict[str, tuple[str, float]] = {}
@@ -133,6 +156,7 @@
         known = self._waiting_since_s
         self._waiting_since_s = {}
         self._left = MAX_PER_PASS
+        self._kept_left = MAX_KEPT_PER_PASS
         self._leaving = {
             job_id: leaving
             for job_id, leaving in self._leaving.items()
@@ -155,7 +179,7 @@
                 since_s = known.get(key, now_s)
                 self._waiting_since_s[key] = since_s
                 waits_s.append(now_s - since_s)
-            if self._left > 0:
+            if self._left > 0 or self._kept_left > 0:
                 self._relocate(job, steps, waits_s)
 
     def _relocate(
@@ -174,8 +198,8 @@
             return
         for step_tasks, wait_s in zip(steps, waits_s):
             step = job.step_of(step_tasks[0])
-            if step.is_standing and not step.is_gang and wait_s >= MIN_WAIT_S:
-                self._lend(job, step_tasks)
+            if step.is_standing and not step.is_gang:
+                self._lend(job, step_tasks, wait_s)
             if wait_s >= BUSY_WAIT_S and self.is_better_elsewhere(job, step):
                 self._stop_crawling(job, step_tasks)
 
@@ -239,12 +263,21 @@
         cell = self._cell
         step = job.step_of(step_tasks[0])
         fits_here = can_ever_run(self._total, step, cell.racks())
-        if wait_s < self._min_wait_s(job, step, fits_here):
+        is_homeless = self._is_homeless(job, step_tasks[0])
+        if not is_homeless and wait_s < self._min_wait_s(job, step, fits_here):
             return False
         to, _until_s = self._leaving.pop(job.id, ("", 0.0))
         if to in self._cell.other_loads:
             moving.move(cell, job, to)
             return True
+        if is_homeless and self._kept_left > 0:
+            to = choose_keeper(cell.other_loads, step)
+            if to:
+                self._record_kept(to, step)
+                moving.move(cell, job, to)
+                return True
+        if self._left <= 0:
+            return False
         needed = len(step_tasks) if step.is_gang else 1
         to = self._choose_cell(step, needed)
         if not to and not fits_here:
@@ -308,22 +341,51 @@
             default=(0, ""),
         )[1]
 
-    def _lend(self, job: jobs.Job, step_tasks: list[tasks.Task]) -> None:
-        cell = self._cell
+    def _is_homeless(self, job: jobs.Job, task: tasks.Task) -> bool:
+        """Return whether no worker here will have room for a standing task.
+
+        It has run before, so it must not wait for long.
+        """
+        return job.task_name(task) in self._cell.placer.homeless
+
+    def _lend(
+        self, job: jobs.Job, step_tasks: list[tasks.Task], wait_s: float
+    ) -> None:
+        """Lend the standing tasks of a step that other cells can run."""
         step = job.step_of(step_tasks[0])
-        for task in step_tasks[: self._left]:
-            to = self._choose_cell(step, 1)
+        for task in step_tasks:
+            is_homeless = self._is_homeless(job, task)
+            if not is_homeless and wait_s < MIN_WAIT_S:
+                continue
+            to = ""
+            if is_homeless and self._kept_left > 0:
+                to = choose_keeper(self._cell.other_loads, step)
+            if to:
+                self._record_kept(to, step)
+            elif self._left > 0:
+                to = self._choose_cell(step, 1)
+                if to:
+                    self._record(to, step, 1)
             if not to:
                 return
-            self._record(to, step, 1)
-            _LOG.log(
-                job_events.TASK_LENT,
-                task=job.task_name(task),
-                cell=cell.name,
-                to=to,
-            )
-            cell.writer.schedule_write(job, lending.lend(job, task, to))
-            cell.update_waiting(job)
+            self._lend_task(job, task, to)
+
+    def _lend_task(self, job: jobs.Job, task: tasks.Task, to: str) -> None:
+        cell = self._cell
+        _LOG.log(
+            job_events.TASK_LENT,
+            task=job.task_name(task),
+            cell=cell.name,
+            to=to,
+        )
+        cell.writer.schedule_write(job, lending.lend(job, task, to))
+        cell.update_waiting(job)
+
+    def _record_kept(self, to: str, step: specs.StepSpec) -> None:
+        """Count a task for which another cell keeps room."""
+        self._kept_left -= 1
+        load = self._cell.other_loads[to]
+        worker_groups.reserve(load.kept, step, 1, load.racks)
 
     def _record(self, to: str, step: specs.StepSpec, task_count: int) -> None:
         """Count relocated tasks until the other cell reports them."""
--- /dev/null
+++ b/wisteriawood/cells/room_needs.py
@@ -0,0 +1,116 @@
+"""Room for standing tasks that one cell asks the others to keep."""
+
+import collections
+import math
+import typing
+
+import msgspec
+
+from wisteriawood.cells import worker_groups
+from wisteriawood.jobs import specs
+from wisteriawood.links.codecs import bounds
+
+
+class RoomNeed(
+    msgspec.Struct, kw_only=True, array_like=True, forbid_unknown_fields=True
+):
+    """Standing tasks that need a worker elsewhere; encoded as a list.
+
+    Attributes:
+        tasks: Number of tasks.
+        cpu_millicores: CPU of each task.
+        memory_mb: Memory of each task.
+        accelerators: Accelerators of each task.
+        label: Label that a worker must have; empty for any worker.
+    """
+
+    tasks: bounds.Amount
+    cpu_millicores: bounds.Amount
+    memory_mb: bounds.Amount
+    accelerators: bounds.Amount = 0
+    label: bounds.Name = ""
+
+    def step(self, task_count: int) -> specs.StepSpec:
+        """Return a step that stands for some of the tasks.
+
+        Args:
+            task_count: Number of tasks.
+        """
+        return specs.StepSpec(
+            task_count=task_count,
+            cpu_millicores=self.cpu_millicores,
+            memory_mb=self.memory_mb,
+            accelerators=self.accelerators,
+            required_label=self.label,
+            is_standing=True,
+        )
+
+
+def summarize(steps: typing.Iterable[specs.StepSpec]) -> list[RoomNeed]:
+    """Return a short list of needs for tasks given one by one.
+
+    It never asks for less than there is need of: amounts are only rounded
+    up.
+
+    Args:
+        steps: Step of each task.
+    """
+    counts = collections.Counter(
+        (
+            step.cpu_millicores,
+            step.memory_mb,
+            step.accelerators,
+            step.required_label,
+        )
+        for step in steps
+    )
+    for exponent in range(worker_groups.GRAIN_COUNT):
+        if len(counts) <= worker_groups.MAX_GROUPS:
+            break
+        counts = _round_up(counts, 2**exponent)
+    largest = sorted(counts.items(), reverse=True)[: worker_groups.MAX_GROUPS]
+    return [
+        RoomNeed(
+            tasks=count,
+            cpu_millicores=cpu_millicores,
+            memory_mb=memory_mb,
+            accelerators=accelerators,
+            label=label,
+        )
+        for (
+            cpu_millicores,
+            memory_mb,
+            accelerators,
+            label,
+        ), count in largest
+    ]
+
+
+def _round_up(
+    counts: collections.Counter[tuple[int, int, int, str]], grain: int
+) -> collections.Counter[tuple[int, int, int, str]]:
+    rounded: collections.Counter[tuple[int, int, int, str]] = (
+        collections.Counter()
+    )
+    cpu_grain = worker_groups.MIN_GRAIN_MILLICORES * grain
+    memory_grain = worker_groups.MIN_GRAIN_MB * grain
+    for key, count in counts.items():
+        cpu_millicores, memory_mb, accelerators, label = key
+        cpu_millicores = math.ceil(cpu_millicores / cpu_grain) * cpu_grain
+        memory_mb = math.ceil(memory_mb / memory_grain) * memory_grain
+        rounded[cpu_millicores, memory_mb, accelerators, label] += count
+    return rounded
+
+
+def share_of(
+    needs: typing.Iterable[RoomNeed], cell_count: int
+) -> list[specs.StepSpec]:
+    """Return the part of some needs that one cell keeps room for.
+
+    Args:
+        needs: What a cell asks for.
+        cell_count: Number of cells that it asks.
+    """
+    return [
+        need.step(math.ceil(need.tasks / max(1, cell_count))) for need in needs
+    ]
--- a/wisteriawood/cells/worker_groups.py
+++ b/wisteriawood/cells/worker_groups.py
@@ -77,7 +77,7 @@
         )
 
 
-def _merge(groups: typing.Iterable[WorkerGroup]) -> list[WorkerGroup]:
+def merge(groups: typing.Iterable[WorkerGroup]) -> list[WorkerGroup]:
     """Return one group for those that differ in nothing but their workers."""
     merged: dict[tuple, WorkerGroup] = {}
     for group in groups:
@@ -97,12 +97,12 @@
     Args:
         workers: A group of its own for each worker; may be changed.
     """
-    groups = _merge(workers)
+    groups = merge(workers)
     for exponent in range(GRAIN_COUNT):
         if len(groups) <= MAX_GROUPS:
             break
         grain = 2**exponent
-        groups = _merge(
+        groups = merge(
             group._rounded(MIN_GRAIN_MILLICORES * grain, MIN_GRAIN_MB * grain)
             for group in groups
         )
