Stop batch tasks where a standing task waits too long for its room

Room that is kept for a standing task becomes free once batch tasks end. They may be slow, paced down or stand still, and fillers hold memory for as long: the task would be away for longer than 9 s (LOST).

--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -263,6 +263,12 @@
     "run-evacuated",
     "A run on a draining worker is stopped to continue elsewhere.",
 )
+RUN_PREEMPTED = events.define(
+    2226,
+    "run-preempted",
+    "A batch run is stopped, since a standing task has waited too long for "
+    "its room.",
+)
 WORKER_DRAINING = events.define(
     2223,
     "worker-draining",
