--- a/wisteriawood/standins/job_worlds.py
+++ b/wisteriawood/standins/job_worlds.py
@@ -281,13 +281,18 @@
         for worker in self.workers.values():
             worker.cut_from.clear()
 
-    def lose_worker(self, name: str) -> None:
+    def lose_worker(self, name: str, *, is_refusing: bool = False) -> None:
         """Let a worker crash for good; its entry is removed later.
 
         Args:
             name: Id of the worker.
+            is_refusing: Whether calls end at once, as only its process has
+                ended; they get no answer otherwise.
         """
-        self.workers[name].crash()
+        if is_refusing:
+            self.workers[name].end_process()
+        else:
+            self.workers[name].crash()
         self._group.start_soon(self._remove_entry, name)
 
     async def _remove_entry(self, name: str) -> None:
--- a/wisteriawood/standins/runners.py
+++ b/wisteriawood/standins/runners.py
@@ -58,6 +58,8 @@
             seconds).
         has_left: Whether the worker has shut down, which ends its
             connections.
+        is_refusing: Whether the worker's machine refuses connections, as
+            only the process has ended there.
         is_dead: Whether the worker has crashed and not been restarted.
         lost_answer_delay_s: Delay after which a start whose answer is lost
             is executed, in seconds.
@@ -86,6 +88,7 @@
         "ends",
         "has_left",
         "is_dead",
+        "is_refusing",
         "lost_answer_delay_s",
         "registration",
         "runs",
@@ -113,6 +116,7 @@
         self.lost_answer_delay_s = 0.0
         self.cut_from: set[str] = set()
         self.has_left = False
+        self.is_refusing = False
         self.is_dead = False
         self.started_unix_ms = 1000
         self.tail_latencies_ms: dict[str, float] = {}
@@ -147,9 +151,15 @@
         self.has_left = True
         self.crash()
 
+    def end_process(self) -> None:
+        """End the worker process; its machine refuses connections then."""
+        self.is_refusing = True
+        self.crash()
+
     def restart(self) -> None:
         """Start a new instance of the worker process under the same id."""
         self.has_left = False
+        self.is_refusing = False
         self.is_dead = False
         self.started_unix_ms += 1000
         self._start_instance()
@@ -310,10 +320,15 @@
             LinkClosedError: The worker is dead or unreachable.
         """
         worker = self._worker
+        if worker.is_refusing and self._host not in worker.cut_from:
+            await anyio.sleep(CALL_DELAY_S)
+            raise errors.LinkClosedError("no process listens")
         if worker.is_dead or self._host in worker.cut_from:
             await anyio.sleep(CALL_TIMEOUT_S)
             raise errors.LinkClosedError("no answer")
         await anyio.sleep(CALL_DELAY_S)
+        if worker.is_dead:
+            await self._apply_answer_faults(True)
         if worker.lost_answers <= 0:
             return False
         worker.lost_answers -= 1
@@ -321,10 +336,21 @@
 
     async def _apply_answer_faults(self, is_lost: bool) -> None:
         worker = self._worker
+        self._check_process()
         if is_lost or worker.is_dead or self._host in worker.cut_from:
             await anyio.sleep(CALL_TIMEOUT_S)
             raise errors.LinkClosedError("no answer")
 
+    def _check_process(self) -> None:
+        """Check that the process has not ended during a call.
+
+        Raises:
+            LinkEndedError: It has, which ended the connection of the call.
+        """
+        worker = self._worker
+        if worker.is_refusing and self._host not in worker.cut_from:
+            raise errors.LinkEndedError("the process has ended")
+
     async def start(
         self, command: runners.StartRunCommand
     ) -> runners.StartResult:
@@ -384,6 +410,7 @@
             waited_s += TICK_S
             if worker.started_unix_ms != instance:
                 raise errors.LinkClosedError("the worker has restarted")
+            self._check_process()
             if worker.has_left:
                 raise errors.LinkEndedError("the worker has left")
         await self._apply_answer_faults(False)
