Prefer workers that answered of late for standing tasks

A task that is started on a worker that has just been lost waits for the lease of that one too, since a start without an answer may take effect. Workers answer each renewal within a second; those that have not are chosen last for standing tasks.

--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -32,6 +32,9 @@
 # Workers of a cell for each standing task that has never run and for which
 # room is kept. A task that has run gets room on any worker.
 MIN_WORKERS_PER_NEW_TASK = 4
+# Age of a worker's last answer from which it may be lost: workers answer each
+# renewal within a second.
+MAX_POLL_AGE_S = 1.2
 # Most steps, and tasks of each, for which other cells get room in a pass.
 MAX_ASKED_STEPS = 64
 MAX_ASKED_TASKS = 500
@@ -467,6 +470,13 @@
             # The block of an image improves the grouping of serving tasks. It
             # must not keep one from running.
             candidates = self._candidates(job, task, step, usable, math.inf)
+        if step.is_standing:
+            # A start without an answer would cost the task another lease.
+            candidates = [
+                worker
+                for worker in candidates
+                if now_s - worker.answered_at_s <= MAX_POLL_AGE_S
+            ] or candidates
         for group in _near_first(candidates, step):
             worker = self._policy.choose(group, step, self._model)
             if worker is not None:
