--- a/wisteriawood/standins/stores.py
+++ b/wisteriawood/standins/stores.py
@@ -276,6 +276,8 @@
             while not found:
                 await self._store.wait()
                 found = self._store.changes(table, after)
+        # A change at the end of the wait belongs to the version returned.
+        found = self._store.changes(table, after)
         if self._host in self._store.cut_hosts or self._store.is_down:
             raise errors.PlatformUnavailableError("no answer")
         if len(found) > MAX_FEED_ROWS:
