--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -402,9 +402,15 @@
         return (
             worker.find_fault(now_s)
             or worker.find_conflict(step, job.task_name(task), blocked_at_s)
+            or self._find_kept(worker, step)
             or self._policy.find_limit(worker, step, self._model)
         )
 
+    def _find_kept(self, worker: workers.Worker, step: specs.StepSpec) -> str:
+        if self.kept.leaves_room_for(worker, step):
+            return ""
+        return "room kept for standing tasks"
+
     def find_pinning_obstacle(
         self,
         job: jobs.Job,
