Let the wait for a lost worker's lease survive a release

What callers saw: a standing task of a lost worker stayed away for more than 9 s when the holder of its cell was stopped, or gave the cell to a stronger host, during the wait for the lease. In the test, lost worker, SIGTERM 3.5 s later: not back after 9 s.

Cause: the row of a release said nothing about leases, so that the next holder counted 6.3 s from its claim, whatever had passed. Besides, a host whose release was stored without an answer went on to renew leases, while its successor counted from the release: a task of a worker that was cut off from the successor only ran twice.

Fix: the release tells, for each silent worker with runs, how long its lease may still run. The figure includes the wait for earlier holders, so several releases in a row carry it on. The successor counts from when it first saw the row; clocks are not compared. From the moment at which the figures are taken, the host extends no lease, by renewals or starts, until the release certainly had no effect; if its outcome is unknown, or the row has changed, it gives the cell up. Two releases of a cell wait for each other. A host does not give a cell to a better one while tasks wait for the lease of a silent worker. Rows without figures are read as before.

--- a/wisteriawood/cells/claims.py
+++ b/wisteriawood/cells/claims.py
@@ -15,6 +15,22 @@
 CLAIM_TIMEOUT_S = 3.0
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class LeasesLeft:
+    """How long leases may still run after the end of a hold.
+
+    Attributes:
+        by_worker_s: Longest time left, by worker; silent workers only.
+        others_s: Longest time left of the leases that earlier holders may
+            have granted to other workers.
+    """
+
+    by_worker_s: dict[bounds.Name, bounds.Measure] = dataclasses.field(
+        default_factory=dict
+    )
+    others_s: bounds.Measure = 0.0
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ClaimRow:
     """Row of a claim.
@@ -23,11 +39,15 @@
         holder: Host that holds the cell; empty once it is released.
         incarnation: Identifier of the holder's process.
         epoch: Increases by one with each claim.
+        leases_left: In a release, how long leases may still run; none has
+            been extended since. None in claims, and in releases of hosts that
+            don't tell.
     """
 
     holder: bounds.Name
     incarnation: bounds.Name
     epoch: bounds.Amount
+    leases_left: LeasesLeft | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -72,6 +92,7 @@
     previous: Claim | None,
     host: str,
     incarnation: str,
+    leases_left: LeasesLeft | None = None,
 ) -> Claim:
     """Claim a cell for a host, or release it.
 
@@ -81,6 +102,7 @@
         previous: The claim to replace; None if there is none.
         host: Name of the host; empty to release the cell.
         incarnation: Identifier of its process.
+        leases_left: For a release, how long leases may still run.
 
     Returns:
         The new claim.
@@ -93,6 +115,7 @@
         holder=host,
         incarnation=incarnation,
         epoch=(previous.epoch if previous else 0) + (1 if host else 0),
+        leases_left=leases_left,
     )
     at = tables.claim_row(cell)
     change = stores.Change(
--- a/wisteriawood/cells/former_holders.py
+++ b/wisteriawood/cells/former_holders.py
@@ -14,6 +14,8 @@
 # Time for which a former holder that can't reach the store may continue to
 # renew leases.
 RENEW_WITHOUT_STORE_S = 12.0
+# Longest time left of a lease that a release can tell of.
+MAX_LEFT_S = 60.0
 
 
 class UnansweredClaims:
@@ -74,6 +76,10 @@
     holder may be cut off from the store and go on. So may the one before it,
     if the former one held the cell for a short time only.
 
+    A release tells how long the leases of silent workers may still run. Clocks
+    of hosts are not compared: that time counts from when the release was first
+    seen here.
+
     Args:
         claim: The claim of the last one; None if the cell had no holder.
         known_members: The host's view of the other hosts.
@@ -85,8 +91,10 @@
     """
 
     __slots__ = (
+        "_ended_at_s",
         "_holds",
         "_lapse_s",
+        "_left",
         "_members",
         "_released_at_s",
         "lapsed_at_s",
@@ -116,11 +124,15 @@
                 if replaced.version < claim.version
                 and not known_members.is_own_unheld(replaced)
             ]
-        released_at_s = now_s
+        self._released_at_s = now_s
+        self._left: "claims.LeasesLeft | None" = None
         if claim is not None and claim.row.holder:
             self._holds.append((now_s + RENEW_WITHOUT_STORE_S, claim))
-            released_at_s = -math.inf
-        self._released_at_s = released_at_s
+            self._released_at_s = -math.inf
+        elif claim is not None and claim.row.leases_left is not None:
+            self._released_at_s = known_members.release_seen_at_s(claim)
+            self._left = claim.row.leases_left
+        self._ended_at_s = math.inf
         self.lapsed_at_s = math.inf
         self.update()
 
@@ -130,5 +142,35 @@
             min(latest_s, self._members.hold_ended_at_s(claim))
             for latest_s, claim in self._holds
         ]
-        ended_at_s = max([self._released_at_s, *ends_s])
-        self.lapsed_at_s = min(self.lapsed_at_s, ended_at_s + self._lapse_s)
+        ended_at_s = max([-math.inf, *ends_s])
+        self._ended_at_s = min(self._ended_at_s, ended_at_s)
+        left_s = self._others_left_s()
+        if self._left is not None:
+            left_s = max([left_s, *self._left.by_worker_s.values()])
+        self.lapsed_at_s = self._lapsed_at_s(left_s)
+
+    def _others_left_s(self) -> float:
+        """Return the time left of leases that a release does not name."""
+        if self._left is None:
+            return self._lapse_s
+        return max(self._lapse_s, self._left.others_s)
+
+    def _lapsed_at_s(self, left_s: float) -> float:
+        return max(
+            self._ended_at_s + self._lapse_s,
+            self._released_at_s + min(left_s, MAX_LEFT_S),
+        )
+
+    def lapsed_at_s_of(self, worker_id: str) -> float:
+        """Return from when the former holders' leases of a worker are over.
+
+        Args:
+            worker_id: Id of the worker.
+
+        Returns:
+            Monotonic time.
+        """
+        left_s = self._others_left_s()
+        if self._left is not None:
+            left_s = self._left.by_worker_s.get(worker_id, left_s)
+        return self._lapsed_at_s(left_s)
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -1,5 +1,6 @@
 """Manages a held cell: its jobs, new submissions and its workers."""
 
+import math
 import typing
 
 import anyio
@@ -7,6 +8,7 @@
 
 from wisteriawood.cells import away_tasks
 from wisteriawood.cells import cells
+from wisteriawood.cells import claims
 from wisteriawood.cells import command_senders
 from wisteriawood.cells import evacuations
 from wisteriawood.cells import former_holders
@@ -42,6 +44,11 @@
 JOBS_POLL_S = 1.0
 EXPIRY_PERIOD_TICKS = 40
 LOAD_LOG_PERIOD_TICKS = 8
+# Time without an answer after which a worker counts as silent. A live one
+# may take the longest wait of a renewal and a call.
+SILENT_S = worker_sessions.RENEW_WAIT_MS / 1000 + 0.25
+# Most workers of which a release tells the leases.
+MAX_TOLD_LEASES = 500
 
 Dial = typing.Callable[[runners.Registration], runners.RunLink]
 
@@ -68,7 +75,9 @@
         "_filler_pacer",
         "_former",
         "_group",
+        "_has_loaded",
         "_held_since_s",
+        "_is_withholding",
         "_lease_s",
         "_regrouper",
         "_relocator",
@@ -107,6 +116,8 @@
         self._regrouper = regrouping.Regrouper(cell=cell)
         self._stored = stored_jobs.StoredJobs(cell=cell)
         self._ticks = 0
+        self._has_loaded = False
+        self._is_withholding = False
         self.listed_workers: dict[str, runners.Registration] = {}
         self.is_open = False
 
@@ -114,18 +125,62 @@
         """Return for how long the cell has been held."""
         return anyio.current_time() - self._held_since_s
 
-    def awaits_former_leases(self) -> bool:
-        """Return whether tasks wait for leases of the former holder to end.
+    def awaits_leases(self) -> bool:
+        """Return whether tasks wait for leases of silent workers to end.
 
-        The next holder would not know when they were granted, and wait anew.
+        A change of the holder could only make that wait longer.
         """
-        if anyio.current_time() >= self._former.lapsed_at_s:
-            return False
-        return bool(self.cell.orphans) or any(
-            worker.runs and not worker.answered_at_s
-            for worker in self.cell.fleet.values()
+        return bool(self._silent_leases_s())
+
+    def withhold_leases(self) -> claims.LeasesLeft:
+        """Extend no lease until `restore_leases`, and tell which may run on.
+
+        Returns:
+            How long leases may still run, rounded up.
+        """
+        self._is_withholding = True
+        for worker in self.cell.fleet.values():
+            worker.lease.is_withheld = True
+        now_s = anyio.current_time()
+        others_s = 0.0
+        if not self._has_loaded:
+            others_s = self._former.lapsed_at_s - now_s
+        left_s = sorted(
+            (max(0.0, ended_at_s - now_s), worker_id)
+            for worker_id, ended_at_s in self._silent_leases_s().items()
+        )
+        if len(left_s) > MAX_TOLD_LEASES:
+            others_s = max(others_s, left_s[-1][0])
+        return claims.LeasesLeft(
+            by_worker_s={
+                worker_id: _ceil_tenth(worker_left_s)
+                for worker_left_s, worker_id in left_s[:MAX_TOLD_LEASES]
+            },
+            others_s=_ceil_tenth(max(0.0, others_s)),
         )
 
+    def restore_leases(self) -> None:
+        """Extend leases again: this host certainly goes on as the holder."""
+        self._is_withholding = False
+        for worker in self.cell.fleet.values():
+            worker.lease.is_withheld = False
+
+    def _silent_leases_s(self) -> dict[str, float]:
+        """Return when the leases end of silent workers that may have runs.
+
+        Returns:
+            Monotonic times by worker.
+        """
+        now_s = anyio.current_time()
+        found = {
+            worker_id: self._former.lapsed_at_s_of(worker_id)
+            for worker_id in self.cell.orphans
+        }
+        for worker in self.cell.fleet.values():
+            if worker.runs and now_s - worker.answered_at_s > SILENT_S:
+                found[worker.id] = worker.lease.ended_at_s()
+        return found
+
     async def run(self) -> None:
         """Manage the cell until cancelled.
 
@@ -163,7 +218,7 @@
                         cell=self.cell, former=self._former
                     ).run,
                 )
-                self.is_open = True
+                self.is_open = self._has_loaded = True
                 self.update_fleet(self.listed_workers)
                 self._add_removed_workers()
                 took_s = anyio.current_time() - started_at_s
@@ -330,8 +385,13 @@
             registration=registration,
             link=self._dial(registration),
             token=cell.claim.epoch * TOKENS_PER_EPOCH,
-            lease=leases.Lease(length_s=self._lease_s, former=self._former),
+            lease=leases.Lease(
+                length_s=self._lease_s,
+                former=self._former,
+                worker_id=registration.worker_id,
+            ),
         )
+        worker.lease.is_withheld = self._is_withholding
         cell.fleet[worker.id] = worker
         worker_sessions.adopt_runs(worker, cell.orphans.pop(worker.id, []))
         group = self._group
@@ -401,9 +461,10 @@
         This waits until the leases that the former holder may have granted
         have lapsed.
         """
-        if anyio.current_time() < self._former.lapsed_at_s:
-            return
+        now_s = anyio.current_time()
         for worker_id in list(self.cell.orphans):
+            if now_s < self._former.lapsed_at_s_of(worker_id):
+                continue
             for run in self.cell.orphans.pop(worker_id):
                 _LOG.log(
                     job_events.RUN_DROPPED,
@@ -453,3 +514,8 @@
             _LOG.log(job_events.JOB_NOT_REMOVED, job=job.id, cause=str(exc))
             return True
         return bool(page.rows)
+
+
+def _ceil_tenth(value: float) -> float:
+    """Return a number rounded up to tenths, which keeps rows short."""
+    return math.ceil(value * 10) / 10
--- a/wisteriawood/cells/leases.py
+++ b/wisteriawood/cells/leases.py
@@ -20,8 +20,11 @@
         length_s: Duration of the lease from each renewal.
         former: The former holder, which may have granted a lease as well;
             None if there was none.
+        worker_id: Id of the worker, by which the former holder is asked.
 
     Attributes:
+        is_withheld: Whether the lease is not extended, since the next holder
+            may have been told when it ends.
         granted_until_ms: Latest end granted so far, in milliseconds of the
             worker's clock.
         lapsed_at_s: Monotonic time from which the leases granted here have
@@ -32,7 +35,9 @@
         "_clock_at_s",
         "_clock_ms",
         "_former",
+        "_worker_id",
         "granted_until_ms",
+        "is_withheld",
         "lapsed_at_s",
         "length_s",
     )
@@ -42,12 +47,15 @@
         *,
         length_s: float,
         former: "former_holders.FormerHolder | None" = None,
+        worker_id: str = "",
     ):
         self.length_s = length_s
         self._clock_ms = 0
         self._clock_at_s = 0.0
         self.granted_until_ms = 0
         self._former = former
+        self._worker_id = worker_id
+        self.is_withheld = False
         self.lapsed_at_s = 0.0
 
     def record_clock(self, clock_ms: int, now_s: float) -> None:
@@ -78,7 +86,7 @@
         return self._clock_ms + (now_s - self._clock_at_s) * 1000
 
     def grant(self, now_s: float) -> int:
-        """Extend the lease from now.
+        """Extend the lease from now, unless it is withheld.
 
         Args:
             now_s: Monotonic time.
@@ -89,6 +97,8 @@
         """
         if not self._clock_ms:
             return 0
+        if self.is_withheld:
+            return self.granted_until_ms
         until_ms = int(self.clock_ms(now_s) + self.length_s * 1000)
         self.granted_until_ms = max(self.granted_until_ms, until_ms)
         left_s = (self.granted_until_ms - self._clock_ms) / 1000
@@ -112,5 +122,15 @@
         Args:
             now_s: Monotonic time.
         """
-        former_s = self._former.lapsed_at_s if self._former else 0.0
-        return now_s >= max(self.lapsed_at_s, former_s)
+        return now_s >= self.ended_at_s()
+
+    def ended_at_s(self) -> float:
+        """Return from when nothing can run under the lease any more.
+
+        Returns:
+            Monotonic time.
+        """
+        if self._former is None:
+            return self.lapsed_at_s
+        former_s = self._former.lapsed_at_s_of(self._worker_id)
+        return max(self.lapsed_at_s, former_s)
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -112,6 +112,7 @@
         "_given_up",
         "_heartbeat_count",
         "_loads",
+        "_release_seen",
         "_replaced",
         "_started_at_s",
         "_store",
@@ -151,6 +152,9 @@
         self._loads: dict[str, claims.CellLoad] = {}
         self._claim_seen_at_s: dict[str, float] = {}
         self._replaced: dict[str, list[tuple[float, claims.Claim]]] = {}
+        # Versions of the newest releases and the monotonic times at which
+        # they were first seen, by cell.
+        self._release_seen: dict[str, tuple[int, float]] = {}
         self._started_at_s = anyio.current_time() - process_age_s
         # Incarnations of former processes of this host, the newest last.
         self._ended: list[str] = []
@@ -219,6 +223,8 @@
         now_s = anyio.current_time()
         self.claims[claim.cell] = claim
         self._claim_seen_at_s[claim.cell] = now_s
+        if not claim.row.holder:
+            self._release_seen[claim.cell] = (claim.version, now_s)
         if known is None or not known.row.holder:
             return
         # A release keeps the epoch of the claim that it ends.
@@ -228,6 +234,21 @@
             replaced.append((now_s, known))
             del replaced[:-MAX_REPLACED]
 
+    def release_seen_at_s(self, release: claims.Claim) -> float:
+        """Return by when a release was certainly written.
+
+        Args:
+            release: The release.
+
+        Returns:
+            Monotonic time: when it was first seen, or now if a newer release
+            has been seen since.
+        """
+        version, at_s = self._release_seen.get(release.cell, (0, 0.0))
+        if version != release.version:
+            return anyio.current_time()
+        return at_s
+
     def replaced_claims(self, cell: str) -> list[tuple[float, claims.Claim]]:
         """Return the claims of a cell that were replaced by another holder.
 
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -79,6 +79,7 @@
         "_holders",
         "_limits",
         "_policy",
+        "_releases",
         "_scopes",
         "_suspensions",
         "_takeovers",
@@ -135,6 +136,8 @@
         )
         self._holders: dict[str, holders.Holder] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
+        # Set once the release of a cell under way has ended, by cell.
+        self._releases: dict[str, anyio.Event] = {}
         self._suspensions = suspensions.Suspensions()
         self._group: abc.TaskGroup | None = None
         self._heartbeats = heartbeats.HeartbeatSender(
@@ -307,13 +310,15 @@
         if not self._takeovers.has_better_holder(cell, count):
             return
         holder = self._holders[cell]
-        if not holder.is_open or holder.awaits_former_leases():
+        if not holder.is_open or holder.awaits_leases():
             return
         stable_s = min(
             anyio.current_time()
             - self.members.heartbeat_feed.unbroken_since_s,
             holder.age_s(),
         )
+        if cell in self._releases:
+            return
         if stable_s > RELEASE_DELAY_S and self._group is not None:
             self._group.start_soon(self.release, cell)
 
@@ -403,35 +408,77 @@
             holder: Its holder, which has ended.
         """
         self._suspensions.add(cell)
-        await self._release_claim(cell, holder.cell.claim)
+        leases_left = holder.withhold_leases()
+        try:
+            await self._release_claim(cell, holder.cell.claim, leases_left)
+        except errors.PlatformError:
+            return
 
     async def release(self, cell: str) -> None:
         """Release a cell, so that another host can claim it at once.
 
-        Leases are renewed until the store has committed the release.
+        The release tells when leases end, so none is extended meanwhile. The
+        cell is kept only if the release certainly had no effect.
 
         Args:
             cell: The cell.
         """
+        while cell in self._releases:
+            await self._releases[cell].wait()
         holder = self._holders.get(cell)
         if holder is None:
             return
-        is_released = await self._release_claim(cell, holder.cell.claim)
-        if is_released and self._holders.get(cell) is holder:
-            self._scopes[cell].cancel()
+        self._releases[cell] = anyio.Event()
+        is_kept = False
+        try:
+            leases_left = holder.withhold_leases()
+            await self._release_claim(cell, holder.cell.claim, leases_left)
+        except (errors.PlatformUnavailableError, stores.ChangeRejectedError):
+            is_kept = True
+            holder.restore_leases()
+        except errors.PlatformError:
+            # It may have been stored, or may still be.
+            pass
+        finally:
+            self._releases.pop(cell).set()
+            if not is_kept and self._holders.get(cell) is holder:
+                self._scopes[cell].cancel()
+
+    async def _release_claim(
+        self,
+        cell: str,
+        held: claims.Claim,
+        leases_left: claims.LeasesLeft,
+    ) -> None:
+        """Write that a claim is released.
 
-    async def _release_claim(self, cell: str, held: claims.Claim) -> bool:
-        """Write that a claim is released; return whether that is stored."""
+        Args:
+            cell: The cell.
+            held: Its claim.
+            leases_left: How long leases may still run.
+
+        Raises:
+            PlatformError: The release failed, or its outcome is unknown.
+        """
         try:
             claim = await claims.claim_cell(
-                self.store, cell, held, "", self.members.incarnation
+                self.store,
+                cell,
+                held,
+                "",
+                self.members.incarnation,
+                leases_left=leases_left,
             )
         except errors.PlatformError as exc:
             _LOG.log(job_events.RELEASE_FAILED, cell=cell, cause=str(exc))
-            return False
+            raise
         self.members.record_claim(claim)
-        _LOG.log(job_events.CELL_RELEASED, cell=cell, epoch=claim.epoch)
-        return True
+        _LOG.log(
+            job_events.CELL_RELEASED,
+            cell=cell,
+            epoch=claim.epoch,
+            leases_left_s=leases_left.by_worker_s,
+        )
 
     async def drain(self) -> None:
         """Release all cells and claim no more."""
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -62,7 +62,10 @@
     "Nothing, unless it happens often; then check the load of the host.",
 )
 CELL_RELEASED = events.define(
-    2104, "cell-released", "This host released a cell."
+    2104,
+    "cell-released",
+    "This host released a cell; `leases_left_s` tells how long the leases of "
+    "silent workers may still run.",
 )
 CLAIM_FAILED = events.define(
     2105,
