--- a/wisteriawood/tests/lost_workers_builders.py
+++ b/wisteriawood/tests/lost_workers_builders.py
@@ -213,6 +213,22 @@
                     found += cores * self.world.work_s[job_id]
         return found
 
+    def longest_batch_pause_s(self, zone, from_s, until_s):
+        """Return the longest time in which no batch task of a zone ended."""
+        ends_s = [
+            at_s
+            for worker in self.world.workers.values()
+            if worker.registration.zone == zone
+            for name, _run, outcome, at_s in worker.ends
+            if name.partition(".")[0] in self.batch_cores
+            and outcome == "done"
+            and from_s < at_s <= until_s
+        ]
+        times_s = [from_s, *sorted(ends_s), until_s]
+        return max(
+            later_s - at_s for at_s, later_s in zip(times_s, times_s[1:])
+        )
+
     def overlaps(self):
         """Return the tasks of which two runs were active at a time."""
         spans = {}
--- a/wisteriawood/tests/lost_workers_tests.py
+++ b/wisteriawood/tests/lost_workers_tests.py
@@ -27,10 +27,14 @@
 FULL_SIZES = (1.5, 2.5, 5, 7, 8, 10)
 SIZES = (1.5, 3, 6, 9, 13)
 STANDING_CORES = 100.5
+# The same of twelve wide tasks.
+WIDE_CORES = 128
 # Part of the CPU left to batch work that it must use after a loss, and the
 # span of time in which it must.
 LEAST_BATCH_SHARE = 0.5
 BATCH_SPAN_S = 12.0
+# Longest time in that span in which no batch task of a zone may end.
+LONGEST_PAUSE_S = 1.5
 
 
 class LostWorkersCase(unittest.TestCase):
@@ -74,6 +78,10 @@
         left = busy.capacity(zone) - standing_cores
         done = busy.batch_core_s(zone, from_s, from_s + BATCH_SPAN_S)
         self.assertGreater(done, LEAST_BATCH_SHARE * left * BATCH_SPAN_S)
+        pause_s = busy.longest_batch_pause_s(
+            zone, from_s, from_s + BATCH_SPAN_S
+        )
+        self.assertLess(pause_s, LONGEST_PAUSE_S)
 
 
 class LeaseTests(LostWorkersCase):
@@ -131,6 +139,13 @@
             await busy.add_standing("a", cores)
         await busy.wait_for_standing(lost_0=9, lost_1=6)
 
+    async def _add_wide_lost(self, busy):
+        for name in ("lost_0", "lost_1"):
+            await busy.add_workers("a", name)
+            await busy.add_standing("a", 13, count=4)
+            await busy.add_standing("a", 6, count=2, most_per_worker=2)
+            await busy.wait_for_standing(**{name: 6})
+
     async def _fill_kept(self, busy):
         """Add workers to zone a that have room for nothing else."""
         await busy.add_workers("a", "kept_0", "kept_1")
@@ -138,14 +153,22 @@
         await busy.wait_for_standing(kept_0=4, kept_1=4)
 
     def _run_with_room_here(
-        self, zones, is_refusing, sizes=lost_builders.MIXED_CORES
+        self,
+        zones,
+        is_refusing,
+        sizes=lost_builders.MIXED_CORES,
+        has_wide_tasks=False,
     ):
         async def _check(busy):
-            await self._add_lost(busy)
-            kept = [f"kept_{number}" for number in range(4)]
+            if has_wide_tasks:
+                await self._add_wide_lost(busy)
+            else:
+                await self._add_lost(busy)
+            kept_count = 3 if has_wide_tasks else 4
+            kept = [f"kept_{number}" for number in range(kept_count)]
             await busy.add_workers("a", *kept)
             for zone in zones[1:]:
-                await busy.add_workers(zone, *(f"{zone}{n}" for n in range(3)))
+                await busy.add_workers(zone, *(f"{zone}{n}" for n in range(2)))
             await busy.keep_busy(*zones, sizes=sizes)
             lost_at_s = anyio.current_time()
             busy.lose("lost_0", "lost_1", is_refusing=is_refusing)
@@ -170,6 +193,24 @@
         sizes = lost_builders.SMALL_CORES
         self._run_with_room_here(["a"], is_refusing=True, sizes=sizes)
 
+    def test_wide_tasks_beside_small_batch_tasks(self):
+        """Guards against wide tasks that get room one after the other."""
+        self._run_with_room_here(
+            ["a"],
+            is_refusing=True,
+            sizes=lost_builders.SMALL_CORES,
+            has_wide_tasks=True,
+        )
+
+    def test_wide_tasks_beside_small_batch_tasks_in_three_zones(self):
+        """Guards against wide tasks that get room one after the other."""
+        self._run_with_room_here(
+            ["a", "b", "c"],
+            is_refusing=True,
+            sizes=lost_builders.SMALL_CORES,
+            has_wide_tasks=True,
+        )
+
     def test_refusing_workers_among_three_busy_zones(self):
         """Guards against tasks that wait for each other, here or elsewhere."""
         self._run_with_room_here(["a", "b", "c"], is_refusing=True)
@@ -235,6 +276,25 @@
         """Guards against small tasks that take each part that gets free."""
         self._run(is_refusing=True, sizes=lost_builders.SMALL_CORES)
 
+    def test_wide_tasks_beside_small_batch_tasks(self):
+        """Guards against wide jobs that find no room in busy zones."""
+
+        async def _check(busy):
+            lost = ("a0", "a1", "a2")
+            await busy.add_workers("a", *lost)
+            for cores in (9, 10, 13):
+                await busy.add_standing("a", cores, count=4)
+            await anyio.sleep(lost_builders.PLACING_S)
+            for zone in ("b", "c"):
+                await busy.add_workers(zone, *(f"{zone}{n}" for n in range(3)))
+            sizes = lost_builders.SMALL_CORES
+            await busy.keep_busy("b", "c", sizes=sizes)
+            self.assertEqual(len(busy.standing_on(*lost)), 12)
+            busy.lose(*lost)
+            await self.check_restarts(busy)
+
+        self.run_world(_check)
+
     def test_silent_workers_of_a_whole_zone(self):
         """Guards against jobs that find no room in busy zones."""
         self._run(is_refusing=False)
