--- a/wisteriawood/platform/standins.py
+++ b/wisteriawood/platform/standins.py
@@ -488,6 +488,7 @@
             "image": step.image,
             "target_ms": step.tail_target_ms,
             "fills": step.is_filler,
+            "anti_affinity": step.most_per_worker,
         }
         for step in spec.steps
     ]
--- a/wisteriawood/soak/__main__.py
+++ b/wisteriawood/soak/__main__.py
@@ -13,6 +13,8 @@
 from wisteriawood.soak import worlds
 
 DEFAULT_LOAD_S = 14.0
+# The same with workers that are lost for good.
+LOSSES_LOAD_S = 45.0
 
 
 async def _run_soak(folder: pathlib.Path, options: argparse.Namespace) -> int:
@@ -22,6 +24,7 @@
         folder=folder,
         load_s=options.load,
         is_wide=options.wide,
+        has_losses=options.losses,
         fault_names=options.faults.split(",") if options.faults else [],
     )
     await world.run()
@@ -35,10 +38,12 @@
         f"seed {seed}: {verdict}; {len(checker.sent)} jobs, {accepted} "
         f"accepted, {done} done, {checker.starts} runs, "
         f"{len(world.injected_faults)} faults, {checker.now_s():.0f} s, "
-        f"longest pause {world.longest_pause_s:.1f} s"
+        f"longest pause {world.longest_pause_s:.1f} s, longest gap "
+        f"{world.standing.longest_gap_s:.1f} s"
     )
     if checker.breaches:
         print("  faults: " + ", ".join(world.injected_faults))
+        print("  gaps: " + ", ".join(world.standing.gaps))
         for breach in checker.breaches[:10]:
             print("  " + breach)
         print(f"  logs: {folder}")
@@ -109,7 +114,6 @@
     parser.add_argument(
         "--load",
         type=float,
-        default=DEFAULT_LOAD_S,
         help="duration of the load in seconds",
     )
     parser.add_argument("--keep", default="", help="folder to keep logs in")
@@ -118,14 +122,23 @@
         action="store_true",
         help="add wide jobs, and faults that move and stop them",
     )
+    parser.add_argument(
+        "--losses",
+        action="store_true",
+        help="fill the cells, and lose workers for good",
+    )
     parser.add_argument(
         "--faults", default="", help="names of the only faults, with commas"
     )
     options = parser.parse_args()
+    if options.load is None:
+        options.load = LOSSES_LOAD_S if options.losses else DEFAULT_LOAD_S
     arguments = ["--load", str(options.load), "--keep", options.keep]
     arguments += ["--faults", options.faults]
     if options.wide:
         arguments.append("--wide")
+    if options.losses:
+        arguments.append("--losses")
     if options.cases:
         seeds = sorted(cases.CASES)
         return _run_seeds(seeds, options.jobs, arguments)
--- a/wisteriawood/soak/callers.py
+++ b/wisteriawood/soak/callers.py
@@ -1,5 +1,6 @@
 """Simulated callers that submit, query and cancel jobs."""
 
+import math
 import random
 import typing
 
@@ -21,6 +22,8 @@
 CANCEL_SHARE = 0.12
 # Share of jobs whose tasks run until they are cancelled.
 LONG_RUNNING_SHARE = 0.1
+# Shortest and longest run time of tasks that end.
+WORK_RANGE_S = (0.2, 1.5)
 
 JobMaker = typing.Callable[[random.Random], list[specs.StepSpec]]
 # Kinds of jobs that fill the cells.
@@ -80,15 +83,22 @@
         work_s: Run time of the tasks of each job in seconds, by job id;
             the caller adds its jobs.
         wide_share: Share of jobs that are of a wide kind.
+        wide_jobs: The wide kinds.
+        work_range_s: Shortest and longest run time of tasks that end.
+        max_open_jobs: Number of its open jobs beyond which it submits no
+            further one.
     """
 
     __slots__ = (
         "_caller_ports",
         "_checker",
         "_client",
+        "_max_open_jobs",
         "_queue",
         "_rng",
+        "_wide_jobs",
         "_wide_share",
+        "_work_range_s",
         "_work_s",
     )
 
@@ -101,6 +111,9 @@
         rng: random.Random,
         work_s: dict[str, float],
         wide_share: float = 0.0,
+        wide_jobs: registry.Registry[JobMaker] = WIDE_JOBS,
+        work_range_s: tuple[float, float] = WORK_RANGE_S,
+        max_open_jobs: float = math.inf,
     ):
         self._checker = checker
         self._caller_ports = caller_ports
@@ -108,6 +121,9 @@
         self._rng = rng
         self._work_s = work_s
         self._wide_share = wide_share
+        self._wide_jobs = wide_jobs
+        self._work_range_s = work_range_s
+        self._max_open_jobs = max_open_jobs
         self._client = httpx.AsyncClient(timeout=CALL_TIMEOUT_S)
 
     async def run(self, until_s: float) -> None:
@@ -121,13 +137,23 @@
             while self._checker.now_s() < until_s:
                 await anyio.sleep(self._rng.uniform(0.05, 0.5))
                 roll = self._rng.random()
-                if roll < SUBMIT_SHARE or not own_jobs:
-                    own_jobs.append(await self._submit())
+                if not own_jobs or (
+                    roll < SUBMIT_SHARE
+                    and self._count_open(own_jobs) < self._max_open_jobs
+                ):
+                    own_jobs.append(await self.submit())
                 elif roll < SUBMIT_SHARE + CANCEL_SHARE:
-                    await self._cancel(self._rng.choice(own_jobs))
+                    await self.cancel(self._rng.choice(own_jobs))
                 else:
                     await self.query_state(self._rng.choice(own_jobs))
 
+    def _count_open(self, own_jobs: list[checks.SentJob]) -> int:
+        return sum(
+            len(sent.ended) < len(sent.names())
+            for sent in own_jobs
+            if sent.is_accepted and not sent.is_cancel_sent
+        )
+
     async def query_finished_jobs(self) -> None:
         """Query all finished jobs not yet reported as completed."""
         for sent in list(self._checker.sent.values()):
@@ -160,16 +186,11 @@
             return response.status_code, {}
         return 200, response.json()
 
-    def _make_job(self) -> specs.JobSpec:
+    def _make_job(self, steps: list[specs.StepSpec]) -> specs.JobSpec:
         job_id = f"{self._rng.getrandbits(64):016x}"
-        # Without wide jobs, the random choices stay those of earlier seeds.
-        if self._wide_share and self._rng.random() < self._wide_share:
-            kind = self._rng.choice(WIDE_JOBS.names())
-            steps = WIDE_JOBS.get(kind)(self._rng)
-        else:
-            steps = self._make_mixed_steps()
+        steps = steps or self._make_steps()
         is_standing = steps[0].is_standing
-        work_s = 1e6 if is_standing else self._rng.uniform(0.2, 1.5)
+        work_s = 1e6 if is_standing else self._rng.uniform(*self._work_range_s)
         self._work_s[job_id] = work_s
         return specs.JobSpec(
             id=job_id,
@@ -178,6 +199,13 @@
             steps=steps,
         )
 
+    def _make_steps(self) -> list[specs.StepSpec]:
+        # Without wide jobs, the random choices stay those of earlier seeds.
+        if self._wide_share and self._rng.random() < self._wide_share:
+            kind = self._rng.choice(self._wide_jobs.names())
+            return self._wide_jobs.get(kind)(self._rng)
+        return self._make_mixed_steps()
+
     def _make_mixed_steps(self) -> list[specs.StepSpec]:
         is_standing = self._rng.random() < LONG_RUNNING_SHARE
         return [
@@ -192,8 +220,15 @@
             for number in range(1 if is_standing else self._rng.randint(1, 3))
         ]
 
-    async def _submit(self) -> checks.SentJob:
-        sent = checks.SentJob(spec=self._make_job())
+    async def submit(
+        self, steps: typing.Sequence[specs.StepSpec] = ()
+    ) -> checks.SentJob:
+        """Submit a job.
+
+        Args:
+            steps: Its steps; empty for random ones.
+        """
+        sent = checks.SentJob(spec=self._make_job(list(steps)))
         self._checker.sent[sent.spec.id] = sent
         body = standins.encode_job(sent.spec)
         for _attempt in range(MAX_ATTEMPTS):
@@ -221,7 +256,12 @@
         elif status == 410 and was_accepted:
             self._checker.check_state(sent, "")
 
-    async def _cancel(self, sent: checks.SentJob) -> None:
+    async def cancel(self, sent: checks.SentJob) -> None:
+        """Cancel a job, unless it was not accepted.
+
+        Args:
+            sent: The job.
+        """
         if not sent.is_accepted:
             return
         sent.is_cancel_sent = True
--- a/wisteriawood/soak/checks.py
+++ b/wisteriawood/soak/checks.py
@@ -82,6 +82,8 @@
             seconds since the start of the soak; commands that they held
             arrive late.
         breaches: Descriptions of the breaches, with their times.
+        ended_at_s: Times at which the last runs of tasks ended, in seconds
+            since the start of the soak, by task name.
         starts: Number of runs that were started.
     """
 
@@ -89,6 +91,7 @@
         "_began_at_s",
         "_newest_runs",
         "breaches",
+        "ended_at_s",
         "links_released_at_s",
         "sent",
         "starts",
@@ -100,6 +103,7 @@
         self.sent: dict[str, SentJob] = {}
         self.workers: dict[str, WatchedWorker] = {}
         self.breaches: list[str] = []
+        self.ended_at_s: dict[str, float] = {}
         self.starts = 0
         self.links_released_at_s = -math.inf
         self._began_at_s = time.monotonic()
@@ -294,6 +298,8 @@
     Attributes:
         drains_since_s: Time at which its entry first said that it drains, in
             seconds since the start of the soak; 0 if it does not.
+        listed_until_s: Time until which its entry stays after a crash, in
+            seconds since the start of the soak.
         tail_ratio: Tail latencies of the serving tasks here, divided by their
             bounds.
     """
@@ -302,6 +308,7 @@
         "_checker",
         "_expired_up_to",
         "drains_since_s",
+        "listed_until_s",
         "tail_ratio",
     )
 
@@ -310,6 +317,7 @@
         # Ends up to this number precede an expiry of the lease.
         self._expired_up_to = 0
         self.drains_since_s = 0.0
+        self.listed_until_s = 0.0
         self.tail_ratio = CALM_TAIL_RATIO
         super().__init__(**fields)
 
@@ -320,6 +328,18 @@
         elif not self.drains_since_s:
             self.drains_since_s = self._checker.now_s()
 
+    def crash(self) -> None:
+        """Simulate a crash of the worker process, which ends all runs."""
+        for name in self.runs:
+            self._checker.ended_at_s[name] = self._checker.now_s()
+        super().crash()
+
+    def is_listed(self) -> bool:
+        """Return whether the directory has an entry of the worker."""
+        return not self.is_dead or (
+            self._checker.now_s() < self.listed_until_s
+        )
+
     def restart(self) -> None:
         """Start a new instance of the worker process under the same id."""
         self._expired_up_to = 0
@@ -368,6 +388,7 @@
 
     def _end(self, name: str, outcome: tasks.Outcome) -> None:
         super()._end(name, outcome)
+        self._checker.ended_at_s[name] = self._checker.now_s()
         sent = self._checker.sent.get(name.partition(".")[0])
         if sent is not None and outcome is tasks.Outcome.DONE:
             sent.ended.add(name)
--- a/wisteriawood/soak/faults.py
+++ b/wisteriawood/soak/faults.py
@@ -22,19 +22,33 @@
 # of other soaks still choose the same faults.
 WIDE_FAULTS: registry.Registry[Fault] = registry.Registry(kind="fault")
 
-
-def choose(names: typing.Collection[str], is_wide: bool) -> dict[str, Fault]:
+# Faults that a series of losses adds to some of the others.
+LOSS_FAULTS: registry.Registry[Fault] = registry.Registry(kind="fault")
+HOST_FAULTS = ("kill-host", "new-configuration", "reload-host", "stop-host")
+# Share of lost workers whose connections do not end, and the longest time
+# for which the entry of a lost worker stays.
+SILENT_SHARE = 0.3
+MAX_LISTED_S = 8.0
+
+
+def choose(
+    names: typing.Collection[str], is_wide: bool, has_losses: bool = False
+) -> dict[str, Fault]:
     """Return the faults to inject, by name.
 
     Args:
         names: Names of the faults; empty for all.
         is_wide: Whether those for wide jobs are among all.
+        has_losses: Whether all are those of a series of losses.
 
     Raises:
         UsageError: A name is not registered.
     """
     known = {name: FAULTS.get(name) for name in FAULTS.names()}
-    if is_wide:
+    if has_losses:
+        known = {name: known[name] for name in HOST_FAULTS}
+        known |= {name: LOSS_FAULTS.get(name) for name in LOSS_FAULTS.names()}
+    elif is_wide:
         known |= {name: WIDE_FAULTS.get(name) for name in WIDE_FAULTS.names()}
     for name in names:
         if name not in known:
@@ -346,3 +360,60 @@
     """Delay changes, so that many jobs are written together."""
     delay_s = rng.uniform(0.1, 1.0)
     await _slow_down_store(world, rng, rng.uniform(1.0, 6.0), before=delay_s)
+
+
+def _lose(
+    world: "worlds.SoakWorld",
+    rng: random.Random,
+    candidates: typing.Iterable["checks.WatchedWorker"],
+    most: int = 1000,
+) -> None:
+    """Lose living workers for good, as many as the soak can bear."""
+    living = [worker for worker in candidates if not worker.is_dead]
+    most = min(most, len(living), world.shape.losses_left)
+    is_silent = rng.random() < SILENT_SHARE
+    now_s = world.checker.now_s()
+    for worker in rng.sample(living, most):
+        world.shape.losses_left -= 1
+        worker.listed_until_s = now_s + rng.uniform(0.0, MAX_LISTED_S)
+        worker.crash()
+        for links in world.worker_links.values():
+            link = links[worker.registration.worker_id]
+            if is_silent:
+                link.held |= set(proxies.Direction)
+                continue
+            link.is_refusing = True
+            link.reset()
+
+
+def _choose_lossy_zone(
+    world: "worlds.SoakWorld", rng: random.Random
+) -> list["checks.WatchedWorker"]:
+    """Return the living workers of a zone that has any."""
+    zones = [
+        [w for w in _workers_of_zone(world, zone) if not w.is_dead]
+        for zone in world.zones()
+    ]
+    return rng.choice([workers for workers in zones if workers])
+
+
+@LOSS_FAULTS.register("lose-worker")
+async def _lose_worker(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    _lose(world, rng, _choose_lossy_zone(world, rng), 1)
+
+
+@LOSS_FAULTS.register("lose-two-workers")
+async def _lose_two(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    _lose(world, rng, _choose_lossy_zone(world, rng), 2)
+
+
+@LOSS_FAULTS.register("lose-rack")
+async def _lose_rack(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    workers = _choose_lossy_zone(world, rng)
+    rack = rng.choice(workers).registration.rack
+    _lose(world, rng, [w for w in workers if w.registration.rack == rack])
+
+
+@LOSS_FAULTS.register("lose-zone")
+async def _lose_zone(world: "worlds.SoakWorld", rng: random.Random) -> None:
+    _lose(world, rng, _choose_lossy_zone(world, rng))
--- a/wisteriawood/soak/worlds.py
+++ b/wisteriawood/soak/worlds.py
@@ -1,6 +1,5 @@
 """Environment of a soak: real hosts with stand-ins and links."""
 
-import functools
 import logging
 import pathlib
 import random
@@ -21,13 +20,13 @@
 from wisteriawood.soak import checks
 from wisteriawood.soak import faults
 from wisteriawood.soak import hosts
+from wisteriawood.soak import losses
 from wisteriawood.soak import proxies
 from wisteriawood.soak import records
+from wisteriawood.soak import shapes
+from wisteriawood.soak import standing
 from wisteriawood.standins import stores
 
-ZONES = ("a", "b")
-HOSTS_PER_ZONE = 2
-WORKERS_PER_ZONE = 3
 CALLERS = 3
 SERVICE = "shop"
 # Ports for servers, below the range for outgoing connections.
@@ -43,6 +42,8 @@
 FINISH_TIMEOUT_S = 25.0
 # The same with wide jobs, of which a worker runs few tasks at a time.
 FINISH_WIDE_TIMEOUT_S = 60.0
+# The same with full cells, whose queue is long when the load ends.
+FINISH_FULL_TIMEOUT_S = 90.0
 # Share of wide jobs in soaks with such jobs.
 WIDE_SHARE = 0.3
 
@@ -102,15 +103,19 @@
         load_s: Duration of the load and the faults in seconds.
         is_wide: Whether some jobs are wide, with the faults that make them
             move between zones and their runs stop.
+        has_losses: Whether the cells are full and workers are lost for good.
         fault_names: Names of the faults to inject; empty for all.
 
     Attributes:
         checker: Checker that records breaches.
+        faults: Faults to choose from, by name.
         hosts: Host processes, by name.
         injected_faults: Names of the injected faults, with their times.
         longest_pause_s: Longest time for which this process did not run
             although it should: the machine was busy with others.
         memory_store: Rows that all hosts share.
+        shape: Zones, racks, hosts and workers.
+        standing: Watches the standing tasks.
         store_links: Proxies between hosts and the store, by host.
         stores: Store interface of each host, by host.
         worker_links: Proxies between hosts and workers, by host and worker.
@@ -118,8 +123,8 @@
     """
 
     __slots__ = (
-        "_fault_names",
         "_folder",
+        "_has_losses",
         "_is_wide",
         "_load_s",
         "_odd_rng",
@@ -129,11 +134,14 @@
         "_version",
         "_work_s",
         "checker",
+        "faults",
         "hosts",
         "injected_faults",
         "longest_pause_s",
         "memory_store",
         "queue",
+        "shape",
+        "standing",
         "store_links",
         "stores",
         "worker_links",
@@ -147,11 +155,13 @@
         folder: pathlib.Path,
         load_s: float,
         is_wide: bool = False,
+        has_losses: bool = False,
         fault_names: typing.Collection[str] = (),
     ):
-        self._fault_names = fault_names
+        self.faults = faults.choose(fault_names, is_wide, has_losses)
         self._folder = folder
         self._is_wide = is_wide
+        self._has_losses = has_losses
         self._load_s = load_s
         self._rng = random.Random(seed)
         self._ports = _ReservedPorts()
@@ -159,7 +169,9 @@
         self._stopping = anyio.Event()
         self._version = 0
         self._work_s: dict[str, float] = {}
+        self.shape = losses.make_shape(seed) if has_losses else shapes.Shape()
         self.checker = checks.Checker()
+        self.standing = standing.StandingWatch(checker=self.checker)
         self.queue = queues.Queue(
             name="q",
             host_name="shop.example",
@@ -180,7 +192,7 @@
 
     def zones(self) -> list[str]:
         """Return the names of the zones."""
-        return list(ZONES)
+        return list(self.shape.zones)
 
     def links_of(self, host: str) -> list[proxies.Proxy]:
         """Return all links of a host.
@@ -219,15 +231,15 @@
         self, servers: abc.TaskGroup, group: abc.TaskGroup
     ) -> None:
         self.configure()
-        for zone in ZONES:
-            for number in range(WORKERS_PER_ZONE):
-                name = f"worker-{zone}-{number}"
-                self._add_worker(servers, group, name, zone)
+        for zone in self.shape.zones:
+            for number in range(self.shape.workers_per_zone()):
+                self._add_worker(servers, group, zone, number)
         group.start_soon(self._heartbeat)
         group.start_soon(self._write_odd_entries)
         group.start_soon(self._watch_pauses)
-        for zone in ZONES:
-            for number in range(HOSTS_PER_ZONE):
+        group.start_soon(self._watch_standing_tasks)
+        for zone in self.shape.zones:
+            for number in range(self.shape.hosts_per_zone):
                 name = f"host-{zone}-{number}"
                 await self._add_host(servers, group, name, zone)
         group.start_soon(self._watch_hosts)
@@ -241,9 +253,10 @@
         self,
         servers: abc.TaskGroup,
         group: abc.TaskGroup,
-        name: str,
         zone: str,
+        number: int,
     ) -> None:
+        name = f"worker-{zone}-{number}"
         port = self._ports.reserve()
         worker = checks.WatchedWorker(
             checker=self.checker,
@@ -252,9 +265,9 @@
                 service=SERVICE,
                 address=f"{proxies.HOST}:{port}",
                 zone=zone,
-                rack=f"rack-{zone}",
-                cpu_millicores=16000,
-                memory_mb=64000,
+                rack=self.shape.rack_of(zone, number),
+                cpu_millicores=shapes.WORKER_MILLICORES,
+                memory_mb=shapes.WORKER_MEMORY_MB,
             ),
             work_s=lambda task: self._work_s.get(task.partition(".")[0], 1.0),
         )
@@ -285,7 +298,7 @@
         host = hosts.HostProcess(name=name, zone=zone, folder=self._folder)
         host.caller_port = self._ports.reserve()
         host.ready_port = self._ports.reserve()
-        host.write_settings(list(ZONES), self.store_links[name].port)
+        host.write_settings(self.zones(), self.store_links[name].port)
         self.hosts[name] = host
 
     async def _add_link(
@@ -300,7 +313,7 @@
         """Write directory entries of live workers; delete the others."""
         while True:
             for name, worker in self.workers.items():
-                found = None if worker.is_dead else worker.registration
+                found = worker.registration if worker.is_listed() else None
                 standins.write_worker(self.memory_store, found, name)
                 worker.record_entry()
             await anyio.sleep(HEARTBEAT_PERIOD_S)
@@ -324,6 +337,11 @@
             pause_s = anyio.current_time() - slept_at_s - WATCH_PERIOD_S
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
 
+    async def _watch_standing_tasks(self) -> None:
+        while True:
+            self.standing.check()
+            await anyio.sleep(WATCH_PERIOD_S)
+
     async def _watch_hosts(self) -> None:
         """Start hosts that should run; report unexpected exit codes."""
         while True:
@@ -341,39 +359,73 @@
         await anyio.sleep(STARTUP_S)
         until_s = self.checker.now_s() + self._load_s
         async with anyio.create_task_group() as group:
+            if self._has_losses:
+                until_s += losses.STANDING_LEAD_S
+                group.start_soon(self._keep_standing_load, until_s)
+                await anyio.sleep(losses.STANDING_LEAD_S)
             for _number in range(CALLERS):
                 group.start_soon(self._make_caller().run, until_s)
-            group.start_soon(self._inject_faults, until_s)
+            if self._has_losses:
+                group.start_soon(losses.inject_series, self, until_s)
+            else:
+                group.start_soon(self._inject_faults, until_s)
         await self._wait_until_finished()
 
+    async def _keep_standing_load(self, until_s: float) -> None:
+        with anyio.move_on_after(until_s - self.checker.now_s()):
+            await losses.keep_standing_load(
+                self._make_caller(), self.shape, self.new_rng()
+            )
+
     def _make_caller(self) -> callers.Caller:
+        if self._has_losses:
+            load = {
+                "wide_share": 1.0,
+                "wide_jobs": losses.FULL_JOBS,
+                "work_range_s": losses.FULL_WORK_S,
+                "max_open_jobs": losses.MAX_OPEN_JOBS,
+            }
+        else:
+            load = {"wide_share": WIDE_SHARE if self._is_wide else 0.0}
         return callers.Caller(
             checker=self.checker,
             caller_ports={n: h.caller_port for n, h in self.hosts.items()},
             queue=self.queue,
-            rng=random.Random(self._rng.getrandbits(32)),
+            rng=self.new_rng(),
             work_s=self._work_s,
-            wide_share=WIDE_SHARE if self._is_wide else 0.0,
+            **load,
         )
 
+    def new_rng(self) -> random.Random:
+        """Return a source of random choices that depends on the seed."""
+        return random.Random(self._rng.getrandbits(32))
+
+    async def inject(self, name: str, rng: random.Random) -> None:
+        """Inject a fault and wait for its end.
+
+        Args:
+            name: Name of the fault.
+            rng: Source of the fault's random choices.
+        """
+        self.injected_faults.append(f"{self.checker.now_s():.2f} {name}")
+        with self.standing.disruptions.during(name):
+            await self.faults[name](self, rng)
+
     async def _inject_faults(self, until_s: float) -> None:
         """Inject random faults, which may overlap."""
-        known = faults.choose(self._fault_names, self._is_wide)
         async with anyio.create_task_group() as group:
             while self.checker.now_s() < until_s:
                 await anyio.sleep(self._rng.uniform(0.2, 2.0))
-                name = self._rng.choice(sorted(known))
-                self.injected_faults.append(
-                    f"{self.checker.now_s():.2f} {name}"
-                )
-                rng = random.Random(self._rng.getrandbits(32))
-                group.start_soon(functools.partial(known[name], self, rng))
+                name = self._rng.choice(sorted(self.faults))
+                group.start_soon(self.inject, name, self.new_rng())
 
     async def _wait_until_finished(self) -> None:
         """Wait until all accepted jobs are done and reported as completed."""
-        timeout_s = (
-            FINISH_WIDE_TIMEOUT_S if self._is_wide else FINISH_TIMEOUT_S
-        )
+        timeout_s = FINISH_TIMEOUT_S
+        if self._is_wide:
+            timeout_s = FINISH_WIDE_TIMEOUT_S
+        if self._has_losses:
+            timeout_s = FINISH_FULL_TIMEOUT_S
         deadline_s = self.checker.now_s() + timeout_s
         caller = self._make_caller()
         while self.checker.unfinished():
--- a/wisteriawood/tests/faults/soak_tests.py
+++ b/wisteriawood/tests/faults/soak_tests.py
@@ -16,9 +16,12 @@
 from wisteriawood.soak import faults
 from wisteriawood.soak import worlds
 from wisteriawood.tests import builders
+from wisteriawood.tests import soak_builders
 
 SEED = 1
 LOAD_S = 6.0
+LOSSES_SEED = 3
+LOSSES_LOAD_S = 20.0
 JOB = "0123456789abcdef"
 
 
@@ -51,24 +54,40 @@
         with self.assertRaises(errors.UsageError):
             faults.choose(["drain-zone"], False)
 
+    def test_a_series_of_losses_has_faults_of_its_own(self):
+        lossy = set(faults.choose([], False, has_losses=True))
+        self.assertLess({"lose-rack", "lose-zone", "stop-host"}, lossy)
+        self.assertFalse(set(faults.choose([], True)) & {"lose-rack"})
+
 
 class SoakTests(unittest.TestCase):
-    def test_short_soak_finds_no_breach(self):
+    def _run(self, **fields):
         with tempfile.TemporaryDirectory() as folder:
 
             async def _main():
-                world = worlds.SoakWorld(
-                    seed=SEED, folder=pathlib.Path(folder), load_s=LOAD_S
-                )
+                world = worlds.SoakWorld(folder=pathlib.Path(folder), **fields)
                 await world.run()
                 return world
 
-            world = anyio.run(_main)
+            return anyio.run(_main)
+
+    def test_short_soak_finds_no_breach(self):
+        world = self._run(seed=SEED, load_s=LOAD_S)
         checker = world.checker
         self.assertEqual(checker.breaches, [])
         self.assertGreater(len(world.injected_faults), 2)
         self.assertTrue(any(s.is_accepted for s in checker.sent.values()))
 
+    def test_standing_tasks_of_lost_workers_run_again_in_time(self):
+        world = self._run(
+            seed=LOSSES_SEED, load_s=LOSSES_LOAD_S, has_losses=True
+        )
+        self.assertEqual(world.checker.breaches, [])
+        self.assertTrue(
+            any(worker.is_dead for worker in world.workers.values())
+        )
+        self.assertGreater(world.standing.longest_gap_s, 0.0)
+
 
 class CheckTests(unittest.TestCase):
     """Tests that each check reports its kind of breach."""
@@ -218,3 +237,119 @@
             checker.check_state(sent, "")
 
         self.assertIn("lost", self._run(_check))
+
+
+class StandingWatchTests(unittest.TestCase):
+    """Tests which standing tasks count as lost."""
+
+    def _run(self, prepare, until_s=9.2, **fields):
+        async def _main():
+            world = soak_builders.StandingWorld(**fields)
+            prepare(world)
+            return " ".join(world.check_until(until_s))
+
+        return builders.run_virtual(_main)
+
+    def test_task_that_stays_away_beside_room_is_lost(self):
+        found = self._run(lambda world: None)
+        self.assertIn("lost: 0123456789abcdef.0.0.0 away for 9.0 s", found)
+        self.assertEqual(found.count("lost"), 1)
+
+    def test_task_may_be_away_for_less_than_nine_seconds(self):
+        self.assertEqual(self._run(lambda world: None, 8.8), "")
+
+    def test_task_that_runs_again_is_not_lost(self):
+        def _prepare(world):
+            world.check_until(8.5)
+            world.start(soak_builders.JOB, "w1")
+
+        self.assertEqual(self._run(_prepare, 20.0), "")
+
+    def test_tasks_that_end_take_no_room(self):
+        def _prepare(world):
+            world.fill(4000)
+
+        self.assertIn(
+            "room but for tasks that end: 4 times (at most 4000 free), "
+            "beside them: 0 times (at most 0 free)",
+            self._run(_prepare),
+        )
+
+    def test_standing_tasks_take_room(self):
+        def _prepare(world):
+            world.fill(3000, is_standing=True)
+
+        self.assertEqual(self._run(_prepare), "")
+
+    def test_room_for_one_copy_is_not_enough(self):
+        def _prepare(world):
+            world.checker.workers["w1"].registration.is_draining = True
+
+        self.assertEqual(self._run(_prepare, cpu_millicores=3000), "")
+        self.assertIn("lost", self._run(lambda w: None, cpu_millicores=3000))
+
+    def test_memory_of_standing_tasks_takes_room(self):
+        def _prepare(world):
+            world.fill(100, memory_mb=800, is_standing=True)
+
+        self.assertEqual(self._run(_prepare, memory_mb=300), "")
+
+    def test_room_counts_once_it_has_lasted_for_three_seconds(self):
+        def _prepare(world):
+            world.fill(3000, is_standing=True)
+            world.check_until(12.0)
+            for name in ("w1", "w2"):
+                world.checker.workers[name].runs.clear()
+            world.check_until(14.9, from_s=12.1)
+
+        async def _main():
+            world = soak_builders.StandingWorld()
+            _prepare(world)
+            before = list(world.checker.breaches)
+            return before, world.check_until(15.2, from_s=15.0)
+
+        before, found = builders.run_virtual(_main)
+        self.assertEqual(before, [])
+        self.assertEqual(len(found), 1)
+
+    def test_a_worker_with_most_tasks_of_the_step_has_no_room(self):
+        def _prepare(world):
+            world.start(soak_builders.JOB, "w1", 1)
+
+        spread = {"task_count": 2, "cpu_millicores": 1000}
+        self.assertEqual(self._run(_prepare, most_per_worker=1, **spread), "")
+        self.assertIn("lost", self._run(_prepare, **spread))
+
+    def test_cancelled_task_may_stay_away(self):
+        def _prepare(world):
+            world.sent.is_cancel_sent = True
+
+        self.assertEqual(self._run(_prepare), "")
+
+    def test_task_that_never_ran_is_not_lost(self):
+        def _prepare(world):
+            world.checker.ended_at_s.clear()
+
+        self.assertEqual(self._run(_prepare), "")
+
+    def test_rule_holds_after_seven_calm_seconds(self):
+        async def _main():
+            world = soak_builders.StandingWorld()
+            with world.watch.disruptions.during("kill-host"):
+                world.check_until(4.0)
+            before = list(world.check_until(10.8, from_s=4.1))
+            return before, world.check_until(11.2, from_s=10.9)
+
+        before, found = builders.run_virtual(_main)
+        self.assertEqual(before, [])
+        self.assertEqual(len(found), 1)
+
+    def test_reloads_and_configurations_are_calm(self):
+        async def _main():
+            world = soak_builders.StandingWorld()
+            for name in ("new-configuration", "reload-host"):
+                with world.watch.disruptions.during(name):
+                    world.check_until(5.0)
+            return world.check_until(9.2, from_s=5.1)
+
+        self.assertEqual(len(builders.run_virtual(_main)), 1)
