--- a/wisteriawood/platform/standins.py
+++ b/wisteriawood/platform/standins.py
@@ -448,6 +448,7 @@
     front: str,
     ready: str,
     store: str,
+    hold_max_ms: int,
 ) -> bytes:
     """Return the settings file of a host.
 
@@ -458,6 +459,7 @@
         front: Address for callers' requests, as host:port.
         ready: Address for the balancer's readiness checks, as host:port.
         store: Address of the store, as host:port.
+        hold_max_ms: Longest lease of a worker.
     """
     value = {
         "node_name": name,
@@ -465,7 +467,11 @@
         "zones": dict.fromkeys(zones, "region"),
         "listen_addrs": {"front": front, "ready": ready},
         "platform": {"address": store},
-        "bounds": {"hold_max_ms": 3000, "status_s": 120, "grace_s": 6},
+        "bounds": {
+            "hold_max_ms": hold_max_ms,
+            "status_s": 120,
+            "grace_s": 6,
+        },
     }
     return json.dumps(value).encode()
 
--- a/wisteriawood/soak/__main__.py
+++ b/wisteriawood/soak/__main__.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 
 import anyio
 
@@ -46,7 +47,8 @@
         print("  gaps: " + ", ".join(world.standing.gaps))
         for breach in checker.breaches[:10]:
             print("  " + breach)
-        print(f"  logs: {folder}")
+        began_at_s = time.time() - checker.now_s()
+        print(f"  logs: {folder}, which began at {began_at_s:.2f}")
     return 1 if checker.breaches else 0
 
 
@@ -140,7 +142,8 @@
     if options.losses:
         arguments.append("--losses")
     if options.cases:
-        seeds = sorted(cases.CASES)
+        found = cases.LOSS_CASES if options.losses else cases.CASES
+        seeds = sorted(found)
         return _run_seeds(seeds, options.jobs, arguments)
     if options.seeds:
         first, _dash, last = options.seeds.partition("-")
--- a/wisteriawood/soak/cases.py
+++ b/wisteriawood/soak/cases.py
@@ -12,3 +12,6 @@
     49: "an end of a restarted worker was acknowledged by an old end number",
     448: "probably the same: the worker had crashed a second before",
 }
+
+# The same for soaks with workers that are lost for good.
+LOSS_CASES: dict[int, str] = {}
--- a/wisteriawood/soak/hosts.py
+++ b/wisteriawood/soak/hosts.py
@@ -52,12 +52,15 @@
         self.should_run = True
         self.starts = 0
 
-    def write_settings(self, zones: list[str], store_port: int) -> None:
+    def write_settings(
+        self, zones: list[str], store_port: int, hold_max_ms: int
+    ) -> None:
         """Write the settings file.
 
         Args:
             zones: All availability zones.
             store_port: Port of the store on the loopback interface.
+            hold_max_ms: Longest lease of a worker.
         """
         data = standins.encode_settings(
             self.name,
@@ -66,6 +69,7 @@
             front=f"127.0.0.1:{self.caller_port}",
             ready=f"127.0.0.1:{self.ready_port}",
             store=f"127.0.0.1:{store_port}",
+            hold_max_ms=hold_max_ms,
         )
         (self._folder / f"{self.name}.json").write_bytes(data)
 
--- a/wisteriawood/soak/losses.py
+++ b/wisteriawood/soak/losses.py
@@ -27,6 +27,8 @@
 # Time between changes of the standing load.
 CHANGE_PERIOD_S = (3.0, 8.0)
 SETTLE_S = 6.0
+# As long as the rule on standing tasks allows for.
+HOLD_MAX_MS = 6000
 LOSS_SHARE = 0.6
 # Share of losses beside which a host is disturbed, and when.
 DISTURBED_SHARE = 0.4
@@ -97,6 +99,7 @@
         zones=rng.choice((("a", "b"), ("a", "b", "c"))),
         racks_per_zone=2,
         workers_per_rack=rng.randint(3, 4),
+        hold_max_ms=HOLD_MAX_MS,
     )
     shape.losses_left = shape.workers_per_zone()
     return shape
--- a/wisteriawood/soak/shapes.py
+++ b/wisteriawood/soak/shapes.py
@@ -14,12 +14,14 @@
         racks_per_zone: Number of racks in each zone.
         workers_per_rack: Number of workers on each rack.
         hosts_per_zone: Number of hosts in each zone.
+        hold_max_ms: Longest lease of a worker.
 
     Attributes:
         losses_left: Number of workers that may still be lost for good.
     """
 
     __slots__ = (
+        "hold_max_ms",
         "hosts_per_zone",
         "losses_left",
         "racks_per_zone",
@@ -34,11 +36,13 @@
         racks_per_zone: int = 1,
         workers_per_rack: int = 3,
         hosts_per_zone: int = 2,
+        hold_max_ms: int = 3000,
     ):
         self.zones = zones
         self.racks_per_zone = racks_per_zone
         self.workers_per_rack = workers_per_rack
         self.hosts_per_zone = hosts_per_zone
+        self.hold_max_ms = hold_max_ms
         self.losses_left = 0
 
     def workers_per_zone(self) -> int:
--- a/wisteriawood/soak/worlds.py
+++ b/wisteriawood/soak/worlds.py
@@ -298,7 +298,9 @@
         host = hosts.HostProcess(name=name, zone=zone, folder=self._folder)
         host.caller_port = self._ports.reserve()
         host.ready_port = self._ports.reserve()
-        host.write_settings(self.zones(), self.store_links[name].port)
+        host.write_settings(
+            self.zones(), self.store_links[name].port, self.shape.hold_max_ms
+        )
         self.hosts[name] = host
 
     async def _add_link(
