--- a/wisteriawood/tests/lost_workers_tests.py
+++ b/wisteriawood/tests/lost_workers_tests.py
@@ -46,9 +46,11 @@
         """Run an async function, and check the runs of its world."""
 
         async def _main(busy):
-            await check(busy)
-            self.assertEqual(busy.overlaps(), [])
-            self.assertEqual(busy.done_twice(), [])
+            with self.subTest("runs in time"):
+                await check(busy)
+            with self.subTest("runs once"):
+                self.assertEqual(busy.overlaps(), [])
+                self.assertEqual(busy.done_twice(), [])
 
         lost_builders.run_busy_world(_main, **fields)
 
@@ -158,6 +160,7 @@
         is_refusing,
         sizes=lost_builders.MIXED_CORES,
         has_wide_tasks=False,
+        seed=1,
     ):
         async def _check(busy):
             if has_wide_tasks:
@@ -178,7 +181,7 @@
                 busy, "a", lost_at_s, standing_cores=STANDING_CORES
             )
 
-        self.run_world(_check, zones=zones)
+        self.run_world(_check, zones=zones, seed=seed)
 
     def test_refusing_workers_of_the_only_zone(self):
         """Guards against batch tasks that take all room that becomes free."""
@@ -195,12 +198,15 @@
 
     def test_wide_tasks_beside_small_batch_tasks(self):
         """Guards against wide tasks that get room one after the other."""
-        self._run_with_room_here(
-            ["a"],
-            is_refusing=True,
-            sizes=lost_builders.SMALL_CORES,
-            has_wide_tasks=True,
-        )
+        for seed in (1, 4):
+            with self.subTest(seed=seed):
+                self._run_with_room_here(
+                    ["a"],
+                    is_refusing=True,
+                    sizes=lost_builders.SMALL_CORES,
+                    has_wide_tasks=True,
+                    seed=seed,
+                )
 
     def test_wide_tasks_beside_small_batch_tasks_in_three_zones(self):
         """Guards against wide tasks that get room one after the other."""
