--- a/wisteriawood/cells/room_makers.py
+++ b/wisteriawood/cells/room_makers.py
@@ -1,4 +1,4 @@
-"""Stops batch tasks where a standing task has waited too long for its room."""
+"""Stops batch tasks where a standing task would wait too long for its room."""
 
 import typing
 
@@ -15,14 +15,19 @@
 _LOG = events.Logger(name=__name__)
 # Time for which a standing task that has run before waits for batch tasks to
 # end. Their stop and its start take up to another second.
-MAX_WAIT_S = 0.8
+MAX_WAIT_S = 0.5
+# Time before the end of the lease of a lost worker from which batch tasks are
+# stopped for its tasks. A stop takes about as long.
+STOP_LEAD_S = 0.8
 
 
 class RoomMaker:
     """Makes room for the standing tasks of a cell that have run before.
 
     Room is kept for them, but batch tasks may occupy it for longer than such
-    a task may be away: they are slow, paced down, or stand still.
+    a task may be away: they are slow, paced down, or stand still. They are
+    stopped when the lease of a lost worker is about to end, or when a task has
+    waited too long.
 
     Args:
         cell: The cell.
@@ -36,7 +41,7 @@
         self._waiting_since_s: dict[str, float] = {}
 
     def tick(self, now_s: float) -> None:
-        """Stop batch tasks on workers where a task has waited too long.
+        """Stop batch tasks on workers where a task needs its room now.
 
         Args:
             now_s: Monotonic time.
@@ -48,6 +53,8 @@
             if entry.job is None or entry.task is None or not entry.task.run:
                 continue
             if entry.task.phase is not tasks.Phase.WAITING:
+                if self._is_lease_ending(entry.task, now_s):
+                    crowded[entry.worker.id] = entry.worker
                 continue
             name = entry.job.task_name(entry.task)
             since_s = known.get(name, now_s)
@@ -57,6 +64,18 @@
         for worker in crowded.values():
             self._make_room(kept, worker)
 
+    def _is_lease_ending(self, task: tasks.Task, now_s: float) -> bool:
+        """Return whether the run of a task will soon be known to have ended.
+
+        Args:
+            task: An assigned task.
+            now_s: Monotonic time.
+        """
+        worker = self._cell.fleet.get(task.worker_id)
+        if worker is None or worker.is_answering:
+            return False
+        return now_s >= worker.lease.ended_at_s() - STOP_LEAD_S
+
     def _make_room(
         self, kept: kept_room.KeptRoom, worker: workers.Worker
     ) -> None:
--- a/wisteriawood/tests/room_makers_tests.py
+++ b/wisteriawood/tests/room_makers_tests.py
@@ -64,7 +64,7 @@
         Only as many as needed are stopped, first those with checkpoints.
         """
         batch = {"task_count": 8, "cpu_millicores": 2000}
-        self.assertEqual(self._run(batch, waits_s=0.5), [])
+        self.assertEqual(self._run(batch, waits_s=0.4), [])
         self.assertEqual(len(self._run(batch, waits_s=1.0)), 2)
 
     def test_fillers_that_hold_the_memory_are_stopped(self):
@@ -79,6 +79,41 @@
         found = self._run(fillers, waits_s=1.0, standing={"memory_mb": 20_000})
         self.assertEqual(len(found), 2)
 
+    def test_room_is_free_once_the_lease_ends(self):
+        """Guards against tasks that wait for a stop after their lease (LOST).
+
+        In a soak one waited for 2.3 s.
+        """
+
+        async def _main():
+            await anyio.sleep(START_S)
+            now_s = anyio.current_time()
+            worker = builders.make_run_worker("w", now_s=now_s)
+            lost = builders.make_run_worker("lost", now_s=now_s)
+            lost.lease.record_clock(1000, now_s)
+            lost.lease.grant(now_s)
+            lost.is_answering = False
+            cell = builders.make_cell([worker, lost])
+            job = builders.make_job("s", is_standing=True)
+            builders.put_run(lost, job)
+            batch = builders.make_job("b", task_count=8, cpu_millicores=2000)
+            waiting = builders.make_waiting(batch)
+            cell.placer.place(waiting, [worker], now_s)
+            for run in worker.runs.values():
+                run.was_sent = True
+            expected = cell._expected_steps()
+            cell.placer.place({}, [worker], now_s, expected)
+            maker = room_makers.RoomMaker(cell=cell)
+            counts = []
+            for at_s in (now_s, lost.lease.ended_at_s() - 0.5):
+                maker.tick(at_s)
+                counts.append(sum(r.is_stopping for r in worker.runs.values()))
+            self.assertEqual(counts, [0, 2])
+            for each in (worker, lost):
+                each.close()
+
+        builders.run_virtual(_main)
+
     def test_new_jobs_stop_nothing(self):
         """A task that has never run waits for batch tasks to end."""
         batch = {"task_count": 8, "cpu_millicores": 2000}
