--- a/wisteriawood/tests/lost_workers_builders.py
+++ b/wisteriawood/tests/lost_workers_builders.py
@@ -1,6 +1,8 @@
 """Builders of busy worlds of jobs that lose workers, and what they record."""
 
 import random
+import time
+from unittest import mock
 
 import anyio
 
@@ -26,6 +28,8 @@
 # Batch tasks of one job.
 BATCH_TASKS = 8
 POLL_S = 0.02
+# Wall time at which a world begins.
+BEGAN_UNIX_S = 1_800_000_000.0
 
 
 class BusyWorld:
@@ -256,12 +260,18 @@
 
 
 def run_busy_world(check, *, zones=("a", "b", "c"), hosts_per_zone=2, seed=1):
-    """Run an async function on a new busy world without workers."""
+    """Run an async function on a new busy world without workers.
+
+    The wall clock runs in virtual time too, as jobs are started by their age.
+    """
 
     async def _main(world):
-        async with anyio.create_task_group() as group:
-            await check(BusyWorld(world=world, group=group, seed=seed))
-            group.cancel_scope.cancel()
+        with mock.patch.object(
+            time, "time", lambda: BEGAN_UNIX_S + anyio.current_time()
+        ):
+            async with anyio.create_task_group() as group:
+                await check(BusyWorld(world=world, group=group, seed=seed))
+                group.cancel_scope.cancel()
 
     builders.run_job_world(
         _main,
