--- a/wisteriawood/soak/cases.py
+++ b/wisteriawood/soak/cases.py
@@ -14,4 +14,13 @@
 }
 
 # The same for soaks with workers that are lost for good.
-LOSS_CASES: dict[int, str] = {}
+LOSS_CASES = {
+    2: "a standing task waited for a core beside batch tasks (leases of 3 s)",
+    3: "a start sent after the loss extended the lease; batch took the room",
+    6: "the holder was killed beside the loss; its successor waited",
+    8: "starts sent after the loss extended the leases of four workers",
+    12: "all workers of a zone were lost, and jobs moved 3.3 s later",
+    13: "starts sent after the loss extended the leases of two workers",
+    56: "a start extended a lease to 9.0 s, and the jobs moved 1.0 s later",
+    103: "moved jobs waited 2.5 s in their new cell beside batch tasks",
+}
