--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -24,6 +24,7 @@
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
+from wisteriawood.links import clocks
 from wisteriawood.links import runners
 from wisteriawood.links import stores
 from wisteriawood.policies.spreading import base as spreading
@@ -36,6 +37,8 @@
 # Time without a new job after which the placer starts fillers of idle jobs
 # even where they exceed the load limits.
 INTAKE_IDLE_S = 5.0
+# Time after the opening of a cell in which live workers answer its holder.
+FIRST_ANSWERS_S = 1.5
 # Pause between two placement passes.
 PLACEMENT_PAUSE_S = 0.02
 # Time for which a pending job that moved away is reported here; the other
@@ -86,6 +89,7 @@
         "_group",
         "_ids_by_submitted",
         "_moved",
+        "_opened_at_s",
         "_placement_requested",
         "_placer",
         "_waiting",
@@ -162,6 +166,7 @@
         self._moved: collections.deque[tuple[float, str]] = collections.deque()
         self.filler_meter = meters.FillerMeter()
         self._group: abc.TaskGroup | None = None
+        self._opened_at_s = math.inf
         self._placement_requested = anyio.Event()
 
     @property
@@ -181,6 +186,7 @@
             group: Runs the cell's background tasks.
         """
         self._group = group
+        self._opened_at_s = anyio.current_time()
         group.start_soon(self.run_placement)
 
     def add_job(self, job: jobs.Job) -> None:
@@ -289,6 +295,8 @@
         assigned = self._placer.place(
             self._waiting, startable, now_s, expected, asked
         )
+        if not self._knows_fleet(now_s):
+            self._placer.homeless.clear()
         if not assigned:
             return
         _LOG.log(
@@ -316,6 +324,19 @@
             batches.append(self.writer.schedule_write(job))
         self.run_in_background(self._start_assigned, assigned, batches)
 
+    def _knows_fleet(self, now_s: float) -> bool:
+        """Return whether the workers that may get new runs are known.
+
+        Args:
+            now_s: Monotonic time.
+        """
+        cancel_age_s = clocks.elapsed_s() - self.cancels_confirmed_at_s()
+        return (
+            now_s - self._opened_at_s >= FIRST_ANSWERS_S
+            and self.directory.is_current()
+            and cancel_age_s <= self.max_cancel_age_s
+        )
+
     def _expected_steps(self) -> list[placers.ExpectedStep]:
         """Return the standing tasks that will probably need a worker soon.
 
--- a/wisteriawood/cells/evacuations.py
+++ b/wisteriawood/cells/evacuations.py
@@ -40,7 +40,12 @@
             continue
         if not run.step.is_standing and not run.step.is_checkpointing:
             continue
-        if not any(other.has_capacity_for(run.step) for other in others):
+        kept = cell.placer.kept
+        if not any(
+            other.has_capacity_for(run.step)
+            and kept.leaves_room_for(other, run.step, run.task)
+            for other in others
+        ):
             continue
         _LOG.log(
             job_events.RUN_EVACUATED,
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -130,7 +130,10 @@
 
         A change of the holder could only make that wait longer.
         """
-        return bool(self._silent_leases_s())
+        return bool(self.cell.orphans) or any(
+            worker.runs and not worker.is_answering
+            for worker in self.cell.fleet.values()
+        )
 
     def withhold_leases(self) -> claims.LeasesLeft:
         """Extend no lease until `restore_leases`, and tell which may run on.
--- a/wisteriawood/cells/job_writers.py
+++ b/wisteriawood/cells/job_writers.py
@@ -152,6 +152,22 @@
         )
         return any(batch and job.id in batch.jobs for batch in batches)
 
+    def may_relocate(self, job: jobs.Job) -> bool:
+        """Return whether tasks of a job may be relocated before it is stored.
+
+        The next transaction of its bucket must write all of that together: no
+        transaction in progress contains the job, and no earlier relocation of
+        it is pending.
+
+        Args:
+            job: The job.
+        """
+        in_progress = self._batches_in_progress.get(job.bucket)
+        if in_progress is not None and job.id in in_progress.jobs:
+            return False
+        pending = self._batches.get(job.bucket)
+        return pending is None or job.id not in pending.extra_rows
+
     def is_keeping_up(self, now_s: float) -> bool:
         """Return whether no transaction in progress is slow.
 
--- a/wisteriawood/cells/kept_room.py
+++ b/wisteriawood/cells/kept_room.py
@@ -38,6 +38,13 @@
         self.job = job
         self.task = task
 
+    def is_claimed(self) -> bool:
+        """Return whether other standing tasks must leave the room too.
+
+        It is kept for a task that has run before, or for another cell.
+        """
+        return self.task is None or self.task.run > 0
+
     def step_name(self) -> str:
         """Return the common prefix of the names of the step's tasks."""
         if self.job is None or self.task is None:
@@ -52,19 +59,22 @@
         entries: What is kept, in the order in which it was asked for.
     """
 
-    __slots__ = ("_by_worker", "_lasting", "entries")
+    __slots__ = ("_by_worker", "_lasting", "_open", "entries")
 
     def __init__(self):
         self.entries: list[KeptTask] = []
         self._by_worker: dict[str, list[KeptTask]] = {}
         # Capacity of workers that no standing task has, as the pass needs it.
         self._lasting: dict[str, worker_groups.WorkerGroup] = {}
+        # Capacity that is free and not kept, as `keep` needs it.
+        self._open: dict[str, worker_groups.WorkerGroup] = {}
 
     def clear(self) -> None:
         """Keep no room, at the start of a pass."""
         self.entries.clear()
         self._by_worker.clear()
         self._lasting.clear()
+        self._open.clear()
 
     def open_group(self, worker: workers.Worker) -> worker_groups.WorkerGroup:
         """Return what is free on a worker and not kept.
@@ -81,22 +91,29 @@
         return group
 
     def leaves_room_for(
-        self, worker: workers.Worker, step: specs.StepSpec
+        self,
+        worker: workers.Worker,
+        step: specs.StepSpec,
+        task: tasks.Task | None = None,
     ) -> bool:
         """Return whether a task fits on a worker beside what is kept there.
 
         Args:
             worker: The worker.
             step: Step of the task.
+            task: The task, if room may be kept for it.
         """
-        if worker.id not in self._by_worker:
+        kept = self._by_worker.get(worker.id)
+        if kept is None:
             return True
-        group = self.open_group(worker)
-        return (
-            step.memory_mb <= group.memory_mb
-            and step.accelerators <= group.accelerators
-            and (step.is_filler or step.cpu_millicores <= group.cpu_millicores)
-        )
+        if step.is_standing:
+            # Rooms for new tasks only keep batch tasks away.
+            kept = [entry for entry in kept if entry.is_claimed()]
+        group = worker.free_group()
+        for entry in kept:
+            if task is None or entry.task is not task:
+                _take(group, entry.step)
+        return _fits(step, group)
 
     def kept_for_others(self) -> list[worker_groups.WorkerGroup]:
         """Return the room that is kept because other cells asked for it."""
@@ -112,30 +129,6 @@
             if kept.task is None
         )[: worker_groups.MAX_GROUPS]
 
-    def used_workers(self) -> list[workers.Worker]:
-        """Return the workers on which room is kept."""
-        return [kept[0].worker for kept in self._by_worker.values()]
-
-    def shortage_mb(self, worker: workers.Worker) -> int:
-        """Return how much memory must become free for what is kept.
-
-        Args:
-            worker: The worker.
-        """
-        kept = self._by_worker.get(worker.id, ())
-        return sum(k.step.memory_mb for k in kept) - worker.free_memory_mb
-
-    def shortage_millicores(self, worker: workers.Worker) -> int:
-        """Return how much CPU must become free for what is kept.
-
-        Args:
-            worker: The worker.
-        """
-        kept = self._by_worker.get(worker.id, ())
-        return (
-            sum(k.step.cpu_millicores for k in kept) - worker.free_millicores
-        )
-
     def keep(
         self,
         step: specs.StepSpec,
@@ -164,10 +157,11 @@
         for worker in usable:
             if not self._will_fit(worker, step, step_name):
                 continue
-            fits_now = worker.has_capacity_for(step) and self.leaves_room_for(
-                worker, step
-            )
-            free = self.open_group(worker).cpu_millicores
+            group = self._open.get(worker.id)
+            if group is None:
+                group = self._open[worker.id] = self.open_group(worker)
+            fits_now = _fits(step, group)
+            free = group.cpu_millicores
             order = (fits_now, -free if fits_now else free, worker.id)
             if best is None or order > best_order:
                 best, best_order = worker, order
@@ -177,15 +171,17 @@
         self.entries.append(kept)
         self._by_worker.setdefault(best.id, []).append(kept)
         _take(self._lasting[best.id], step)
+        del self._open[best.id]
         return True
 
     def record_assigned(self, worker: workers.Worker) -> None:
-        """Record that a standing task was assigned to a worker.
+        """Record that a task was assigned to a worker.
 
         Args:
             worker: The worker.
         """
         self._lasting.pop(worker.id, None)
+        self._open.pop(worker.id, None)
 
     def _will_fit(
         self, worker: workers.Worker, step: specs.StepSpec, step_name: str
@@ -199,15 +195,26 @@
             return False
         if not group.count_per_worker(step):
             return False
-        if not step.most_per_worker or not step_name:
+        if not step.most_per_worker:
             return True
-        beside = worker.count_step_tasks(step_name) + sum(
-            kept.step_name() == step_name
-            for kept in self._by_worker.get(worker.id, ())
-        )
+        beside = worker.count_step_tasks(step_name) if step_name else 0
+        for kept in self._by_worker.get(worker.id, ()):
+            beside += (
+                kept.step_name() == step_name
+                if step_name
+                else kept.step is step
+            )
         return beside < step.most_per_worker
 
 
+def _fits(step: specs.StepSpec, group: worker_groups.WorkerGroup) -> bool:
+    return (
+        step.memory_mb <= group.memory_mb
+        and step.accelerators <= group.accelerators
+        and (step.is_filler or step.cpu_millicores <= group.cpu_millicores)
+    )
+
+
 def _take(group: worker_groups.WorkerGroup, step: specs.StepSpec) -> None:
     group.cpu_millicores -= step.cpu_millicores
     group.memory_mb -= step.memory_mb
--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -1,6 +1,5 @@
 """Assignment of waiting tasks to workers, in order of their jobs."""
 
-import itertools
 import math
 import typing
 
@@ -32,12 +31,8 @@
 # Workers of a cell for each standing task that has never run and for which
 # room is kept. A task that has run gets room on any worker.
 MIN_WORKERS_PER_NEW_TASK = 4
-# Age of a worker's last answer from which it may be lost: workers answer each
-# renewal within a second.
-MAX_POLL_AGE_S = 1.2
-# Most steps, and tasks of each, for which other cells get room in a pass.
-MAX_ASKED_STEPS = 64
-MAX_ASKED_TASKS = 500
+# Most tasks for which other cells get room in a pass.
+MAX_ASKED_TASKS = 200
 # Multiple of its objective after which the result of a job has no value.
 NO_VALUE_FACTOR = 3.0
 
@@ -65,7 +60,7 @@
         now_s: Monotonic time.
     """
     age_s = now_s - job.accepted_at_s
-    if _comes_first(job):
+    if job.is_standing() or job.spec.is_timed():
         return (0, job.spec.queue.priority, job.accepted_at_s, job.id)
     is_late = age_s + progress.remaining_s(job) > job.objective_s
     rank = 3 if has_no_value(job, now_s) else 2 if is_late else 1
@@ -155,9 +150,9 @@
     ) -> list[tuple[workers.Worker, runs.Run]]:
         """Assign as many waiting tasks as fit now.
 
-        Room for standing tasks that don't fit, and for those that are
-        expected, is kept in the order of their jobs; what comes after them
-        can't take it.
+        Standing tasks that have run before come first. Room is kept for those
+        that don't fit, then for those that are expected, then for other
+        cells; what comes after them can't take it.
 
         Args:
             waiting: Jobs with their tasks that may start, by job id.
@@ -173,22 +168,33 @@
         """
         usable = [worker for worker in fleet if worker.is_usable(now_s)]
         self._begin_pass(waiting, usable)
-        entries = [(job, steps, False) for job, steps in waiting.values()]
-        entries += [(step.job, [step.tasks], True) for step in expected]
-        entries.sort(key=lambda entry: start_order(entry[0], now_s))
-        first = [entry for entry in entries if _comes_first(entry[0])]
+        ordered = sorted(
+            waiting.values(), key=lambda entry: start_order(entry[0], now_s)
+        )
+        restarts = [entry for entry in ordered if _has_restart(*entry)]
         assigned: list[tuple[workers.Worker, runs.Run]] = []
-        self._place_all(first, usable, assigned, now_s)
-        for step in itertools.islice(asked, MAX_ASKED_STEPS):
-            for _number in range(min(step.task_count, MAX_ASKED_TASKS)):
-                if not self.kept.keep(step, usable):
-                    break
+        self._place_all(restarts, usable, assigned, now_s)
+        for step in sorted(expected, key=lambda s: start_order(s.job, now_s)):
+            self._keep_room(step.job, step.tasks, usable)
+        self._keep_asked(asked, usable)
         if not usable:
             return assigned
-        others = [entry for entry in entries if not _comes_first(entry[0])]
+        others = [entry for entry in ordered if not _has_restart(*entry)]
         self._place_all(others, usable, assigned, now_s)
         return assigned
 
+    def _keep_asked(
+        self,
+        asked: typing.Iterable[specs.StepSpec],
+        usable: list[workers.Worker],
+    ) -> None:
+        left = MAX_ASKED_TASKS
+        for step in asked:
+            for _number in range(min(step.task_count, left)):
+                left -= 1
+                if not self.kept.keep(step, usable):
+                    break
+
     def _begin_pass(
         self,
         waiting: typing.Mapping[str, typing.Any],
@@ -205,26 +211,21 @@
 
     def _place_all(
         self,
-        entries: list[tuple[jobs.Job, list[list[tasks.Task]], bool]],
+        entries: list[tuple[jobs.Job, list[list[tasks.Task]]]],
         usable: list[workers.Worker],
         assigned: list[tuple[workers.Worker, runs.Run]],
         now_s: float,
     ) -> None:
-        """Assign the tasks of some jobs, and keep room for expected ones.
+        """Assign the tasks of some jobs.
 
         Args:
-            entries: Each job with its tasks, by step, and whether they are
-                only expected.
+            entries: Each job with its tasks, by step.
             usable: The workers that may get new runs.
             assigned: The assigned runs, to which others are added.
             now_s: Monotonic time.
         """
         misses = 0
-        for job, steps, is_expected in entries:
-            if is_expected:
-                for step_tasks in steps:
-                    self._keep_room(job, step_tasks, usable)
-                continue
+        for job, steps in entries:
             placed = 0
             for step_tasks in steps:
                 placed += self._place_step(
@@ -244,7 +245,10 @@
     ) -> int:
         step = job.step_of(step_tasks[0])
         if step.is_gang:
-            return self._place_gang(job, step_tasks, usable, assigned, now_s)
+            placed = self._place_gang(job, step_tasks, usable, assigned, now_s)
+            if step.is_standing and not placed:
+                self._keep_room(job, step_tasks, usable)
+            return placed
         placed = 0
         for task in step_tasks:
             if self._is_ruled_out(step):
@@ -481,7 +485,7 @@
             candidates = [
                 worker
                 for worker in candidates
-                if now_s - worker.answered_at_s <= MAX_POLL_AGE_S
+                if now_s <= worker.answer_due_at_s
             ] or candidates
         for group in _near_first(candidates, step):
             worker = self._policy.choose(group, step, self._model)
@@ -542,9 +546,11 @@
         return 0
 
 
-def _comes_first(job: jobs.Job) -> bool:
-    """Return whether a job is placed before room is kept for other cells."""
-    return job.is_standing() or job.spec.is_timed()
+def _has_restart(job: jobs.Job, waiting_steps: list[list[tasks.Task]]) -> bool:
+    """Return whether a standing task of a job waits that has run before."""
+    return job.is_standing() and any(
+        task.run > 0 for step_tasks in waiting_steps for task in step_tasks
+    )
 
 
 def _near_first(
--- a/wisteriawood/cells/relocation.py
+++ b/wisteriawood/cells/relocation.py
@@ -188,12 +188,16 @@
         steps: list[list[tasks.Task]],
         waits_s: list[float],
     ) -> None:
-        if self._cell.writer.has_unwritten(job) and not any(
-            self._is_homeless(job, step_tasks[0]) for step_tasks in steps
-        ):
-            # The number of changes that one transaction contains is bounded;
-            # by the room that is kept for tasks that fit nowhere here.
-            return
+        writer = self._cell.writer
+        if writer.has_unwritten(job):
+            # The number of changes that one transaction contains is bounded.
+            is_urgent = any(
+                self._is_homeless(job, step_tasks[0]) for step_tasks in steps
+            )
+            if job.moved_from or not is_urgent:
+                return
+            if not writer.may_relocate(job):
+                return
         if moving.can_move(job):
             for step_tasks, wait_s in zip(steps, waits_s):
                 if self._move(job, step_tasks, wait_s):
--- a/wisteriawood/cells/room_makers.py
+++ b/wisteriawood/cells/room_makers.py
@@ -4,7 +4,9 @@
 
 from wisteriawood.cells import kept_room
 from wisteriawood.cells import runs
+from wisteriawood.cells import start_checks
 from wisteriawood.cells import workers
+from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
@@ -46,23 +48,22 @@
         Args:
             now_s: Monotonic time.
         """
-        kept = self._cell.placer.kept
         known, self._waiting_since_s = self._waiting_since_s, {}
-        crowded: dict[str, workers.Worker] = {}
-        for entry in kept.entries:
+        due: dict[str, list[kept_room.KeptTask]] = {}
+        for entry in self._cell.placer.kept.entries:
             if entry.job is None or entry.task is None or not entry.task.run:
                 continue
             if entry.task.phase is not tasks.Phase.WAITING:
-                if self._is_lease_ending(entry.task, now_s):
-                    crowded[entry.worker.id] = entry.worker
-                continue
-            name = entry.job.task_name(entry.task)
-            since_s = known.get(name, now_s)
-            self._waiting_since_s[name] = since_s
-            if now_s - since_s >= MAX_WAIT_S:
-                crowded[entry.worker.id] = entry.worker
-        for worker in crowded.values():
-            self._make_room(kept, worker)
+                is_due = self._is_lease_ending(entry.task, now_s)
+            else:
+                name = entry.job.task_name(entry.task)
+                since_s = known.get(name, now_s)
+                self._waiting_since_s[name] = since_s
+                is_due = now_s - since_s >= MAX_WAIT_S
+            if is_due:
+                due.setdefault(entry.worker.id, []).append(entry)
+        for entries in due.values():
+            self._make_room(entries[0].worker, [e.step for e in entries])
 
     def _is_lease_ending(self, task: tasks.Task, now_s: float) -> bool:
         """Return whether the run of a task will soon be known to have ended.
@@ -77,24 +78,26 @@
         return now_s >= worker.lease.ended_at_s() - STOP_LEAD_S
 
     def _make_room(
-        self, kept: kept_room.KeptRoom, worker: workers.Worker
+        self, worker: workers.Worker, steps: list[specs.StepSpec]
     ) -> None:
-        """Stop batch tasks on a worker until what is kept there fits."""
-        missing_mb = kept.shortage_mb(worker)
-        missing_millicores = kept.shortage_millicores(worker)
+        """Stop batch tasks on a worker until some tasks fit.
+
+        Args:
+            worker: The worker.
+            steps: Step of each of the tasks.
+        """
+        missing = Shortage(worker=worker, steps=steps)
         for run in worker.runs.values():
             if run.is_stopping:
-                missing_mb -= run.step.memory_mb
-                missing_millicores -= _reserved_millicores(run)
+                missing.subtract(run.step)
         for run in sorted(worker.runs.values(), key=_stop_order):
+            if missing.is_covered():
+                return
             if run.step.is_standing or run.is_stopping:
                 continue
-            if missing_mb <= 0 and missing_millicores <= 0:
-                return
-            if missing_mb <= 0 and not _reserved_millicores(run):
+            if not missing.is_reduced_by(run.step):
                 continue
-            missing_mb -= run.step.memory_mb
-            missing_millicores -= _reserved_millicores(run)
+            missing.subtract(run.step)
             _LOG.log(
                 job_events.RUN_PREEMPTED,
                 worker=worker.id,
@@ -102,16 +105,78 @@
                 run=run.number,
                 free_millicores=worker.free_millicores,
                 free_mb=worker.free_memory_mb,
-                missing_millicores=max(0, missing_millicores),
-                missing_mb=max(0, missing_mb),
+                left_millicores=max(0, missing.cpu_millicores),
+                left_mb=max(0, missing.memory_mb),
             )
-            self._cell.stop_run(worker, run)
+            start_checks.withdraw(self._cell, worker, run)
+
+
+class Shortage:
+    """What a worker lacks for some tasks; 0 or less where it has enough.
+
+    Args:
+        worker: The worker.
+        steps: Step of each task.
+
+    Attributes:
+        cpu_millicores: CPU that it lacks.
+        memory_mb: Memory that it lacks.
+        accelerators: Accelerators that it lacks.
+    """
+
+    __slots__ = ("accelerators", "cpu_millicores", "memory_mb")
 
+    def __init__(self, *, worker: workers.Worker, steps: list[specs.StepSpec]):
+        self.cpu_millicores = (
+            sum(step.cpu_millicores for step in steps) - worker.free_millicores
+        )
+        self.memory_mb = (
+            sum(step.memory_mb for step in steps) - worker.free_memory_mb
+        )
+        self.accelerators = (
+            sum(step.accelerators for step in steps) - worker.free_accelerators
+        )
 
-def _reserved_millicores(run: runs.Run) -> int:
-    return 0 if run.step.is_filler else run.step.cpu_millicores
+    def is_covered(self) -> bool:
+        """Return whether nothing is lacking."""
+        return max(self.cpu_millicores, self.memory_mb, self.accelerators) <= 0
+
+    def is_reduced_by(self, step: specs.StepSpec) -> bool:
+        """Return whether the end of a task frees some of what is lacking.
+
+        Args:
+            step: Step of the task.
+        """
+        return bool(
+            (self.cpu_millicores > 0 and _reserved_millicores(step))
+            or (self.memory_mb > 0 and step.memory_mb)
+            or (self.accelerators > 0 and step.accelerators)
+        )
+
+    def subtract(self, step: specs.StepSpec) -> None:
+        """Count a task that will end.
+
+        Args:
+            step: Step of the task.
+        """
+        self.cpu_millicores -= _reserved_millicores(step)
+        self.memory_mb -= step.memory_mb
+        self.accelerators -= step.accelerators
+
+
+def _reserved_millicores(step: specs.StepSpec) -> int:
+    """Return the CPU that a task reserves; fillers reserve none."""
+    return 0 if step.is_filler else step.cpu_millicores
 
 
 def _stop_order(run: runs.Run) -> tuple:
-    """Return a sort key: first the runs that lose least work."""
-    return (not run.step.is_checkpointing, -run.assigned_at_s, run.name)
+    """Return a sort key: first the runs that lose least work.
+
+    A gang loses the work of all its members.
+    """
+    return (
+        run.step.is_gang,
+        not run.step.is_checkpointing,
+        -run.assigned_at_s,
+        run.name,
+    )
--- a/wisteriawood/cells/room_needs.py
+++ b/wisteriawood/cells/room_needs.py
@@ -11,9 +11,7 @@
 from wisteriawood.links.codecs import bounds
 
 
-class RoomNeed(
-    msgspec.Struct, kw_only=True, array_like=True, forbid_unknown_fields=True
-):
+class RoomNeed(msgspec.Struct, kw_only=True, array_like=True, frozen=True):
     """Standing tasks that need a worker elsewhere; encoded as a list.
 
     Attributes:
@@ -22,6 +20,7 @@
         memory_mb: Memory of each task.
         accelerators: Accelerators of each task.
         label: Label that a worker must have; empty for any worker.
+        most_per_worker: Most tasks on one worker; 0 for any.
     """
 
     tasks: bounds.Amount
@@ -29,6 +28,7 @@
     memory_mb: bounds.Amount
     accelerators: bounds.Amount = 0
     label: bounds.Name = ""
+    most_per_worker: bounds.Amount = 0
 
     def step(self, task_count: int) -> specs.StepSpec:
         """Return a step that stands for some of the tasks.
@@ -42,6 +42,7 @@
             memory_mb=self.memory_mb,
             accelerators=self.accelerators,
             required_label=self.label,
+            most_per_worker=self.most_per_worker,
             is_standing=True,
         )
 
@@ -55,12 +56,14 @@
     Args:
         steps: Step of each task.
     """
-    counts = collections.Counter(
-        (
-            step.cpu_millicores,
-            step.memory_mb,
-            step.accelerators,
-            step.required_label,
+    counts: collections.Counter[RoomNeed] = collections.Counter(
+        RoomNeed(
+            tasks=1,
+            cpu_millicores=step.cpu_millicores,
+            memory_mb=step.memory_mb,
+            accelerators=step.accelerators,
+            label=step.required_label,
+            most_per_worker=step.most_per_worker,
         )
         for step in steps
     )
@@ -68,37 +71,26 @@
         if len(counts) <= worker_groups.MAX_GROUPS:
             break
         counts = _round_up(counts, 2**exponent)
-    largest = sorted(counts.items(), reverse=True)[: worker_groups.MAX_GROUPS]
     return [
-        RoomNeed(
-            tasks=count,
-            cpu_millicores=cpu_millicores,
-            memory_mb=memory_mb,
-            accelerators=accelerators,
-            label=label,
-        )
-        for (
-            cpu_millicores,
-            memory_mb,
-            accelerators,
-            label,
-        ), count in largest
+        msgspec.structs.replace(need, tasks=count)
+        for need, count in counts.most_common(worker_groups.MAX_GROUPS)
     ]
 
 
 def _round_up(
-    counts: collections.Counter[tuple[int, int, int, str]], grain: int
-) -> collections.Counter[tuple[int, int, int, str]]:
-    rounded: collections.Counter[tuple[int, int, int, str]] = (
-        collections.Counter()
-    )
+    counts: collections.Counter[RoomNeed], grain: int
+) -> collections.Counter[RoomNeed]:
+    rounded: collections.Counter[RoomNeed] = collections.Counter()
     cpu_grain = worker_groups.MIN_GRAIN_MILLICORES * grain
     memory_grain = worker_groups.MIN_GRAIN_MB * grain
-    for key, count in counts.items():
-        cpu_millicores, memory_mb, accelerators, label = key
-        cpu_millicores = math.ceil(cpu_millicores / cpu_grain) * cpu_grain
-        memory_mb = math.ceil(memory_mb / memory_grain) * memory_grain
-        rounded[cpu_millicores, memory_mb, accelerators, label] += count
+    for need, count in counts.items():
+        key = msgspec.structs.replace(
+            need,
+            cpu_millicores=math.ceil(need.cpu_millicores / cpu_grain)
+            * cpu_grain,
+            memory_mb=math.ceil(need.memory_mb / memory_grain) * memory_grain,
+        )
+        rounded[key] += count
     return rounded
 
 
--- a/wisteriawood/cells/start_checks.py
+++ b/wisteriawood/cells/start_checks.py
@@ -2,6 +2,8 @@
 
 import typing
 
+import anyio
+
 from wisteriawood.cells import progress
 from wisteriawood.cells import runs
 from wisteriawood.cells import workers
@@ -28,7 +30,7 @@
     registration = worker.registration
     if worker.is_gone:
         return "the worker is not in the directory"
-    if not worker.is_answering:
+    if worker.is_silent(anyio.current_time()):
         return "the worker does not answer"
     if registration.is_draining:
         return "the worker drains"
--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -1,5 +1,7 @@
 """Sessions with workers: lease renewals, reports and acknowledgements."""
 
+import math
+
 import anyio
 
 from wisteriawood.cells import cells
@@ -24,6 +26,8 @@
 # least HIGH_LATENCY_RATIO of its bound.
 HIGH_LATENCY_WAIT_MS = 400
 HIGH_LATENCY_RATIO = 0.8
+# Time in which a worker usually answers a call.
+USUAL_CALL_S = 0.3
 # Longest wait for the commit of ended runs before the next renewal.
 COMMIT_WAIT_S = 0.25
 # Pause between renewals while that commit is pending.
@@ -149,19 +153,20 @@
         # partitioned, the end of its lease is what stops its runs.
         is_answering = worker.is_answering
         until_ms = worker.lease.grant(sent_at_s) if is_answering else 0
+        wait_ms = (
+            self._wait_ms() if is_answering and not self._uncommitted else 0
+        )
+        worker.answer_due_at_s = sent_at_s + wait_ms / 1000 + USUAL_CALL_S
         report = await worker.link.renew(
             token=token,
             # Another instance may answer after a failed call, and it numbers
             # its ends from one again.
             acknowledged=worker.acknowledged if is_answering else 0,
             lease_until_ms=until_ms,
-            wait_ms=(
-                self._wait_ms()
-                if is_answering and not self._uncommitted
-                else 0
-            ),
+            wait_ms=wait_ms,
         )
         now_s = anyio.current_time()
+        worker.answer_due_at_s = math.inf
         worker.lease.record_clock(report.clock_ms, now_s)
         worker.answered_at_s = now_s
         if not is_answering:
--- a/wisteriawood/cells/workers.py
+++ b/wisteriawood/cells/workers.py
@@ -32,6 +32,9 @@
 HEAVY_ADDED_LOAD = 0.07
 # Age of a serving task from which its tail latency reflects its load.
 TAIL_WARMUP_S = 1.0
+# Time without an answer after which a worker counts as silent once a renewal
+# has failed; the first retry follows within it.
+SILENCE_S = 0.5
 # Workers whose last answer is older get no new runs.
 MAX_ANSWER_AGE_S = 2.5
 
@@ -52,6 +55,8 @@
         started_unix_ms: Start of the worker's known process, as wall time; 0
             before its first answer.
         answered_at_s: Monotonic time of the last answer; 0 before the first.
+        answer_due_at_s: Monotonic time from which the answer to the renewal
+            under way is overdue; infinite while there is none.
         is_answering: Whether the last renewal of the lease was answered.
         commands: Sending end of the queue of runs to start or stop.
         commands_out: Receiving end of that queue.
@@ -76,6 +81,7 @@
         "_serving_millicores",
         "_share_history",
         "acknowledged",
+        "answer_due_at_s",
         "answered_at_s",
         "avoided_until_s",
         "blocked_images_until_s",
@@ -116,6 +122,7 @@
         self.last_processed_end = 0
         self.started_unix_ms = 0
         self.answered_at_s = 0.0
+        self.answer_due_at_s = math.inf
         self.is_answering = False
         self.is_gone = False
         self.is_closed = False
@@ -380,6 +387,18 @@
             return self.lease.grant(now_s)
         return self.lease.granted_until_ms
 
+    def is_silent(self, now_s: float) -> bool:
+        """Return whether the worker left a renewal unanswered, and another.
+
+        A single failed call may be due to its connection.
+
+        Args:
+            now_s: Monotonic time.
+        """
+        if self.is_answering:
+            return False
+        return now_s - self.answered_at_s > SILENCE_S
+
     def has_answered_recently(self, now_s: float) -> bool:
         """Return whether the worker answered recently.
 
