Let a new holder of a cell ask the host of the former one

Cause: hosts exchange news through the store alone. Nothing told the new holder that the former one had ended, so it waited for 12 s and a lease from its claim, 18.3 s, although the former one lost its cell 0.5 s after it.

Fix: each host listens on the first of its internal ports and tells the address in its heartbeat. A new holder starts a task for each former hold whose end is unknown; it tells the newer claim and asks every 0.5 s. The host that is asked extends no lease from that moment, gives the cell up, and answers for how long its hold has ended and how long the leases of silent workers may still run; these times count from the arrival of the answer. A later process of the same host answers with its age. Refused connections, resets, silence and odd messages prove nothing, and the wait stays. So it does if the former holder is cut off from the other hosts as well.

Random faults with linked hosts are in ownership_tests.

--- a/wisteriawood/cells/claims.py
+++ b/wisteriawood/cells/claims.py
@@ -196,6 +196,8 @@
         given_up: Versions of the claims under which it no longer holds a
             cell, by cell.
         given_up_s: For how long it has no longer held them, by cell.
+        address: Address at which other hosts reach it, as host:port; empty
+            if there is none.
     """
 
     zone: bounds.Name
@@ -215,6 +217,7 @@
     given_up_s: dict[bounds.Name, bounds.Measure] = dataclasses.field(
         default_factory=dict
     )
+    address: bounds.Name = ""
 
 
 def read_heartbeat(row: stores.StoredRow) -> HostHeartbeat:
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -92,6 +92,8 @@
         supervisor: Records unexpected errors; None to only log them.
 
     Attributes:
+        address: Address at which other hosts reach this one, as host:port;
+            empty if there is none.
         is_leaving: Whether this host is draining.
         heartbeat_written_at_s: Monotonic time of this host's last
             successful heartbeat; 0 before the first.
@@ -117,6 +119,7 @@
         "_started_at_s",
         "_store",
         "_times",
+        "address",
         "by_name",
         "claim_feed",
         "claims",
@@ -161,6 +164,7 @@
         self.on_ended: typing.Callable[[], None] = lambda: None
         # Monotonic times and versions of the claims given up, by cell.
         self._given_up: dict[str, tuple[float, int]] = {}
+        self.address = ""
         self.name = name
         self.zone = zone
         self.incarnation = incarnation
@@ -275,6 +279,10 @@
             self._ended = [*self._ended, incarnation][-MAX_ENDED:]
             self.on_ended()
 
+    def age_s(self) -> float:
+        """Return for how long the process of this host has run."""
+        return anyio.current_time() - self._started_at_s
+
     def record_given_up(self, claim: claims.Claim) -> None:
         """Record that this host no longer holds a cell under a claim.
 
@@ -510,7 +518,7 @@
         """
         self._heartbeat_count += 1
         now_s = anyio.current_time()
-        age_s = now_s - self._started_at_s
+        age_s = self.age_s()
         given_up = {
             cell: (ended_at_s, version)
             for cell, (ended_at_s, version) in self._given_up.items()
@@ -533,6 +541,7 @@
                 cell: _floor_tenth(now_s - ended_at_s)
                 for cell, (ended_at_s, _version) in given_up.items()
             },
+            address=self.address,
         )
         change = stores.Change(
             writes={tables.host_row(self.name): claims.heartbeat_to_bytes(row)}
--- a/wisteriawood/links/messages.py
+++ b/wisteriawood/links/messages.py
@@ -1,4 +1,4 @@
-"""Messages between entry hosts and schedulers."""
+"""Messages between the hosts of the system."""
 
 import dataclasses
 import enum
@@ -7,6 +7,7 @@
 from wisteriawood.contracts import configurations
 from wisteriawood.contracts import grants
 from wisteriawood.contracts import holdings
+from wisteriawood.links.codecs import bounds
 
 TYPES: dict[str, type] = {}
 
@@ -149,3 +150,56 @@
     """
 
     snapshot: configurations.ConfigSnapshot
+
+
+@message("hold-question")
+@dataclasses.dataclass(slots=True, kw_only=True)
+class HoldQuestion:
+    """Asks a host whether its hold of a cell has ended, as it should.
+
+    Attributes:
+        cell: Name of the cell.
+        host: Host that has claimed it.
+        epoch: Epoch of its claim.
+        version: Version of its claim.
+        former_host: Host that is asked.
+        former_incarnation: Identifier of the process that claimed it before.
+        former_version: Version of the claim of that process.
+    """
+
+    cell: bounds.Name
+    host: bounds.Name
+    epoch: bounds.Amount
+    version: bounds.Number
+    former_host: bounds.Name
+    former_incarnation: bounds.Name
+    former_version: bounds.Number
+
+
+@message("hold-answer")
+@dataclasses.dataclass(slots=True, kw_only=True)
+class HoldAnswer:
+    """Tells whether a former hold has ended; all times are durations.
+
+    Attributes:
+        cell: Name of the cell.
+        host: Host that answers.
+        incarnation: Identifier of its process.
+        former_version: Version of the claim that the question is about.
+        has_ended: Whether nobody renews leases under that claim any more.
+        ended_s: For how long that has been so at least.
+        by_worker_s: For how long the leases of silent workers may still run.
+        others_s: The same of leases that earlier holders may have granted to
+            other workers.
+    """
+
+    cell: bounds.Name
+    host: bounds.Name
+    incarnation: bounds.Name
+    former_version: bounds.Number
+    has_ended: bool = False
+    ended_s: bounds.Measure = 0.0
+    by_worker_s: dict[bounds.Name, bounds.Measure] = dataclasses.field(
+        default_factory=dict
+    )
+    others_s: bounds.Measure = 0.0
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -18,11 +18,14 @@
 from wisteriawood.cells import worker_directories
 from wisteriawood import errors
 from wisteriawood.jobs import queues
+from wisteriawood.links import messages
 from wisteriawood.links import runners
 from wisteriawood.links import stores
 from wisteriawood.links import version_times
 from wisteriawood.machines import directory_needs
 from wisteriawood.machines import heartbeats
+from wisteriawood.machines import hold_answers
+from wisteriawood.machines import hold_questions
 from wisteriawood.machines import host_limits
 from wisteriawood.machines import suspensions
 from wisteriawood.machines import takeovers
@@ -61,6 +64,8 @@
         policy: Name of the spreading policy.
         cores: CPU that the host may use, in cores; 0 if unknown.
         process_age_s: For how long its process has run already.
+        dial_host: Opens the channel to another host; None if hosts are not
+            linked.
 
     Attributes:
         directory: The directory of workers.
@@ -70,12 +75,14 @@
         directory_need: Whether this host follows the directory of workers.
         version_times: When changes of the store were made.
         supervisor: Contains unexpected errors.
+        hold_answers: Answers other hosts that have claimed cells of this one.
     """
 
     __slots__ = (
         "_dial",
         "_group",
         "_heartbeats",
+        "_hold_questions",
         "_holders",
         "_limits",
         "_policy",
@@ -87,6 +94,7 @@
         "counters",
         "directory",
         "directory_need",
+        "hold_answers",
         "is_draining",
         "members",
         "name",
@@ -110,6 +118,7 @@
         policy: str = spreading_base.DEFAULT,
         cores: float = 0.0,
         process_age_s: float = 0.0,
+        dial_host: hold_questions.DialHost | None = None,
     ):
         self.name = name
         self.zone = zone
@@ -151,6 +160,16 @@
         self._takeovers = takeovers.Takeovers(
             known_members=self.members, dial=dial, workers_of=self._workers_of
         )
+        self.hold_answers = hold_answers.HoldAnswers(
+            known_members=self.members, end_hold=self._end_superseded_hold
+        )
+        self._hold_questions: hold_questions.HoldQuestions | None = None
+        if dial_host is not None:
+            self._hold_questions = hold_questions.HoldQuestions(
+                known_members=self.members,
+                dial_host=dial_host,
+                supervisor=self.supervisor,
+            )
 
     def _make_members(
         self, cores: float, process_age_s: float
@@ -349,6 +368,11 @@
                 3,
             ),
         )
+        former_holder = former_holders.FormerHolder(
+            claim=former,
+            known_members=self.members,
+            lease_s=self._limits.lease_s,
+        )
         holder = holders.Holder(
             cell=cells.Cell(
                 claim=claim,
@@ -363,11 +387,7 @@
             dial=self._dial,
             lease_s=self._limits.lease_s,
             retention_s=self._limits.retention_s,
-            former=former_holders.FormerHolder(
-                claim=former,
-                known_members=self.members,
-                lease_s=self._limits.lease_s,
-            ),
+            former=former_holder,
         )
         holder.update_fleet(self._workers_of(cell))
         self._holders[cell] = holder
@@ -375,6 +395,47 @@
         self.counters.cells_held.set(len(self._holders))
         if self._group is not None:
             self._group.start_soon(self._run_holder, cell, holder)
+        self._ask_former_holders(holder, former_holder)
+
+    def _ask_former_holders(
+        self, holder: holders.Holder, former: former_holders.FormerHolder
+    ) -> None:
+        """Start one task for each former holder whose end is unknown."""
+        if self._group is None or self._hold_questions is None:
+            return
+        claim = holder.cell.claim
+        for hold in former.holds:
+            self._group.start_soon(
+                self._hold_questions.ask,
+                claim,
+                hold,
+                lambda: self._holders.get(claim.cell) is holder,
+            )
+
+    def _end_superseded_hold(self, question: messages.HoldQuestion) -> bool:
+        """End a hold at once if a newer claim supersedes it.
+
+        Args:
+            question: The question of the host with the newer claim.
+
+        Returns:
+            Whether this host does not hold the cell any more.
+        """
+        cell = question.cell
+        holder = self._holders.get(cell)
+        if holder is None:
+            return True
+        held = holder.cell.claim
+        if question.epoch <= held.epoch or question.version <= held.version:
+            return False
+        _LOG.log(
+            job_events.CELL_LOST,
+            cell=cell,
+            cause=f"{question.host} has claimed it",
+        )
+        self.hold_answers.record(held, holder.withhold_leases())
+        self._scopes[cell].cancel()
+        return True
 
     async def _run_holder(self, cell: str, holder: holders.Holder) -> None:
         has_failed = False
@@ -392,6 +453,9 @@
             if self._holders.get(cell) is holder:
                 del self._holders[cell]
                 del self._scopes[cell]
+            self.hold_answers.record(
+                holder.cell.claim, holder.withhold_leases()
+            )
             self.members.record_given_up(holder.cell.claim)
             self._heartbeats.send_soon()
             self.counters.cells_held.set(len(self._holders))
@@ -434,8 +498,9 @@
             leases_left = holder.withhold_leases()
             await self._release_claim(cell, holder.cell.claim, leases_left)
         except (errors.PlatformUnavailableError, stores.ChangeRejectedError):
-            is_kept = True
-            holder.restore_leases()
+            is_kept = self._is_running(cell, holder)
+            if is_kept:
+                holder.restore_leases()
         except errors.PlatformError:
             # It may have been stored, or may still be.
             pass
@@ -444,6 +509,12 @@
             if not is_kept and self._holders.get(cell) is holder:
                 self._scopes[cell].cancel()
 
+    def _is_running(self, cell: str, holder: holders.Holder) -> bool:
+        """Return whether a holder manages its cell and is not ending."""
+        if self._holders.get(cell) is not holder:
+            return False
+        return not self._scopes[cell].cancel_called
+
     async def _release_claim(
         self,
         cell: str,
--- a/wisteriawood/platform/__main__.py
+++ b/wisteriawood/platform/__main__.py
@@ -1,5 +1,6 @@
 """Entry point of a job host on the users' platform."""
 
+import contextlib
 import functools
 import signal
 import sys
@@ -9,9 +10,11 @@
 
 import wisteriawood
 from wisteriawood import errors
+from wisteriawood.links import channels
 from wisteriawood.links import feeds
 from wisteriawood.links import https
 from wisteriawood.links import runners
+from wisteriawood.links import sockets
 from wisteriawood.links import stores
 from wisteriawood.machines import host_limits
 from wisteriawood.machines import intakes
@@ -76,6 +79,7 @@
             limits=_host_limits(config),
             cores=config.limits.cpu_share * config.limits.cores,
             process_age_s=time.monotonic() - wisteriawood.STARTED_AT_S,
+            dial_host=_dial_host,
         )
         self._intake = intakes.Intake(host=self._host)
         self._front = fronts.Front(host=self._host, intake=self._intake)
@@ -153,6 +157,25 @@
             raise
         self._server_closed.set()
 
+    async def _serve_hosts(self) -> None:
+        """Answer other hosts on an internal port, if there is one."""
+        address = self.config.internal_address()
+        if not address:
+            return
+        host = self._host
+
+        def _publish() -> None:
+            host.members.address = address
+
+        await sockets.serve(
+            address=address,
+            handler=host.hold_answers.serve,
+            on_listening=_publish,
+            on_error=functools.partial(
+                host.supervisor.record, "host link", self.config.node_name
+            ),
+        )
+
     async def run(self) -> None:
         """Run until the platform sends SIGTERM or SIGINT."""
         writer = lines.log_to_output(fields={"host": self.config.node_name})
@@ -165,6 +188,7 @@
                 ("intake", self._intake.run),
                 ("configuration feed", self._configuration_feed.run),
                 ("worker feed", self._workers.run),
+                ("host links", self._serve_hosts),
             ):
                 group.start_soon(
                     self._host.supervisor.run,
@@ -205,6 +229,12 @@
     return worker_client.WorkerClient(registration=registration)
 
 
+def _dial_host(
+    address: str,
+) -> contextlib.AbstractAsyncContextManager[channels.Channel]:
+    return sockets.connect(address=address)
+
+
 async def _run() -> None:
     await PlatformDaemon(config=settings.load()).run()
 
--- a/wisteriawood/platform/settings.py
+++ b/wisteriawood/platform/settings.py
@@ -100,6 +100,9 @@
         limits: Resources that the process may use.
         heartbeat_ms: Time between two writes of a worker to the directory,
             in milliseconds.
+        ip: IP address of the host; empty if unknown.
+        internal_ports: First and last port that hosts may use among
+            themselves; empty for none.
     """
 
     node_name: str
@@ -113,6 +116,15 @@
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
     limits: Limits = dataclasses.field(default_factory=Limits)
     heartbeat_ms: float = 1500
+    ip: str = ""
+    internal_ports: list[int] = dataclasses.field(default_factory=list)
+
+    def internal_address(self) -> str:
+        """Return the address for other hosts; empty if there is none."""
+        if not self.ip or not self.internal_ports:
+            return ""
+        ip = f"[{self.ip}]" if ":" in self.ip else self.ip
+        return f"{ip}:{self.internal_ports[0]}"
 
 
 def load(path: str = "") -> Settings:
--- a/wisteriawood/platform/standins.py
+++ b/wisteriawood/platform/standins.py
@@ -445,6 +445,7 @@
     zone: str,
     zones: list[str],
     *,
+    internal_port: int = 0,
     front: str,
     ready: str,
     store: str,
@@ -456,6 +457,8 @@
         name: Name of the host.
         zone: Availability zone of the host.
         zones: All availability zones.
+        internal_port: Port for other hosts, on the loopback interface; 0 for
+            none.
         front: Address for callers' requests, as host:port.
         ready: Address for the balancer's readiness checks, as host:port.
         store: Address of the store, as host:port.
@@ -473,6 +476,9 @@
             "grace_s": 6,
         },
     }
+    if internal_port:
+        value["ip"] = "127.0.0.1"
+        value["internal_ports"] = [internal_port, internal_port]
     return json.dumps(value).encode()
 
 
--- a/wisteriawood/soak/hosts.py
+++ b/wisteriawood/soak/hosts.py
@@ -26,6 +26,7 @@
 
     Attributes:
         caller_port: Port on which it serves callers.
+        internal_port: Port on which it answers other hosts.
         ready_port: Port of its readiness endpoint.
         should_run: Whether it is started whenever it is not running.
         starts: Number of times it was started.
@@ -35,6 +36,7 @@
         "_folder",
         "_process",
         "caller_port",
+        "internal_port",
         "name",
         "ready_port",
         "should_run",
@@ -48,6 +50,7 @@
         self._folder = folder
         self._process: subprocess.Popen | None = None
         self.caller_port = 0
+        self.internal_port = 0
         self.ready_port = 0
         self.should_run = True
         self.starts = 0
@@ -66,6 +69,7 @@
             self.name,
             self.zone,
             zones,
+            internal_port=self.internal_port,
             front=f"127.0.0.1:{self.caller_port}",
             ready=f"127.0.0.1:{self.ready_port}",
             store=f"127.0.0.1:{store_port}",
--- a/wisteriawood/soak/worlds.py
+++ b/wisteriawood/soak/worlds.py
@@ -296,6 +296,7 @@
         self.stores[name] = store
         self.store_links[name] = await self._add_link(group, store_port)
         host = hosts.HostProcess(name=name, zone=zone, folder=self._folder)
+        host.internal_port = self._ports.reserve()
         host.caller_port = self._ports.reserve()
         host.ready_port = self._ports.reserve()
         host.write_settings(
--- a/wisteriawood/standins/job_worlds.py
+++ b/wisteriawood/standins/job_worlds.py
@@ -1,17 +1,21 @@
 """A simulated cluster for jobs: a store, workers and job hosts."""
 
 import collections
+import contextlib
 import dataclasses
+import functools
 import typing
 
 import anyio
 from anyio import abc
 
 from wisteriawood.cells import tables
+from wisteriawood import errors
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import queues
 from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
+from wisteriawood.links import channels
 from wisteriawood.links import clocks
 from wisteriawood.links import runners
 from wisteriawood.machines import host_limits
@@ -36,6 +40,8 @@
     max_cancel_age_s=MAX_CANCEL_AGE_S,
 )
 FIRST_PORT = 10000
+HOST_PORT = 7720
+HOST_LINK_DELAY_S = 0.003
 SUBMIT_TIMEOUT_S = 3.0
 
 
@@ -47,8 +53,10 @@
         zones: Names of the availability zones.
         hosts_per_zone: Number of job hosts in each zone.
         workers_per_zone: Number of workers in each zone.
+        has_host_links: Whether hosts reach each other directly.
 
     Attributes:
+        cut_links: Pairs of hosts that don't reach each other directly.
         work_s: Run time at full speed, in seconds, of a task by its name or
             of the tasks of a job by its id; DEFAULT_WORK_S for others.
         failing_workers: Names of workers on which every run fails.
@@ -57,8 +65,11 @@
 
     __slots__ = (
         "_group",
+        "_has_host_links",
+        "_host_addresses",
         "_lost_workers",
         "_scopes",
+        "cut_links",
         "failing_workers",
         "hosts",
         "outdated_hosts",
@@ -76,8 +87,12 @@
         zones: typing.Sequence[str] = ("a", "b"),
         hosts_per_zone: int = 2,
         workers_per_zone: int = 3,
+        has_host_links: bool = False,
     ):
         self._group = group
+        self._has_host_links = has_host_links
+        self._host_addresses: dict[str, str] = {}
+        self.cut_links: set[frozenset[str]] = set()
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._lost_workers: set[str] = set()
         self.zones = list(zones)
@@ -199,13 +214,54 @@
             dial=_dial,
             limits=LIMITS,
             cores=cores,
+            dial_host=functools.partial(self._dial_host, name),
         )
+        if self._has_host_links:
+            host.members.address = self._address_of(name)
         host.adopt_queues(queues.QueueTable(version=1, queues=[self.queue]))
         self.hosts[name] = host
         self._scopes[name] = anyio.CancelScope()
         self._group.start_soon(self._run_host, name, host)
         self.publish_directory()
 
+    def _address_of(self, name: str) -> str:
+        address = f"10.1.0.{1 + len(self._host_addresses)}:{HOST_PORT}"
+        return self._host_addresses.setdefault(name, address)
+
+    @contextlib.asynccontextmanager
+    async def _dial_host(
+        self, dialler: str, address: str
+    ) -> typing.AsyncIterator[channels.Channel]:
+        """Connect a host to the one at an address, and yield the channel."""
+        await anyio.sleep(HOST_LINK_DELAY_S)
+        found = [n for n, a in self._host_addresses.items() if a == address]
+        if frozenset((dialler, *found)) in self.cut_links:
+            await anyio.sleep_forever()
+        if not found or found[0] not in self.hosts:
+            raise errors.LinkClosedError("refused")
+        near, far = channels.memory_pair()
+        self._group.start_soon(self._serve_link, self.hosts[found[0]], far)
+        try:
+            yield near
+        finally:
+            await near.aclose()
+
+    async def _serve_link(
+        self, host: job_hosts.JobHost, channel: channels.Channel
+    ) -> None:
+        with contextlib.suppress(errors.LinkError, errors.MessageError):
+            await host.hold_answers.serve(channel)
+
+    def cut_host_links(self, name: str) -> None:
+        """Cut a host off from all other hosts, but from nothing else.
+
+        Args:
+            name: Name of the host.
+        """
+        self.cut_links.update(
+            frozenset((name, other)) for other in self.hosts if other != name
+        )
+
     async def _run_host(self, name: str, host: job_hosts.JobHost) -> None:
         with self._scopes[name]:
             await host.run()
@@ -269,6 +325,11 @@
         """
         inside = {n for n, host in self.hosts.items() if host.zone == zone}
         self.store.cut_hosts |= inside
+        self.cut_links.update(
+            frozenset((name, other))
+            for name in inside
+            for other in self.hosts.keys() - inside
+        )
         for worker in self.workers.values():
             is_inside = worker.registration.zone == zone
             worker.cut_from |= (
@@ -278,6 +339,7 @@
     def heal(self) -> None:
         """End all cuts."""
         self.store.cut_hosts.clear()
+        self.cut_links.clear()
         for worker in self.workers.values():
             worker.cut_from.clear()
 
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -348,3 +348,17 @@
     "Load of a cell: for each worker its latency-sensitive tasks, runs, free "
     "cores, cores requested by fillers, and free memory in GiB.",
 )
+HOLD_ENDED = events.define(
+    2121,
+    "hold-ended",
+    "The host of a cell's former holder has answered that it renews no lease "
+    "any more, and for how long those of silent workers may still run.",
+)
+HOLD_UNANSWERED = events.define(
+    2122,
+    "hold-unanswered",
+    "A new holder of a cell has asked the host of the former one, and still "
+    "does not know that it has ended; it asks again, and tasks of silent "
+    "workers wait for the longest time for which it may renew leases.",
+    "Check whether hosts reach each other on their internal ports.",
+)
--- a/wisteriawood/tests/ownership_builders.py
+++ b/wisteriawood/tests/ownership_builders.py
@@ -307,6 +307,23 @@
         await anyio.sleep(rng.uniform(0.3, 3) if is_high else 0.2)
 
 
+async def vary_host_links(world, rng, until_s):
+    """Cut direct links between hosts, others each second or so.
+
+    Args:
+        world: The world, whose hosts are linked.
+        rng: Source of all choices.
+        until_s: Monotonic time from which no link is cut.
+    """
+    while anyio.current_time() < until_s:
+        world.cut_links.clear()
+        names = sorted(world.hosts)
+        for name in rng.sample(names, rng.randint(0, len(names) // 2)):
+            world.cut_host_links(name)
+        await anyio.sleep(rng.uniform(0.5, 4))
+    world.cut_links.clear()
+
+
 def heal(world):
     """End all faults that are still there."""
     world.heal()
--- a/wisteriawood/tests/ownership_tests.py
+++ b/wisteriawood/tests/ownership_tests.py
@@ -372,7 +372,16 @@
 class RandomFaultTests(unittest.TestCase):
     """Overlapping faults under load, in three small zones."""
 
-    def _run(self, seed, names, *, check, is_calm=False, workers_per_zone=2):
+    def _run(
+        self,
+        seed,
+        names,
+        *,
+        check,
+        is_calm=False,
+        workers_per_zone=2,
+        has_host_links=False,
+    ):
         async def _check(world):
             rng = random.Random(seed)
             await anyio.sleep(3)
@@ -389,6 +398,13 @@
                     rng,
                     0.0 if is_calm else until_s,
                 )
+                if has_host_links:
+                    group.start_soon(
+                        ownership_builders.vary_host_links,
+                        world,
+                        random.Random(seed),
+                        until_s,
+                    )
                 async with anyio.create_task_group() as load:
                     load.start_soon(
                         ownership_builders.submit, world, rng, until_s
@@ -399,7 +415,10 @@
                 group.cancel_scope.cancel()
 
         builders.run_job_world(
-            _check, zones=["a", "b", "c"], workers_per_zone=workers_per_zone
+            _check,
+            zones=["a", "b", "c"],
+            workers_per_zone=workers_per_zone,
+            has_host_links=has_host_links,
         )
 
     async def _check_owners(self, world):
@@ -425,6 +444,15 @@
             with self.subTest(seed=seed):
                 self._run(seed, names, check=self._check_jobs)
 
+    def test_jobs_of_hosts_that_are_linked(self):
+        """Guards against two runs after an answer of a former holder."""
+        names = ownership_builders.FAULTS.names()
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self._run(
+                    seed, names, check=self._check_jobs, has_host_links=True
+                )
+
     def test_jobs_that_often_move_keep_an_owner(self):
         """Guards against returned jobs that no holder has (LOST)."""
         for seed in MOVING_SEEDS:
