--- a/wisteriawood/soak/faults.py
+++ b/wisteriawood/soak/faults.py
@@ -368,8 +368,14 @@
     candidates: typing.Iterable["checks.WatchedWorker"],
     most: int = 1000,
 ) -> None:
-    """Lose living workers for good, as many as the soak can bear."""
+    """Lose living workers for good, as many as the soak can bear.
+
+    If some have no standing tasks, the others come first.
+    """
     living = [worker for worker in candidates if not worker.is_dead]
+    serving = [w for w in living if _has_standing_tasks(world, w)]
+    if len(serving) >= min(most, len(living)):
+        living = serving
     most = min(most, len(living), world.shape.losses_left)
     is_silent = rng.random() < SILENT_SHARE
     now_s = world.checker.now_s()
@@ -389,12 +395,23 @@
 def _choose_lossy_zone(
     world: "worlds.SoakWorld", rng: random.Random
 ) -> list["checks.WatchedWorker"]:
-    """Return the living workers of a zone that has any."""
+    """Return the living workers of a zone, with standing tasks if possible."""
     zones = [
         [w for w in _workers_of_zone(world, zone) if not w.is_dead]
         for zone in world.zones()
     ]
-    return rng.choice([workers for workers in zones if workers])
+    serving = [
+        workers
+        for workers in zones
+        if any(_has_standing_tasks(world, worker) for worker in workers)
+    ]
+    return rng.choice(serving or [workers for workers in zones if workers])
+
+
+def _has_standing_tasks(
+    world: "worlds.SoakWorld", worker: "checks.WatchedWorker"
+) -> bool:
+    return any(world.checker.step_of(n).is_standing for n in worker.runs)
 
 
 @LOSS_FAULTS.register("lose-worker")
