--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -448,6 +448,25 @@
         return page
 
 
+class GatedStore(store_standins.MemoryStore):
+    """A store whose first change waits for a gate.
+
+    Args:
+        on_commit: Called after each change.
+    """
+
+    def __init__(self, *, on_commit):
+        super().__init__()
+        self._on_commit = on_commit
+        self.gate = anyio.Event()
+
+    async def commit(self, change):
+        await self.gate.wait()
+        version = super().commit(change)
+        self._on_commit()
+        return version
+
+
 def make_run_worker(name, *, cores=16, now_s=0.0):
     """Return a worker of a cell that has answered at `now_s`."""
     worker = run_workers.Worker(
--- a/wisteriawood/tests/placing_tests.py
+++ b/wisteriawood/tests/placing_tests.py
@@ -10,6 +10,7 @@
 from wisteriawood.cells import interference_models
 from wisteriawood.cells import placers
 from wisteriawood.cells import progress
+from wisteriawood.cells import room_needs
 from wisteriawood.cells import share_histories
 from wisteriawood.cells import workers
 from wisteriawood.jobs import queues
@@ -294,6 +295,82 @@
 
         self._run(_check)
 
+    def test_a_waiting_task_comes_before_expected_ones(self):
+        """Guards against a task that waits beside free CPU (LOST).
+
+        Its room was kept for a task of an older job, whose lease still ran.
+        """
+
+        def _check(placer, fleet, batch, now_s):
+            expected = self._expect(cpu_millicores=4000)
+            expected.job.accepted_at_s = -100.0
+            waiting = _job("s", cpu_millicores=4000, is_standing=True)
+            (task,) = waiting.all_tasks()
+            task.run = 1
+            self._end_one(fleet[0])
+            placer.place(_waiting(waiting, batch), fleet, now_s, [expected])
+            self.assertEqual(task.phase, tasks.Phase.ASSIGNED)
+
+        self._run(_check)
+
+    def test_older_timed_jobs_take_no_room_that_is_kept(self):
+        """Guards against timed batch jobs that take all room (LOST)."""
+
+        def _check(placer, fleet, batch, now_s):
+            timed = _job("t", task_count=99, cpu_millicores=4000)
+            timed.spec.occurrence_count = 1
+            timed.accepted_at_s = -100.0
+            standing = _job("s", cpu_millicores=10_000, is_standing=True)
+            (task,) = standing.all_tasks()
+            task.run = 1
+            for _round in range(3):
+                for worker in fleet:
+                    self._end_one(worker)
+                placer.place(_waiting(timed, standing), fleet, now_s)
+            self.assertEqual(task.phase, tasks.Phase.ASSIGNED)
+
+        self._run(_check)
+
+    def test_gangs_that_have_run_get_room(self):
+        """Guards against standing gangs that are placed last."""
+
+        def _check(placer, fleet, batch, now_s):
+            gang = _job(
+                "g",
+                task_count=4,
+                cpu_millicores=10_000,
+                is_standing=True,
+                is_gang=True,
+            )
+            for task in gang.all_tasks():
+                task.run = 1
+            for _round in range(3):
+                for worker in fleet:
+                    self._end_one(worker)
+                placer.place(_waiting(gang, batch), fleet, now_s)
+            phases = {task.phase for task in gang.all_tasks()}
+            self.assertEqual(phases, {tasks.Phase.ASSIGNED})
+
+        self._run(_check)
+
+    def test_other_cells_spread_tasks_that_share_no_worker(self):
+        """Guards against room for four tasks on a worker that takes one."""
+
+        def _check(placer, fleet, batch, now_s):
+            asked = specs.StepSpec(
+                task_count=4,
+                cpu_millicores=1000,
+                most_per_worker=1,
+                is_standing=True,
+            )
+            (need,) = room_needs.summarize([asked] * 4)
+            shared = room_needs.share_of([need], 1)
+            placer.place(_waiting(batch), fleet, now_s, (), shared)
+            ids = [kept.worker.id for kept in placer.kept.entries]
+            self.assertEqual(sorted(ids), [worker.id for worker in fleet])
+
+        self._run(_check)
+
     def test_room_for_other_cells(self):
         """Guards against lent tasks that wait behind batch tasks (LOST)."""
 
--- a/wisteriawood/tests/relocation_tests.py
+++ b/wisteriawood/tests/relocation_tests.py
@@ -15,6 +15,7 @@
 from wisteriawood.cells import worker_groups
 from wisteriawood.jobs import jobs
 from wisteriawood.jobs import specs
+from wisteriawood.jobs import tasks
 from wisteriawood.links.codecs import jobs as codec
 from wisteriawood.standins import stores as store_standins
 from wisteriawood.tests import builders
@@ -529,6 +530,81 @@
         self._run(_check)
 
 
+class SlowCommitTests(unittest.TestCase):
+    """A job is relocated while a transaction of its bucket is slow."""
+
+    def _run(self, *, has_running_task):
+        """Return the phases and rows of a job after each transaction."""
+        found = []
+
+        async def _main():
+            store = builders.GatedStore(
+                on_commit=lambda: found.append(self._read(store))
+            )
+            cell = builders.make_cell(store=store)
+            cell.writer._claim_version = 0
+            job = builders.make_job("zz", is_standing=True, task_count=2)
+            lost, other = job.all_tasks()
+            lost.run = other.run = 1
+            if has_running_task:
+                other.assign(worker_id="w", run=1)
+            cell.add_job(job)
+            # They need several transactions, the last with the job.
+            for number in range(40):
+                cell.writer.schedule_write(builders.make_job(f"o{number:02}"))
+            cell.writer.schedule_write(job)
+            cell.other_loads = {
+                "shop@b": claims.CellLoad(
+                    kept=[builders.make_group(cores=4, workers=9)]
+                )
+            }
+            relocator = relocation.Relocator(cell=cell)
+            async with anyio.create_task_group() as group:
+                cell.open(group)
+                group.start_soon(cell.writer.write_bucket, "a")
+                await anyio.sleep(0.1)
+                for _tick in range(8):
+                    builders.confirm_views(cell)
+                    for task in (lost, other):
+                        name = job.task_name(task)
+                        cell.placer.homeless[name] = job.step_of(task)
+                    relocator.tick()
+                    await anyio.sleep(0.25)
+                    store.gate.set()
+                group.cancel_scope.cancel()
+
+        builders.run_virtual(_main)
+        return [entry for entry in found if entry is not None]
+
+    def _read(self, store):
+        """Return the phases of the job, its cell and its lent tasks."""
+        row = store.rows.get(tables.job_row("a", "zz"))
+        if row is None:
+            return None
+        spec = builders.make_job("zz", is_standing=True, task_count=2).spec
+        job = codec.job_from_bytes(spec, "a", row.value)
+        lent = [at for at in store.rows if "~" in at.key]
+        return [t.phase for t in job.all_tasks()], job.cell, len(lent)
+
+    def test_a_task_is_lent_with_its_rows(self):
+        """Guards against a lent task that no cell has (LOST).
+
+        A later part of a transaction in progress wrote the job's row with the
+        task lent, without the rows of the lent job.
+        """
+        found = self._run(has_running_task=True)
+        for phases, _cell, lent in found:
+            self.assertEqual(lent > 0, tasks.Phase.LENT in phases)
+        self.assertIn(tasks.Phase.LENT, found[-1][0])
+
+    def test_a_job_moves_in_one_transaction(self):
+        """Guards against a second write that costs a holder its cell."""
+        found = self._run(has_running_task=False)
+        cells_seen = [cell for _phases, cell, _lent in found]
+        self.assertEqual(cells_seen[-1], "shop@b")
+        self.assertEqual(cells_seen.count("shop@b"), 1)
+
+
 class GroupTests(unittest.TestCase):
     """What a cell reports of its workers."""
 
--- a/wisteriawood/tests/room_makers_tests.py
+++ b/wisteriawood/tests/room_makers_tests.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from wisteriawood.cells import evacuations
 from wisteriawood.cells import room_makers
 from wisteriawood.jobs import tasks
 from wisteriawood.tests import builders
@@ -14,7 +15,9 @@
 class RoomMakerTests(unittest.TestCase):
     """A standing task that has run waits on a worker full of batch tasks."""
 
-    def _run(self, batch, *, waits_s, standing=None, has_run=True):
+    def _run(
+        self, batch, *, waits_s, standing=None, has_run=True, accelerators=0
+    ):
         """Return the names of the batch runs that are stopped.
 
         Args:
@@ -22,6 +25,7 @@
             waits_s: For how long the standing task waits.
             standing: Further fields of the step of the standing job.
             has_run: Whether the standing task has run before.
+            accelerators: Accelerators of the worker.
         """
         stopped = []
 
@@ -29,6 +33,8 @@
             await anyio.sleep(START_S)
             now_s = anyio.current_time()
             worker = builders.make_run_worker("w", now_s=now_s)
+            worker.free_accelerators = accelerators
+            worker.registration.accelerators = accelerators
             cell = builders.make_cell([worker])
             batch_job = builders.make_job("b", **batch)
             fields = {"cpu_millicores": 4000, "memory_mb": 100}
@@ -114,6 +120,60 @@
 
         builders.run_virtual(_main)
 
+    def test_tasks_that_hold_accelerators_are_stopped(self):
+        """Guards against tasks that wait for accelerators (LOST)."""
+        batch = {"task_count": 2, "accelerators": 0, "cpu_millicores": 1000}
+        found = self._run(
+            batch,
+            waits_s=1.0,
+            standing={"accelerators": 1, "cpu_millicores": 1000},
+            accelerators=0,
+        )
+        self.assertEqual(found, [])
+        batch["accelerators"] = 1
+        found = self._run(
+            batch,
+            waits_s=1.0,
+            standing={"accelerators": 1, "cpu_millicores": 1000},
+            accelerators=2,
+        )
+        self.assertEqual(len(found), 1)
+
+    def test_a_gang_is_stopped_whole(self):
+        """Guards against members of a gang that wait for the others (GANG)."""
+        gang = {"task_count": 4, "is_gang": True}
+        found = self._run(gang, waits_s=1.0)
+        self.assertEqual(len(found), 4)
+
+    def test_room_of_an_older_job_is_no_room_to_evacuate_to(self):
+        """Guards against tasks that are stopped with nowhere to go (AVAIL)."""
+
+        async def _main():
+            await anyio.sleep(START_S)
+            now_s = anyio.current_time()
+            drained = builders.make_run_worker("d", now_s=now_s)
+            other = builders.make_run_worker("o", cores=4, now_s=now_s)
+            lost = builders.make_run_worker("lost", now_s=now_s)
+            lost.is_answering = False
+            drained.registration.is_draining = True
+            cell = builders.make_cell([drained, other, lost])
+            older = builders.make_job("a", is_standing=True)
+            builders.put_run(lost, older)
+            job = builders.make_job("b", is_standing=True)
+            run = builders.put_run(drained, job)
+            older.accepted_at_s, job.accepted_at_s = 1.0, 2.0
+            expected = cell._expected_steps()
+            cell.placer.place({}, [other], now_s, expected)
+            evacuations.evacuate(cell, now_s)
+            self.assertFalse(run.is_stopping)
+            cell.placer.place({}, [other], now_s, expected[:0])
+            evacuations.evacuate(cell, now_s)
+            self.assertTrue(run.is_stopping)
+            for worker in (drained, other, lost):
+                worker.close()
+
+        builders.run_virtual(_main)
+
     def test_new_jobs_stop_nothing(self):
         """A task that has never run waits for batch tasks to end."""
         batch = {"task_count": 8, "cpu_millicores": 2000}
