Stop one gang at a time, and place restarts before new tasks of their job

- One standing task of 4 cores stopped all four gangs on a worker, since only one member of each was counted.
What is missing is counted anew after each stop now.
- A task that had run waited behind new tasks of its own job, which took the room that was made for it.
The two are placed apart now.
- A standing gang that does not fit kept room for some of its members, and batch runs were stopped for it, for good.
Room is kept for all or none, and gangs are not listed as homeless, as they can't be lent.
- A crawling filler that was stopped so that its job could move was started again at once, nine times in 30 s: the job had another task that runs until the stop is answered.
A job that is leaving gets no such start.

Each but the first half of the third has a test that failed before. A host name that is no ASCII closes a link between hosts like other odd bytes.

--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -113,6 +113,7 @@
         self._relocator = relocation.Relocator(cell=cell)
         self._room_maker = room_makers.RoomMaker(cell=cell)
         cell.placer.should_move = self._relocator.is_better_elsewhere
+        cell.placer.is_leaving = self._relocator.is_leaving
         self._regrouper = regrouping.Regrouper(cell=cell)
         self._stored = stored_jobs.StoredJobs(cell=cell)
         self._ticks = 0
--- a/wisteriawood/cells/kept_room.py
+++ b/wisteriawood/cells/kept_room.py
@@ -183,14 +183,40 @@
         self._lasting.pop(worker.id, None)
         self._open.pop(worker.id, None)
 
-    def _will_fit(
-        self, worker: workers.Worker, step: specs.StepSpec, step_name: str
+    def will_fit_all(
+        self,
+        step: specs.StepSpec,
+        usable: typing.Iterable[workers.Worker],
+        task_count: int,
     ) -> bool:
+        """Return whether workers will have room for several tasks of a step.
+
+        Args:
+            step: The step.
+            usable: The workers that may get new runs.
+            task_count: Number of the tasks.
+        """
+        fitting = sum(
+            self._lasting_group(worker).count_per_worker(step)
+            for worker in usable
+            if step.required_label in ("", *worker.registration.labels)
+        )
+        return fitting >= task_count
+
+    def _lasting_group(
+        self, worker: workers.Worker
+    ) -> worker_groups.WorkerGroup:
         group = self._lasting.get(worker.id)
         if group is None:
             group = self._lasting[worker.id] = worker.lasting_group()
             for kept in self._by_worker.get(worker.id, ()):
                 _take(group, kept.step)
+        return group
+
+    def _will_fit(
+        self, worker: workers.Worker, step: specs.StepSpec, step_name: str
+    ) -> bool:
+        group = self._lasting_group(worker)
         if step.required_label not in ("", *worker.registration.labels):
             return False
         if not group.count_per_worker(step):
--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -36,6 +36,9 @@
 # Multiple of its objective after which the result of a job has no value.
 NO_VALUE_FACTOR = 3.0
 
+# A job with its waiting tasks, by step.
+Entry = tuple[jobs.Job, list[list[tasks.Task]]]
+
 
 def has_no_value(job: jobs.Job, now_s: float) -> bool:
     """Return whether a job is so late that its result has no value.
@@ -94,6 +97,8 @@
         is_intake_idle: Whether no job was submitted recently. Only then
             are fillers of idle jobs started beyond the load limits, since
             jobs that can still meet their objective need the CPU more.
+        is_leaving: Returns whether the runs of a job are being stopped, so
+            that it can move.
         should_move: Returns whether a job that fits nowhere here moves to
             another cell instead.
         kept: The room that the last pass kept for standing tasks.
@@ -111,6 +116,7 @@
         "_unplaced",
         "homeless",
         "is_intake_idle",
+        "is_leaving",
         "kept",
         "should_move",
     )
@@ -136,6 +142,7 @@
         # CPU and memory of the tasks that did not fit in this pass, by class.
         self._unplaced: dict[tuple, list[tuple[int, int]]] = {}
         self.is_intake_idle = True
+        self.is_leaving: typing.Callable[[jobs.Job], bool] = lambda _job: False
         self.should_move: typing.Callable[[jobs.Job, specs.StepSpec], bool] = (
             lambda _job, _step: False
         )
@@ -171,7 +178,7 @@
         ordered = sorted(
             waiting.values(), key=lambda entry: start_order(entry[0], now_s)
         )
-        restarts = [entry for entry in ordered if _has_restart(*entry)]
+        restarts, others = _split_restarts(ordered)
         assigned: list[tuple[workers.Worker, runs.Run]] = []
         self._place_all(restarts, usable, assigned, now_s)
         for step in sorted(expected, key=lambda s: start_order(s.job, now_s)):
@@ -179,7 +186,6 @@
         self._keep_asked(asked, usable)
         if not usable:
             return assigned
-        others = [entry for entry in ordered if not _has_restart(*entry)]
         self._place_all(others, usable, assigned, now_s)
         return assigned
 
@@ -211,7 +217,7 @@
 
     def _place_all(
         self,
-        entries: list[tuple[jobs.Job, list[list[tasks.Task]]]],
+        entries: list[Entry],
         usable: list[workers.Worker],
         assigned: list[tuple[workers.Worker, runs.Run]],
         now_s: float,
@@ -269,6 +275,7 @@
             step.is_filler
             and self.is_intake_idle
             and self._has_idled_too_long(job, usable, now_s)
+            and not self.is_leaving(job)
             and not (moving.can_move(job) and self.should_move(job, step))
         ):
             return self._place_least_disruptive(
@@ -291,6 +298,13 @@
             step_tasks: The tasks.
             usable: The workers that may get new runs.
         """
+        if not step_tasks:
+            return
+        is_gang = job.step_of(step_tasks[0]).is_gang
+        if is_gang and not self.kept.will_fit_all(
+            job.step_of(step_tasks[0]), usable, len(step_tasks)
+        ):
+            return
         will_fit = True
         for task in step_tasks:
             step = job.step_of(task)
@@ -300,7 +314,7 @@
             will_fit = will_fit and self.kept.keep(step, usable, job, task)
             if will_fit and not has_run:
                 self._new_tasks_left -= 1
-            if has_run and not will_fit:
+            if has_run and not will_fit and not is_gang:
                 self.homeless[job.task_name(task)] = step
 
     def _is_ruled_out(self, step: specs.StepSpec) -> bool:
@@ -546,11 +560,38 @@
         return 0
 
 
-def _has_restart(job: jobs.Job, waiting_steps: list[list[tasks.Task]]) -> bool:
-    """Return whether a standing task of a job waits that has run before."""
-    return job.is_standing() and any(
-        task.run > 0 for step_tasks in waiting_steps for task in step_tasks
-    )
+def _split_restarts(
+    ordered: list[Entry],
+) -> tuple[list[Entry], list[Entry]]:
+    """Return the standing tasks that have run before, and all others.
+
+    A gang of which a member has run counts as a whole.
+
+    Args:
+        ordered: Jobs with their waiting tasks, by step.
+    """
+    restarts: list[Entry] = []
+    others: list[Entry] = []
+    for job, steps in ordered:
+        old_steps, new_steps = [], []
+        for step_tasks in steps:
+            step = job.step_of(step_tasks[0])
+            old = [task for task in step_tasks if task.run > 0]
+            if not old or not step.is_standing:
+                new_steps.append(step_tasks)
+                continue
+            if step.is_gang:
+                old_steps.append(step_tasks)
+                continue
+            old_steps.append(old)
+            new = [task for task in step_tasks if task.run == 0]
+            if new:
+                new_steps.append(new)
+        if old_steps:
+            restarts.append((job, old_steps))
+        if new_steps:
+            others.append((job, new_steps))
+    return restarts, others
 
 
 def _near_first(
--- a/wisteriawood/cells/relocation.py
+++ b/wisteriawood/cells/relocation.py
@@ -220,7 +220,7 @@
             job: The job.
             step: Step of the filler.
         """
-        if job.id in self._leaving:
+        if self.is_leaving(job):
             return True
         return (
             step.is_filler
@@ -228,6 +228,14 @@
             and bool(self._choose_cell(step, 1))
         )
 
+    def is_leaving(self, job: jobs.Job) -> bool:
+        """Return whether the runs of a job are being stopped for a move.
+
+        Args:
+            job: The job.
+        """
+        return job.id in self._leaving
+
     def _stop_crawling(
         self, job: jobs.Job, step_tasks: list[tasks.Task]
     ) -> None:
--- a/wisteriawood/cells/room_makers.py
+++ b/wisteriawood/cells/room_makers.py
@@ -86,18 +86,16 @@
             worker: The worker.
             steps: Step of each of the tasks.
         """
-        missing = Shortage(worker=worker, steps=steps)
-        for run in worker.runs.values():
-            if run.is_stopping:
-                missing.subtract(run.step)
         for run in sorted(worker.runs.values(), key=_stop_order):
+            missing = Shortage(worker=worker, steps=steps)
             if missing.is_covered():
                 return
-            if run.step.is_standing or run.is_stopping:
+            is_here = worker.runs.get(run.name) is run
+            if not is_here or run.is_stopping or run.step.is_standing:
+                # It may have been stopped with its gang.
                 continue
             if not missing.is_reduced_by(run.step):
                 continue
-            missing.subtract(run.step)
             _LOG.log(
                 job_events.RUN_PREEMPTED,
                 worker=worker.id,
@@ -105,8 +103,8 @@
                 run=run.number,
                 free_millicores=worker.free_millicores,
                 free_mb=worker.free_memory_mb,
-                left_millicores=max(0, missing.cpu_millicores),
-                left_mb=max(0, missing.memory_mb),
+                missing_millicores=max(0, missing.cpu_millicores),
+                missing_mb=max(0, missing.memory_mb),
             )
             start_checks.withdraw(self._cell, worker, run)
 
@@ -114,6 +112,8 @@
 class Shortage:
     """What a worker lacks for some tasks; 0 or less where it has enough.
 
+    Runs that are being stopped count as ended.
+
     Args:
         worker: The worker.
         steps: Step of each task.
@@ -136,6 +136,11 @@
         self.accelerators = (
             sum(step.accelerators for step in steps) - worker.free_accelerators
         )
+        for run in worker.runs.values():
+            if run.is_stopping:
+                self.cpu_millicores -= _reserved_millicores(run.step)
+                self.memory_mb -= run.step.memory_mb
+                self.accelerators -= run.step.accelerators
 
     def is_covered(self) -> bool:
         """Return whether nothing is lacking."""
@@ -153,16 +158,6 @@
             or (self.accelerators > 0 and step.accelerators)
         )
 
-    def subtract(self, step: specs.StepSpec) -> None:
-        """Count a task that will end.
-
-        Args:
-            step: Step of the task.
-        """
-        self.cpu_millicores -= _reserved_millicores(step)
-        self.memory_mb -= step.memory_mb
-        self.accelerators -= step.accelerators
-
 
 def _reserved_millicores(step: specs.StepSpec) -> int:
     """Return the CPU that a task reserves; fillers reserve none."""
--- a/wisteriawood/links/sockets.py
+++ b/wisteriawood/links/sockets.py
@@ -104,7 +104,7 @@
                 data = await self._stream.receive(READ_BYTES)
                 self._protocol.receive_data(data)
                 self._received = list(self._protocol.events())
-            except ws_utilities.ProtocolError as exc:
+            except (ws_utilities.ProtocolError, UnicodeError) as exc:
                 raise errors.LinkClosedError(f"can't read: {exc}") from exc
             except (
                 anyio.BrokenResourceError,
--- a/wisteriawood/tests/placing_tests.py
+++ b/wisteriawood/tests/placing_tests.py
@@ -160,6 +160,19 @@
             await anyio.sleep(placers.IDLE_JOB_TIMEOUT_S)
             now_s = anyio.current_time()
             self.assertEqual(placer.place(_waiting(other), fleet, now_s), [])
+            # Nor is one started of a job that is about to move.
+            placer.is_intake_idle = True
+            placer.is_leaving = lambda job: job is other
+            for _pass in range(2):
+                now_s = anyio.current_time()
+                for worker in fleet:
+                    worker.answered_at_s = now_s
+                found = placer.place(_waiting(other), fleet, now_s)
+                self.assertEqual(found, [])
+                await anyio.sleep(placers.IDLE_JOB_TIMEOUT_S)
+            placer.is_leaving = lambda _job: False
+            found = placer.place(_waiting(other), fleet, now_s)
+            self.assertEqual([run.is_pinned for _worker, run in found], [True])
 
         self._run(_check)
 
@@ -331,6 +344,42 @@
 
         self._run(_check)
 
+    def test_a_task_that_has_run_comes_before_new_ones_of_its_job(self):
+        """Guards against a restart that waits for new tasks (LOST)."""
+
+        def _check(placer, fleet, batch, now_s):
+            standing = _job(
+                "s", task_count=4, cpu_millicores=4000, is_standing=True
+            )
+            last = list(standing.all_tasks())[-1]
+            last.run = 1
+            self._end_one(fleet[0])
+            placer.place(_waiting(standing, batch), fleet, now_s)
+            self.assertEqual(last.phase, tasks.Phase.ASSIGNED)
+
+        self._run(_check)
+
+    def test_a_gang_that_never_fits_keeps_no_room(self):
+        """Guards against batch tasks that wait for a hopeless gang."""
+
+        def _check(placer, fleet, batch, now_s):
+            gang = _job(
+                "g",
+                task_count=5,
+                cpu_millicores=16_000,
+                is_standing=True,
+                is_gang=True,
+            )
+            for task in gang.all_tasks():
+                task.run = 1
+            for worker in fleet:
+                self._end_one(worker)
+            found = placer.place(_waiting(gang, batch), fleet, now_s)
+            self.assertEqual(len(found), 4)
+            self.assertEqual(placer.homeless, {})
+
+        self._run(_check)
+
     def test_gangs_that_have_run_get_room(self):
         """Guards against standing gangs that are placed last."""
 
--- a/wisteriawood/tests/room_makers_tests.py
+++ b/wisteriawood/tests/room_makers_tests.py
@@ -16,7 +16,14 @@
     """A standing task that has run waits on a worker full of batch tasks."""
 
     def _run(
-        self, batch, *, waits_s, standing=None, has_run=True, accelerators=0
+        self,
+        batch,
+        *,
+        waits_s,
+        standing=None,
+        has_run=True,
+        accelerators=0,
+        batch_jobs=1,
     ):
         """Return the names of the batch runs that are stopped.
 
@@ -26,6 +33,7 @@
             standing: Further fields of the step of the standing job.
             has_run: Whether the standing task has run before.
             accelerators: Accelerators of the worker.
+            batch_jobs: Number of batch jobs.
         """
         stopped = []
 
@@ -36,21 +44,24 @@
             worker.free_accelerators = accelerators
             worker.registration.accelerators = accelerators
             cell = builders.make_cell([worker])
-            batch_job = builders.make_job("b", **batch)
+            batches = [
+                builders.make_job(f"b{number}", **batch)
+                for number in range(batch_jobs)
+            ]
             fields = {"cpu_millicores": 4000, "memory_mb": 100}
             job = builders.make_job(
                 "s", is_standing=True, **(fields | (standing or {}))
             )
             for task in job.all_tasks():
                 task.run = int(has_run)
-            for new in (batch_job, job):
+            for new in (*batches, job):
                 cell.jobs[new.id] = new
             place = cell.placer.place
-            place(builders.make_waiting(batch_job), [worker], now_s)
+            place(builders.make_waiting(*batches), [worker], now_s)
             for run in worker.runs.values():
                 run.was_sent = True
             maker = room_makers.RoomMaker(cell=cell)
-            place(builders.make_waiting(job, batch_job), [worker], now_s)
+            place(builders.make_waiting(job, *batches), [worker], now_s)
             maker.tick(now_s)
             maker.tick(now_s + waits_s)
             stopped.extend(
@@ -145,6 +156,12 @@
         found = self._run(gang, waits_s=1.0)
         self.assertEqual(len(found), 4)
 
+    def test_no_more_gangs_are_stopped_than_needed(self):
+        """Guards against all gangs on a worker that end for one task."""
+        gang = {"task_count": 4, "cpu_millicores": 1000, "is_gang": True}
+        found = self._run(gang, waits_s=1.0, batch_jobs=4)
+        self.assertEqual(len(found), 4)
+
     def test_room_of_an_older_job_is_no_room_to_evacuate_to(self):
         """Guards against tasks that are stopped with nowhere to go (AVAIL)."""
 
