Count failures at one moment as one probation of their worker

Ten runs had failed there within 0.1 s; the fourth began a probation, and each further one doubled it, up to 30 s.

Runs that were assigned before a probation began no longer lengthen it. The test failed before, as the tracker did not know when runs were assigned.

--- a/wisteriawood/cells/workers.py
+++ b/wisteriawood/cells/workers.py
@@ -606,7 +606,12 @@
         Returns:
             Whether the worker is now on probation.
         """
-        length_s = self._probation.record_end(run.job.id, has_failed)
+        length_s = self._probation.record_end(
+            run.job.id,
+            has_failed,
+            assigned_at_s=run.assigned_at_s,
+            now_s=now_s,
+        )
         if not length_s:
             return False
         self.avoided_until_s = now_s + length_s
--- a/wisteriawood/tests/worker_sessions_tests.py
+++ b/wisteriawood/tests/worker_sessions_tests.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from wisteriawood.cells import probations
 from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
 from wisteriawood.tests import builders
@@ -57,6 +58,30 @@
         self._run(_check)
 
 
+class ProbationTests(unittest.TestCase):
+    """Many runs fail on a worker at the same moment."""
+
+    def _fail(self, tracker, count, *, assigned_at_s, now_s):
+        return [
+            tracker.record_end(
+                f"j{number}", True, assigned_at_s=assigned_at_s, now_s=now_s
+            )
+            for number in range(count)
+        ]
+
+    def test_they_cause_one_probation(self):
+        """Guards against tasks that wait beside an avoided worker (LOST).
+
+        mix --seed 492016598542 of kroupa-dilna: ten failures within 0.1 s led
+        to a probation of 30 s, and tasks waited beside 39 free cores.
+        """
+        tracker = probations.ProbationTracker()
+        found = self._fail(tracker, 12, assigned_at_s=0.0, now_s=1.0)
+        self.assertEqual([s for s in found if s], [4.0])
+        found = self._fail(tracker, 9, assigned_at_s=6.0, now_s=7.0)
+        self.assertEqual([s for s in found if s], [8.0])
+
+
 class RestartedWorkerTests(unittest.TestCase):
     """A worker restarts at once, and numbers its ends from one again."""
 
