Use the usual terms: reservations, capacity requests, preemption

The modules and names of the room for standing tasks were metaphors: kept room, room needs, homeless tasks, room makers. Only names change, those of the new fields of heartbeats among them.

--- a/wisteriawood/cells/room_needs.py
+++ b/wisteriawood/cells/capacity_requests.py
@@ -11,7 +11,9 @@
 from wisteriawood.links.codecs import bounds
 
 
-class RoomNeed(msgspec.Struct, kw_only=True, array_like=True, frozen=True):
+class CapacityRequest(
+    msgspec.Struct, kw_only=True, array_like=True, frozen=True
+):
     """Standing tasks that need a worker elsewhere; encoded as a list.
 
     Attributes:
@@ -47,7 +49,7 @@
         )
 
 
-def summarize(steps: typing.Iterable[specs.StepSpec]) -> list[RoomNeed]:
+def summarize(steps: typing.Iterable[specs.StepSpec]) -> list[CapacityRequest]:
     """Return a short list of needs for tasks given one by one.
 
     It never asks for less than there is need of: amounts are only rounded
@@ -56,8 +58,8 @@
     Args:
         steps: Step of each task.
     """
-    counts: collections.Counter[RoomNeed] = collections.Counter(
-        RoomNeed(
+    counts: collections.Counter[CapacityRequest] = collections.Counter(
+        CapacityRequest(
             tasks=1,
             cpu_millicores=step.cpu_millicores,
             memory_mb=step.memory_mb,
@@ -78,9 +80,9 @@
 
 
 def _round_up(
-    counts: collections.Counter[RoomNeed], grain: int
-) -> collections.Counter[RoomNeed]:
-    rounded: collections.Counter[RoomNeed] = collections.Counter()
+    counts: collections.Counter[CapacityRequest], grain: int
+) -> collections.Counter[CapacityRequest]:
+    rounded: collections.Counter[CapacityRequest] = collections.Counter()
     cpu_grain = worker_groups.MIN_GRAIN_MILLICORES * grain
     memory_grain = worker_groups.MIN_GRAIN_MB * grain
     for need, count in counts.items():
@@ -95,14 +97,15 @@
 
 
 def share_of(
-    needs: typing.Iterable[RoomNeed], cell_count: int
+    requests: typing.Iterable[CapacityRequest], cell_count: int
 ) -> list[specs.StepSpec]:
     """Return the part of some needs that one cell keeps room for.
 
     Args:
-        needs: What a cell asks for.
+        requests: What a cell asks for.
         cell_count: Number of cells that it asks.
     """
     return [
-        need.step(math.ceil(need.tasks / max(1, cell_count))) for need in needs
+        request.step(math.ceil(request.tasks / max(1, cell_count)))
+        for request in requests
     ]
--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -8,13 +8,13 @@
 import anyio
 from anyio import abc
 
+from wisteriawood.cells import capacity_requests
 from wisteriawood.cells import claims
 from wisteriawood.cells import interference_models
 from wisteriawood.cells import job_writers
 from wisteriawood.cells import meters
 from wisteriawood.cells import placers
 from wisteriawood.cells import progress
-from wisteriawood.cells import room_needs
 from wisteriawood.cells import runs
 from wisteriawood.cells import start_checks
 from wisteriawood.cells import tables
@@ -277,9 +277,11 @@
     def _assign_waiting(self) -> None:
         """Assign waiting tasks, write their rows and start the runs."""
         expected = self._expected_steps()
-        asked = self._asked_steps()
-        has_kept = self._placer.kept.entries or self._placer.homeless
-        if not (self._waiting or expected or asked or has_kept):
+        requested = self._requested_steps()
+        has_reservations = (
+            self._placer.reservations.entries or self._placer.unplaceable
+        )
+        if not (self._waiting or expected or requested or has_reservations):
             return
         if self._group is None:
             return
@@ -293,10 +295,10 @@
             if not start_checks.find_obstacle(self, worker)
         ]
         assigned = self._placer.place(
-            self._waiting, startable, now_s, expected, asked
+            self._waiting, startable, now_s, expected, requested
         )
         if not self._knows_fleet(now_s):
-            self._placer.homeless.clear()
+            self._placer.unplaceable.clear()
         if not assigned:
             return
         _LOG.log(
@@ -363,12 +365,14 @@
                 ).tasks.append(task)
         return list(found.values())
 
-    def _asked_steps(self) -> list[specs.StepSpec]:
+    def _requested_steps(self) -> list[specs.StepSpec]:
         """Return the steps for which other cells ask for room here."""
         return [
             step
             for load in self.other_loads.values()
-            for step in room_needs.share_of(load.needs, len(self.other_loads))
+            for step in capacity_requests.share_of(
+                load.requested, len(self.other_loads)
+            )
         ]
 
     async def _start_assigned(
--- a/wisteriawood/cells/claims.py
+++ b/wisteriawood/cells/claims.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from wisteriawood.cells import room_needs
+from wisteriawood.cells import capacity_requests
 from wisteriawood.cells import tables
 from wisteriawood.cells import worker_groups
 from wisteriawood.links.codecs import bounds
@@ -149,9 +149,9 @@
         free: The usable workers with what no task has reserved.
         total: The workers with all of their capacity, without those that
             drain.
-        needs: Standing tasks that have run and for which the cell will have
-            no room; it asks the other cells to keep some.
-        kept: Room for standing tasks that the cell keeps for others, one
+        requested: Standing tasks that have run and for which the cell will
+            have no room; it asks the other cells to keep some.
+        reserved: Room for standing tasks that the cell keeps for others, one
             worker for each task.
     """
 
@@ -173,8 +173,10 @@
     total: list[worker_groups.WorkerGroup] = dataclasses.field(
         default_factory=list
     )
-    needs: list[room_needs.RoomNeed] = dataclasses.field(default_factory=list)
-    kept: list[worker_groups.WorkerGroup] = dataclasses.field(
+    requested: list[capacity_requests.CapacityRequest] = dataclasses.field(
+        default_factory=list
+    )
+    reserved: list[worker_groups.WorkerGroup] = dataclasses.field(
         default_factory=list
     )
 
--- a/wisteriawood/cells/evacuations.py
+++ b/wisteriawood/cells/evacuations.py
@@ -40,10 +40,10 @@
             continue
         if not run.step.is_standing and not run.step.is_checkpointing:
             continue
-        kept = cell.placer.kept
+        reservations = cell.placer.reservations
         if not any(
             other.has_capacity_for(run.step)
-            and kept.leaves_room_for(other, run.step, run.task)
+            and reservations.leaves_room_for(other, run.step, run.task)
             for other in others
         ):
             continue
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -17,9 +17,9 @@
 from wisteriawood.cells import leases
 from wisteriawood.cells import lending
 from wisteriawood.cells import pacers
+from wisteriawood.cells import preemption
 from wisteriawood.cells import regrouping
 from wisteriawood.cells import relocation
-from wisteriawood.cells import room_makers
 from wisteriawood.cells import stored_jobs
 from wisteriawood.cells import tables
 from wisteriawood.cells import weight_exchanges
@@ -82,7 +82,7 @@
         "_regrouper",
         "_relocator",
         "_retention_s",
-        "_room_maker",
+        "_preemptor",
         "_stored",
         "_ticks",
         "_zones",
@@ -111,7 +111,7 @@
         self._held_since_s = anyio.current_time()
         self._filler_pacer = pacers.FillerPacer(cell=cell)
         self._relocator = relocation.Relocator(cell=cell)
-        self._room_maker = room_makers.RoomMaker(cell=cell)
+        self._preemptor = preemption.Preemptor(cell=cell)
         cell.placer.should_move = self._relocator.is_better_elsewhere
         cell.placer.is_leaving = self._relocator.is_leaving
         self._regrouper = regrouping.Regrouper(cell=cell)
@@ -418,7 +418,7 @@
             self._stored.check()
             self._filler_pacer.tick()
             self._relocator.tick()
-            self._room_maker.tick(anyio.current_time())
+            self._preemptor.tick(anyio.current_time())
             evacuations.evacuate(self.cell, anyio.current_time())
             self._regrouper.tick(anyio.current_time())
             self.cell.request_placement()
@@ -438,8 +438,8 @@
             job_events.CELL_LOAD,
             cell=self.cell.name,
             waiting=self.cell.waiting_count(),
-            kept=len(self.cell.placer.kept.entries),
-            homeless=len(self.cell.placer.homeless),
+            reserved=len(self.cell.placer.reservations.entries),
+            unplaceable=len(self.cell.placer.unplaceable),
             workers={
                 worker.id: [
                     sum(worker.serving_images().values()),
--- a/wisteriawood/cells/loads.py
+++ b/wisteriawood/cells/loads.py
@@ -2,10 +2,10 @@
 
 import anyio
 
+from wisteriawood.cells import capacity_requests
 from wisteriawood.cells import cells
 from wisteriawood.cells import claims
 from wisteriawood.cells import placers
-from wisteriawood.cells import room_needs
 from wisteriawood.cells import tables
 from wisteriawood.cells import worker_groups
 from wisteriawood.jobs import specs
@@ -91,11 +91,11 @@
     now_s = anyio.current_time()
     usable = [w for w in cell.fleet.values() if w.is_usable(now_s)]
     reserved, fillers = _wanted_millicores(cell)
-    kept = cell.placer.kept
+    reservations = cell.placer.reservations
     # Waiting tasks are counted above already.
     reserved += sum(
         entry.step.cpu_millicores
-        for entry in kept.entries
+        for entry in reservations.entries
         if entry.task is None or entry.task.phase is not tasks.Phase.WAITING
     )
     unused = int(sum(w.unused_millicores() for w in usable))
@@ -110,8 +110,12 @@
         waiting=cell.waiting_count(),
         workers=len(cell.fleet),
         racks=sorted(cell.racks()),
-        free=worker_groups.summarize(kept.open_group(w) for w in usable),
+        free=worker_groups.summarize(
+            reservations.open_group(w) for w in usable
+        ),
         total=cell.total_capacity(),
-        needs=room_needs.summarize(cell.placer.homeless.values()),
-        kept=kept.kept_for_others(),
+        requested=capacity_requests.summarize(
+            cell.placer.unplaceable.values()
+        ),
+        reserved=reservations.reserved_for_others(),
     )
--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -4,9 +4,9 @@
 import typing
 
 from wisteriawood.cells import interference_models
-from wisteriawood.cells import kept_room
 from wisteriawood.cells import moving
 from wisteriawood.cells import progress
+from wisteriawood.cells import reservations
 from wisteriawood.cells import runs
 from wisteriawood.cells import workers
 from wisteriawood.jobs import jobs
@@ -32,7 +32,7 @@
 # room is kept. A task that has run gets room on any worker.
 MIN_WORKERS_PER_NEW_TASK = 4
 # Most tasks for which other cells get room in a pass.
-MAX_ASKED_TASKS = 200
+MAX_REQUESTED_TASKS = 200
 # Multiple of its objective after which the result of a job has no value.
 NO_VALUE_FACTOR = 3.0
 
@@ -101,8 +101,8 @@
             that it can move.
         should_move: Returns whether a job that fits nowhere here moves to
             another cell instead.
-        kept: The room that the last pass kept for standing tasks.
-        homeless: Steps of the standing tasks that have run and for which no
+        reservations: The room that the last pass kept for standing tasks.
+        unplaceable: Steps of the standing tasks that have run and for which no
             worker here will have room, one for each task, by task name.
     """
 
@@ -114,10 +114,10 @@
         "_pinned_ids",
         "_policy",
         "_unplaced",
-        "homeless",
+        "reservations",
+        "unplaceable",
         "is_intake_idle",
         "is_leaving",
-        "kept",
         "should_move",
     )
 
@@ -134,8 +134,8 @@
         self._pinned_ids: set[str] = set()
         # Jobs with a running task; None until this pass needs them.
         self._active_ids: set[str] | None = None
-        self.kept = kept_room.KeptRoom()
-        self.homeless: dict[str, specs.StepSpec] = {}
+        self.reservations = reservations.Reservations()
+        self.unplaceable: dict[str, specs.StepSpec] = {}
         # Standing tasks that have never run for which this pass may still
         # keep room.
         self._new_tasks_left = 0
@@ -153,7 +153,7 @@
         fleet: typing.Collection[workers.Worker],
         now_s: float,
         expected: typing.Iterable[ExpectedStep] = (),
-        asked: typing.Iterable[specs.StepSpec] = (),
+        requested: typing.Iterable[specs.StepSpec] = (),
     ) -> list[tuple[workers.Worker, runs.Run]]:
         """Assign as many waiting tasks as fit now.
 
@@ -166,7 +166,7 @@
             fleet: The workers of the cell.
             now_s: Monotonic time.
             expected: Standing tasks that will probably wait soon.
-            asked: Steps for which other cells ask for room, each with the
+            requested: Steps for which other cells ask for room, each with the
                 number of tasks.
 
         Returns:
@@ -182,23 +182,23 @@
         assigned: list[tuple[workers.Worker, runs.Run]] = []
         self._place_all(restarts, usable, assigned, now_s)
         for step in sorted(expected, key=lambda s: start_order(s.job, now_s)):
-            self._keep_room(step.job, step.tasks, usable)
-        self._keep_asked(asked, usable)
+            self._reserve_room(step.job, step.tasks, usable)
+        self._reserve_requested(requested, usable)
         if not usable:
             return assigned
         self._place_all(others, usable, assigned, now_s)
         return assigned
 
-    def _keep_asked(
+    def _reserve_requested(
         self,
-        asked: typing.Iterable[specs.StepSpec],
+        requested: typing.Iterable[specs.StepSpec],
         usable: list[workers.Worker],
     ) -> None:
-        left = MAX_ASKED_TASKS
-        for step in asked:
+        left = MAX_REQUESTED_TASKS
+        for step in requested:
             for _number in range(min(step.task_count, left)):
                 left -= 1
-                if not self.kept.keep(step, usable):
+                if not self.reservations.reserve(step, usable):
                     break
 
     def _begin_pass(
@@ -207,8 +207,8 @@
         usable: list[workers.Worker],
     ) -> None:
         self._unplaced.clear()
-        self.kept.clear()
-        self.homeless.clear()
+        self.reservations.clear()
+        self.unplaceable.clear()
         self._new_tasks_left = max(1, len(usable) // MIN_WORKERS_PER_NEW_TASK)
         self._active_ids = None
         for job_id in self._idle_since_s.keys() - waiting.keys():
@@ -253,7 +253,7 @@
         if step.is_gang:
             placed = self._place_gang(job, step_tasks, usable, assigned, now_s)
             if step.is_standing and not placed:
-                self._keep_room(job, step_tasks, usable)
+                self._reserve_room(job, step_tasks, usable)
             return placed
         placed = 0
         for task in step_tasks:
@@ -265,10 +265,10 @@
                     self._rule_out(step)
                 break
             assigned.append((worker, _assign(job, task, worker, now_s)))
-            self.kept.record_assigned(worker)
+            self.reservations.record_assigned(worker)
             placed += 1
         if step.is_standing and not step.is_filler:
-            self._keep_room(job, step_tasks[placed:], usable)
+            self._reserve_room(job, step_tasks[placed:], usable)
         if placed:
             self._pinned_ids.discard(job.id)
         elif (
@@ -283,7 +283,7 @@
             )
         return placed
 
-    def _keep_room(
+    def _reserve_room(
         self,
         job: jobs.Job,
         step_tasks: list[tasks.Task],
@@ -301,7 +301,7 @@
         if not step_tasks:
             return
         is_gang = job.step_of(step_tasks[0]).is_gang
-        if is_gang and not self.kept.will_fit_all(
+        if is_gang and not self.reservations.will_fit_all(
             job.step_of(step_tasks[0]), usable, len(step_tasks)
         ):
             return
@@ -311,11 +311,13 @@
             has_run = task.run > 0
             if not has_run and self._new_tasks_left <= 0:
                 continue
-            will_fit = will_fit and self.kept.keep(step, usable, job, task)
+            will_fit = will_fit and self.reservations.reserve(
+                step, usable, job, task
+            )
             if will_fit and not has_run:
                 self._new_tasks_left -= 1
             if has_run and not will_fit and not is_gang:
-                self.homeless[job.task_name(task)] = step
+                self.unplaceable[job.task_name(task)] = step
 
     def _is_ruled_out(self, step: specs.StepSpec) -> bool:
         """Return whether a task that needs no more did not fit in this pass.
@@ -420,12 +422,14 @@
         return (
             worker.find_fault(now_s)
             or worker.find_conflict(step, job.task_name(task), blocked_at_s)
-            or self._find_kept(worker, step)
+            or self._find_reservation(worker, step)
             or self._policy.find_limit(worker, step, self._model)
         )
 
-    def _find_kept(self, worker: workers.Worker, step: specs.StepSpec) -> str:
-        if self.kept.leaves_room_for(worker, step):
+    def _find_reservation(
+        self, worker: workers.Worker, step: specs.StepSpec
+    ) -> str:
+        if self.reservations.leaves_room_for(worker, step):
             return ""
         return "room kept for standing tasks"
 
@@ -520,7 +524,7 @@
         return [
             worker
             for worker in usable
-            if self.kept.leaves_room_for(worker, step)
+            if self.reservations.leaves_room_for(worker, step)
             and not worker.find_conflict(step, name, now_s)
         ]
 
--- a/wisteriawood/cells/room_makers.py
+++ b/wisteriawood/cells/preemption.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from wisteriawood.cells import kept_room
+from wisteriawood.cells import reservations
 from wisteriawood.cells import runs
 from wisteriawood.cells import start_checks
 from wisteriawood.cells import workers
@@ -23,7 +23,7 @@
 STOP_LEAD_S = 0.8
 
 
-class RoomMaker:
+class Preemptor:
     """Makes room for the standing tasks of a cell that have run before.
 
     Room is kept for them, but batch tasks may occupy it for longer than such
@@ -49,8 +49,8 @@
             now_s: Monotonic time.
         """
         known, self._waiting_since_s = self._waiting_since_s, {}
-        due: dict[str, list[kept_room.KeptTask]] = {}
-        for entry in self._cell.placer.kept.entries:
+        due: dict[str, list[reservations.Reservation]] = {}
+        for entry in self._cell.placer.reservations.entries:
             if entry.job is None or entry.task is None or not entry.task.run:
                 continue
             if entry.task.phase is not tasks.Phase.WAITING:
--- a/wisteriawood/cells/regrouping.py
+++ b/wisteriawood/cells/regrouping.py
@@ -152,7 +152,9 @@
         """Return whether a run fits without excluding more fillers."""
         if not worker.accepts(run.step, run.name, now_s):
             return False
-        if not self._cell.placer.kept.leaves_room_for(worker, run.step):
+        if not self._cell.placer.reservations.leaves_room_for(
+            worker, run.step
+        ):
             return False
         excluded = self._cell.model.incompatible_fillers(run.step.image)
         return excluded <= worker.excluded_fillers(self._cell.model)
--- a/wisteriawood/cells/relocation.py
+++ b/wisteriawood/cells/relocation.py
@@ -32,10 +32,10 @@
 # of other cells are about a second old.
 MAX_PER_PASS = 8
 # The same for tasks for which another cell keeps room.
-MAX_KEPT_PER_PASS = 32
+MAX_RESERVED_PER_PASS = 32
 
 
-def choose_keeper(
+def choose_reserving_cell(
     loads: dict[str, claims.CellLoad], step: specs.StepSpec
 ) -> str:
     """Return the cell that keeps most room for a step; empty for none.
@@ -46,7 +46,7 @@
         step: Step of standing tasks.
     """
     fitting = {
-        cell: worker_groups.count_fitting(load.kept, step, load.racks)
+        cell: worker_groups.count_fitting(load.reserved, step, load.racks)
         for cell, load in loads.items()
     }
     best = max(sorted(fitting), key=fitting.__getitem__, default="")
@@ -119,7 +119,7 @@
 
     __slots__ = (
         "_cell",
-        "_kept_left",
+        "_reserved_left",
         "_leaving",
         "_left",
         "_most_free_millicores",
@@ -136,7 +136,7 @@
         # How much may still be relocated in this pass.
         self._left = 0
         # The same for tasks for which another cell keeps room.
-        self._kept_left = 0
+        self._reserved_left = 0
         # Cells to which jobs move whose runs are being stopped, and until
         # when, by the id of the job.
         self._leaving: dict[str, tuple[str, float]] = {}
@@ -156,7 +156,7 @@
         known = self._waiting_since_s
         self._waiting_since_s = {}
         self._left = MAX_PER_PASS
-        self._kept_left = MAX_KEPT_PER_PASS
+        self._reserved_left = MAX_RESERVED_PER_PASS
         self._leaving = {
             job_id: leaving
             for job_id, leaving in self._leaving.items()
@@ -179,7 +179,7 @@
                 since_s = known.get(key, now_s)
                 self._waiting_since_s[key] = since_s
                 waits_s.append(now_s - since_s)
-            if self._left > 0 or self._kept_left > 0:
+            if self._left > 0 or self._reserved_left > 0:
                 self._relocate(job, steps, waits_s)
 
     def _relocate(
@@ -192,7 +192,8 @@
         if writer.has_unwritten(job):
             # The number of changes that one transaction contains is bounded.
             is_urgent = any(
-                self._is_homeless(job, step_tasks[0]) for step_tasks in steps
+                self._is_unplaceable(job, step_tasks[0])
+                for step_tasks in steps
             )
             if job.moved_from or not is_urgent:
                 return
@@ -278,17 +279,19 @@
         cell = self._cell
         step = job.step_of(step_tasks[0])
         fits_here = can_ever_run(self._total, step, cell.racks())
-        is_homeless = self._is_homeless(job, step_tasks[0])
-        if not is_homeless and wait_s < self._min_wait_s(job, step, fits_here):
+        is_unplaceable = self._is_unplaceable(job, step_tasks[0])
+        if not is_unplaceable and wait_s < self._min_wait_s(
+            job, step, fits_here
+        ):
             return False
         to, _until_s = self._leaving.pop(job.id, ("", 0.0))
         if to in self._cell.other_loads:
             moving.move(cell, job, to)
             return True
-        if is_homeless and self._kept_left > 0:
-            to = choose_keeper(cell.other_loads, step)
+        if is_unplaceable and self._reserved_left > 0:
+            to = choose_reserving_cell(cell.other_loads, step)
             if to:
-                self._record_kept(to, step)
+                self._record_reserved(to, step)
                 moving.move(cell, job, to)
                 return True
         if self._left <= 0:
@@ -356,12 +359,12 @@
             default=(0, ""),
         )[1]
 
-    def _is_homeless(self, job: jobs.Job, task: tasks.Task) -> bool:
+    def _is_unplaceable(self, job: jobs.Job, task: tasks.Task) -> bool:
         """Return whether no worker here will have room for a standing task.
 
         It has run before, so it must not wait for long.
         """
-        return job.task_name(task) in self._cell.placer.homeless
+        return job.task_name(task) in self._cell.placer.unplaceable
 
     def _lend(
         self, job: jobs.Job, step_tasks: list[tasks.Task], wait_s: float
@@ -369,14 +372,14 @@
         """Lend the standing tasks of a step that other cells can run."""
         step = job.step_of(step_tasks[0])
         for task in step_tasks:
-            is_homeless = self._is_homeless(job, task)
-            if not is_homeless and wait_s < MIN_WAIT_S:
+            is_unplaceable = self._is_unplaceable(job, task)
+            if not is_unplaceable and wait_s < MIN_WAIT_S:
                 continue
             to = ""
-            if is_homeless and self._kept_left > 0:
-                to = choose_keeper(self._cell.other_loads, step)
+            if is_unplaceable and self._reserved_left > 0:
+                to = choose_reserving_cell(self._cell.other_loads, step)
             if to:
-                self._record_kept(to, step)
+                self._record_reserved(to, step)
             elif self._left > 0:
                 to = self._choose_cell(step, 1)
                 if to:
@@ -396,11 +399,11 @@
         cell.writer.schedule_write(job, lending.lend(job, task, to))
         cell.update_waiting(job)
 
-    def _record_kept(self, to: str, step: specs.StepSpec) -> None:
+    def _record_reserved(self, to: str, step: specs.StepSpec) -> None:
         """Count a task for which another cell keeps room."""
-        self._kept_left -= 1
+        self._reserved_left -= 1
         load = self._cell.other_loads[to]
-        worker_groups.reserve(load.kept, step, 1, load.racks)
+        worker_groups.reserve(load.reserved, step, 1, load.racks)
 
     def _record(self, to: str, step: specs.StepSpec, task_count: int) -> None:
         """Count relocated tasks until the other cell reports them."""
--- a/wisteriawood/cells/kept_room.py
+++ b/wisteriawood/cells/reservations.py
@@ -13,7 +13,7 @@
 from wisteriawood.jobs import tasks
 
 
-class KeptTask:
+class Reservation:
     """Room on a worker that is kept for one task.
 
     Args:
@@ -52,7 +52,7 @@
         return _step_name(self.job, self.task)
 
 
-class KeptRoom:
+class Reservations:
     """The room that a placement pass keeps, by worker.
 
     Attributes:
@@ -62,11 +62,11 @@
     __slots__ = ("_by_worker", "_lasting", "_open", "entries")
 
     def __init__(self):
-        self.entries: list[KeptTask] = []
-        self._by_worker: dict[str, list[KeptTask]] = {}
+        self.entries: list[Reservation] = []
+        self._by_worker: dict[str, list[Reservation]] = {}
         # Capacity of workers that no standing task has, as the pass needs it.
         self._lasting: dict[str, worker_groups.WorkerGroup] = {}
-        # Capacity that is free and not kept, as `keep` needs it.
+        # Capacity that is free and not kept, as `reserve` needs it.
         self._open: dict[str, worker_groups.WorkerGroup] = {}
 
     def clear(self) -> None:
@@ -115,7 +115,7 @@
                 _take(group, entry.step)
         return _fits(step, group)
 
-    def kept_for_others(self) -> list[worker_groups.WorkerGroup]:
+    def reserved_for_others(self) -> list[worker_groups.WorkerGroup]:
         """Return the room that is kept because other cells asked for it."""
         return worker_groups.merge(
             worker_groups.WorkerGroup(
@@ -129,7 +129,7 @@
             if kept.task is None
         )[: worker_groups.MAX_GROUPS]
 
-    def keep(
+    def reserve(
         self,
         step: specs.StepSpec,
         usable: typing.Iterable[workers.Worker],
@@ -167,7 +167,7 @@
                 best, best_order = worker, order
         if best is None:
             return False
-        kept = KeptTask(worker=best, step=step, job=job, task=task)
+        kept = Reservation(worker=best, step=step, job=job, task=task)
         self.entries.append(kept)
         self._by_worker.setdefault(best.id, []).append(kept)
         _take(self._lasting[best.id], step)
--- a/wisteriawood/tests/placing_tests.py
+++ b/wisteriawood/tests/placing_tests.py
@@ -6,11 +6,11 @@
 
 import anyio
 
+from wisteriawood.cells import capacity_requests
 from wisteriawood.cells import cells
 from wisteriawood.cells import interference_models
 from wisteriawood.cells import placers
 from wisteriawood.cells import progress
-from wisteriawood.cells import room_needs
 from wisteriawood.cells import share_histories
 from wisteriawood.cells import workers
 from wisteriawood.jobs import queues
@@ -277,7 +277,7 @@
                 self._end_one(worker)
             found = placer.place(_waiting(batch), fleet, now_s, [step])
             self.assertEqual(len(found), 4)
-            self.assertEqual(len(placer.kept.entries), 4)
+            self.assertEqual(len(placer.reservations.entries), 4)
 
         self._run(_check)
 
@@ -289,9 +289,9 @@
                 task_count=5, cpu_millicores=1000, most_per_worker=1
             )
             placer.place(_waiting(batch), fleet, now_s, [step])
-            ids = [kept.worker.id for kept in placer.kept.entries]
+            ids = [kept.worker.id for kept in placer.reservations.entries]
             self.assertEqual(sorted(ids), [worker.id for worker in fleet])
-            self.assertEqual(len(placer.homeless), 1)
+            self.assertEqual(len(placer.unplaceable), 1)
 
         self._run(_check)
 
@@ -301,10 +301,10 @@
         def _check(placer, fleet, batch, now_s):
             step = self._expect(task_count=3, cpu_millicores=17_000)
             placer.place(_waiting(batch), fleet, now_s, [step])
-            self.assertEqual(len(placer.homeless), 3)
-            self.assertEqual(placer.kept.entries, [])
+            self.assertEqual(len(placer.unplaceable), 3)
+            self.assertEqual(placer.reservations.entries, [])
             placer.place(_waiting(batch), fleet, now_s)
-            self.assertEqual(placer.homeless, {})
+            self.assertEqual(placer.unplaceable, {})
 
         self._run(_check)
 
@@ -376,7 +376,7 @@
                 self._end_one(worker)
             found = placer.place(_waiting(gang, batch), fleet, now_s)
             self.assertEqual(len(found), 4)
-            self.assertEqual(placer.homeless, {})
+            self.assertEqual(placer.unplaceable, {})
 
         self._run(_check)
 
@@ -412,10 +412,10 @@
                 most_per_worker=1,
                 is_standing=True,
             )
-            (need,) = room_needs.summarize([asked] * 4)
-            shared = room_needs.share_of([need], 1)
+            (need,) = capacity_requests.summarize([asked] * 4)
+            shared = capacity_requests.share_of([need], 1)
             placer.place(_waiting(batch), fleet, now_s, (), shared)
-            ids = [kept.worker.id for kept in placer.kept.entries]
+            ids = [kept.worker.id for kept in placer.reservations.entries]
             self.assertEqual(sorted(ids), [worker.id for worker in fleet])
 
         self._run(_check)
@@ -431,7 +431,7 @@
                 for worker in fleet:
                     self._end_one(worker)
                 placer.place(_waiting(batch), fleet, now_s, (), [asked])
-            (group,) = placer.kept.kept_for_others()
+            (group,) = placer.reservations.reserved_for_others()
             self.assertEqual((group.workers, group.cpu_millicores), (4, 9000))
             self.assertTrue(all(w.free_millicores >= 9000 for w in fleet))
             standing = _job(
--- a/wisteriawood/tests/room_makers_tests.py
+++ b/wisteriawood/tests/preemption_tests.py
@@ -5,14 +5,14 @@
 import anyio
 
 from wisteriawood.cells import evacuations
-from wisteriawood.cells import room_makers
+from wisteriawood.cells import preemption
 from wisteriawood.jobs import tasks
 from wisteriawood.tests import builders
 
 START_S = 100.0
 
 
-class RoomMakerTests(unittest.TestCase):
+class PreemptorTests(unittest.TestCase):
     """A standing task that has run waits on a worker full of batch tasks."""
 
     def _run(
@@ -60,7 +60,7 @@
             place(builders.make_waiting(*batches), [worker], now_s)
             for run in worker.runs.values():
                 run.was_sent = True
-            maker = room_makers.RoomMaker(cell=cell)
+            maker = preemption.Preemptor(cell=cell)
             place(builders.make_waiting(job, *batches), [worker], now_s)
             maker.tick(now_s)
             maker.tick(now_s + waits_s)
@@ -120,7 +120,7 @@
                 run.was_sent = True
             expected = cell._expected_steps()
             cell.placer.place({}, [worker], now_s, expected)
-            maker = room_makers.RoomMaker(cell=cell)
+            maker = preemption.Preemptor(cell=cell)
             counts = []
             for at_s in (now_s, lost.lease.ended_at_s() - 0.5):
                 maker.tick(at_s)
--- a/wisteriawood/tests/relocation_tests.py
+++ b/wisteriawood/tests/relocation_tests.py
@@ -555,7 +555,7 @@
             cell.writer.schedule_write(job)
             cell.other_loads = {
                 "shop@b": claims.CellLoad(
-                    kept=[builders.make_group(cores=4, workers=9)]
+                    reserved=[builders.make_group(cores=4, workers=9)]
                 )
             }
             relocator = relocation.Relocator(cell=cell)
@@ -567,7 +567,7 @@
                     builders.confirm_views(cell)
                     for task in (lost, other):
                         name = job.task_name(task)
-                        cell.placer.homeless[name] = job.step_of(task)
+                        cell.placer.unplaceable[name] = job.step_of(task)
                     relocator.tick()
                     await anyio.sleep(0.25)
                     store.gate.set()
