--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -422,14 +422,14 @@
         return (
             worker.find_fault(now_s)
             or worker.find_conflict(step, job.task_name(task), blocked_at_s)
-            or self._find_reservation(worker, step)
+            or self._find_reservation(worker, step, task)
             or self._policy.find_limit(worker, step, self._model)
         )
 
     def _find_reservation(
-        self, worker: workers.Worker, step: specs.StepSpec
+        self, worker: workers.Worker, step: specs.StepSpec, task: tasks.Task
     ) -> str:
-        if self.reservations.leaves_room_for(worker, step):
+        if self.reservations.leaves_room_for(worker, step, task):
             return ""
         return "room kept for standing tasks"
 
