Log what a lost worker ran, when a new holder's leases end, and takeovers

Callers saw standing tasks of a lost worker stay away for more than 9 s while holders change. The lines could not tell the hypotheses of the incident apart: the loss of a worker did not name its tasks, a new holder did not say until when it waits for a silent worker and on what ground, and no line had the time of a takeover.

W2202 names up to 12 standing tasks, W2124 tells for each silent worker of a new holder when its lease ends and how that is known, W2123 and wisteriawood_takeover_phase_seconds tell the time of each phase of a takeover. No decision changes.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -82,6 +82,8 @@
         orphans: Stored runs of workers not in the directory yet, by worker.
         unclaimed_ends: Newest reported ends of runs that no known job has, by
             task name and number of the run.
+        has_placed: Set after the first placement pass in which a worker has
+            answered.
         other_loads: Last reported loads of the service's other cells, by cell.
     """
 
@@ -100,6 +102,7 @@
         "directory",
         "filler_meter",
         "fleet",
+        "has_placed",
         "is_loading",
         "jobs",
         "last_job_at_s",
@@ -168,6 +171,7 @@
         self._group: abc.TaskGroup | None = None
         self._opened_at_s = math.inf
         self._placement_requested = anyio.Event()
+        self.has_placed = anyio.Event()
 
     @property
     def name(self) -> str:
@@ -272,6 +276,8 @@
             await self._placement_requested.wait()
             self._placement_requested = anyio.Event()
             self._assign_waiting()
+            if any(worker.answered_at_s for worker in self.fleet.values()):
+                self.has_placed.set()
             await anyio.sleep(PLACEMENT_PAUSE_S)
 
     def _assign_waiting(self) -> None:
--- a/wisteriawood/cells/former_holders.py
+++ b/wisteriawood/cells/former_holders.py
@@ -102,6 +102,15 @@
         self._answer: "messages.HoldAnswer | None" = None
         self._answered_at_s = 0.0
 
+    def describe(self) -> str:
+        """Return how the end of the hold is known, for the log."""
+        host = self.claim.row.holder
+        if self.is_told:
+            return f"{host} has told how its hold ended"
+        if self.latest_s < self._limit_s - self._lapse_s:
+            return f"a heartbeat of {host} tells that its hold has ended"
+        return f"{host} may still renew leases"
+
     @property
     def is_told(self) -> bool:
         """Whether the host of the holder has told how it ended."""
@@ -238,6 +247,18 @@
         lapses_s = [hold.lapsed_at_s() for hold in self.holds]
         self.lapsed_at_s = max([self._release_lapsed_at_s(left_s), *lapses_s])
 
+    def describe_basis(self, worker_id: str) -> str:
+        """Return how the end of a worker's lease is known, for the log.
+
+        Args:
+            worker_id: Id of the worker.
+        """
+        if not self.holds:
+            return "the former holder has released the cell"
+        return max(
+            self.holds, key=lambda hold: hold.lapsed_at_s_of(worker_id)
+        ).describe()
+
     def _others_left_s(self) -> float:
         """Return the time left of leases that a release does not name."""
         if self._left is None:
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -22,6 +22,7 @@
 from wisteriawood.cells import relocation
 from wisteriawood.cells import stored_jobs
 from wisteriawood.cells import tables
+from wisteriawood.cells import takeover_times
 from wisteriawood.cells import weight_exchanges
 from wisteriawood.cells import worker_sessions
 from wisteriawood.cells import workers
@@ -47,6 +48,8 @@
 # Time without an answer after which a worker counts as silent. A live one
 # may take the longest wait of a renewal and a call.
 SILENT_S = worker_sessions.RENEW_WAIT_MS / 1000 + 0.25
+# Most lines of a new holder about silent workers.
+MAX_AWAITED_LINES = 16
 # Most workers of which a release tells the leases.
 MAX_TOLD_LEASES = 500
 
@@ -63,6 +66,7 @@
         lease_s: Duration of the workers' leases.
         retention_s: Time for which the state of an ended job can be queried.
         former: The former holder, which may still renew leases.
+        times: Measures the takeover; None if it is not measured.
 
     Attributes:
         cell: The cell.
@@ -85,6 +89,7 @@
         "_preemptor",
         "_stored",
         "_ticks",
+        "_times",
         "_zones",
         "cell",
         "is_open",
@@ -100,6 +105,7 @@
         lease_s: float,
         retention_s: float,
         former: former_holders.FormerHolder,
+        times: takeover_times.TakeoverTimes | None = None,
     ):
         self.cell = cell
         self._zones = zones
@@ -107,6 +113,7 @@
         self._lease_s = lease_s
         self._retention_s = retention_s
         self._former = former
+        self._times = times
         self._group: abc.TaskGroup | None = None
         self._held_since_s = anyio.current_time()
         self._filler_pacer = pacers.FillerPacer(cell=cell)
@@ -235,6 +242,7 @@
                     workers=len(self.cell.fleet),
                     took_s=round(took_s, 3),
                 )
+                group.start_soon(self._report_takeover)
                 await self._tick_forever()
         finally:
             self.is_open = False
@@ -245,6 +253,42 @@
                     worker.close()
                     await worker.link.aclose()
 
+    async def _report_takeover(self) -> None:
+        """Log the phases of the takeover, and the workers that are silent."""
+        if self._times is not None:
+            self._times.end_phase("load")
+            await self.cell.has_placed.wait()
+            self._times.end_phase("first_pass")
+            self._times.report(self.cell.name, self.cell.claim.epoch)
+        await anyio.sleep(cells.FIRST_ANSWERS_S)
+        self._log_awaited_leases()
+
+    def _log_awaited_leases(self) -> None:
+        """Log for each silent worker with runs when its lease ends."""
+        now_s = anyio.current_time()
+        awaited = [
+            (worker.id, list(worker.runs.values()), worker.lease.ended_at_s())
+            for worker in self.cell.fleet.values()
+            if worker.runs and not worker.is_answering
+        ]
+        awaited += [
+            (worker_id, runs, self._former.lapsed_at_s_of(worker_id))
+            for worker_id, runs in self.cell.orphans.items()
+        ]
+        for worker_id, runs, ended_at_s in awaited[:MAX_AWAITED_LINES]:
+            _LOG.log(
+                job_events.LEASE_AWAITED,
+                cell=self.cell.name,
+                worker=worker_id,
+                runs=len(runs),
+                standing=[r.name for r in runs if r.step.is_standing][
+                    : worker_sessions.MAX_NAMED_TASKS
+                ],
+                left_s=round(ended_at_s - now_s, 3),
+                basis=self._former.describe_basis(worker_id),
+                left_out=max(0, len(awaited) - MAX_AWAITED_LINES),
+            )
+
     def _follow_submissions(self, submissions: stores.Page) -> feeds.Feed:
         """Return the feed of new submissions.
 
--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -37,6 +37,8 @@
 RETURN_S = 2.0
 RETRY_DELAY_S = 0.1
 RETRY_MAX_DELAY_S = 0.5
+# Standing tasks that the log line about a lost worker names at most.
+MAX_NAMED_TASKS = 12
 
 
 class WorkerSession:
@@ -135,6 +137,11 @@
                 cause, errors.LinkEndedError
             )
             fault = transport_errors.find_fault(cause)
+            standing = [
+                run.name
+                for run in worker.runs.values()
+                if run.step.is_standing
+            ]
             _LOG.log(
                 job_events.RUN_WORKER_LOST,
                 worker=worker.id,
@@ -142,6 +149,8 @@
                 cause=str(cause),
                 kind=fault.kind,
                 errno=fault.errno_name,
+                standing=standing[:MAX_NAMED_TASKS],
+                standing_count=len(standing),
                 silent_s=round(anyio.current_time() - worker.answered_at_s, 3),
             )
 
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -15,6 +15,7 @@
 from wisteriawood.cells import loads
 from wisteriawood.cells import members
 from wisteriawood.cells import tables
+from wisteriawood.cells import takeover_times
 from wisteriawood.cells import worker_directories
 from wisteriawood import errors
 from wisteriawood.jobs import queues
@@ -345,6 +346,13 @@
         former = self._unanswered_claims.find_former(
             cell, previous, self.members.incarnation
         )
+        silent_s = self.members.silence_s(former.row.holder) if former else 0.0
+        times = takeover_times.TakeoverTimes(
+            former=former.row.holder if former else "",
+            silent_s=silent_s,
+            decided_at_s=anyio.current_time(),
+            counters=self.counters,
+        )
         try:
             claim = await claims.claim_cell(
                 self.store, cell, previous, self.name, self.members.incarnation
@@ -354,6 +362,7 @@
                 self._unanswered_claims.add(cell, former)
             _LOG.log(job_events.CLAIM_FAILED, cell=cell, cause=str(exc))
             return
+        times.end_phase("claim")
         self._unanswered_claims.discard(cell)
         self.members.record_claim(claim)
         self.directory_need.require()
@@ -363,10 +372,7 @@
             cell=cell,
             epoch=claim.epoch,
             former=former.row.holder if former else "",
-            silent_s=round(
-                self.members.silence_s(former.row.holder) if former else 0,
-                3,
-            ),
+            silent_s=round(silent_s, 3),
         )
         former_holder = former_holders.FormerHolder(
             claim=former,
@@ -388,6 +394,7 @@
             lease_s=self._limits.lease_s,
             retention_s=self._limits.retention_s,
             former=former_holder,
+            times=times,
         )
         holder.update_fleet(self._workers_of(cell))
         self._holders[cell] = holder
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -113,7 +113,8 @@
     2202,
     "run-worker-lost",
     "A worker does not answer; the resources of its runs stay reserved. "
-    "`kind` and `errno` tell the first cause.",
+    "`kind` and `errno` tell the first cause, `standing` names long-running "
+    "tasks on it (of `standing_count`).",
     "Check the worker; its runs move once its lease has expired.",
 )
 RUN_WORKER_RESTARTED = events.define(
@@ -348,6 +349,20 @@
     "Load of a cell: for each worker its latency-sensitive tasks, runs, free "
     "cores, cores requested by fillers, and free memory in GiB.",
 )
+TAKEOVER_TIMED = events.define(
+    2123,
+    "takeover-timed",
+    "A new holder has placed tasks for the first time; the fields tell the "
+    "time without a heartbeat of the former one and that of each phase.",
+)
+LEASE_AWAITED = events.define(
+    2124,
+    "lease-awaited",
+    "A worker does not answer the new holder of its cell: its tasks wait for "
+    "`left_s`, until its lease has surely ended; `basis` tells how that is "
+    "known.",
+    "See OPERATIONS.md, A standing task that is away.",
+)
 HOLD_ENDED = events.define(
     2121,
     "hold-ended",
--- a/wisteriawood/telemetry/job_metrics.py
+++ b/wisteriawood/telemetry/job_metrics.py
@@ -53,6 +53,8 @@
         part_failures: Unexpected errors that ended a part of the host, by
             kind.
         takeover_s: Time from the claim of a cell until it is open.
+        takeover_phase_s: Time of each phase of a takeover; see
+            cells.takeover_times.
         registry: Registry of the metrics.
     """
 
@@ -73,6 +75,7 @@
         "standing_gap_s",
         "standing_tasks_away",
         "started_s",
+        "takeover_phase_s",
         "takeover_s",
         "part_failures",
         "unreadable",
@@ -147,6 +150,13 @@
             "takeover_seconds",
             "From the claim of a cell to its work.",
         )
+        self.takeover_phase_s = prometheus_client.Histogram(
+            "wisteriawood_takeover_phase_seconds",
+            "Time of each phase of a takeover.",
+            ("phase",),
+            buckets=metrics.LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
 
     def count_part_failure(self, kind: str) -> None:
         """Count an unexpected error.
--- a/wisteriawood/tests/away_tasks_tests.py
+++ b/wisteriawood/tests/away_tasks_tests.py
@@ -489,6 +489,10 @@
             self.assertGreaterEqual(drops[0]["silent_s"], LEASE_S)
             self.assertEqual(losses[0]["kind"], "LinkClosedError")
             self.assertEqual(losses[0]["errno"], "")
+            self.assertEqual(losses[0]["standing_count"], len(drops))
+            self.assertEqual(
+                set(losses[0]["standing"]), {line["task"] for line in drops}
+            )
             count = holder.counters.registry.get_sample_value(
                 f"{away_builders.GAP_METRIC}_count", {"cause": "silence"}
             )
