Claim a cell only over the claim that was judged

Two hosts of other zones took the cell within 20 ms: while one of them probed a worker, the other claimed the cell, and the first then claimed over that new claim, whose holder had just begun. Its host answered that it held for 0.0 s and that leases may run for 18.3 s more.

The check of cells read the newest claim again after the probe. It now claims over the claim that it has judged, so the commit fails if another has appeared.

--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -299,14 +299,16 @@
             if self._holders:
                 self._share_loads()
             for cell in self._all_cells():
+                previous = self.members.claims.get(cell)
                 if cell in self._holders:
                     self._check_held(cell)
                 elif self._suspensions.has(cell):
                     continue
                 elif await self._takeovers.should_claim(
-                    cell, len(self._holders)
+                    cell, previous, len(self._holders)
                 ):
-                    await self._claim(cell, self.members.claims.get(cell))
+                    # A claim that has appeared meanwhile is not replaced.
+                    await self._claim(cell, previous)
 
     def _share_loads(self) -> None:
         """Give each held cell the loads of its service's other cells."""
--- a/wisteriawood/machines/takeovers.py
+++ b/wisteriawood/machines/takeovers.py
@@ -72,14 +72,17 @@
         self._free_since_s: dict[str, float] = {}
         self._reachable_since_s: dict[str, float] = {}
 
-    async def should_claim(self, cell: str, cells_held: int) -> bool:
+    async def should_claim(
+        self, cell: str, previous: claims.Claim | None, cells_held: int
+    ) -> bool:
         """Return whether a cell is free and this host should claim it.
 
         Args:
             cell: Name of the cell.
+            previous: Its newest known claim, the one to replace; None if
+                there is none.
             cells_held: Number of cells that this host holds.
         """
-        previous = self._members.claims.get(cell)
         extra_s = DELAY_PER_HELD_CELL_S * cells_held
         if self._members.is_plain():
             extra_s += PLAIN_SILENCE_S
