Bound the moves of a standing task that fits in no cell

A standing task that has run and fits nowhere in its cell moves at once. Where anti-affinity keeps it out of another cell, which the reports of that cell do not show, it moved on from there at once too: 40 moves in 10 s in a test, each with a write, and while it was on its way no holder had it.

--- a/wisteriawood/cells/relocation.py
+++ b/wisteriawood/cells/relocation.py
@@ -192,8 +192,7 @@
         if writer.has_unwritten(job):
             # The number of changes that one transaction contains is bounded.
             is_urgent = any(
-                self._is_unplaceable(job, step_tasks[0])
-                for step_tasks in steps
+                self._is_urgent(job, step_tasks[0]) for step_tasks in steps
             )
             if job.moved_from or not is_urgent:
                 return
@@ -279,10 +278,9 @@
         cell = self._cell
         step = job.step_of(step_tasks[0])
         fits_here = can_ever_run(self._total, step, cell.racks())
+        is_urgent = self._is_urgent(job, step_tasks[0])
         is_unplaceable = self._is_unplaceable(job, step_tasks[0])
-        if not is_unplaceable and wait_s < self._min_wait_s(
-            job, step, fits_here
-        ):
+        if not is_urgent and wait_s < self._min_wait_s(job, step, fits_here):
             return False
         to, _until_s = self._leaving.pop(job.id, ("", 0.0))
         if to in self._cell.other_loads:
@@ -366,17 +364,26 @@
         """
         return job.task_name(task) in self._cell.placer.unplaceable
 
+    def _is_urgent(self, job: jobs.Job, task: tasks.Task) -> bool:
+        """Return whether a standing task need not wait here before it leaves.
+
+        One that has moved once for each other cell waits: their reports don't
+        show what keeps it out.
+        """
+        return job.spec.moves <= len(
+            self._cell.other_loads
+        ) and self._is_unplaceable(job, task)
+
     def _lend(
         self, job: jobs.Job, step_tasks: list[tasks.Task], wait_s: float
     ) -> None:
         """Lend the standing tasks of a step that other cells can run."""
         step = job.step_of(step_tasks[0])
         for task in step_tasks:
-            is_unplaceable = self._is_unplaceable(job, task)
-            if not is_unplaceable and wait_s < MIN_WAIT_S:
+            if not self._is_urgent(job, task) and wait_s < MIN_WAIT_S:
                 continue
             to = ""
-            if is_unplaceable and self._reserved_left > 0:
+            if self._is_unplaceable(job, task) and self._reserved_left > 0:
                 to = choose_reserving_cell(self._cell.other_loads, step)
             if to:
                 self._record_reserved(to, step)
--- a/wisteriawood/tests/relocation_tests.py
+++ b/wisteriawood/tests/relocation_tests.py
@@ -18,6 +18,7 @@
 from wisteriawood.jobs import tasks
 from wisteriawood.links.codecs import jobs as codec
 from wisteriawood.standins import stores as store_standins
+from wisteriawood.telemetry import job_events
 from wisteriawood.tests import builders
 from wisteriawood.tests import cells_tests
 
@@ -459,6 +460,28 @@
             _check, zones=["a", "b", "c"], workers_per_zone=1
         )
 
+    # Guards against four moves a second, between two cells whose reports
+    # don't show that their workers already have a task of the step.
+    def test_a_standing_task_without_room_anywhere_moves_now_and_then(self):
+        async def _check(world):
+            await anyio.sleep(3)
+            world.work_s[JOB] = FOREVER_S
+            step = _step(task_count=3, is_standing=True, most_per_worker=1)
+            await world.submit_to(CELL, JOB, [step])
+            await anyio.sleep(6)
+            self.assertEqual(len(set(world.running().values())), 3)
+            world.lose_worker("w-c-0")
+            await anyio.sleep(RESTART_BOUND_S)
+            watched_s = 10.0
+            with builders.record_events(job_events.JOB_MOVED) as moves:
+                await anyio.sleep(watched_s)
+            self.assertGreater(len(moves), 0)
+            self.assertLessEqual(len(moves), watched_s / relocation.MIN_WAIT_S)
+
+        builders.run_job_world(
+            _check, zones=["a", "b", "c"], workers_per_zone=1
+        )
+
 
 class FillerMoveTests(unittest.TestCase):
     """Fillers wait in a cell while the other one reports room."""
