Take a refused connection as the end of a holder's process

The successor had asked at once, and the connection was refused.

A host opens its listener before it tells the address and keeps it open until its process ends, so a refusal at the address that the same process has told proves that it has ended.

--- a/wisteriawood/platform/__main__.py
+++ b/wisteriawood/platform/__main__.py
@@ -7,6 +7,7 @@
 import time
 
 import anyio
+from anyio import abc
 
 import wisteriawood
 from wisteriawood import errors
@@ -60,6 +61,7 @@
         "_front",
         "_host",
         "_intake",
+        "_listener",
         "_server_closed",
         "_stopping",
         "_store",
@@ -90,6 +92,7 @@
             supervisor=self._host.supervisor,
         )
         self._workers = worker_followers.WorkerFollower(host=self._host)
+        self._listener: abc.Listener | None = None
         self._stopping = anyio.Event()
         self._server_closed = anyio.Event()
 
@@ -163,14 +166,14 @@
         if not address:
             return
         host = self._host
-
-        def _publish() -> None:
+        if self._listener is None:
+            # Open until the process ends: to other hosts a refused connection
+            # proves that it has.
+            self._listener = await sockets.listen(address=address)
             host.members.address = address
-
         await sockets.serve(
-            address=address,
+            listener=self._listener,
             handler=host.hold_answers.serve,
-            on_listening=_publish,
             on_error=functools.partial(
                 host.supervisor.record, "host link", self.config.node_name
             ),
