Lose the second worker of a test before tasks get room there

In test_worker_that_refuses_is_not_chosen the tasks were placed 0.03 s before the second worker was lost, so the holder could not know of it, as the test says it does. It is lost at the earliest end of the lease now; the bound is unchanged.

--- a/wisteriawood/tests/lost_workers_tests.py
+++ b/wisteriawood/tests/lost_workers_tests.py
@@ -5,6 +5,7 @@
 import anyio
 
 from wisteriawood.cells import leases
+from wisteriawood.cells import worker_sessions
 from wisteriawood.standins import job_worlds
 from wisteriawood.tests import lost_workers_builders as lost_builders
 
@@ -22,6 +23,8 @@
 # Time in which a holder notices that a worker is silent: the longest wait for
 # an answer, and the timeout of the call.
 SILENCE_S = 1.9
+# Longest time between the last renewal of a worker's lease and its loss.
+RENEWAL_S = worker_sessions.RENEW_WAIT_MS / 1000
 # CPU cores of standing tasks that fill a worker together with 34 others, of
 # some more, and of all of these.
 FULL_SIZES = (1.5, 2.5, 5, 7, 8, 10)
@@ -453,7 +456,7 @@
 
     def test_worker_that_refuses_is_not_chosen(self):
         """Guards against starts to a worker that refuses connections."""
-        self._run(job_worlds.LEASE_S - 0.5, is_refusing=True)
+        self._run(job_worlds.LEASE_S - RENEWAL_S, is_refusing=True)
 
     def test_worker_that_has_fallen_silent_is_not_chosen(self):
         """Guards against starts to a worker that did not answer a call."""
