--- a/wisteriawood/cells/former_holders.py
+++ b/wisteriawood/cells/former_holders.py
@@ -161,8 +161,7 @@
         # nobody extends.
         self._withheld_until_s: dict[str, float] = {}
         if claim is not None:
-            # A row older than the claim is of a host that does not know it.
-            if stored is not None and stored.version >= claim.version:
+            if stored is not None and _is_valid(stored, claim):
                 self._adopt(claim.cell, stored)
             else:
                 self._add_unknown(claim)
@@ -270,6 +269,14 @@
         ).describe()
 
 
+def _is_valid(stored: lease_rows.StoredLeases, claim: claims.Claim) -> bool:
+    """Return whether a row of leases binds the holder of the newest claim.
+
+    One that is older than the claim is of a host that does not know the row.
+    """
+    return stored.is_readable and stored.version >= claim.version
+
+
 def _make_claim(cell: str, hold: lease_rows.FormerHoldRow) -> claims.Claim:
     """Return the claim of a hold, as far as a row of leases tells it."""
     row = claims.ClaimRow(
--- a/wisteriawood/cells/lease_rows.py
+++ b/wisteriawood/cells/lease_rows.py
@@ -67,6 +67,7 @@
     Attributes:
         row: The row.
         version: Its version.
+        is_readable: Whether it could be decoded; an odd one tells nothing.
         written_by_s: Monotonic time by which it was certainly written.
         taken_by_s: Monotonic time by which its durations were certainly
             taken; the same or earlier.
@@ -74,6 +75,7 @@
 
     row: LeasesRow
     version: int
+    is_readable: bool = True
     written_by_s: float
     taken_by_s: float
 
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -213,7 +213,7 @@
                 continue
             try:
                 if row.at.key.endswith(tables.LEASES_SUFFIX):
-                    self._record_leases(row)
+                    self._record_leases(row, lease_rows.read_leases(row.value))
                     continue
                 claim = claims.read_claim(row)
             except errors.MessageError as exc:
@@ -222,6 +222,8 @@
                     cell=row.at.key,
                     cause=str(exc),
                 )
+                if row.at.key.endswith(tables.LEASES_SUFFIX):
+                    self._record_leases(row, None)
                 continue
             self.record_claim(claim)
 
@@ -240,7 +242,9 @@
         )
         return stored
 
-    def _record_leases(self, row: stores.StoredRow) -> None:
+    def _record_leases(
+        self, row: stores.StoredRow, found: lease_rows.LeasesRow | None
+    ) -> None:
         cell = row.at.key.removesuffix(tables.LEASES_SUFFIX)
         known = self.leases.get(cell)
         if known is not None and known.version >= row.version:
@@ -248,8 +252,9 @@
         known_for_s = self._times.known_for_s(row.version)
         written_by_s = anyio.current_time() - known_for_s
         self.leases[cell] = lease_rows.StoredLeases(
-            row=lease_rows.read_leases(row.value),
+            row=found or lease_rows.LeasesRow(),
             version=row.version,
+            is_readable=found is not None,
             written_by_s=written_by_s,
             taken_by_s=written_by_s,
         )
--- a/wisteriawood/tests/handover_tests.py
+++ b/wisteriawood/tests/handover_tests.py
@@ -327,6 +327,31 @@
         self.assertLess(self._wait_s(row)[0], 1.0)
         self.assertGreater(self._wait_s(row, row_version=2)[0], 6.0)
 
+    def test_odd_row_tells_nothing_and_can_be_replaced(self):
+        """Guards against a cell that nobody can claim, or claims too early."""
+
+        async def _main():
+            view = members.Members(
+                store=None, name="new", zone="a", incarnation="n"
+            )
+            at = tables.leases_row(CELL)
+            row = stores.StoredRow(at=at, value=b"[[[", version=9)
+            view.process_claims([row])
+            stored = view.find_leases(CELL)
+            claim = claims.Claim(
+                cell=CELL,
+                row=claims.ClaimRow(holder="", incarnation="x", epoch=1),
+                version=9,
+            )
+            former = former_holders.FormerHolder(
+                claim=claim, stored=stored, known_members=view, lease_s=6.0
+            )
+            self.assertEqual(stored.version, 9)
+            left_s = former.lapsed_at_s_of("w") - anyio.current_time()
+            self.assertGreater(left_s, former_holders.RENEW_WITHOUT_STORE_S)
+
+        builders.run_virtual(_main)
+
     def test_many_former_holds_are_merged(self):
         """Guards against a hold that no row tells of any more."""
         holds = [
