--- a/wisteriawood/machines/holder_probes.py
+++ b/wisteriawood/machines/holder_probes.py
@@ -17,6 +17,8 @@
 # period and a pause of the feed, shorter than what a takeover waits for.
 PROBE_SILENCE_S = 1.5
 PROBE_TIMEOUT_S = 0.5
+# Pause between two probes of a host, which may only be slow.
+PROBE_PAUSE_S = 0.4
 
 
 class HolderProbes:
@@ -65,6 +67,13 @@
             group.start_soon(self._probe, claim, address)
 
     async def _probe(self, claim: claims.Claim, address: str) -> None:
+        try:
+            await self._connect(claim, address)
+            await anyio.sleep(PROBE_PAUSE_S)
+        finally:
+            self._probed.discard(claim.row.holder)
+
+    async def _connect(self, claim: claims.Claim, address: str) -> None:
         try:
             with anyio.move_on_after(PROBE_TIMEOUT_S):
                 async with self._dial_host(bounds.check_address(address)):
@@ -80,5 +89,3 @@
         except errors.LinkError:
             # It proves nothing; the host is probed again.
             pass
-        finally:
-            self._probed.discard(claim.row.holder)
