--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -354,6 +354,7 @@
             self._group.start_soon(self.release, cell)
 
     async def _claim(self, cell: str, previous: claims.Claim | None) -> None:
+        """Claim a cell over the claim that was judged, and hold it."""
         former = previous.row.holder if previous else ""
         silent_s = self.members.silence_s(former) if former else 0.0
         times = takeover_times.TakeoverTimes(
@@ -368,6 +369,46 @@
             stored=stored,
             taken_ms=self.store.clock.latest_ms(),
         )
+        claim = await self._commit_claim(cell, previous, stored, leases_row)
+        if claim is None:
+            return
+        times.end_phase("claim")
+        self.members.record_claim(claim)
+        self.directory_need.require()
+        self._heartbeats.send_soon()
+        _LOG.log(
+            job_events.CELL_CLAIMED,
+            cell=cell,
+            epoch=claim.epoch,
+            former=former,
+            silent_s=round(silent_s, 3),
+        )
+        # Whoever was replaced counts from now, after the commit.
+        former_holder = self._find_former(previous, stored)
+        holder = self._make_holder(claim, former_holder, leases_row, times)
+        holder.update_fleet(self._workers_of(cell))
+        self._holders[cell] = holder
+        self._scopes[cell] = anyio.CancelScope()
+        self.counters.cells_held.set(len(self._holders))
+        if self._group is not None:
+            self._group.start_soon(self._run_holder, cell, holder)
+        self._ask_former_holders(holder, former_holder)
+
+    async def _commit_claim(
+        self,
+        cell: str,
+        previous: claims.Claim | None,
+        stored: lease_rows.StoredLeases | None,
+        leases_row: lease_rows.LeasesRow,
+    ) -> claims.Claim | None:
+        """Return the new claim of a cell; None if this host must not hold it.
+
+        Args:
+            cell: The cell.
+            previous: The claim to replace; None if there is none.
+            stored: The row of leases to replace; None if there is none.
+            leases_row: The new row of leases.
+        """
         try:
             claim = await claims.claim_cell(
                 self.store,
@@ -382,27 +423,24 @@
             if isinstance(exc, stores.ChangeConflictError):
                 self.members.process_claims(exc.rows)
             _LOG.log(job_events.CLAIM_FAILED, cell=cell, cause=str(exc))
-            return
+            return None
         if self.hold_answers.is_superseded(claim):
             _LOG.log(
                 job_events.CLAIM_FAILED,
                 cell=cell,
                 cause="it was answered after a newer claim",
             )
-            return
-        times.end_phase("claim")
-        self.members.record_claim(claim)
-        self.directory_need.require()
-        self._heartbeats.send_soon()
-        _LOG.log(
-            job_events.CELL_CLAIMED,
-            cell=cell,
-            epoch=claim.epoch,
-            former=former,
-            silent_s=round(silent_s, 3),
-        )
-        former_holder = self._find_former(previous, stored)
-        holder = holders.Holder(
+            return None
+        return claim
+
+    def _make_holder(
+        self,
+        claim: claims.Claim,
+        former: former_holders.FormerHolder,
+        leases_row: lease_rows.LeasesRow,
+        times: takeover_times.TakeoverTimes,
+    ) -> holders.Holder:
+        return holders.Holder(
             cell=cells.Cell(
                 claim=claim,
                 store=self.store,
@@ -416,17 +454,10 @@
             dial=self._dial,
             lease_s=self._limits.lease_s,
             retention_s=self._limits.retention_s,
-            former=former_holder,
+            former=former,
             leases_row=leases_row,
             times=times,
         )
-        holder.update_fleet(self._workers_of(cell))
-        self._holders[cell] = holder
-        self._scopes[cell] = anyio.CancelScope()
-        self.counters.cells_held.set(len(self._holders))
-        if self._group is not None:
-            self._group.start_soon(self._run_holder, cell, holder)
-        self._ask_former_holders(holder, former_holder)
 
     def _find_former(
         self,
