Extend a lease as soon as the row of leases lets it

The renewal after the first answer was sent before the row without the worker was stored, so it extended nothing, and as a long poll it took a second; the next one timed out.

While a lease is withheld, renewals don't wait for ends, and 0.1 s after the row is stored one extends the lease.

--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -35,6 +35,9 @@
 # Time in which the entry of a live worker returns that the directory removed
 # while the store was away.
 RETURN_S = 2.0
+# Pause between renewals that may not extend the lease; the first one that may
+# is sent this soon after the row of leases is stored.
+WITHHELD_PAUSE_S = 0.1
 RETRY_DELAY_S = 0.1
 RETRY_MAX_DELAY_S = 0.5
 # Standing tasks that the log line about a lost worker names at most.
@@ -105,6 +108,8 @@
                 continue
             delay_s = RETRY_DELAY_S
             await self._wait_for_commits()
+            if self._worker.lease.is_withheld:
+                await anyio.sleep(WITHHELD_PAUSE_S)
         self._end_session()
 
     def _is_finished(self) -> bool:
@@ -163,9 +168,12 @@
         # partitioned, the end of its lease is what stops its runs.
         is_answering = worker.is_answering
         until_ms = worker.lease.grant(sent_at_s) if is_answering else 0
-        wait_ms = (
-            self._wait_ms() if is_answering and not self._uncommitted else 0
+        is_waiting = (
+            is_answering
+            and not self._uncommitted
+            and not worker.lease.is_withheld
         )
+        wait_ms = self._wait_ms() if is_waiting else 0
         worker.answer_due_at_s = sent_at_s + wait_ms / 1000 + USUAL_CALL_S
         report = await worker.link.renew(
             token=token,
--- a/wisteriawood/tests/lease_ledger_tests.py
+++ b/wisteriawood/tests/lease_ledger_tests.py
@@ -26,6 +26,8 @@
 STORED_S = 0.4
 # Times between the loss of a worker and that of its holder.
 DELAYS_S = (STORED_S, 1.5, 3.0, 5.0)
+# From the first answer of a worker that is back until its lease is extended.
+EXTENDED_S = 0.4
 # Time from which a restart of the host can't help.
 LATE_S = 9.0
 
@@ -272,6 +274,32 @@
 
         self.run_world(_check)
 
+    def test_lease_is_extended_soon_after_the_worker_is_back(self):
+        """Guards against leases that run out between short silences.
+
+        A soak on a starved machine had workers that answered too late every
+        other second; the first renewal after each silence extended nothing,
+        and the next one came a second later.
+        """
+
+        async def _check(world, _directory, name):
+            holder = world.hosts[world.holder_of(CELL)]
+            worker = holder._holders[CELL].cell.fleet[name]
+            world.workers[name].cut_from.update(world.hosts)
+            await anyio.sleep(3)
+            self.assertTrue(self._is_withheld(world, name))
+            world.workers[name].cut_from.clear()
+            while not worker.is_answering:
+                await anyio.sleep(0.01)
+            await anyio.sleep(EXTENDED_S)
+            now_s = anyio.current_time()
+            left_ms = worker.lease.granted_until_ms - worker.lease.clock_ms(
+                now_s
+            )
+            self.assertGreater(left_ms / 1000, job_worlds.LEASE_S - EXTENDED_S)
+
+        self.run_world(_check)
+
     def test_runs_go_on_under_the_next_holder(self):
         """Guards against a next holder that extends no lease either."""
 
