Withhold the lease of a worker that times out only after a retry

A worker that answers a renewal too late is slow more often than lost.

After a timeout the retry has 0.5 s to be answered before the end of the lease is stored, after an ended connection 0.15 s as before. The new test fails with 0.15 s.

--- a/wisteriawood/cells/lease_ledgers.py
+++ b/wisteriawood/cells/lease_ledgers.py
@@ -8,6 +8,7 @@
 from wisteriawood.cells import former_holders
 from wisteriawood.cells import lease_rows
 from wisteriawood.cells import tables
+from wisteriawood.cells import worker_sessions
 from wisteriawood.cells import workers
 from wisteriawood import errors
 from wisteriawood.links import stores
@@ -16,9 +17,6 @@
 
 _LOG = events.Logger(name=__name__)
 CHECK_PERIOD_S = 0.25
-# Time after a failed renewal in which the first retry is answered, if only its
-# connection was lost.
-RETRY_ANSWER_S = 0.15
 # Time after the opening of a cell in which live workers answer its holder.
 FIRST_ANSWERS_S = 0.6
 # An end that becomes known to be this much earlier is stored again.
@@ -124,7 +122,7 @@
             with anyio.move_on_after(CHECK_PERIOD_S):
                 await self._wakeup.wait()
                 if not self._has_returned():
-                    await anyio.sleep(RETRY_ANSWER_S)
+                    await anyio.sleep(worker_sessions.RETRY_ANSWER_S)
             self._wakeup = anyio.Event()
             if not self._is_withholding_all and self._is_due():
                 await self._store()
@@ -166,10 +164,9 @@
             return bool(worker.runs) or not worker.lease.has_lapsed(now_s)
         if not worker.runs:
             return False
-        return (
-            worker.answered_at_s > 0
-            or now_s - self._opened_at_s >= FIRST_ANSWERS_S
-        )
+        if worker.answered_at_s > 0:
+            return now_s >= worker.lost_from_s
+        return now_s - self._opened_at_s >= FIRST_ANSWERS_S
 
     def _is_due(self) -> bool:
         """Return whether the next holder would learn something it needs."""
--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -35,6 +35,10 @@
 # Time in which the entry of a live worker returns that the directory removed
 # while the store was away.
 RETURN_S = 2.0
+# Time after a failed renewal in which a retry is answered if only its
+# connection was lost, and if the worker answers slowly.
+RETRY_ANSWER_S = 0.15
+SLOW_ANSWER_S = 0.5
 # Pause between renewals that may not extend the lease; the first one that may
 # is sent this soon after the row of leases is stored.
 WITHHELD_PAUSE_S = 0.1
@@ -142,6 +146,10 @@
                 cause, errors.LinkEndedError
             )
             fault = transport_errors.find_fault(cause)
+            is_timeout = fault.kind == TimeoutError.__name__
+            worker.lost_from_s = anyio.current_time() + (
+                SLOW_ANSWER_S if is_timeout else RETRY_ANSWER_S
+            )
             standing = [
                 run.name
                 for run in worker.runs.values()
--- a/wisteriawood/cells/workers.py
+++ b/wisteriawood/cells/workers.py
@@ -58,6 +58,8 @@
         answer_due_at_s: Monotonic time from which the answer to the renewal
             under way is overdue; infinite while there is none.
         is_answering: Whether the last renewal of the lease was answered.
+        lost_from_s: Monotonic time from which it counts as lost rather than
+            slow unless a retry is answered; set when a renewal fails.
         commands: Sending end of the queue of runs to start or stop.
         commands_out: Receiving end of that queue.
         free_millicores: CPU that no task has reserved; fillers reserve none.
@@ -98,6 +100,7 @@
         "last_processed_end",
         "lease",
         "link",
+        "lost_from_s",
         "no_fillers_until_s",
         "registration",
         "runs",
@@ -124,6 +127,7 @@
         self.answered_at_s = 0.0
         self.answer_due_at_s = math.inf
         self.is_answering = False
+        self.lost_from_s = 0.0
         self.is_gone = False
         self.is_closed = False
         self.avoided_until_s = 0.0
--- a/wisteriawood/tests/lease_ledger_tests.py
+++ b/wisteriawood/tests/lease_ledger_tests.py
@@ -12,9 +12,11 @@
 
 from wisteriawood.cells import lease_ledgers
 from wisteriawood.cells import tables
+from wisteriawood.links import transport_errors
 from wisteriawood.machines import holder_probes
 from wisteriawood.machines import job_hosts
 from wisteriawood.standins import job_worlds
+from wisteriawood.standins import runners as run_standins
 from wisteriawood.telemetry import job_events
 from wisteriawood.tests import builders
 from wisteriawood.tests import handover_tests
@@ -300,6 +302,31 @@
 
         self.run_world(_check)
 
+    def test_nothing_is_stored_about_a_worker_that_is_only_slow(self):
+        """Guards against leases withheld from workers that answer late."""
+
+        async def _check(world, _directory, name):
+            holder = world.hosts[world.holder_of(CELL)]
+            worker = holder._holders[CELL].cell.fleet[name]
+            version = world.store.rows[tables.leases_row(CELL)].version
+            world.workers[name].cut_from.update(world.hosts)
+            while worker.is_answering:
+                await anyio.sleep(0.01)
+            world.workers[name].cut_from.clear()
+            # The first retry is answered late as well.
+            with mock.patch.object(run_standins, "CALL_DELAY_S", 0.3):
+                await anyio.sleep(2)
+            row = world.store.rows[tables.leases_row(CELL)]
+            self.assertEqual(row.version, version)
+
+        timeout = transport_errors.TransportFault(
+            kind="TimeoutError", errno_name=""
+        )
+        with mock.patch.object(
+            transport_errors, "find_fault", lambda _exc: timeout
+        ):
+            self.run_world(_check)
+
     def test_runs_go_on_under_the_next_holder(self):
         """Guards against a next holder that extends no lease either."""
 
