--- a/wisteriawood/soak/cases.py
+++ b/wisteriawood/soak/cases.py
@@ -23,4 +23,7 @@
     13: "starts sent after the loss extended the leases of two workers",
     56: "a start extended a lease to 9.0 s, and the jobs moved 1.0 s later",
     103: "moved jobs waited 2.5 s in their new cell beside batch tasks",
+    416: "leases that were withheld ran out on workers that answered late",
+    418: "the same, after both hosts of a zone had been lost",
+    1001: "the holder was killed for good before it had stored a lease's end",
 }
