--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -45,8 +45,6 @@
 # Time for which heartbeats tell what has ended. Longer than any wait for the
 # leases of a former holder.
 ENDED_REPORT_S = 60.0
-# Most processes of other hosts that are remembered as ended.
-MAX_REFUSED = 64
 # Most former processes of a host that its heartbeats name.
 MAX_ENDED = 4
 # Pause of the heartbeat feed between calls, so that one answer brings
@@ -116,7 +114,6 @@
         "_given_up",
         "_heartbeat_count",
         "_loads",
-        "_refused_at_s",
         "_started_at_s",
         "_store",
         "_times",
@@ -157,9 +154,6 @@
         self._loads: dict[str, claims.CellLoad] = {}
         self._claim_seen_at_s: dict[str, float] = {}
         self._started_at_s = anyio.current_time() - process_age_s
-        # Monotonic times at which nothing listened any more at the address of
-        # a process of another host, by its incarnation.
-        self._refused_at_s: dict[str, float] = {}
         # Incarnations of former processes of this host, the newest last.
         self._ended: list[str] = []
         self.on_ended: typing.Callable[[], None] = lambda: None
@@ -339,14 +333,12 @@
         if host == self.name:
             ended_at_s, version = self._given_up.get(claim.cell, (0.0, 0))
             return ended_at_s if version >= claim.version else math.inf
-        refused_at_s = self._refused_at_s.get(claim.row.incarnation, math.inf)
         member = self.by_name.get(host)
         if member is None:
-            return refused_at_s
+            return math.inf
         heartbeat = member.heartbeat
         if claim.row.incarnation in heartbeat.ended:
-            started_at_s = member.written_by_s - heartbeat.age_s
-            return min(refused_at_s, started_at_s)
+            return member.written_by_s - heartbeat.age_s
         if (
             heartbeat.incarnation == claim.row.incarnation
             and heartbeat.given_up.get(claim.cell, 0) >= claim.version
@@ -354,38 +346,7 @@
             return member.written_by_s - heartbeat.given_up_s.get(
                 claim.cell, 0.0
             )
-        return refused_at_s
-
-    def find_address(self, claim: claims.Claim) -> str:
-        """Return the address of the process that wrote a claim.
-
-        Args:
-            claim: The claim.
-
-        Returns:
-            The address, as host:port; empty if it is not known.
-        """
-        member = self.by_name.get(claim.row.holder)
-        if member is None:
-            return ""
-        if member.heartbeat.incarnation != claim.row.incarnation:
-            return ""
-        return member.heartbeat.address
-
-    def record_refusal(self, claim: claims.Claim) -> None:
-        """Record that nothing listens at the address of a claim's process.
-
-        It listens from before its first heartbeat with the address until it
-        ends, so it has ended.
-
-        Args:
-            claim: The claim.
-        """
-        self._refused_at_s.setdefault(
-            claim.row.incarnation, anyio.current_time()
-        )
-        while len(self._refused_at_s) > MAX_REFUSED:
-            del self._refused_at_s[next(iter(self._refused_at_s))]
+        return math.inf
 
     def _process_heartbeats(self, rows: list[stores.StoredRow]) -> None:
         now_s = anyio.current_time()
@@ -459,8 +420,6 @@
             # Callers ask only about cells that this process does not hold,
             # so a claim under its own name is stale.
             return True
-        if claim.row.incarnation in self._refused_at_s:
-            return True
         if self._has_restarted(claim):
             return True
         return self.silence_s(claim.row.holder) > silence_s
--- a/wisteriawood/links/sockets.py
+++ b/wisteriawood/links/sockets.py
@@ -16,7 +16,6 @@
 from wisteriawood import errors
 from wisteriawood.links import channels
 from wisteriawood.links.codecs import cbor
-from wisteriawood.links import transport_errors
 from wisteriawood.telemetry import events
 
 MAX_MESSAGE_BYTES = 64 * 1024
@@ -136,17 +135,14 @@
         address: Address of the host, as host:port.
 
     Raises:
-        LinkRefusedError: The machine answers, and no process listens.
-        LinkClosedError: The connection failed for another reason.
+        LinkClosedError: The connection failed, whatever the reason: a
+            machine that is cut off may refuse connections as well.
     """
     host, port = address.rsplit(":", 1)
     try:
         stream = await anyio.connect_tcp(host.strip("[]"), int(port))
     except OSError as exc:
         cause = exc.__cause__ or exc
-        fault = transport_errors.find_fault(exc)
-        if fault.errno_name == "ECONNREFUSED":
-            raise errors.LinkRefusedError(f"can't connect: {cause}") from exc
         raise errors.LinkClosedError(f"can't connect: {cause}") from exc
     channel = SocketChannel(stream=stream, role=wsproto.ConnectionType.CLIENT)
     try:
@@ -156,39 +152,24 @@
         await channel.aclose()
 
 
-async def listen(*, address: str) -> abc.Listener[abc.SocketStream]:
-    """Listen on an address.
-
-    As long as the listener is open, connections to the address are not
-    refused, whether somebody serves them or not.
-
-    Args:
-        address: The address, as host:port.
-
-    Raises:
-        OSError: The address can't be listened on.
-    """
-    host, port = address.rsplit(":", 1)
-    return await anyio.create_tcp_listener(
-        local_host=host.strip("[]"), local_port=int(port), reuse_port=False
-    )
-
-
 async def serve(
     *,
-    listener: abc.Listener[abc.SocketStream],
+    address: str,
     handler: Handler,
+    on_listening: typing.Callable[[], None],
     on_error: typing.Callable[[Exception], None],
 ) -> None:
     """Accept connections until cancelled, with one task for each of them.
 
-    The listener stays open.
-
     Args:
-        listener: The listener.
+        address: Address to listen on, as host:port.
         handler: Serves one channel; it returns, or raises LinkError when the
             link breaks.
+        on_listening: Called once connections are accepted.
         on_error: Records an unexpected error, which ends its link only.
+
+    Raises:
+        OSError: The address can't be listened on.
     """
 
     async def _serve_one(stream: abc.ByteStream) -> None:
@@ -208,4 +189,10 @@
         finally:
             await channel.aclose()
 
-    await listener.serve(_serve_one)
+    host, port = address.rsplit(":", 1)
+    listener = await anyio.create_tcp_listener(
+        local_host=host.strip("[]"), local_port=int(port), reuse_port=False
+    )
+    async with listener:
+        on_listening()
+        await listener.serve(_serve_one)
--- a/wisteriawood/machines/hold_questions.py
+++ b/wisteriawood/machines/hold_questions.py
@@ -31,9 +31,7 @@
 
     A host that can't reach the store can't tell by its heartbeats that it has
     ended, and does not read that its cell has a newer claim. Only an answer
-    proves something, or a refused connection at the address that the process
-    itself has told: the platform drops what is sent to a machine that is cut
-    off. Silence and broken connections prove nothing.
+    proves something: a refused connection or silence does not.
 
     Args:
         known_members: The host's view of the other hosts.
@@ -111,10 +109,6 @@
                 )
         except TimeoutError:
             return f"no answer in {ASK_TIMEOUT_S} s"
-        except errors.LinkRefusedError as exc:
-            if self._members.find_address(hold.claim):
-                self._members.record_refusal(hold.claim)
-            return str(exc)
         except (errors.LinkError, errors.MessageError) as exc:
             return str(exc)
         except Exception as exc:
--- a/wisteriawood/platform/__main__.py
+++ b/wisteriawood/platform/__main__.py
@@ -7,7 +7,6 @@
 import time
 
 import anyio
-from anyio import abc
 
 import wisteriawood
 from wisteriawood import errors
@@ -61,7 +60,6 @@
         "_front",
         "_host",
         "_intake",
-        "_listener",
         "_server_closed",
         "_stopping",
         "_store",
@@ -92,7 +90,6 @@
             supervisor=self._host.supervisor,
         )
         self._workers = worker_followers.WorkerFollower(host=self._host)
-        self._listener: abc.Listener | None = None
         self._stopping = anyio.Event()
         self._server_closed = anyio.Event()
 
@@ -166,14 +163,14 @@
         if not address:
             return
         host = self._host
-        if self._listener is None:
-            # Open until the process ends: to other hosts a refused connection
-            # proves that it has.
-            self._listener = await sockets.listen(address=address)
+
+        def _publish() -> None:
             host.members.address = address
+
         await sockets.serve(
-            listener=self._listener,
+            address=address,
             handler=host.hold_answers.serve,
+            on_listening=_publish,
             on_error=functools.partial(
                 host.supervisor.record, "host link", self.config.node_name
             ),
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -377,12 +377,6 @@
     "is lost, the next holder waits longer for them.",
     "Check the platform's store.",
 )
-HOLDER_ENDED = events.define(
-    2127,
-    "holder-ended",
-    "The holder of a cell is silent, and nothing listens any more at the "
-    "address of its process: it has ended, and the cell is claimed at once.",
-)
 HOLD_ENDED = events.define(
     2121,
     "hold-ended",
