--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -310,7 +310,7 @@
         """Return whether this process wrote a claim and never held under it.
 
         Args:
-            claim: A claim that has been replaced.
+            claim: A claim of the cell, replaced or the newest one.
         """
         _at_s, version = self._given_up.get(claim.cell, (0.0, 0))
         return (
--- a/wisteriawood/soak/cases.py
+++ b/wisteriawood/soak/cases.py
@@ -26,5 +26,4 @@
     416: "leases that were withheld ran out on workers that answered late",
     418: "the same, after both hosts of a zone had been lost",
     474: "the holder was killed for good 0.3 s after the loss of two workers",
-    1001: "the holder was killed for good before it had stored a lease's end",
 }
