Keep the bounds of the store's clock within its resolution

Cause: two answers bound the clock exactly, and the microseconds between the readings of two clocks of this host (12 measured) made them contradict each other, so that the clock counted as one that has begun anew and all earlier bounds were dropped. A host then knows less than before and waits longer for leases. The store tells whole milliseconds, so bounds that miss each other by less than one do not contradict. The new test moves an answer by 0.5 ms and failed before.

--- a/wisteriawood/links/store_clocks.py
+++ b/wisteriawood/links/store_clocks.py
@@ -7,6 +7,9 @@
 
 # Newest answers that count; clocks of hosts drift apart over a longer time.
 MAX_ANSWERS = 16
+# The store tells whole milliseconds, and two clocks of this host are not read
+# at one moment.
+RESOLUTION_MS = 1.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -47,8 +50,8 @@
             most_ms=store_ms - sent_at_s * 1000,
         )
         is_consistent = all(
-            answer.least_ms <= known.most_ms
-            and known.least_ms <= answer.most_ms
+            answer.least_ms <= known.most_ms + RESOLUTION_MS
+            and known.least_ms <= answer.most_ms + RESOLUTION_MS
             for known in self._answers
         )
         if not is_consistent:
--- a/wisteriawood/tests/store_clocks_tests.py
+++ b/wisteriawood/tests/store_clocks_tests.py
@@ -65,6 +65,22 @@
 
         self._run(_check)
 
+    def test_bounds_that_touch_within_the_resolution(self):
+        """Guards against readings of clocks that discard all bounds.
+
+        Two bounds that touch missed each other by the microseconds between
+        two readings, and the clock counted as one that has begun anew.
+        """
+
+        async def _check(clock, record, offset_ms):
+            record(0.4, 0.4)
+            record(0.4, -0.0005)
+            self.assertAlmostEqual(
+                clock.latest_ms(), self._now_ms(offset_ms), delta=1
+            )
+
+        self._run(_check)
+
     def test_clock_that_has_begun_anew(self):
         """Guards against answers of a former clock that still count."""
 
