Measure how old the tables are that a host follows

Callers got 404 for a route that had been acknowledged, and no log line or metric told how old the configuration was by which it was refused, nor what its feed waited for. New are a metric for each table with the age of its newest confirmed read, one line when an age passes its bound and one when it is back, and the version and age in each 404, which is logged now. Feeds register with the link to the store while they run. The feed of the configuration moves from the daemon into a follower of its own, as the workers' has one. No decision changes.

--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -43,6 +43,8 @@
 # Longest duration of one poll of the submissions or the cancellations; without
 # new rows, the known cancellations get as old as this.
 JOBS_POLL_S = 1.0
+# Age that the submissions should not exceed: jobs wait in it unseen.
+MAX_SUBMISSION_AGE_S = 2.0
 EXPIRY_PERIOD_TICKS = 40
 LOAD_LOG_PERIOD_TICKS = 8
 # Time without an answer after which a worker counts as silent. A live one
@@ -290,6 +292,7 @@
             ),
             start=submissions,
             wait_s=JOBS_POLL_S,
+            max_age_s=lambda: MAX_SUBMISSION_AGE_S,
             supervisor=self.cell.supervisor,
         )
         return feed
@@ -312,6 +315,7 @@
             on_rows=self._process_cancels,
             start=cancels,
             wait_s=JOBS_POLL_S,
+            max_age_s=lambda: self.cell.max_cancel_age_s,
             supervisor=self.cell.supervisor,
         )
         self.cell.cancels_confirmed_at_s = lambda: max(
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -47,6 +47,10 @@
 ENDED_REPORT_S = 60.0
 # Most former processes of a host that its heartbeats name.
 MAX_ENDED = 4
+# Age that the claims and the heartbeats should not exceed. A host that would
+# take over a cell relies on both, and is not ready without heartbeats.
+MAX_CLAIM_AGE_S = 4.0
+MAX_HEARTBEAT_AGE_S = 2.5
 # Pause of the heartbeat feed between calls, so that one answer brings
 # several heartbeats.
 HEARTBEAT_FEED_PAUSE_S = 0.5
@@ -174,6 +178,7 @@
             store=store,
             table=tables.CLAIMS,
             on_rows=self.process_claims,
+            max_age_s=lambda: MAX_CLAIM_AGE_S,
             times=self._times,
             supervisor=supervisor,
         )
@@ -183,6 +188,7 @@
             on_rows=self._process_heartbeats,
             pause_s=self._feed_pause_s,
             on_answer=self._note_answer,
+            max_age_s=lambda: MAX_HEARTBEAT_AGE_S,
             times=self._times,
             supervisor=supervisor,
         )
--- a/wisteriawood/links/feeds.py
+++ b/wisteriawood/links/feeds.py
@@ -1,12 +1,14 @@
 """Follows a table of the store: reads all rows, then polls for changes."""
 
 import collections
+import math
 import typing
 
 import anyio
 
 from wisteriawood import errors
 from wisteriawood.links import clocks
+from wisteriawood.links import store_contacts
 from wisteriawood.links import stores
 from wisteriawood.links import version_times
 from wisteriawood import supervision
@@ -46,18 +48,26 @@
         start: Whole table, read before, from which to follow; None to read
             the table first.
         wait_s: Longest duration of one poll.
+        max_age_s: Returns the age that the rows should not exceed while the
+            store answers; infinite for no bound.
         times: Records the answers of the store; None for no record.
         supervisor: Records unexpected errors; None to only log them.
 
     Attributes:
+        activity: What the feed is doing.
+        activity_since_s: Monotonic time since which it is doing it.
         answered_at_s: Monotonic time of the last answer; 0 before the first.
         confirmed_at_s: Time of clocks.elapsed_s as of which the rows are
             known to be current: that at which the last poll with a complete
             answer or the first read was sent, or at which a poll without
             changes ended; 0 before the first.
+        failures: Number of reads and polls that have failed since the last
+            answer.
         is_reading_table: Whether the rows that are passed on may be older
             than the last poll: they come from a read of the whole table, or
             they are passed on once more.
+        max_age_s: Returns the age that the rows should not exceed while the
+            store answers.
         is_caught_up: Whether the last answer to a poll had all changes. If
             not, the next poll follows without a pause.
         table: The table.
@@ -79,6 +89,7 @@
         "_on_answer",
         "_on_rows",
         "_pause_s",
+        "_started_at_s",
         "_store",
         "_supervisor",
         "_times",
@@ -86,10 +97,14 @@
         "_versions",
         "_wait_s",
         "_wakeup",
+        "activity",
+        "activity_since_s",
         "answered_at_s",
         "confirmed_at_s",
+        "failures",
         "is_caught_up",
         "is_reading_table",
+        "max_age_s",
         "table",
         "unbroken_since_s",
         "unverified",
@@ -105,6 +120,7 @@
         on_answer: typing.Callable[[], None] = lambda: None,
         start: stores.Page | None = None,
         wait_s: float = LONG_POLL_S,
+        max_age_s: typing.Callable[[], float] = lambda: math.inf,
         times: version_times.VersionTimes | None = None,
         supervisor: supervision.Supervisor | None = None,
     ):
@@ -130,6 +146,11 @@
             tuple[float, stores.RowKey, int]
         ] = collections.deque()
         self.table = table
+        self.max_age_s = max_age_s
+        self._started_at_s = clocks.elapsed_s()
+        self.activity = store_contacts.Activity.READ
+        self.activity_since_s = anyio.current_time()
+        self.failures = 0
         self.answered_at_s = 0.0
         self.confirmed_at_s = 0.0
         self.is_caught_up = True
@@ -140,8 +161,28 @@
             self._versions.update((row.at, row.version) for row in start.rows)
             self._follow(start)
 
+    def age_s(self) -> float:
+        """Return the age of the newest confirmed read, in seconds.
+
+        Before the first one it is the time since the feed was created.
+        """
+        known_at_s = max(self.confirmed_at_s, self._started_at_s)
+        return clocks.elapsed_s() - known_at_s
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
+        feeds = self._store.contact.feeds
+        feeds.append(self)
+        try:
+            await self._follow_forever()
+        finally:
+            feeds.remove(self)
+
+    def _begin(self, activity: store_contacts.Activity) -> None:
+        self.activity = activity
+        self.activity_since_s = anyio.current_time()
+
+    async def _follow_forever(self) -> None:
         delay_s = RETRY_DELAY_S
         is_failing = False
         while True:
@@ -161,16 +202,20 @@
                         job_events.FEED_LOST, table=self.table, cause=str(exc)
                     )
                 is_failing = True
+                self.failures += 1
                 self.unbroken_since_s = 0.0
                 self._times.clear()
+                self._begin(store_contacts.Activity.RETRY)
                 await anyio.sleep(delay_s)
                 delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
                 continue
             if is_failing:
                 _LOG.log(job_events.FEED_FOUND, table=self.table)
             is_failing = False
+            self.failures = 0
             delay_s = RETRY_DELAY_S
             if self._pause_s is not None and may_pause:
+                self._begin(store_contacts.Activity.PAUSE)
                 with anyio.move_on_after(self._pause_s()):
                     await self._wakeup.wait()
                 self._wakeup = anyio.Event()
@@ -189,16 +234,19 @@
         sent_at_s = clocks.elapsed_s()
         may_pause = True
         if self._after is None:
+            self._begin(store_contacts.Activity.READ)
             page = await stores.read_table(self._store, self.table)
             self._apply_page(page)
             self._follow(page)
             self.confirmed_at_s = sent_at_s
         elif self._audits_at_s and now_s >= self._audits_at_s[0]:
+            self._begin(store_contacts.Activity.AUDIT)
             page = await stores.read_table(self._store, self.table)
             self._audits_at_s.pop(0)
             self._audit(page)
             may_pause = False
         else:
+            self._begin(store_contacts.Activity.POLL)
             wait_s = self._wait_s
             if self._audits_at_s:
                 wait_s = min(wait_s, self._audits_at_s[0] - now_s)
--- a/wisteriawood/links/stores.py
+++ b/wisteriawood/links/stores.py
@@ -11,6 +11,7 @@
 
 from wisteriawood import errors
 from wisteriawood.links import store_clocks
+from wisteriawood.links import store_contacts
 
 RESEND_DELAY_S = 0.05
 MAX_RESEND_DELAY_S = 0.5
@@ -130,9 +131,11 @@
 
     Attributes:
         clock: The store's clock, as its answers to changes show it.
+        contact: Shared by all that uses this link to the store.
     """
 
     clock: store_clocks.StoreClock
+    contact: store_contacts.StoreContact
 
     async def commit(self, change: Change) -> int:
         """Commit a change and return the version of its rows.
--- a/wisteriawood/machines/host_limits.py
+++ b/wisteriawood/machines/host_limits.py
@@ -14,6 +14,8 @@
             tasks may be started.
         directory_silence_s: Time after which the directory removes the entry
             of a worker that is silent.
+        max_configuration_age_s: Age of the newest confirmed read of the
+            configuration up to which a host knows which queues there are.
         max_cancel_age_s: Age of the known cancellations of jobs up to which
             tasks may be started.
     """
@@ -22,4 +24,5 @@
     retention_s: float
     max_directory_age_s: float
     directory_silence_s: float
+    max_configuration_age_s: float
     max_cancel_age_s: float
--- a/wisteriawood/machines/intakes.py
+++ b/wisteriawood/machines/intakes.py
@@ -71,7 +71,15 @@
                 reason="this host has no configuration yet; try another",
                 retry_after_s=STORE_RETRY_S,
             )
-        return self._host.queues.find(host_name, path)
+        try:
+            return self._host.queues.find(host_name, path)
+        except errors.NotFoundError as exc:
+            version = self._host.queues.version
+            age_s = self._host.configuration_age_s()
+            raise errors.NotFoundError(
+                f"{exc} in version {version} of the configuration, read "
+                f"{age_s:.3f} s ago"
+            ) from exc
 
     async def submit(self, spec: specs.JobSpec, timeout_s: float) -> None:
         """Accept a job; it is stored on return.
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -21,6 +21,7 @@
 from wisteriawood.cells import worker_directories
 from wisteriawood import errors
 from wisteriawood.jobs import queues
+from wisteriawood.links import feeds
 from wisteriawood.links import messages
 from wisteriawood.links import runners
 from wisteriawood.links import stores
@@ -31,6 +32,7 @@
 from wisteriawood.machines import hold_questions
 from wisteriawood.machines import host_limits
 from wisteriawood.machines import suspensions
+from wisteriawood.machines import table_ages
 from wisteriawood.machines import takeovers
 from wisteriawood.policies import registry
 from wisteriawood.policies import spreading
@@ -72,6 +74,9 @@
 
     Attributes:
         directory: The directory of workers.
+        configuration_feed: Feed of the configuration; None if the host gets it
+            otherwise.
+        limits: Its time limits.
         members: The other hosts and the claims of all cells.
         queues: Queues of the configuration in force; None before the first.
         is_draining: Whether the host releases its cells.
@@ -87,17 +92,19 @@
         "_heartbeats",
         "_hold_questions",
         "_holders",
-        "_limits",
         "_policy",
         "_releases",
         "_scopes",
         "_suspensions",
+        "_table_ages",
         "_takeovers",
+        "configuration_feed",
         "counters",
         "directory",
         "directory_need",
         "hold_answers",
         "is_draining",
+        "limits",
         "members",
         "name",
         "queues",
@@ -127,7 +134,7 @@
         self.zones = sorted(zones)
         self.store = store
         self._dial = dial
-        self._limits = limits
+        self.limits = limits
         registry.load_modules(spreading)
         self._policy = spreading_base.SPREADING.get(policy)()
         self.counters = job_metrics.JobMetrics()
@@ -137,6 +144,10 @@
         self.version_times = version_times.VersionTimes()
         self.members = self._make_members(cores, process_age_s)
         self.queues: queues.QueueTable | None = None
+        self.configuration_feed: feeds.Feed | None = None
+        self._table_ages = table_ages.TableAges(
+            contact=store.contact, counters=self.counters
+        )
         self.is_draining = False
         self.directory_need = directory_needs.DirectoryNeed(
             known_members=self.members
@@ -201,6 +212,14 @@
             queues=len(table.queues),
         )
 
+    def configuration_age_s(self) -> float:
+        """Return the age of the newest confirmed read of the configuration.
+
+        It is 0 on a host that does not follow it in the store.
+        """
+        feed = self.configuration_feed
+        return feed.age_s() if feed is not None else 0.0
+
     def update_fleet(self, fleet: dict[str, runners.Registration]) -> None:
         """Apply the directory's current list of workers.
 
@@ -264,6 +283,7 @@
                 ("heartbeat feed", self.members.heartbeat_feed.run),
                 ("heartbeats", self._heartbeats.run),
                 ("cell checks", self._check_cells_forever),
+                ("table ages", self._table_ages.run),
             ):
                 group.start_soon(
                     self.supervisor.run, kind, self.name, function
@@ -475,14 +495,14 @@
                 store=self.store,
                 policy=self._policy,
                 directory=self.directory,
-                max_cancel_age_s=self._limits.max_cancel_age_s,
+                max_cancel_age_s=self.limits.max_cancel_age_s,
                 counters=self.counters,
                 supervisor=self.supervisor,
             ),
             zones=self.zones,
             dial=self._dial,
-            lease_s=self._limits.lease_s,
-            retention_s=self._limits.retention_s,
+            lease_s=self.limits.lease_s,
+            retention_s=self.limits.retention_s,
             former=former,
             leases_row=leases_row,
             times=times,
@@ -497,7 +517,7 @@
             claim=previous,
             stored=stored,
             known_members=self.members,
-            lease_s=self._limits.lease_s,
+            lease_s=self.limits.lease_s,
         )
 
     def _ask_former_holders(
--- a/wisteriawood/platform/__main__.py
+++ b/wisteriawood/platform/__main__.py
@@ -11,15 +11,13 @@
 import wisteriawood
 from wisteriawood import errors
 from wisteriawood.links import channels
-from wisteriawood.links import feeds
 from wisteriawood.links import https
 from wisteriawood.links import runners
 from wisteriawood.links import sockets
-from wisteriawood.links import stores
 from wisteriawood.machines import host_limits
 from wisteriawood.machines import intakes
 from wisteriawood.machines import job_hosts
-from wisteriawood.platform import directory
+from wisteriawood.platform import configuration_followers
 from wisteriawood.platform import fronts
 from wisteriawood.platform import settings
 from wisteriawood.platform import store_client
@@ -56,7 +54,7 @@
     """
 
     __slots__ = (
-        "_configuration_feed",
+        "_configuration",
         "_front",
         "_host",
         "_intake",
@@ -83,30 +81,16 @@
         )
         self._intake = intakes.Intake(host=self._host)
         self._front = fronts.Front(host=self._host, intake=self._intake)
-        self._configuration_feed = feeds.Feed(
-            store=self._store,
-            table=directory.OPERATOR_TABLE,
-            on_rows=self._process_operator_rows,
-            supervisor=self._host.supervisor,
+        self._configuration = configuration_followers.ConfigurationFollower(
+            host=self._host, on_change=self._adopt_body_limit
         )
         self._workers = worker_followers.WorkerFollower(host=self._host)
         self._stopping = anyio.Event()
         self._server_closed = anyio.Event()
 
-    def _process_operator_rows(self, rows: list[stores.StoredRow]) -> None:
-        for row in rows:
-            if row.at.key != directory.CONFIGURATION_KEY or not row.value:
-                continue
-            try:
-                table, max_bytes = directory.decode_configuration(row.value)
-            except errors.MessageError as exc:
-                unreadable = self._host.counters.unreadable
-                unreadable.labels(kind="configuration").inc()
-                _LOG.log(job_events.CONFIGURATION_UNREADABLE, cause=str(exc))
-                continue
-            self._front.max_body_bytes = max_bytes
-            self._host.adopt_queues(table)
-            self._workers.update()
+    def _adopt_body_limit(self, max_bytes: int) -> None:
+        self._front.max_body_bytes = max_bytes
+        self._workers.update()
 
     async def _watch_signals(self) -> None:
         with anyio.open_signal_receiver(
@@ -186,7 +170,7 @@
                 ("log writer", writer.run),
                 ("host", self._host.run),
                 ("intake", self._intake.run),
-                ("configuration feed", self._configuration_feed.run),
+                ("configuration feed", self._configuration.run),
                 ("worker feed", self._workers.run),
                 ("host links", self._serve_hosts),
             ):
@@ -208,6 +192,7 @@
         retention_s=bounds.status_s + RETENTION_MARGIN_S,
         max_directory_age_s=_max_view_age_s(bounds.drain_ms),
         directory_silence_s=EXPIRY_HEARTBEATS * config.heartbeat_ms / 1000,
+        max_configuration_age_s=bounds.config_apply_ms / 1000,
         max_cancel_age_s=_max_view_age_s(bounds.cancel_ms),
     )
 
--- a/wisteriawood/platform/fronts.py
+++ b/wisteriawood/platform/fronts.py
@@ -91,7 +91,7 @@
         try:
             return await self._answer_caller(scope, receive, path)
         except errors.NotFoundError as exc:
-            return 404, {"error": str(exc)}, 0
+            answer = (404, {"error": str(exc)}, 0)
         except errors.RequestNotRunError as exc:
             answer = (exc.http_status, {"error": str(exc)}, exc.retry_after_s)
         except errors.RequestUnknownError as exc:
--- a/wisteriawood/platform/settings.py
+++ b/wisteriawood/platform/settings.py
@@ -71,6 +71,8 @@
         drain_ms: Time after a worker reports that it drains from which no
             task may be started on it.
         cancel_ms: The same for the tasks of a cancelled job.
+        config_apply_ms: Time after the acknowledgement of a change of the
+            configuration from which it is in force.
         hold_max_ms: Longest lease of a worker, in milliseconds.
         status_s: Time for which the state of an ended job can be queried.
         grace_s: Time between the signal to stop and the kill.
@@ -78,6 +80,7 @@
 
     drain_ms: float = 2000
     cancel_ms: float = 3000
+    config_apply_ms: float = 2000
     hold_max_ms: int = 6000
     status_s: float = 120
     grace_s: float = 6
--- a/wisteriawood/platform/store_client.py
+++ b/wisteriawood/platform/store_client.py
@@ -13,6 +13,7 @@
 from wisteriawood.links import clocks
 from wisteriawood.links.codecs import rows
 from wisteriawood.links import store_clocks
+from wisteriawood.links import store_contacts
 from wisteriawood.links import stores
 
 # The timeout of a call is a multiple of the average time of earlier calls,
@@ -107,9 +108,16 @@
 
     Attributes:
         clock: The store's clock.
+        contact: Shared by all that uses this client.
     """
 
-    __slots__ = ("_average_s", "_client", "_newest_version", "clock")
+    __slots__ = (
+        "_average_s",
+        "_client",
+        "_newest_version",
+        "clock",
+        "contact",
+    )
 
     def __init__(
         self,
@@ -127,6 +135,7 @@
         self._average_s = MIN_TIMEOUT_S / TIMEOUT_FACTOR
         self._newest_version = 0
         self.clock = store_clocks.StoreClock()
+        self.contact = store_contacts.StoreContact()
 
     def _timeout_s(self) -> float:
         return min(
--- a/wisteriawood/platform/worker_followers.py
+++ b/wisteriawood/platform/worker_followers.py
@@ -1,5 +1,7 @@
 """Follows the workers' entries in the store for a job host."""
 
+import math
+
 import anyio
 
 from wisteriawood import errors
@@ -82,6 +84,7 @@
             pause_s=self._pause_s,
             on_answer=self._confirm,
             wait_s=POLL_S,
+            max_age_s=self._max_age_s,
             times=host.version_times,
             supervisor=host.supervisor,
         )
@@ -117,6 +120,12 @@
             POLL_PAUSE_S if self._host.is_holding() else STANDBY_POLL_PAUSE_S
         )
 
+    def _max_age_s(self) -> float:
+        """Return the bound of a holder; a standby starts no task."""
+        if not self._host.is_holding():
+            return math.inf
+        return self._host.limits.max_directory_age_s
+
     def _process_rows(self, rows: list[stores.StoredRow]) -> None:
         has_changed = False
         for row in rows:
--- a/wisteriawood/standins/job_worlds.py
+++ b/wisteriawood/standins/job_worlds.py
@@ -29,6 +29,7 @@
 SERVICE = "shop"
 DEFAULT_WORK_S = 1.0
 MAX_DIRECTORY_AGE_S = 1.0
+MAX_CONFIGURATION_AGE_S = 2.0
 MAX_CANCEL_AGE_S = 2.0
 DIRECTORY_PERIOD_S = 0.4
 DIRECTORY_SILENCE_S = 4.5
@@ -37,6 +38,7 @@
     retention_s=RETENTION_S,
     max_directory_age_s=MAX_DIRECTORY_AGE_S,
     directory_silence_s=DIRECTORY_SILENCE_S,
+    max_configuration_age_s=MAX_CONFIGURATION_AGE_S,
     max_cancel_age_s=MAX_CANCEL_AGE_S,
 )
 FIRST_PORT = 10000
--- a/wisteriawood/standins/stores.py
+++ b/wisteriawood/standins/stores.py
@@ -5,6 +5,7 @@
 from wisteriawood import errors
 from wisteriawood.links import clocks
 from wisteriawood.links import store_clocks
+from wisteriawood.links import store_contacts
 from wisteriawood.links import stores
 
 # What the clock of the store shows at the start of the monotonic clock here.
@@ -217,14 +218,16 @@
 
     Attributes:
         clock: The store's clock, as answers show it.
+        contact: Shared by all that uses this link.
     """
 
-    __slots__ = ("_host", "_store", "clock")
+    __slots__ = ("_host", "_store", "clock", "contact")
 
     def __init__(self, *, store: MemoryStore, host: str):
         self._store = store
         self._host = host
         self.clock = store_clocks.StoreClock()
+        self.contact = store_contacts.StoreContact()
 
     async def _apply_call_faults(self, delay_s: float) -> None:
         if self._host in self._store.cut_hosts:
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -218,6 +218,19 @@
     "fit into an answer, and has read them all now.",
     "If it is frequent, check the load of the host and of the store.",
 )
+TABLE_OUTDATED = events.define(
+    2313,
+    "table-outdated",
+    "The newest confirmed read of a table is older than its bound; the line "
+    "tells what its feed waits for.",
+    "Check the platform's store.",
+)
+TABLE_CURRENT = events.define(
+    2314,
+    "table-current",
+    "A table is within its bound again; the line tells how old it has become "
+    "and what its feed waited for last.",
+)
 WORKER_ROW_UNREADABLE = events.define(
     2304,
     "worker-row-unreadable",
--- a/wisteriawood/telemetry/job_metrics.py
+++ b/wisteriawood/telemetry/job_metrics.py
@@ -52,6 +52,8 @@
             decoded, by kind.
         part_failures: Unexpected errors that ended a part of the host, by
             kind.
+        table_age_s: Age of the newest confirmed read of a table that the host
+            follows, by table.
         takeover_s: Time from the claim of a cell until it is open.
         takeover_phase_s: Time of each phase of a takeover; see
             cells.takeover_times.
@@ -75,6 +77,7 @@
         "standing_gap_s",
         "standing_tasks_away",
         "started_s",
+        "table_age_s",
         "takeover_phase_s",
         "takeover_s",
         "part_failures",
@@ -124,6 +127,12 @@
             ("cell", "reason"),
             registry=self.registry,
         )
+        self.table_age_s = prometheus_client.Gauge(
+            "wisteriawood_table_age_seconds",
+            "Age of the newest confirmed read of a table.",
+            ("table",),
+            registry=self.registry,
+        )
         self.standing_tasks_away = prometheus_client.Gauge(
             "wisteriawood_standing_tasks_away",
             "Standing tasks that have run before and don't run, by phase.",
--- a/wisteriawood/tests/builders.py
+++ b/wisteriawood/tests/builders.py
@@ -425,6 +425,7 @@
 
     def __init__(self, *, store, is_stale=False):
         self._link = store.link("me")
+        self.contact = self._link.contact
         self.is_stale = is_stale
         self.answer_delay_s = 0.0
         self.read_delay_s = 0.0
@@ -595,3 +596,12 @@
 def counter_value(counter, **labels):
     """Return the value of a counter of prometheus_client."""
     return counter.labels(**labels)._value.get()
+
+
+def gauge_values(gauge):
+    """Return the values of a gauge of prometheus_client by their one label."""
+    return {
+        next(iter(sample.labels.values())): sample.value
+        for metric in gauge.collect()
+        for sample in metric.samples
+    }
