Reproduce tables that are late after the return of a silent store

Callers got 404 for an acknowledged route, seconds after the store's return. The stand-in of the store can be silent with open connections, for all tables or some, reset connections, and answer reads late; its calls end by the timeouts of the client.

--- a/wisteriawood/platform/standins.py
+++ b/wisteriawood/platform/standins.py
@@ -60,6 +60,12 @@
             return json.loads(data) if data else {}
 
 
+async def _wait_for_disconnect(receive) -> None:
+    """Leave a call without an answer until its client closes."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
 async def _send(send, status: int, body: dict) -> None:
     await send(
         {
@@ -96,6 +102,11 @@
     Attributes:
         status: Status with which every call is refused; 0 to answer calls
             normally.
+        is_silent: Whether calls that arrive, and answers that are due, are
+            lost while the connections stay open.
+        silent_tables: Tables for which it is silent all the same.
+        is_resetting: Whether connections are reset when a call arrives.
+        read_delay_s: Delay of the answers to reads and polls.
         lost_answers: Number of next changes that are committed without an
             answer to the host.
         lost_answer_delay_s: Delay before such a change is committed.
@@ -109,8 +120,12 @@
         "_store",
         "answer_delay_s",
         "delay_s",
+        "is_resetting",
+        "is_silent",
         "lost_answer_delay_s",
         "lost_answers",
+        "read_delay_s",
+        "silent_tables",
         "slow_parts",
         "status",
     )
@@ -124,6 +139,10 @@
         self._store = store
         self._addresses = addresses or {}
         self.status = 0
+        self.is_silent = False
+        self.silent_tables: typing.Collection[str] = ()
+        self.is_resetting = False
+        self.read_delay_s = 0.0
         self.lost_answers = 0
         self.lost_answer_delay_s = 0.0
         self.slow_parts: typing.Collection[str] = ()
@@ -137,30 +156,54 @@
             return
         query = dict(parse.parse_qsl(scope["query_string"].decode()))
         body = await _read_body(receive)
+        if self.is_resetting:
+            raise errors.LinkClosedError("the connection was reset")
+        table = query.get("table", "")
+        if not self._is_silent(table):
+            status, answer = await self._answer_call(
+                scope["path"], query, body
+            )
+            if not self._is_silent(table):
+                await _send(send, status, answer)
+                return
+        await _wait_for_disconnect(receive)
+
+    async def _answer_call(
+        self, path: str, query: dict, body: dict
+    ) -> tuple[int, dict]:
+        """Return the status and the body of an answer, with its delays."""
         if self.status:
-            await _send(send, self.status, {})
-            return
-        is_change = scope["path"] == "/v1/rows-tx"
-        is_dropped = is_change and self.lost_answers > 0
+            return self.status, {}
+        try:
+            if path == "/v1/rows-tx":
+                return 200, await self._change(body)
+            answer = await self._answer(path, query)
+        except StatusError as exc:
+            return exc.status, exc.body
+        await anyio.sleep(self.read_delay_s)
+        return 200, answer
+
+    async def _change(self, body: dict) -> dict:
+        """Commit a change, late or without an answer if so set."""
+        is_dropped = self.lost_answers > 0
         if is_dropped:
             self.lost_answers -= 1
             await anyio.sleep(self.lost_answer_delay_s)
-        is_slow = is_change and any(
+        is_slow = any(
             row["part"] in self.slow_parts
             for row in (*body["set_keys"], *body["remove"])
         )
         if is_slow:
             await anyio.sleep(self.delay_s)
-        try:
-            answer = await self._answer(scope["path"], query, body)
-        except StatusError as exc:
-            await _send(send, exc.status, exc.body)
-            return
+        answer = self._commit(body)
         if is_dropped:
             raise errors.LinkClosedError("the answer was dropped")
         if is_slow:
             await anyio.sleep(self.answer_delay_s)
-        await _send(send, 200, answer)
+        return answer
+
+    def _is_silent(self, table: str) -> bool:
+        return self.is_silent or table in self.silent_tables
 
     def _encode_for_host(self, row: stores.StoredRow) -> dict:
         """Encode a row, with the worker's address as this host reaches it."""
@@ -178,9 +221,7 @@
             )
         )
 
-    async def _answer(self, path: str, query: dict, body: dict) -> dict:
-        if path == "/v1/rows-tx":
-            return self._commit(body)
+    async def _answer(self, path: str, query: dict) -> dict:
         if path == "/v1/rows-feed":
             return await self._feed(query)
         if path == "/v1/rows-parts":
