Ask a store that may be silent for an answer at once

Callers got 404 for a route that had been acknowledged, at hosts that had not read the configuration 3 s after the return of the store. Cause: after a failure a feed sent a long poll again. If the store was still silent, nothing ended that poll before its duration and its timeout, 3.0 s, though the store had returned 0.1 s later; the delay before the next try came on top. A feed that has failed now polls with no wait, at most 0.9 s, until one is answered, and its tries begin at least 0.1 to 0.5 s apart, so that a timeout counts as part of the delay. The test of one feed at 20 phases, five kinds of failure and eight outages (up to 3.5 s late before) passes.

--- a/wisteriawood/links/feeds.py
+++ b/wisteriawood/links/feeds.py
@@ -16,7 +16,7 @@
 from wisteriawood.telemetry import job_events
 
 _LOG = events.Logger(name=__name__)
-# Timeout of one long poll; a hung connection delays the feed by as much.
+# Duration of a poll without changes.
 LONG_POLL_S = 2.0
 # Times after a loss of history at which the whole table is read again. The
 # read right after the loss may return rows that are seconds old, and the
@@ -30,6 +30,7 @@
 TOMBSTONE_RETENTION_S = 60.0
 # Time to catch up with the changes of a table from which it is logged.
 SLOW_CATCH_UP_S = 1.0
+# Least time from the beginning of a failed try to the next one.
 RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 0.5
 
@@ -184,8 +185,8 @@
 
     async def _follow_forever(self) -> None:
         delay_s = RETRY_DELAY_S
-        is_failing = False
         while True:
+            tried_at_s = anyio.current_time()
             try:
                 may_pause = await self._read_next()
             except stores.HistoryLostError:
@@ -197,21 +198,14 @@
                 self._on_answer()
                 continue
             except errors.PlatformError as exc:
-                if not is_failing:
-                    _LOG.log(
-                        job_events.FEED_LOST, table=self.table, cause=str(exc)
-                    )
-                is_failing = True
-                self.failures += 1
-                self.unbroken_since_s = 0.0
-                self._times.clear()
+                self._record_failure(exc)
+                passed_s = anyio.current_time() - tried_at_s
                 self._begin(store_contacts.Activity.RETRY)
-                await anyio.sleep(delay_s)
+                await anyio.sleep(max(0.0, delay_s - passed_s))
                 delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
                 continue
-            if is_failing:
+            if self.failures:
                 _LOG.log(job_events.FEED_FOUND, table=self.table)
-            is_failing = False
             self.failures = 0
             delay_s = RETRY_DELAY_S
             if self._pause_s is not None and may_pause:
@@ -220,6 +214,13 @@
                     await self._wakeup.wait()
                 self._wakeup = anyio.Event()
 
+    def _record_failure(self, cause: errors.PlatformError) -> None:
+        if not self.failures:
+            _LOG.log(job_events.FEED_LOST, table=self.table, cause=str(cause))
+        self.failures += 1
+        self.unbroken_since_s = 0.0
+        self._times.clear()
+
     def poll_now(self) -> None:
         """End the pause between polls, so that the next poll starts now."""
         self._wakeup.set()
@@ -247,7 +248,9 @@
             may_pause = False
         else:
             self._begin(store_contacts.Activity.POLL)
-            wait_s = self._wait_s
+            # A store that may be silent is asked for an answer at once: a long
+            # poll that it does not receive would hold the feed.
+            wait_s = 0.0 if self.failures else self._wait_s
             if self._audits_at_s:
                 wait_s = min(wait_s, self._audits_at_s[0] - now_s)
             page = await self._store.feed(self.table, self._after, wait_s)
--- a/wisteriawood/platform/store_client.py
+++ b/wisteriawood/platform/store_client.py
@@ -23,7 +23,7 @@
 TIMEOUT_FACTOR = 6.0
 # Longest time that a long poll may take beyond its wait. A connection may go
 # silent, and what the feed shows gets older meanwhile.
-MAX_POLL_MARGIN_S = 1.0
+MAX_POLL_MARGIN_S = 0.9
 # Weight of the newest call in the exponential moving average.
 NEWEST_WEIGHT = 0.2
 CONNECT_TIMEOUT_S = 0.5
@@ -149,11 +149,21 @@
         *,
         params: dict | None = None,
         content: bytes = b"",
-        wait_s: float = 0.0,
+        wait_s: float | None = None,
     ) -> clients.Response:
+        """Make a call.
+
+        Args:
+            method: HTTP method.
+            path: Path.
+            params: Query parameters.
+            content: Body.
+            wait_s: For how long the store may wait before it answers a poll;
+                None for other calls.
+        """
         timeout_s = self._timeout_s()
-        if wait_s:
-            timeout_s = min(timeout_s, MAX_POLL_MARGIN_S)
+        if wait_s is not None:
+            timeout_s = wait_s + min(timeout_s, MAX_POLL_MARGIN_S)
         started_at_s = anyio.current_time()
         try:
             response = await self._client.request(
@@ -161,9 +171,7 @@
                 path,
                 params=params,
                 content=content,
-                timeout=httpx.Timeout(
-                    timeout_s + wait_s, connect=CONNECT_TIMEOUT_S
-                ),
+                timeout=httpx.Timeout(timeout_s, connect=CONNECT_TIMEOUT_S),
             )
         except httpx.TimeoutException:
             # Double the timeout of the next call.
@@ -229,7 +237,7 @@
         return answer
 
     async def _get(
-        self, path: str, params: dict, *, wait_s: float = 0.0
+        self, path: str, params: dict, *, wait_s: float | None = None
     ) -> _Answer:
         try:
             response = await self._call(
