Let the first answer of a silent store end the waits of all tables

Callers got 404 at hosts that passed readiness again: the feed of heartbeats had been answered, the configuration had not. Cause: what one call learnt stayed with its table. Each feed waited for its own timeout and its own delay, so that the tables of a host came back up to 3 s apart. All calls to the store now share a contact. If a call fails and none has been answered since it was due, the store counts as silent; feeds then try in turn, one each 0.4 s, and the first answer to any call wakes all of them and ends the calls sent before it, which the store has not received. A table that is silent by itself keeps its own delays and holds up no other.

--- a/wisteriawood/links/feeds.py
+++ b/wisteriawood/links/feeds.py
@@ -199,9 +199,8 @@
                 continue
             except errors.PlatformError as exc:
                 self._record_failure(exc)
-                passed_s = anyio.current_time() - tried_at_s
                 self._begin(store_contacts.Activity.RETRY)
-                await anyio.sleep(max(0.0, delay_s - passed_s))
+                await self._store.contact.wait_to_retry(tried_at_s + delay_s)
                 delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
                 continue
             if self.failures:
--- a/wisteriawood/platform/store_client.py
+++ b/wisteriawood/platform/store_client.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import dataclasses
+import functools
 
 import anyio
 import httpx
@@ -186,6 +187,12 @@
 
     async def commit(self, change: stores.Change) -> int:
         """Commit a change and return the new version of its rows."""
+        return await self.contact.make_call(
+            functools.partial(self._commit, change),
+            lost=errors.TransactionUnknownError,
+        )
+
+    async def _commit(self, change: stores.Change) -> int:
         sent_at_s = clocks.elapsed_s()
         try:
             response = await self._call(
@@ -238,6 +245,15 @@
 
     async def _get(
         self, path: str, params: dict, *, wait_s: float | None = None
+    ) -> _Answer:
+        return await self.contact.make_call(
+            functools.partial(self._get_once, path, params, wait_s),
+            wait_s=wait_s or 0.0,
+            lost=errors.PlatformUnavailableError,
+        )
+
+    async def _get_once(
+        self, path: str, params: dict, wait_s: float | None
     ) -> _Answer:
         try:
             response = await self._call(
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -231,6 +231,19 @@
     "A table is within its bound again; the line tells how old it has become "
     "and what its feed waited for last.",
 )
+STORE_SILENT = events.define(
+    2315,
+    "store-silent",
+    "The platform's store answers no call of this host; the tables that it "
+    "follows are tried in turn.",
+    "Check the platform's store.",
+)
+STORE_RETURNED = events.define(
+    2316,
+    "store-returned",
+    "The platform's store answers again; calls that it has not received are "
+    "made anew.",
+)
 WORKER_ROW_UNREADABLE = events.define(
     2304,
     "worker-row-unreadable",
