Bound the age of each table by its poll

Callers relied on a configuration that may be 2.0 s old and more between two answers of a store without failures, which is all the time that it has to be in force; and a silent store was noticed after the 2.35 s of a long poll of the heartbeats. The configuration is polled for 1.5 s now, the heartbeats, which change many times a second and end their polls early, for 0.5 s, the claims, which rarely change, for 3.5 s: a claim made on old ones fails. A table's bound is its poll and its timeout at most. The stand-in of the store ended polls with changes of other tables, which hid lost polls; with that mended, was late by up to 3.4 s.

--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -47,9 +47,15 @@
 ENDED_REPORT_S = 60.0
 # Most former processes of a host that its heartbeats name.
 MAX_ENDED = 4
+# Longest poll of the claims. They rarely change, and a claim made on old ones
+# fails.
+CLAIM_POLL_S = 3.5
+# The same of the heartbeats. They change many times a second, so that this
+# poll is the first to show that the store has fallen silent.
+HEARTBEAT_POLL_S = 0.5
 # Age that the claims and the heartbeats should not exceed. A host that would
 # take over a cell relies on both, and is not ready without heartbeats.
-MAX_CLAIM_AGE_S = 4.0
+MAX_CLAIM_AGE_S = 4.5
 MAX_HEARTBEAT_AGE_S = 2.5
 # Pause of the heartbeat feed between calls, so that one answer brings
 # several heartbeats.
@@ -178,6 +184,7 @@
             store=store,
             table=tables.CLAIMS,
             on_rows=self.process_claims,
+            wait_s=CLAIM_POLL_S,
             max_age_s=lambda: MAX_CLAIM_AGE_S,
             times=self._times,
             supervisor=supervisor,
@@ -188,6 +195,7 @@
             on_rows=self._process_heartbeats,
             pause_s=self._feed_pause_s,
             on_answer=self._note_answer,
+            wait_s=HEARTBEAT_POLL_S,
             max_age_s=lambda: MAX_HEARTBEAT_AGE_S,
             times=self._times,
             supervisor=supervisor,
--- a/wisteriawood/platform/configuration_followers.py
+++ b/wisteriawood/platform/configuration_followers.py
@@ -11,6 +11,9 @@
 from wisteriawood.telemetry import job_events
 
 _LOG = events.Logger(name=__name__)
+# Longest poll. Between two answers the configuration is never older than
+# config_apply_ms, 2 s.
+POLL_S = 1.5
 
 
 class ConfigurationFollower:
@@ -39,6 +42,7 @@
             store=host.store,
             table=directory.OPERATOR_TABLE,
             on_rows=self._process_rows,
+            wait_s=POLL_S,
             max_age_s=lambda: host.limits.max_configuration_age_s,
             supervisor=host.supervisor,
         )
--- a/wisteriawood/platform/standins.py
+++ b/wisteriawood/platform/standins.py
@@ -276,14 +276,15 @@
             raise StatusError(status=412, body={"rows": rows}) from exc
 
     async def _feed(self, query: dict) -> dict:
+        table, after = query["table"], int(query["after"])
         try:
-            rows = self._store.changes(query["table"], int(query["after"]))
+            rows = self._store.changes(table, after)
+            with anyio.move_on_after(int(query["wait_ms"]) / 1000):
+                while not rows:
+                    await self._store.wait()
+                    rows = self._store.changes(table, after)
         except stores.HistoryLostError as exc:
             raise StatusError(status=410) from exc
-        if not rows:
-            with anyio.move_on_after(int(query["wait_ms"]) / 1000):
-                await self._store.wait()
-            rows = self._store.changes(query["table"], int(query["after"]))
         version = self._store.version
         # Like the platform's store, this one does not say that rows are left.
         if len(rows) > store_standins.MAX_FEED_ROWS:
--- a/wisteriawood/tests/silent_store_tests.py
+++ b/wisteriawood/tests/silent_store_tests.py
@@ -14,6 +14,8 @@
 # Time for which a host is disturbed by connections that have gone silent.
 CONTACT_S = 3.0
 OUTAGES_S = (0.2, 0.5, 1.0, 2.0, 3.0, 5.2, 8.0, 10.0)
+# Calls of a host with a cell in ten minutes of a store that answers.
+MAX_CALLS = 4287
 # Phases of the poll, longer together than the longest poll.
 PHASE_S = 0.12
 PHASES = 20
@@ -156,6 +158,22 @@
 
         self._run(_check)
 
+    def test_calls_to_the_store_do_not_rise(self):
+        """Guards against tables that are current at the cost of calls.
+
+        The bound is the number of calls before the fix.
+        """
+
+        async def _check(following):
+            calls = following.store.transport.calls
+            await anyio.sleep(300.0)
+            await self._fail(following, _fall_silent, 5.2)
+            await anyio.sleep(294.8)
+            calls = following.store.transport.calls - calls
+            self.assertLessEqual(calls, MAX_CALLS)
+
+        self._run(_check)
+
     def test_host_that_starts_while_the_store_is_silent(self):
         """Guards against a first read that waits for its long timeout."""
 
