Close connections that may have gone silent with one that timed out

Once a call has timed out, the idle connections without an answer since it was sent are closed. The new test needs one timeout for four silenced connections and failed before.

--- a/wisteriawood/links/transports.py
+++ b/wisteriawood/links/transports.py
@@ -47,13 +47,17 @@
 
     Args:
         stream: The connected socket.
+
+    Attributes:
+        answered_at_s: Monotonic time of the last answer.
     """
 
-    __slots__ = ("_http", "_poll", "_stream")
+    __slots__ = ("_http", "_poll", "_stream", "answered_at_s")
 
     def __init__(self, *, stream: abc.SocketStream):
         self._stream = stream
         self._http = h11.Connection(our_role=h11.CLIENT)
+        self.answered_at_s = 0.0
         self._poll = select.poll()
         raw_socket = stream.extra(abc.SocketAttribute.raw_socket)
         self._poll.register(raw_socket.fileno(), select.POLLIN)
@@ -235,16 +239,32 @@
         timeout: httpx.Timeout,
     ) -> Answer:
         is_kept = False
+        sent_at_s = anyio.current_time()
         try:
             answer = await connection.call(head, content, timeout.read)
+            connection.answered_at_s = anyio.current_time()
             is_kept = connection.is_between_calls()
             return answer
+        except httpx.ReadTimeout:
+            await self._close_idle_since(sent_at_s)
+            raise
         finally:
             if is_kept:
                 self._idle.append(connection)
             else:
                 await connection.aclose()
 
+    async def _close_idle_since(self, at_s: float) -> None:
+        """Close the idle connections without an answer since a time.
+
+        They may have gone silent together with one that has timed out, and
+        each would cost a call its timeout.
+        """
+        outdated = [c for c in self._idle if c.answered_at_s < at_s]
+        self._idle = [c for c in self._idle if c.answered_at_s >= at_s]
+        for connection in outdated:
+            await connection.aclose()
+
     async def _take_idle(self) -> _Connection | None:
         while self._idle:
             connection = self._idle.pop()
--- a/wisteriawood/tests/transports_tests.py
+++ b/wisteriawood/tests/transports_tests.py
@@ -39,10 +39,36 @@
                 await stream.send(answer)
 
 
+class SilencedServer(Server):
+    """Leaves calls on old connections without an answer, from some time on.
+
+    Attributes:
+        silenced: Number of its first connections that are silent.
+    """
+
+    def __init__(self, answers):
+        super().__init__(answers)
+        self.silenced = 0
+
+    async def handle(self, stream):
+        number = self.connections
+        self.connections += 1
+        async with stream:
+            while True:
+                try:
+                    self.requests.append(await stream.receive())
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    return
+                if number >= self.silenced:
+                    # Calls that overlap use different connections.
+                    await anyio.sleep(0.05)
+                    await stream.send(ANSWER)
+
+
 class TransportTests(unittest.TestCase):
-    def _run(self, answers, check, **fields):
+    def _run(self, answers, check, *, server_type=Server, **fields):
         async def _main():
-            server = Server(answers)
+            server = server_type(answers)
             listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
             port = listener.extra(anyio.abc.SocketAttribute.local_port)
             client = clients.Client(
@@ -75,6 +101,27 @@
 
         self._run([ANSWER, ANSWER], _check)
 
+    def test_connections_that_have_gone_silent_together(self):
+        """Guards against one timeout after the other on dead connections.
+
+        After connections to the store had gone silent, each call took the
+        next idle one, though new connections were answered.
+        """
+
+        async def _check(server, call):
+            async with anyio.create_task_group() as group:
+                for _number in range(4):
+                    group.start_soon(call)
+            server.silenced = server.connections
+            self.assertEqual(server.silenced, 4)
+            with self.assertRaises(httpx.ReadTimeout):
+                await call()
+            answer = await call()
+            self.assertEqual(answer.text, "ok")
+            self.assertEqual(server.connections, 5)
+
+        self._run([], _check, server_type=SilencedServer, connections=4)
+
     def test_connection_that_the_server_closed_is_not_reused(self):
         """Guards against calls on a connection that ends."""
         closing = ANSWER.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n")
