Refuse an unknown queue with 503 while the configuration is old

Callers got 404, which says that there is no such route, from hosts that had read no configuration for seconds and could not know. It also passes readiness only if the configuration has been answered within 2.5 s, not the heartbeats alone. Both new tests failed before.

--- a/wisteriawood/machines/intakes.py
+++ b/wisteriawood/machines/intakes.py
@@ -27,6 +27,8 @@
 _LOG = events.Logger(name=__name__)
 # Retry delay for a caller that is refused because the store is unreachable.
 STORE_RETRY_S = 1.0
+# Retry delay for a caller whose queue may be in a newer configuration.
+CONFIGURATION_RETRY_S = 0.5
 # Longest time for which a submission or cancellation is tried.
 SUBMIT_TIMEOUT_S = 2.0
 # Time for which the row of a refused job is kept. It must outlast an earlier
@@ -63,7 +65,8 @@
             path: Path of the request.
 
         Raises:
-            RequestNotRunError: This host has no configuration yet.
+            RequestNotRunError: This host has no configuration yet, or one
+                that is too old to tell that there is no such queue.
             NotFoundError: There is no such queue.
         """
         if self._host.queues is None:
@@ -76,10 +79,16 @@
         except errors.NotFoundError as exc:
             version = self._host.queues.version
             age_s = self._host.configuration_age_s()
-            raise errors.NotFoundError(
+            reason = (
                 f"{exc} in version {version} of the configuration, read "
                 f"{age_s:.3f} s ago"
-            ) from exc
+            )
+            if age_s > self._host.limits.max_configuration_age_s:
+                raise errors.RequestNotRunError(
+                    reason=f"{reason}; a newer version may have it, try again",
+                    retry_after_s=CONFIGURATION_RETRY_S,
+                ) from exc
+            raise errors.NotFoundError(reason) from exc
 
     async def submit(self, spec: specs.JobSpec, timeout_s: float) -> None:
         """Accept a job; it is stored on return.
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -52,7 +52,8 @@
 # Time without an answer of the store after which callers are refused at
 # once; the heartbeat feed retries several times within it.
 STORE_UNREACHABLE_S = 1.0
-# Greatest age of the store's newest answer at which the host is ready.
+# Greatest age of the newest answers about the other hosts and about the
+# configuration at which the host is ready.
 READY_ANSWER_AGE_S = 2.5
 
 
@@ -269,9 +270,12 @@
             return "draining"
         if self.queues is None:
             return "no configuration yet"
-        feed = self.members.heartbeat_feed
-        if anyio.current_time() - feed.answered_at_s > READY_ANSWER_AGE_S:
+        oldest_s = anyio.current_time() - READY_ANSWER_AGE_S
+        if self.members.heartbeat_feed.answered_at_s < oldest_s:
             return "the store does not answer"
+        feed = self.configuration_feed
+        if feed is not None and feed.answered_at_s < oldest_s:
+            return "the configuration is old"
         return ""
 
     async def run(self) -> None:
--- a/wisteriawood/tests/table_ages_tests.py
+++ b/wisteriawood/tests/table_ages_tests.py
@@ -9,11 +9,13 @@
 from wisteriawood.links import feeds
 from wisteriawood.machines import intakes
 from wisteriawood.machines import table_ages
+from wisteriawood.platform import directory
 from wisteriawood.standins import job_worlds
 from wisteriawood.standins import stores as store_standins
 from wisteriawood.telemetry import job_events
 from wisteriawood.telemetry import job_metrics
 from wisteriawood.tests import builders
+from wisteriawood.tests import store_builders
 
 TABLE = "t"
 MAX_AGE_S = 2.5
@@ -108,3 +110,60 @@
                 group.cancel_scope.cancel()
 
         builders.run_virtual(_main)
+
+
+class OldConfigurationTests(unittest.TestCase):
+    """The operator's table is silent, and the host can't know new queues."""
+
+    def _run(self, check):
+        async def _main():
+            following = store_builders.FollowingHost()
+            async with anyio.create_task_group() as group:
+                group.start_soon(following.run)
+                await anyio.sleep(store_builders.SETTLED_S)
+                await check(following, intakes.Intake(host=following.host))
+                group.cancel_scope.cancel()
+
+        builders.run_virtual(_main)
+
+    async def _silence(self, following):
+        following.store.app.silent_tables = {directory.OPERATOR_TABLE}
+        await anyio.sleep(5.0)
+
+    def test_unknown_queue_is_refused_for_now(self):
+        """Guards against a 404 for a queue that a newer version has (CONFIG).
+
+        A host that had read no configuration for seconds refused a new route
+        as if there were none.
+        """
+
+        async def _check(following, intake):
+            with self.assertRaises(errors.NotFoundError):
+                intake.find_queue("unknown", "/")
+            await self._silence(following)
+            with self.assertRaises(errors.RequestNotRunError) as caught:
+                intake.find_queue("unknown", "/")
+            self.assertEqual(caught.exception.http_status, 503)
+            self.assertLessEqual(caught.exception.retry_after_s, 1.0)
+            self.assertIn("version 1", str(caught.exception))
+            # What is in force is served on.
+            self.assertEqual(intake.find_queue("h", "/").name, "q")
+            following.store.app.silent_tables = ()
+            await anyio.sleep(1.0)
+            with self.assertRaises(errors.NotFoundError):
+                intake.find_queue("unknown", "/")
+
+        self._run(_check)
+
+    def test_host_with_an_old_configuration_is_not_ready(self):
+        """Guards against connections to the one host that knows less."""
+
+        async def _check(following, _intake):
+            self.assertEqual(following.host.unready_reason(), "")
+            await self._silence(following)
+            self.assertIn("configuration", following.host.unready_reason())
+            following.store.app.silent_tables = ()
+            await anyio.sleep(1.0)
+            self.assertEqual(following.host.unready_reason(), "")
+
+        self._run(_check)
