Let the store fall silent in the soak, and check the configuration

No soak had a store that leaves calls unanswered with open connections, and none checked how old a configuration may get, so that none could find hosts that refuse a new route.

--- a/wisteriawood/platform/standins.py
+++ b/wisteriawood/platform/standins.py
@@ -421,14 +421,14 @@
 
 
 def write_configuration(
-    store: store_standins.MemoryStore, version: int, queue: queues.Queue
+    store: store_standins.MemoryStore, version: int, *found: queues.Queue
 ) -> None:
     """Write a configuration, as the operator does.
 
     Args:
         store: The store.
         version: Version of the configuration.
-        queue: The only queue of the configuration.
+        *found: Queues of the configuration.
     """
     value = {
         "version": version,
@@ -443,6 +443,7 @@
                 "attempts": queue.attempts,
                 "stretch": queue.stretch,
             }
+            for queue in found
         ],
     }
     at = stores.RowKey(
--- a/wisteriawood/soak/__main__.py
+++ b/wisteriawood/soak/__main__.py
@@ -26,6 +26,7 @@
         load_s=options.load,
         is_wide=options.wide,
         has_losses=options.losses,
+        has_silences=options.silences,
         fault_names=options.faults.split(",") if options.faults else [],
     )
     await world.run()
@@ -40,7 +41,7 @@
         f"accepted, {done} done, {checker.starts} runs, "
         f"{len(world.injected_faults)} faults, {checker.now_s():.0f} s, "
         f"longest pause {world.longest_pause_s:.1f} s, longest gap "
-        f"{world.standing.longest_gap_s:.1f} s"
+        f"{world.standing.longest_gap_s:.1f} s" + _describe_freshness(world)
     )
     for gap in world.standing.roomy_gaps:
         print("  room: " + gap)
@@ -54,6 +55,12 @@
     return 1 if checker.breaches else 0
 
 
+def _describe_freshness(world: worlds.SoakWorld) -> str:
+    if world.freshness is None:
+        return ""
+    return f", configuration late by {world.freshness.late_s:.1f} s at most"
+
+
 def _run_seed(options: argparse.Namespace) -> int:
     """Run one seed; logs are kept only if a folder for them is given."""
     parent = pathlib.Path(options.keep) if options.keep else None
@@ -131,6 +138,11 @@
         action="store_true",
         help="fill the cells, and lose workers for good",
     )
+    parser.add_argument(
+        "--silences",
+        action="store_true",
+        help="let the store fall silent, and watch the configuration",
+    )
     parser.add_argument(
         "--faults", default="", help="names of the only faults, with commas"
     )
@@ -143,6 +155,8 @@
         arguments.append("--wide")
     if options.losses:
         arguments.append("--losses")
+    if options.silences:
+        arguments.append("--silences")
     if options.cases:
         found = cases.LOSS_CASES if options.losses else cases.CASES
         seeds = sorted(found)
--- a/wisteriawood/soak/faults.py
+++ b/wisteriawood/soak/faults.py
@@ -22,6 +22,8 @@
 # of other soaks still choose the same faults.
 WIDE_FAULTS: registry.Registry[Fault] = registry.Registry(kind="fault")
 
+# Faults of the store that soaks with silences add, for the same reason.
+SILENCE_FAULTS: registry.Registry[Fault] = registry.Registry(kind="fault")
 # Faults that a series of losses adds to some of the others.
 LOSS_FAULTS: registry.Registry[Fault] = registry.Registry(kind="fault")
 HOST_FAULTS = ("kill-host", "new-configuration", "reload-host", "stop-host")
@@ -32,7 +34,10 @@
 
 
 def choose(
-    names: typing.Collection[str], is_wide: bool, has_losses: bool = False
+    names: typing.Collection[str],
+    is_wide: bool,
+    has_losses: bool = False,
+    has_silences: bool = False,
 ) -> dict[str, Fault]:
     """Return the faults to inject, by name.
 
@@ -40,6 +45,7 @@
         names: Names of the faults; empty for all.
         is_wide: Whether those for wide jobs are among all.
         has_losses: Whether all are those of a series of losses.
+        has_silences: Whether those of a silent store are among all.
 
     Raises:
         UsageError: A name is not registered.
@@ -50,6 +56,9 @@
         known |= {name: LOSS_FAULTS.get(name) for name in LOSS_FAULTS.names()}
     elif is_wide:
         known |= {name: WIDE_FAULTS.get(name) for name in WIDE_FAULTS.names()}
+    if has_silences:
+        for name in SILENCE_FAULTS.names():
+            known[name] = SILENCE_FAULTS.get(name)
     for name in names:
         if name not in known:
             raise errors.UsageError(f"unknown fault {name!r}")
@@ -202,6 +211,21 @@
         world.stores[name].status = 0
 
 
+@SILENCE_FAULTS.register("store-silent")
+async def _silence_store(
+    world: "worlds.SoakWorld", rng: random.Random
+) -> None:
+    """Leave calls unanswered with open connections, of all hosts or some."""
+    names = sorted(world.stores)
+    if rng.random() < 0.3:
+        names = rng.sample(names, rng.randint(1, len(names) - 1))
+    for name in names:
+        world.stores[name].is_silent = True
+    await anyio.sleep(rng.uniform(0.2, 10.0))
+    for name in names:
+        world.stores[name].is_silent = False
+
+
 @FAULTS.register("store-loses-answers")
 async def _lose_answers(world: "worlds.SoakWorld", rng: random.Random) -> None:
     lost_answer_delay_s = rng.choice((0.0, 1.0, 3.0))
--- a/wisteriawood/soak/worlds.py
+++ b/wisteriawood/soak/worlds.py
@@ -19,6 +19,7 @@
 from wisteriawood.soak import callers
 from wisteriawood.soak import checks
 from wisteriawood.soak import faults
+from wisteriawood.soak import freshness
 from wisteriawood.soak import holder_faults
 from wisteriawood.soak import hosts
 from wisteriawood.soak import losses
@@ -28,6 +29,9 @@
 from wisteriawood.soak import standing
 from wisteriawood.standins import stores
 
+# In soaks with silences: time between two faults, and share of silences.
+CALM_RANGE_S = (0.5, 5.0)
+SILENCE_SHARE = 0.5
 CALLERS = 3
 SERVICE = "shop"
 # Ports for servers, below the range for outgoing connections.
@@ -104,12 +108,17 @@
         load_s: Duration of the load and the faults in seconds.
         is_wide: Whether some jobs are wide, with the faults that make them
             move between zones and their runs stop.
+        has_silences: Whether the store falls silent, and the configuration
+            is watched.
         has_losses: Whether the cells are full and workers are lost for good.
         fault_names: Names of the faults to inject; empty for all.
 
     Attributes:
+        added_queue: Queue beside the first one; None if there is none.
         checker: Checker that records breaches.
         faults: Faults to choose from, by name.
+        freshness: Watches how soon a new queue is served; None without
+            silences.
         holder_rng: Source of the faults of holders; of its own, so that
             seeds choose the same other faults as without these.
         hosts: Host processes, by name.
@@ -136,8 +145,10 @@
         "_stopping",
         "_version",
         "_work_s",
+        "added_queue",
         "checker",
         "faults",
+        "freshness",
         "holder_rng",
         "hosts",
         "injected_faults",
@@ -160,9 +171,12 @@
         load_s: float,
         is_wide: bool = False,
         has_losses: bool = False,
+        has_silences: bool = False,
         fault_names: typing.Collection[str] = (),
     ):
-        self.faults = faults.choose(fault_names, is_wide, has_losses)
+        self.faults = faults.choose(
+            fault_names, is_wide, has_losses, has_silences
+        )
         self._folder = folder
         self._is_wide = is_wide
         self._has_losses = has_losses
@@ -186,6 +200,7 @@
             stretch=3.0,
             target_ms=2000,
         )
+        self.added_queue: queues.Queue | None = None
         self.memory_store = stores.MemoryStore()
         self.stores: dict[str, standins.StoreApp] = {}
         self.store_links: dict[str, proxies.Proxy] = {}
@@ -194,6 +209,9 @@
         self.hosts: dict[str, hosts.HostProcess] = {}
         self.injected_faults: list[str] = []
         self.longest_pause_s = 0.0
+        self.freshness: freshness.FreshnessWatch | None = None
+        if has_silences:
+            self.freshness = freshness.FreshnessWatch(world=self)
 
     def zones(self) -> list[str]:
         """Return the names of the zones."""
@@ -210,8 +228,9 @@
     def configure(self) -> None:
         """Write the next version of the configuration."""
         self._version += self._rng.randint(1, 3)
+        added = [self.added_queue] if self.added_queue is not None else []
         standins.write_configuration(
-            self.memory_store, self._version, self.queue
+            self.memory_store, self._version, self.queue, *added
         )
 
     async def run(self) -> None:
@@ -372,14 +391,22 @@
                 until_s += losses.STANDING_LEAD_S
                 group.start_soon(self._keep_standing_load, until_s)
                 await anyio.sleep(losses.STANDING_LEAD_S)
+            if self.freshness is not None:
+                group.start_soon(self._watch_freshness, until_s)
             for _number in range(CALLERS):
                 group.start_soon(self._make_caller().run, until_s)
             if self._has_losses:
                 group.start_soon(losses.inject_series, self, until_s)
+            elif self.freshness is not None:
+                group.start_soon(self._inject_in_turn, until_s)
             else:
                 group.start_soon(self._inject_faults, until_s)
         await self._wait_until_finished()
 
+    async def _watch_freshness(self, until_s: float) -> None:
+        with anyio.move_on_after(until_s - self.checker.now_s()):
+            await self.freshness.run()
+
     async def _keep_standing_load(self, until_s: float) -> None:
         with anyio.move_on_after(until_s - self.checker.now_s()):
             await losses.keep_standing_load(
@@ -444,6 +471,17 @@
                 name = self._rng.choice(sorted(self.faults))
                 group.start_soon(self.inject, name, self.new_rng())
 
+    async def _inject_in_turn(self, until_s: float) -> None:
+        """Inject a silent store or another fault, each after a calm time."""
+        # The watch of the configuration draws from the world's own source.
+        rng = self.new_rng()
+        silences = faults.SILENCE_FAULTS.names()
+        while self.checker.now_s() < until_s:
+            await anyio.sleep(rng.uniform(*CALM_RANGE_S))
+            is_silence = rng.random() < SILENCE_SHARE
+            name = rng.choice(sorted(silences if is_silence else self.faults))
+            await self.inject(name, random.Random(rng.getrandbits(32)))
+
     async def _wait_until_finished(self) -> None:
         """Wait until all accepted jobs are done and reported as completed."""
         timeout_s = FINISH_TIMEOUT_S
--- a/wisteriawood/tests/faults/soak_tests.py
+++ b/wisteriawood/tests/faults/soak_tests.py
@@ -21,6 +21,7 @@
 from wisteriawood.links import stores
 from wisteriawood.soak import checks
 from wisteriawood.soak import faults
+from wisteriawood.soak import freshness
 from wisteriawood.soak import holder_faults
 from wisteriawood.soak import worlds
 from wisteriawood.standins import stores as store_standins
@@ -31,6 +32,8 @@
 LOAD_S = 6.0
 LOSSES_SEED = 103
 LOSSES_LOAD_S = 20.0
+SILENCES_SEED = 3
+SILENCES_LOAD_S = 14.0
 JOB = "0123456789abcdef"
 
 
@@ -97,6 +100,49 @@
         )
         self.assertGreater(world.standing.longest_gap_s, 0.0)
 
+    def test_new_queues_are_served_soon_after_silences_of_the_store(self):
+        """Guards against a configuration that is late after a silence."""
+        world = self._run(
+            seed=SILENCES_SEED, load_s=SILENCES_LOAD_S, has_silences=True
+        )
+        self.assertEqual(world.checker.breaches, [])
+        self.assertTrue(
+            any("store-silent" in fault for fault in world.injected_faults)
+        )
+        self.assertGreater(world.freshness.changes, 1)
+
+
+class FreshnessTests(unittest.TestCase):
+    """The check of how soon a new queue is served."""
+
+    def _judge(self, *, changed_s, calm_s, age_s):
+        """Judge a host that does not serve a queue; return the breaches."""
+        host = mock.Mock(starts=1, is_running=lambda: True)
+        host.name = "host-a-1"
+        checker = checks.Checker()
+        world = mock.Mock(checker=checker, new_rng=random.Random)
+        world.standing.disruptions.calm_s.return_value = calm_s
+        watch = freshness.FreshnessWatch(world=world)
+        now_s = checker.now_s()
+        watch._seen_running[host.name] = (1, now_s - age_s)
+        watch.judge(host, now_s - changed_s)
+        return checker.breaches
+
+    def test_host_that_serves_a_queue_late(self):
+        """Guards against a check that accepts late configurations."""
+        breaches = self._judge(changed_s=1.2, calm_s=1.2, age_s=20.0)
+        self.assertEqual(len(breaches), 1)
+        self.assertIn("host-a-1", breaches[0])
+
+    def test_hosts_that_may_still_be_late(self):
+        for fields in (
+            {"changed_s": 0.8, "calm_s": 9.0, "age_s": 20.0},
+            {"changed_s": 9.0, "calm_s": 0.8, "age_s": 20.0},
+            {"changed_s": 9.0, "calm_s": 9.0, "age_s": 6.5},
+        ):
+            with self.subTest(**fields):
+                self.assertEqual(self._judge(**fields), [])
+
 
 class HolderFaultTests(unittest.TestCase):
     """Faults of the holder of a cell that has lost a worker."""
