End a poll before the age of its table passes its bound

A poll now ends before the bound of its table; the new test of the ages failed for op and cells before. The directory has the bound of two polls and a pause.

--- a/wisteriawood/links/feeds.py
+++ b/wisteriawood/links/feeds.py
@@ -18,6 +18,10 @@
 _LOG = events.Logger(name=__name__)
 # Duration of a poll without changes.
 LONG_POLL_S = 2.0
+# Time that a call takes at most as a rule, and shortest poll where the bound
+# of the age leaves less.
+CALL_S = 0.1
+MIN_POLL_S = 0.1
 # Times after a loss of history at which the whole table is read again. The
 # read right after the loss may return rows that are seconds old, and the
 # changes that it misses do not appear in the feed later. An audit may be as
@@ -247,9 +251,7 @@
             may_pause = False
         else:
             self._begin(store_contacts.Activity.POLL)
-            # A store that may be silent is asked for an answer at once: a long
-            # poll that it does not receive would hold the feed.
-            wait_s = 0.0 if self.failures else self._wait_s
+            wait_s = self._next_wait_s()
             if self._audits_at_s:
                 wait_s = min(wait_s, self._audits_at_s[0] - now_s)
             page = await self._store.feed(self.table, self._after, wait_s)
@@ -278,6 +280,21 @@
         self._on_answer()
         return may_pause
 
+    def _next_wait_s(self) -> float:
+        """Return the duration of the next poll without changes, in seconds.
+
+        A store that may be silent is asked for an answer at once: a long poll
+        that it does not receive would hold the feed. Otherwise a poll ends
+        before the age of the table passes its bound; one that pauses follow
+        is short anyway.
+        """
+        if self.failures:
+            return 0.0
+        if self._pause_s is not None:
+            return self._wait_s
+        left_s = self.max_age_s() - self.age_s() - CALL_S
+        return min(self._wait_s, max(left_s, MIN_POLL_S))
+
     def _record_progress(self, is_caught_up: bool) -> None:
         now_s = anyio.current_time()
         if self.is_caught_up and not is_caught_up:
--- a/wisteriawood/platform/worker_followers.py
+++ b/wisteriawood/platform/worker_followers.py
@@ -21,6 +21,9 @@
 STANDBY_POLL_PAUSE_S = 4.0
 # Longest duration of one of these polls, so that a hung one is given up soon.
 POLL_S = 0.5
+# Age that the entries should not exceed on a holder: two polls and a pause. No
+# task may start on a worker 2 s after it has reported that it drains.
+MAX_ENTRY_AGE_S = 1.5
 MAX_LOGGED_ID_LENGTH = 64
 
 
@@ -122,9 +125,7 @@
 
     def _max_age_s(self) -> float:
         """Return the bound of a holder; a standby starts no task."""
-        if not self._host.is_holding():
-            return math.inf
-        return self._host.limits.max_directory_age_s
+        return MAX_ENTRY_AGE_S if self._host.is_holding() else math.inf
 
     def _process_rows(self, rows: list[stores.StoredRow]) -> None:
         has_changed = False
--- a/wisteriawood/tests/silent_store_tests.py
+++ b/wisteriawood/tests/silent_store_tests.py
@@ -14,6 +14,8 @@
 # Time for which a host is disturbed by connections that have gone silent.
 CONTACT_S = 3.0
 OUTAGES_S = (0.2, 0.5, 1.0, 2.0, 3.0, 5.2, 8.0, 10.0)
+# Delay of the answers of a store that returns slowly.
+SLOW_RETURN_S = 0.3
 # Calls of a host with a cell in ten minutes of a store that answers.
 MAX_CALLS = 4287
 # Phases of the poll, longer together than the longest poll.
@@ -115,6 +117,28 @@
 
         self._run(_check)
 
+    def test_ages_while_the_store_answers(self):
+        """Guards against a table that passes its bound without any failure.
+
+        A change that ended a long poll confirmed the table only as of the
+        beginning of that poll, and the next one was as long again.
+        """
+
+        async def _check(following):
+            oldest_s = {}
+            for phase in range(2 * PHASES):
+                await anyio.sleep(2.0 + phase * PHASE_S)
+                await following.measure_lags_s()
+                for _step in range(50):
+                    await anyio.sleep(0.05)
+                    for table, feed in following.feeds().items():
+                        over_s = feed.age_s() - feed.max_age_s()
+                        if over_s > 0.0:
+                            oldest_s[table] = over_s
+            self.assertEqual(oldest_s, {})
+
+        self._run(_check)
+
     def test_changes_at_the_return_of_a_store_that_failed(self):
         """Guards against tables that come back one after the other.
 
@@ -137,6 +161,45 @@
 
         self._run(_check)
 
+    def test_store_that_returns_slowly(self):
+        """Guards against timeouts that give up the first slow answers."""
+
+        async def _check(following):
+            for outage_s in (0.5, 3.0, 5.2):
+                for phase in range(PHASES // 4):
+                    await anyio.sleep(8.0 + phase * 4 * PHASE_S)
+                    app = following.store.app
+                    await self._fail(following, _fall_silent, outage_s)
+                    app.read_delay_s = SLOW_RETURN_S
+                    lags_s = await following.measure_lags_s()
+                    app.read_delay_s = 0.0
+                    self.assertEqual(set(lags_s), following.all_tables())
+                    # The answer that ends the silence, and the one after it.
+                    max_lag_s = MAX_RETURN_LAG_S + 2 * SLOW_RETURN_S
+                    self.assertLessEqual(
+                        max(lags_s.values()), max_lag_s, (outage_s, lags_s)
+                    )
+
+        self._run(_check)
+
+    def test_configuration_of_many_queues(self):
+        """Guards against a large configuration that is the last to come.
+
+        Its version with 350 routes more was found 2.6 s after it had been
+        acknowledged, as the last of seven tables (CONFIG).
+        """
+
+        async def _check(following):
+            for version in range(2, 7):
+                await anyio.sleep(5.0 + version * PHASE_S)
+                await self._fail(following, _fall_silent, 5.2)
+                following.configure(version, queues=350)
+                await anyio.sleep(MAX_RETURN_LAG_S)
+                self.assertEqual(following.host.queues.version, version)
+                self.assertEqual(len(following.host.queues.queues), 350)
+
+        self._run(_check)
+
     def test_table_that_stays_silent_beside_others(self):
         """Guards against a table that waits for one that can't be read."""
 
--- a/wisteriawood/tests/store_builders.py
+++ b/wisteriawood/tests/store_builders.py
@@ -5,7 +5,7 @@
 
 from wisteriawood.cells import tables
 from wisteriawood import errors
-from wisteriawood.jobs import queues
+from wisteriawood.jobs import queues as job_queues
 from wisteriawood.links import feeds
 from wisteriawood.links import runners
 from wisteriawood.links import stores
@@ -156,10 +156,7 @@
 
     async def run(self):
         """Run the host, its feeds and its worker until cancelled."""
-        queue = queues.Queue(
-            name="q", host_name="h", service=job_worlds.SERVICE
-        )
-        standins.write_configuration(self.store.memory, 1, queue)
+        self.configure(1, queues=1)
         async with anyio.create_task_group() as group:
             for function in (
                 self._worker.run,
@@ -170,6 +167,19 @@
             ):
                 group.start_soon(function)
 
+    def configure(self, version, *, queues):
+        """Write a version of the configuration with some queues."""
+        found = [
+            job_queues.Queue(
+                name=f"q{number}",
+                host_name="h",
+                prefix=f"/{number}/",
+                service=job_worlds.SERVICE,
+            )
+            for number in range(queues)
+        ]
+        standins.write_configuration(self.store.memory, version, *found)
+
     async def _write_entry_forever(self):
         while True:
             if not self.store.app.is_silent:
--- a/wisteriawood/tests/table_ages_tests.py
+++ b/wisteriawood/tests/table_ages_tests.py
@@ -147,7 +147,7 @@
             self.assertLessEqual(caught.exception.retry_after_s, 1.0)
             self.assertIn("version 1", str(caught.exception))
             # What is in force is served on.
-            self.assertEqual(intake.find_queue("h", "/").name, "q")
+            self.assertEqual(intake.find_queue("h", "/0/").name, "q0")
             following.store.app.silent_tables = ()
             await anyio.sleep(1.0)
             with self.assertRaises(errors.NotFoundError):
