Give the polls of the store connections of their own

Polls have their own connections now. The new test leaves 16 reads without an answer and polls beside them; it failed before.

--- a/wisteriawood/platform/store_client.py
+++ b/wisteriawood/platform/store_client.py
@@ -33,6 +33,7 @@
 # Size of the values of an answer that may have been cut at the limit of 1 MB;
 # keys and their encoding take the rest.
 FULL_ANSWER_BYTES = 500_000
+# Connections of the polls, and of all other calls.
 MAX_CONNECTIONS = 16
 # Statuses of a change that the store rejects for what it contains.
 REJECTED_STATUSES = frozenset({400, 403, 413})
@@ -100,6 +101,18 @@
     return prefix[:-1] + chr(ord(prefix[-1]) + 1)
 
 
+def _make_client(
+    address: str, transport: httpx.AsyncBaseTransport | None
+) -> clients.Client:
+    return clients.Client(
+        url=f"http://{address}",
+        timeout_s=MAX_TIMEOUT_S,
+        connections=MAX_CONNECTIONS,
+        transport=transport,
+        is_light=True,
+    )
+
+
 class TableStore:
     """Client of the store over HTTP; implements links.stores.Store.
 
@@ -116,6 +129,7 @@
         "_average_s",
         "_client",
         "_newest_version",
+        "_poll_client",
         "clock",
         "contact",
     )
@@ -126,13 +140,10 @@
         address: str,
         transport: httpx.AsyncBaseTransport | None = None,
     ):
-        self._client = clients.Client(
-            url=f"http://{address}",
-            timeout_s=MAX_TIMEOUT_S,
-            connections=MAX_CONNECTIONS,
-            transport=transport,
-            is_light=True,
-        )
+        # Polls have connections of their own, so that none waits for calls
+        # that a silent store leaves unanswered.
+        self._client = _make_client(address, transport)
+        self._poll_client = _make_client(address, transport)
         self._average_s = MIN_TIMEOUT_S / TIMEOUT_FACTOR
         self._newest_version = 0
         self.clock = store_clocks.StoreClock()
@@ -163,14 +174,16 @@
                 None for other calls.
         """
         timeout_s = self._timeout_s()
+        client = self._client
         if wait_s is not None:
+            client = self._poll_client
             timeout_s = wait_s + min(timeout_s, MAX_POLL_MARGIN_S)
         elif method == "GET" and self.contact.is_silent():
             # The timeouts have grown as if the store were slow.
             timeout_s = min(timeout_s, MAX_POLL_MARGIN_S)
         started_at_s = anyio.current_time()
         try:
-            response = await self._client.request(
+            response = await client.request(
                 method,
                 path,
                 params=params,
@@ -341,3 +354,4 @@
     async def aclose(self) -> None:
         """Close the connections."""
         await self._client.aclose()
+        await self._poll_client.aclose()
--- a/wisteriawood/tests/platform_tests.py
+++ b/wisteriawood/tests/platform_tests.py
@@ -26,6 +26,9 @@
 
 AT = stores.RowKey(table="t", part="p", key="k")
 QUEUE = queues.Queue(name="q")
+EMPTY_ANSWER = (
+    b"HTTP/1.1 200 OK\r\ncontent-length: 19\r\n\r\n" b'{"rows":[],"ver":7}'
+)
 WORKER = {
     "service": "s",
     "address": "10.0.0.1:80",
@@ -45,6 +48,45 @@
     return wire, client
 
 
+class PollConnectionTests(unittest.TestCase):
+    """A store on loopback that leaves reads unanswered."""
+
+    async def _serve(self, stream):
+        async with stream:
+            while True:
+                try:
+                    head = await stream.receive()
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    return
+                if b"/v1/rows-feed" in head:
+                    await stream.send(EMPTY_ANSWER)
+
+    def test_poll_does_not_wait_for_reads_without_an_answer(self):
+        """Guards against a table that waits for connections of other calls.
+
+        On a busy host 17 calls were under way at once while the store was
+        silent, one more than there were connections.
+        """
+
+        async def _main():
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(abc.SocketAttribute.local_port)
+            client = store_client.TableStore(address=f"127.0.0.1:{port}")
+            async with anyio.create_task_group() as group:
+                group.start_soon(listener.serve, self._serve)
+                for _number in range(store_client.MAX_CONNECTIONS):
+                    group.start_soon(client.read, "t", "p")
+                await anyio.sleep(0.05)
+                with anyio.fail_after(0.2):
+                    page = await client.feed("t", 0, 0.0)
+                self.assertEqual(page.version, 7)
+                group.cancel_scope.cancel()
+            await client.aclose()
+            await listener.aclose()
+
+        anyio.run(_main)
+
+
 class StoreTests(unittest.TestCase):
     def test_commit_read_and_feed(self):
         async def _check():
