--- a/wisteriawood/tests/silent_store_tests.py
+++ b/wisteriawood/tests/silent_store_tests.py
@@ -87,18 +87,11 @@
     """All tables of a host that holds the cell of its zone."""
 
     def _run(self, check):
-        async def _main():
-            following = store_builders.FollowingHost()
-            async with anyio.create_task_group() as group:
-                group.start_soon(following.run)
-                await anyio.sleep(store_builders.SETTLED_S)
-                self.assertEqual(
-                    set(following.feeds()), following.all_tables()
-                )
-                await check(following)
-                group.cancel_scope.cancel()
+        async def _check(following):
+            self.assertEqual(set(following.feeds()), following.all_tables())
+            await check(following)
 
-        builders.run_virtual(_main)
+        store_builders.run_following_host(_check)
 
     async def _fail(self, following, fail, outage_s):
         fail(following.store.app, True)
--- a/wisteriawood/tests/store_builders.py
+++ b/wisteriawood/tests/store_builders.py
@@ -18,6 +18,7 @@
 from wisteriawood.standins import job_worlds
 from wisteriawood.standins import runners as run_standins
 from wisteriawood.standins import stores as store_standins
+from wisteriawood.tests import builders
 
 ZONE = "a"
 HOST = "host-a-1"
@@ -52,6 +53,24 @@
             raise httpx.ReadError(str(exc)) from exc
 
 
+def run_following_host(check):
+    """Run a check with a host that follows all tables, in virtual time.
+
+    Args:
+        check: Async function of the FollowingHost.
+    """
+
+    async def _main():
+        following = FollowingHost()
+        async with anyio.create_task_group() as group:
+            group.start_soon(following.run)
+            await anyio.sleep(SETTLED_S)
+            await check(following)
+            group.cancel_scope.cancel()
+
+    builders.run_virtual(_main)
+
+
 class FollowedStore:
     """A store and the client of one host.
 
--- a/wisteriawood/tests/table_ages_tests.py
+++ b/wisteriawood/tests/table_ages_tests.py
@@ -116,15 +116,10 @@
     """The operator's table is silent, and the host can't know new queues."""
 
     def _run(self, check):
-        async def _main():
-            following = store_builders.FollowingHost()
-            async with anyio.create_task_group() as group:
-                group.start_soon(following.run)
-                await anyio.sleep(store_builders.SETTLED_S)
-                await check(following, intakes.Intake(host=following.host))
-                group.cancel_scope.cancel()
+        async def _check(following):
+            await check(following, intakes.Intake(host=following.host))
 
-        builders.run_virtual(_main)
+        store_builders.run_following_host(_check)
 
     async def _silence(self, following):
         following.store.app.silent_tables = {directory.OPERATOR_TABLE}
