--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A version of the configuration sends the only queue of a service elsewhere."""
+"""A version of the configuration removes the only route to a service."""
 
 import asyncio
 import os
@@ -45,9 +45,13 @@
 
 async def _play(world):
     old = [("r-1", "/one/", "pool-1"), ("r-2", "/two/", "pool-2")]
-    new = [("r-1", "/one/", "pool-1")]
-    if os.environ.get("WAY") != "remove":
-        new.append(("r-2", "/two/", "pool-1"))
+    # One route is removed and another one added in its place; or, on request,
+    # the route is only removed, or names the other service.
+    new = {
+        "replace": [old[0], ("r-3", "/two/", "pool-1")],
+        "remove": [old[0]],
+        "send": [old[0], ("r-2", "/two/", "pool-1")],
+    }[os.environ.get("WAY", "replace")]
     world.configure(3, old, SERVICES)
     await world.start([("host-1", "zone-a"), ("host-2", "zone-b")])
     first, second = world.hosts
