Add failing tests of starts that outlive a worker's process

Callers saw TWICE: a task ran on a worker that had restarted under its id and was cut off, and on another one. In virtual time the same happens where a start that got no answer is carried out by the next instance, and where connections outlive the process and the cut comes before the answer.

LateStartTests plays such starts 0.5, 1, 3 and 11 s late, with both longest leases, and with a holder that hands the cell over: each of its 18 plays fails. The tests behind a proxy have all pairs of moments now, and one with the shortest lease: 3 of 36 plays fail, with cuts 3 and 5 ms after the restart. The pairs that the test had before hold as before.

--- a/wisteriawood/tests/worker_lives_tests.py
+++ b/wisteriawood/tests/worker_lives_tests.py
@@ -57,12 +57,18 @@
         """Guards against the same where connections outlive the process.
 
         The clock in the answer to a start shows that another instance has
-        carried it out, once it has been answered.
+        carried it out, unless the cut comes before the answer (issue 52).
         """
+        self._play_all(longest_lease_s=10.0, has_proxies=True)
         for dark_s in (0.1, 0.4, 0.75):
-            for seen_s in (0.01, 0.05, 0.5, 2.0):
+            self._play(dark_s, 0.005, longest_lease_s=10.0, has_proxies=True)
+
+    def test_no_task_runs_twice_behind_a_proxy_with_the_shortest_lease(self):
+        """Guards against the same where no lease is longer than 6 s."""
+        for dark_s in (0.1, 0.4, 0.75):
+            for seen_s in (0.0, 0.003, 0.005, 0.01, 0.05):
                 self._play(
-                    dark_s, seen_s, longest_lease_s=10.0, has_proxies=True
+                    dark_s, seen_s, longest_lease_s=6.0, has_proxies=True
                 )
 
     def test_no_task_runs_twice_if_the_holder_is_lost_too(self):
@@ -70,6 +76,78 @@
         self._play_all(longest_lease_s=10.0, kills_holder=True)
 
 
+class LateStartTests(unittest.TestCase):
+    """Starts without an answer, which the next instance carries out late."""
+
+    def _play(self, *, longest_lease_s, **fields):
+        with self.subTest(longest_lease_s=longest_lease_s, **fields):
+            overlaps = recut_builders.find_overlaps(
+                longest_lease_s=longest_lease_s, cut_s=14.0, **fields
+            )
+            self.assertEqual(overlaps, [])
+
+    def _play_late(self, longest_lease_s):
+        for late_s in (0.5, 1.0, 3.0):
+            for dark_s, seen_s in ((0.1, 0.003), (0.4, 0.05)):
+                self._play(
+                    longest_lease_s=longest_lease_s,
+                    late_s=late_s,
+                    dark_s=dark_s,
+                    seen_s=seen_s,
+                )
+
+    def test_a_start_that_runs_late_on_the_next_instance(self):
+        """Guards against a start that outlives the process (TWICE).
+
+        Issue 52: it got no answer, so that no clock shows who has it, and its
+        holder counted with the lease of the former instance only.
+        """
+        self._play_late(10.0)
+
+    def test_a_start_that_runs_late_with_the_shortest_lease(self):
+        """Guards against the same where no lease is longer than 6 s.
+
+        It begins after the last renewal of the former instance.
+        """
+        self._play_late(6.0)
+
+    def test_a_start_that_runs_once_the_lease_has_lapsed(self):
+        """Guards against a start that comes when its task runs elsewhere.
+
+        Issue 52: nothing bounds when the next instance carries it out, but
+        the age of the former one: on the clock that starts anew, its lease
+        ends that much later.
+        """
+        for longest_lease_s in (10.0, 6.0):
+            self._play(
+                longest_lease_s=longest_lease_s,
+                uptime_s=8.0,
+                late_s=11.0,
+                dark_s=0.1,
+                seen_s=0.003,
+            )
+
+    def test_a_start_that_runs_late_after_a_handover(self):
+        """Guards against a release that tells too early an end of a lease.
+
+        Issue 52: the former holder has sent the start; the next one knows
+        only what the row of leases tells it.
+        """
+        for longest_lease_s, handover_s in (
+            (10.0, 0.1),
+            (10.0, 1.5),
+            (6.0, 1.5),
+            (6.0, 3.0),
+        ):
+            self._play(
+                longest_lease_s=longest_lease_s,
+                late_s=1.0,
+                dark_s=0.4,
+                seen_s=0.005,
+                handover_s=handover_s,
+            )
+
+
 class KnownLifeTests(unittest.TestCase):
     """What a holder counts with after the first answers of an instance."""
 
