Count a run once for each instance of a worker that starts it

find_overlaps took the first end of a run number for the end of all its starts. Where a worker restarts under its id and carries out the same start again, the second run counted as ended with the first instance, so that a task which ran beside it on another worker was not reported.

Each start now ends with the end that its own worker reports for it, and a start is compared with all runs before it instead of the last one only. The new test fails with the former function.

--- a/wisteriawood/tests/ownership_builders.py
+++ b/wisteriawood/tests/ownership_builders.py
@@ -3,6 +3,7 @@
 Each fault ends when its function returns.
 """
 
+import collections
 import contextlib
 import random
 import typing
@@ -404,18 +405,31 @@
     ]
 
 
+def _find_spans(world):
+    """Return when runs were on workers, as (start, end) by task.
+
+    A worker that starts again under its id may start a run a second time.
+    """
+    found = collections.defaultdict(list)
+    for worker in world.workers.values():
+        ends_s = collections.defaultdict(collections.deque)
+        for name, run, _outcome, at_s in worker.ends:
+            ends_s[name, run].append(at_s)
+        for name, run, at_s in worker.starts:
+            left_s = ends_s[name, run]
+            found[name].append(
+                (at_s, left_s.popleft() if left_s else FOREVER_S)
+            )
+    return found
+
+
 def find_overlaps(world):
     """Return the tasks of which two runs were on workers at a time."""
-    ends = world.ends()
     found = []
-    for name, starts in world.starts().items():
-        ended_s = {}
-        for run, _outcome, at_s in ends.get(name, []):
-            ended_s.setdefault(run, at_s)
-        ordered = sorted(starts, key=lambda start: start[1])
-        for (run, _at_s, _worker), (_next, at_s, _other) in zip(
-            ordered, ordered[1:]
-        ):
-            if ended_s.get(run, FOREVER_S) > at_s:
+    for name, spans in _find_spans(world).items():
+        last_end_s = 0.0
+        for start_s, end_s in sorted(spans):
+            if last_end_s > start_s:
                 found.append(name)
+            last_end_s = max(last_end_s, end_s)
     return found
--- a/wisteriawood/tests/worker_lives_tests.py
+++ b/wisteriawood/tests/worker_lives_tests.py
@@ -5,6 +5,7 @@
 lease on the clock of the former one for one that is far ahead.
 """
 
+import dataclasses
 import unittest
 
 import anyio
@@ -14,6 +15,7 @@
 from wisteriawood.links import runners
 from wisteriawood.standins import runners as run_standins
 from wisteriawood.tests import builders
+from wisteriawood.tests import ownership_builders
 from wisteriawood.tests import recut_builders
 
 CELL = recut_builders.CELL
@@ -262,3 +264,37 @@
         builders.run_job_world(
             _main, zones=["a"], hosts_per_zone=0, workers_per_zone=1
         )
+
+
+class OverlapTests(unittest.TestCase):
+    """What counts as two runs of a task at a time."""
+
+    def test_a_run_that_two_instances_start(self):
+        """Guards against a run of a later instance that nothing counts.
+
+        Its first end, with the first instance, is not that of the second.
+        """
+
+        async def _main(world):
+            first, second = world.workers["w-a-0"], world.workers["w-a-1"]
+            command = runners.StartRunCommand(
+                task_name="j.0.0.0",
+                run=1,
+                payload="",
+                lease_until_ms=9_000,
+                token=1,
+            )
+            first.begin_run(command)
+            await anyio.sleep(1)
+            first.crash()
+            first.restart()
+            self.assertEqual(ownership_builders.find_overlaps(world), [])
+            first.begin_run(command)
+            second.begin_run(dataclasses.replace(command, run=2))
+            self.assertEqual(
+                ownership_builders.find_overlaps(world), ["j.0.0.0"]
+            )
+
+        builders.run_job_world(
+            _main, zones=["a"], hosts_per_zone=0, workers_per_zone=2
+        )
