Add a failing test of a start whose next try was answered

Callers saw TWICE, as with the other tests of late starts. Here the start counts as answered: its second try was, by the former instance. The first try, which got no answer, is carried out by the next instance 3 s after it was sent. It guards against a fix that counts only the starts whose last try had no answer.

--- a/wisteriawood/tests/recut_builders.py
+++ b/wisteriawood/tests/recut_builders.py
@@ -47,8 +47,13 @@
             await self.world.submit_to(CELL, job_id, [step])
             await anyio.sleep(0.05)
 
-    async def lose_answers(self):
-        """Let starts run late, if they do here, until just before a crash."""
+    async def lose_answers(self, *, answered_s=0.0):
+        """Let starts run late, if they do here, until just before a crash.
+
+        Args:
+            answered_s: Time for which starts are answered again, as their
+                next tries are, in seconds.
+        """
         if not self._late_s:
             return
         for worker in self.victims:
@@ -56,6 +61,10 @@
             worker.lost_answers = UNANSWERED_CALLS
             worker.lost_answer_delay_s = self._late_s
         await anyio.sleep(UNANSWERED_S)
+        if answered_s:
+            for worker in self.victims:
+                worker.lost_answers = 0
+            await anyio.sleep(answered_s)
 
     async def play(
         self, *, dark_s, seen_s, cut_s, kills_holder=False, handover_s=None
@@ -102,6 +111,7 @@
     settle_s=1.0,
     has_proxies=False,
     late_s=0.0,
+    answered_s=0.0,
     **times,
 ):
     """Return the tasks that run twice in a play of a new world.
@@ -113,6 +123,7 @@
         settle_s: Time to go on for after the cut, in seconds.
         has_proxies: See RecutWorld.
         late_s: See RecutWorld.
+        answered_s: See RecutWorld.lose_answers.
         times: See RecutWorld.play.
     """
     found = []
@@ -123,7 +134,7 @@
             await anyio.sleep(uptime_s - UNANSWERED_S)
             group.start_soon(recut.submit)
             await anyio.sleep(UNANSWERED_S)
-            await recut.lose_answers()
+            await recut.lose_answers(answered_s=answered_s)
             await recut.play(**times)
             await anyio.sleep(settle_s)
         found.extend(ownership_builders.find_overlaps(world))
--- a/wisteriawood/tests/worker_lives_tests.py
+++ b/wisteriawood/tests/worker_lives_tests.py
@@ -129,6 +129,22 @@
                 seen_s=0.003,
             )
 
+    def test_a_start_whose_next_try_was_answered(self):
+        """Guards against a start that counts as answered by a later try.
+
+        Issue 52: the next instance carries out the first try, which the
+        instance that answered the second one had not ruled out for it.
+        """
+        for longest_lease_s in (10.0, 6.0):
+            for dark_s, seen_s in ((0.1, 0.003), (0.4, 0.05)):
+                self._play(
+                    longest_lease_s=longest_lease_s,
+                    late_s=3.0,
+                    answered_s=1.0,
+                    dark_s=dark_s,
+                    seen_s=seen_s,
+                )
+
     def test_a_start_that_runs_late_after_a_handover(self):
         """Guards against a release that tells too early an end of a lease.
 
