Let stand-in workers record which ends were acknowledged

The worlds of restarts checked for two runs of a task at a time only. The rule also covers a start after a run has ended as done, if that end was acknowledged. The stand-in records these ends, and find_repeats compares them with the starts. recut_builders.play takes the check to make; the checks of worker_lives_tests are as they were.

--- a/wisteriawood/standins/runners.py
+++ b/wisteriawood/standins/runners.py
@@ -55,6 +55,8 @@
             arrives.
 
     Attributes:
+        acknowledged: All ends that an acknowledgement has reached, as (task
+            name, run number, outcome).
         forwards_calls: Whether connections outlive the process, as through a
             proxy, so that each instance gets the calls meant for others.
         started_unix_ms: Start time of this instance of the worker process.
@@ -91,6 +93,7 @@
         "_refused_up_to",
         "_started_at_s",
         "_work_s",
+        "acknowledged",
         "started_unix_ms",
         "cut_from",
         "ends",
@@ -125,6 +128,7 @@
         self._outcome_of = outcome_of
         self.starts: list[tuple[str, int, float]] = []
         self.ends: list[tuple[str, int, str, float]] = []
+        self.acknowledged: list[tuple[str, int, str]] = []
         self.lost_answers = 0
         self.lost_paces = 0
         self.lost_answer_delay_s = 0.0
@@ -282,6 +286,11 @@
         Args:
             acknowledged: Number of the last end that is acknowledged.
         """
+        self.acknowledged.extend(
+            (end.task_name, end.run, end.outcome)
+            for end in self._ends
+            if end.number <= acknowledged
+        )
         self._ends = [e for e in self._ends if e.number > acknowledged]
         return runners.RunReport(
             started_unix_ms=self.started_unix_ms,
--- a/wisteriawood/tests/ownership_builders.py
+++ b/wisteriawood/tests/ownership_builders.py
@@ -433,3 +433,21 @@
                 found.append(name)
             last_end_s = max(last_end_s, end_s)
     return found
+
+
+def find_repeats(world):
+    """Return the tasks that started after they were done.
+
+    An end counts if an acknowledgement has reached it, before or after.
+    """
+    found = set()
+    started = world.starts()
+    for worker in world.workers.values():
+        for name, run, outcome, at_s in worker.ends:
+            if outcome != tasks.Outcome.DONE:
+                continue
+            if (name, run, outcome) not in worker.acknowledged:
+                continue
+            if any(start_s > at_s for _run, start_s, _id in started[name]):
+                found.add(name)
+    return sorted(found)
--- a/wisteriawood/tests/recut_builders.py
+++ b/wisteriawood/tests/recut_builders.py
@@ -4,7 +4,6 @@
 
 from wisteriawood.jobs import specs
 from wisteriawood.tests import builders
-from wisteriawood.tests import ownership_builders
 
 CELL = "shop@a"
 HOSTS = frozenset({"host-a-0", "host-a-1", "host-a-2"})
@@ -23,26 +22,38 @@
         late_s: Delay after which the last starts before the crash, which get
             no answer, are carried out by the instance that is there then, in
             seconds; 0 if all starts are answered.
+        work_s: Run time of each task, in seconds.
+        has_standing: Whether every other job is of standing tasks.
     """
 
-    __slots__ = ("_late_s", "victims", "world")
+    __slots__ = ("_has_standing", "_late_s", "_work_s", "victims", "world")
 
-    def __init__(self, *, world, has_proxies=False, late_s=0.0):
+    def __init__(
+        self,
+        *,
+        world,
+        has_proxies=False,
+        late_s=0.0,
+        work_s=30.0,
+        has_standing=True,
+    ):
         self.world = world
         self._late_s = late_s
+        self._work_s = work_s
+        self._has_standing = has_standing
         self.victims = [world.workers[f"w-a-{n}"] for n in range(2)]
         for worker in self.victims:
             worker.forwards_calls = has_proxies
 
     async def submit(self):
-        """Submit jobs of long and of standing tasks, one after the other."""
+        """Submit jobs of batch and standing tasks, one after the other."""
         for number in range(1, 41):
             job_id = f"{number:016x}"
-            self.world.work_s[job_id] = 30.0
+            self.world.work_s[job_id] = self._work_s
             step = specs.StepSpec(
                 task_count=2,
                 cpu_millicores=100,
-                is_standing=number % 2 == 0,
+                is_standing=self._has_standing and number % 2 == 0,
             )
             await self.world.submit_to(CELL, job_id, [step])
             await anyio.sleep(0.05)
@@ -104,40 +115,54 @@
         self.world.kill_host(holder)
 
 
-def find_overlaps(
+def play(
+    check,
     *,
     longest_lease_s,
+    dark_s,
+    seen_s,
+    cut_s,
     uptime_s=3.3,
     settle_s=1.0,
-    has_proxies=False,
-    late_s=0.0,
     answered_s=0.0,
-    **times,
+    kills_holder=False,
+    handover_s=None,
+    **fields,
 ):
-    """Return the tasks that run twice in a play of a new world.
+    """Play a new world and return what a check of it finds.
 
     Args:
+        check: The check, called with the world at the end.
         longest_lease_s: Duration of the longest lease that workers accept.
+        dark_s: See RecutWorld.play.
+        seen_s: See RecutWorld.play.
+        cut_s: See RecutWorld.play.
         uptime_s: Age of the workers when starts get no more answers, in
             seconds.
         settle_s: Time to go on for after the cut, in seconds.
-        has_proxies: See RecutWorld.
-        late_s: See RecutWorld.
         answered_s: See RecutWorld.lose_answers.
-        times: See RecutWorld.play.
+        kills_holder: See RecutWorld.play.
+        handover_s: See RecutWorld.play.
+        fields: See RecutWorld.
     """
     found = []
 
     async def _main(world):
-        recut = RecutWorld(world=world, has_proxies=has_proxies, late_s=late_s)
+        recut = RecutWorld(world=world, **fields)
         async with anyio.create_task_group() as group:
             await anyio.sleep(uptime_s - UNANSWERED_S)
             group.start_soon(recut.submit)
             await anyio.sleep(UNANSWERED_S)
             await recut.lose_answers(answered_s=answered_s)
-            await recut.play(**times)
+            await recut.play(
+                dark_s=dark_s,
+                seen_s=seen_s,
+                cut_s=cut_s,
+                kills_holder=kills_holder,
+                handover_s=handover_s,
+            )
             await anyio.sleep(settle_s)
-        found.extend(ownership_builders.find_overlaps(world))
+        found.extend(check(world))
 
     builders.run_job_world(
         _main,
--- a/wisteriawood/tests/worker_lives_tests.py
+++ b/wisteriawood/tests/worker_lives_tests.py
@@ -35,8 +35,12 @@
 
     def _play(self, dark_s, seen_s, **fields):
         with self.subTest(dark_s=dark_s, seen_s=seen_s):
-            overlaps = recut_builders.find_overlaps(
-                dark_s=dark_s, seen_s=seen_s, cut_s=12.0, **fields
+            overlaps = recut_builders.play(
+                ownership_builders.find_overlaps,
+                dark_s=dark_s,
+                seen_s=seen_s,
+                cut_s=12.0,
+                **fields,
             )
             self.assertEqual(overlaps, [])
 
@@ -83,8 +87,11 @@
 
     def _play(self, *, longest_lease_s, **fields):
         with self.subTest(longest_lease_s=longest_lease_s, **fields):
-            overlaps = recut_builders.find_overlaps(
-                longest_lease_s=longest_lease_s, cut_s=14.0, **fields
+            overlaps = recut_builders.play(
+                ownership_builders.find_overlaps,
+                longest_lease_s=longest_lease_s,
+                cut_s=14.0,
+                **fields,
             )
             self.assertEqual(overlaps, [])
 
