--- a/wisteriawood/standins/runners.py
+++ b/wisteriawood/standins/runners.py
@@ -55,6 +55,8 @@
             arrives.
 
     Attributes:
+        acknowledged: All ends that an acknowledgement has reached, as (task
+            name, run number, outcome).
         forwards_calls: Whether connections outlive the process, as through a
             proxy, so that each instance gets the calls meant for others.
         started_unix_ms: Start time of this instance of the worker process.
@@ -66,6 +68,8 @@
         is_refusing: Whether the worker's machine refuses connections, as
             only the process has ended there.
         is_dead: Whether the worker has crashed and not been restarted.
+        keep_orders: Whether starts without an answer outlive the process that
+            got them, so that the next instance may carry them out.
         lost_answer_delay_s: Delay after which a start whose answer is lost
             is executed, in seconds.
         runs: Active runs, by task name.
@@ -89,6 +93,7 @@
         "_refused_up_to",
         "_started_at_s",
         "_work_s",
+        "acknowledged",
         "started_unix_ms",
         "cut_from",
         "ends",
@@ -96,6 +101,7 @@
         "has_left",
         "is_dead",
         "is_refusing",
+        "keep_orders",
         "lost_answer_delay_s",
         "registration",
         "runs",
@@ -117,10 +123,12 @@
         self.registration = registration
         self._longest_lease_s = longest_lease_s
         self.forwards_calls = False
+        self.keep_orders = False
         self._work_s = work_s
         self._outcome_of = outcome_of
         self.starts: list[tuple[str, int, float]] = []
         self.ends: list[tuple[str, int, str, float]] = []
+        self.acknowledged: list[tuple[str, int, str]] = []
         self.lost_answers = 0
         self.lost_paces = 0
         self.lost_answer_delay_s = 0.0
@@ -154,7 +162,8 @@
             self.ends.append((name, run.command.run, "lost", now_s))
         self.runs.clear()
         # Commands that the process has received end with it.
-        self._deferred.clear()
+        if not self.keep_orders:
+            self._deferred.clear()
 
     def leave(self) -> None:
         """Shut down the worker process, which ends all runs."""
@@ -277,6 +286,11 @@
         Args:
             acknowledged: Number of the last end that is acknowledged.
         """
+        self.acknowledged.extend(
+            (end.task_name, end.run, end.outcome)
+            for end in self._ends
+            if end.number <= acknowledged
+        )
         self._ends = [e for e in self._ends if e.number > acknowledged]
         return runners.RunReport(
             started_unix_ms=self.started_unix_ms,
--- a/wisteriawood/tests/worker_lives_tests.py
+++ b/wisteriawood/tests/worker_lives_tests.py
@@ -5,99 +5,44 @@
 lease on the clock of the former one for one that is far ahead.
 """
 
+import dataclasses
 import unittest
 
 import anyio
 
 from wisteriawood.cells import leases
 from wisteriawood.cells import worker_sessions
-from wisteriawood.jobs import specs
 from wisteriawood.links import runners
 from wisteriawood.standins import runners as run_standins
 from wisteriawood.tests import builders
 from wisteriawood.tests import ownership_builders
+from wisteriawood.tests import recut_builders
 
-CELL = "shop@a"
+CELL = recut_builders.CELL
+RecutWorld = recut_builders.RecutWorld
 # Time after its loss in which a task runs again on another worker: a lease
 # with the drift of clocks, the detection and the start.
 AWAY_BOUND_S = 8.0
 
 
-class RecutWorld:
-    """A world whose workers of one rack restart and are cut off.
-
-    Args:
-        world: The world, of one zone.
-        has_proxies: Whether connections outlive the process of a worker.
-    """
-
-    def __init__(self, *, world, has_proxies):
-        self.world = world
-        self.victims = [world.workers[f"w-a-{n}"] for n in range(2)]
-        for worker in self.victims:
-            worker.forwards_calls = has_proxies
-
-    async def submit(self):
-        """Submit jobs of long and of standing tasks, one after the other."""
-        for number in range(1, 41):
-            job_id = f"{number:016x}"
-            self.world.work_s[job_id] = 30.0
-            step = specs.StepSpec(
-                task_count=2,
-                cpu_millicores=100,
-                is_standing=number % 2 == 0,
-            )
-            await self.world.submit_to(CELL, job_id, [step])
-            await anyio.sleep(0.05)
-
-    async def play(self, *, dark_s, seen_s, cut_s, kills_holder=False):
-        """Restart the workers and cut them off; wait until it is over."""
-        for worker in self.victims:
-            worker.crash()
-        await anyio.sleep(dark_s)
-        for worker in self.victims:
-            worker.restart()
-        await anyio.sleep(seen_s)
-        if kills_holder:
-            self.world.kill_host(self.world.holder_of(CELL))
-        for worker in self.victims:
-            worker.cut_from |= {"host-a-0", "host-a-1", "host-a-2"}
-        await anyio.sleep(cut_s)
-        for worker in self.victims:
-            worker.cut_from.clear()
-
-
 class RecutTests(unittest.TestCase):
     """Workers restart under their ids and are cut off soon after."""
 
-    def _play(self, *, longest_lease_s, has_proxies, **times):
-        async def _main(world):
-            recut = RecutWorld(world=world, has_proxies=has_proxies)
-            async with anyio.create_task_group() as group:
-                await anyio.sleep(3)
-                group.start_soon(recut.submit)
-                await anyio.sleep(0.3)
-                await recut.play(**times)
-                await anyio.sleep(1)
-            self.assertEqual(ownership_builders.find_overlaps(world), [])
-
-        builders.run_job_world(
-            _main,
-            zones=["a"],
-            hosts_per_zone=3,
-            workers_per_zone=4,
-            longest_lease_s=longest_lease_s,
-        )
-
-    def _play_all(self, *, least_seen_s=0.0, **fields):
+    def _play_all(self, **fields):
         for dark_s in (0.1, 0.4, 0.75):
             for seen_s in (0.0, 0.003, 0.01, 0.05, 0.5, 2.0):
-                if seen_s < least_seen_s:
-                    continue
-                with self.subTest(dark_s=dark_s, seen_s=seen_s):
-                    self._play(
-                        dark_s=dark_s, seen_s=seen_s, cut_s=12.0, **fields
-                    )
+                self._play(dark_s, seen_s, **fields)
+
+    def _play(self, dark_s, seen_s, **fields):
+        with self.subTest(dark_s=dark_s, seen_s=seen_s):
+            overlaps = recut_builders.play(
+                ownership_builders.find_overlaps,
+                dark_s=dark_s,
+                seen_s=seen_s,
+                cut_s=12.0,
+                **fields,
+            )
+            self.assertEqual(overlaps, [])
 
     def test_no_task_runs_twice(self):
         """Guards against a lease that no host knows of (TWICE).
@@ -105,30 +50,127 @@
         Issue 49: a start that was meant for the former instance ran on the
         new one for up to the longest lease, 10 s; its holder waited for 6 s.
         """
-        self._play_all(longest_lease_s=10.0, has_proxies=False)
+        self._play_all(longest_lease_s=10.0)
 
     def test_no_task_runs_twice_with_the_shortest_lease(self):
         """Guards against the same where no lease is longer than 6 s.
 
         The start arrived after the last renewal of the former instance.
         """
-        self._play_all(longest_lease_s=6.0, has_proxies=False)
+        self._play_all(longest_lease_s=6.0)
 
     def test_no_task_runs_twice_behind_a_proxy(self):
         """Guards against the same where connections outlive the process.
 
         The clock in the answer to a start shows that another instance has
-        carried it out, once it has been answered.
+        carried it out, unless the cut comes before the answer (issue 52).
         """
-        self._play_all(
-            longest_lease_s=10.0, has_proxies=True, least_seen_s=0.01
-        )
+        self._play_all(longest_lease_s=10.0, has_proxies=True)
+        for dark_s in (0.1, 0.4, 0.75):
+            self._play(dark_s, 0.005, longest_lease_s=10.0, has_proxies=True)
+
+    def test_no_task_runs_twice_behind_a_proxy_with_the_shortest_lease(self):
+        """Guards against the same where no lease is longer than 6 s."""
+        for dark_s in (0.1, 0.4, 0.75):
+            for seen_s in (0.0, 0.003, 0.005, 0.01, 0.05):
+                self._play(
+                    dark_s, seen_s, longest_lease_s=6.0, has_proxies=True
+                )
 
     def test_no_task_runs_twice_if_the_holder_is_lost_too(self):
         """Guards against the same with a next holder that reaches no one."""
-        self._play_all(
-            longest_lease_s=10.0, has_proxies=False, kills_holder=True
-        )
+        self._play_all(longest_lease_s=10.0, kills_holder=True)
+
+
+class LateStartTests(unittest.TestCase):
+    """Starts without an answer, which the next instance carries out late."""
+
+    def _play(self, *, longest_lease_s, **fields):
+        with self.subTest(longest_lease_s=longest_lease_s, **fields):
+            overlaps = recut_builders.play(
+                ownership_builders.find_overlaps,
+                longest_lease_s=longest_lease_s,
+                cut_s=14.0,
+                **fields,
+            )
+            self.assertEqual(overlaps, [])
+
+    def _play_late(self, longest_lease_s):
+        for late_s in (0.5, 1.0, 3.0):
+            for dark_s, seen_s in ((0.1, 0.003), (0.4, 0.05)):
+                self._play(
+                    longest_lease_s=longest_lease_s,
+                    late_s=late_s,
+                    dark_s=dark_s,
+                    seen_s=seen_s,
+                )
+
+    def test_a_start_that_runs_late_on_the_next_instance(self):
+        """Guards against a start that outlives the process (TWICE).
+
+        Issue 52: it got no answer, so that no clock shows who has it, and its
+        holder counted with the lease of the former instance only.
+        """
+        self._play_late(10.0)
+
+    def test_a_start_that_runs_late_with_the_shortest_lease(self):
+        """Guards against the same where no lease is longer than 6 s.
+
+        It begins after the last renewal of the former instance.
+        """
+        self._play_late(6.0)
+
+    def test_a_start_that_runs_once_the_lease_has_lapsed(self):
+        """Guards against a start that comes when its task runs elsewhere.
+
+        Issue 52: nothing bounds when the next instance carries it out, but
+        the age of the former one: on the clock that starts anew, its lease
+        ends that much later.
+        """
+        for longest_lease_s in (10.0, 6.0):
+            self._play(
+                longest_lease_s=longest_lease_s,
+                uptime_s=8.0,
+                late_s=11.0,
+                dark_s=0.1,
+                seen_s=0.003,
+            )
+
+    def test_a_start_whose_next_try_was_answered(self):
+        """Guards against a start that counts as answered by a later try.
+
+        Issue 52: the next instance carries out the first try, which the
+        instance that answered the second one had not ruled out for it.
+        """
+        for longest_lease_s in (10.0, 6.0):
+            for dark_s, seen_s in ((0.1, 0.003), (0.4, 0.05)):
+                self._play(
+                    longest_lease_s=longest_lease_s,
+                    late_s=3.0,
+                    answered_s=1.0,
+                    dark_s=dark_s,
+                    seen_s=seen_s,
+                )
+
+    def test_a_start_that_runs_late_after_a_handover(self):
+        """Guards against a release that tells too early an end of a lease.
+
+        Issue 52: the former holder has sent the start; the next one knows
+        only what the row of leases tells it.
+        """
+        for longest_lease_s, handover_s in (
+            (10.0, 0.1),
+            (10.0, 1.5),
+            (6.0, 1.5),
+            (6.0, 3.0),
+        ):
+            self._play(
+                longest_lease_s=longest_lease_s,
+                late_s=1.0,
+                dark_s=0.4,
+                seen_s=0.005,
+                handover_s=handover_s,
+            )
 
 
 class KnownLifeTests(unittest.TestCase):
@@ -245,3 +287,37 @@
         builders.run_job_world(
             _main, zones=["a"], hosts_per_zone=0, workers_per_zone=1
         )
+
+
+class OverlapTests(unittest.TestCase):
+    """What counts as two runs of a task at a time."""
+
+    def test_a_run_that_two_instances_start(self):
+        """Guards against a run of a later instance that nothing counts.
+
+        Its first end, with the first instance, is not that of the second.
+        """
+
+        async def _main(world):
+            first, second = world.workers["w-a-0"], world.workers["w-a-1"]
+            command = runners.StartRunCommand(
+                task_name="j.0.0.0",
+                run=1,
+                payload="",
+                lease_until_ms=9_000,
+                token=1,
+            )
+            first.begin_run(command)
+            await anyio.sleep(1)
+            first.crash()
+            first.restart()
+            self.assertEqual(ownership_builders.find_overlaps(world), [])
+            first.begin_run(command)
+            second.begin_run(dataclasses.replace(command, run=2))
+            self.assertEqual(
+                ownership_builders.find_overlaps(world), ["j.0.0.0"]
+            )
+
+        builders.run_job_world(
+            _main, zones=["a"], hosts_per_zone=0, workers_per_zone=2
+        )
