End the known instance of a worker at the first sign of another

Callers saw a task run again whose end had been acknowledged (TWICE), in soaks of real processes whose connections outlive a worker's process.

Cause: the answer to a misdirected start shows that another instance of the worker's process answers, but only the lease counted with it. Renewals went on with the end of the lease and the number of the last end of the former instance, whose token stayed as it was, until a report came; and the number was sent with each renewal, long after its acknowledgement was answered, so that the next instance could forget ends of its own.

A worker now has `end_instance`: a report of another instance, a start whose clock is too low, or a call that was not sent as another instance answers, ends the known one at once. The token rises, the renewal under way is cancelled, and no lease, acknowledgement or start is sent until an instance has answered a hold without either. An acknowledgement is sent until it is answered. The line of a restart tells the age of the instance, the token and whether it is fenced.

--- a/wisteriawood/cells/command_senders.py
+++ b/wisteriawood/cells/command_senders.py
@@ -92,7 +92,7 @@
         for attempt in range(START_TRIES):
             if run.is_stopping or not self._may_be_on_worker(run):
                 return
-            obstacle = start_checks.find_obstacle(self._cell, self._worker)
+            obstacle = self._find_obstacle()
             if obstacle:
                 await self._withhold(run, obstacle)
                 return
@@ -127,6 +127,13 @@
         run.is_stopping = True
         await self._stop(run)
 
+    def _find_obstacle(self) -> str:
+        """Return why no run may be started now; empty if one may."""
+        obstacle = start_checks.find_obstacle(self._cell, self._worker)
+        if not obstacle and not self._worker.started_unix_ms:
+            return "the instance of the worker is not known yet"
+        return obstacle
+
     async def _withhold(self, run: runs.Run, obstacle: str) -> None:
         """Give up a start that may not be sent now; its task waits again."""
         _LOG.log(
@@ -161,6 +168,9 @@
             answer = await worker.link.start(command)
         except runners.OtherInstanceError:
             return None
+        except runners.RestartedError:
+            worker.end_instance(command.started_unix_ms)
+            return None
         except runners.MisdirectedError as exc:
             _LOG.log(
                 job_events.RUN_START_MISDIRECTED,
@@ -170,6 +180,7 @@
                 cause=str(exc),
             )
             worker.lease.include_longest(anyio.current_time())
+            worker.end_instance(command.started_unix_ms)
             return None
         except runners.FencedError:
             raise
--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -65,11 +65,14 @@
     """
 
     __slots__ = (
+        "_answered_acknowledgement",
         "_cell",
         "_has_ended_connection",
+        "_has_restarted",
         "_held_since_s",
         "_is_fenced",
         "_processed",
+        "_restarts",
         "_uncommitted",
         "_unknown_since_s",
         "_worker",
@@ -81,9 +84,15 @@
         # Whether the worker itself ended the connection of the first call
         # that failed.
         self._has_ended_connection = False
+        # Number of restarts of the worker after which the rest was learned,
+        # and whether no report has followed the last of them.
+        self._restarts = worker.restarts
+        self._has_restarted = False
         # Whether the known instance has answered a call with the present
         # token, from when on it rejects what was sent with an earlier one.
         self._is_fenced = False
+        # Number of the last end whose acknowledgement was answered.
+        self._answered_acknowledgement = 0
         self._uncommitted: list[tuple[list[job_writers.Batch], int]] = []
         # Monotonic times since which ends are held back, as their jobs may be
         # in the store, by number; and the numbers of processed ends after
@@ -191,14 +200,18 @@
 
     async def _renew(self) -> None:
         worker = self._worker
+        self._follow_restart()
         sent_at_s = anyio.current_time()
         token = worker.token
         # After a failed call the lease is not extended: if the worker is
-        # partitioned, the end of its lease is what stops its runs.
+        # partitioned, the end of its lease is what stops its runs. Another
+        # instance may answer then, and it numbers its ends from one again.
         is_answering = worker.is_answering
-        until_ms = worker.lease.grant(sent_at_s) if is_answering else 0
+        is_known = is_answering and worker.started_unix_ms > 0
+        until_ms = worker.lease.grant(sent_at_s) if is_known else 0
+        acknowledged = self._next_acknowledgement() if is_known else 0
         is_waiting = (
-            is_answering
+            is_known
             and self._is_fenced
             and not self._uncommitted
             and not self._held_since_s
@@ -206,17 +219,20 @@
         )
         wait_ms = self._wait_ms() if is_waiting else 0
         worker.answer_due_at_s = sent_at_s + wait_ms / 1000 + USUAL_CALL_S
-        report = await worker.link.renew(
+        report = await self._send_renewal(
             token=token,
-            # Another instance may answer after a failed call, and it numbers
-            # its ends from one again.
-            acknowledged=worker.acknowledged if is_answering else 0,
+            acknowledged=acknowledged,
             lease_until_ms=until_ms,
             wait_ms=wait_ms,
-            started_unix_ms=worker.started_unix_ms if is_answering else 0,
+            started_unix_ms=worker.started_unix_ms if is_known else 0,
         )
         now_s = anyio.current_time()
         worker.answer_due_at_s = math.inf
+        if report is None:
+            return
+        self._answered_acknowledgement = max(
+            self._answered_acknowledgement, acknowledged
+        )
         worker.lease.record_clock(report.clock_ms, now_s)
         worker.answered_at_s = now_s
         if not is_answering:
@@ -231,6 +247,34 @@
             )
         self._process_report(report, sent_at_s, token)
 
+    async def _send_renewal(self, **fields) -> runners.RunReport | None:
+        """Send a renewal and return the report.
+
+        Args:
+            **fields: Arguments of RunLink.renew.
+
+        Returns:
+            The report; None if a restart was noticed meanwhile, so that it
+            may be of the instance that has ended.
+        """
+        worker, report = self._worker, None
+        try:
+            with anyio.CancelScope() as worker.renewal:
+                report = await worker.link.renew(**fields)
+        finally:
+            worker.renewal = None
+        return report if worker.restarts == self._restarts else None
+
+    def _next_acknowledgement(self) -> int:
+        """Return the number of the end to acknowledge; 0 for none.
+
+        An acknowledgement is not repeated once it was answered, as the next
+        instance of the worker's process might get it.
+        """
+        if self._worker.acknowledged <= self._answered_acknowledgement:
+            return 0
+        return self._worker.acknowledged
+
     def _wait_ms(self) -> int:
         worker = self._worker
         is_latency_high = worker.filler_millicores > 0 and any(
@@ -246,7 +290,10 @@
         worker = self._worker
         now_s = anyio.current_time()
         if worker.started_unix_ms not in (0, report.started_unix_ms):
-            self._reset_after_restart(report)
+            worker.end_instance(worker.started_unix_ms)
+            self._follow_restart()
+        if self._has_restarted:
+            self._log_restart(report, token)
         worker.started_unix_ms = report.started_unix_ms
         if not self._is_fenced:
             self._include_misdirected(report, now_s)
@@ -269,6 +316,21 @@
         if batches or worker.last_processed_end > worker.acknowledged:
             self._uncommitted.append((batches, worker.last_processed_end))
 
+    def _log_restart(self, report: runners.RunReport, token: int) -> None:
+        """Log the first report of the next instance of the worker."""
+        worker = self._worker
+        self._has_restarted = False
+        _LOG.log(
+            job_events.RUN_WORKER_RESTARTED,
+            worker=worker.id,
+            runs=len(worker.runs),
+            active=len(report.active),
+            ended=len(report.ended),
+            age_s=report.clock_ms / 1000,
+            token=worker.token,
+            is_fenced=token == worker.token,
+        )
+
     def _include_misdirected(
         self, report: runners.RunReport, now_s: float
     ) -> None:
@@ -404,39 +466,34 @@
 
     async def _wait_for_commits(self) -> None:
         """Acknowledge ended runs if their commit is done in COMMIT_WAIT_S."""
+        self._follow_restart()
         if not self._uncommitted:
             return
         batches, number = self._uncommitted[0]
         with anyio.move_on_after(COMMIT_WAIT_S):
             await self._cell.writer.wait_until_stored(batches)
+            if self._worker.restarts != self._restarts:
+                return
             self._uncommitted.pop(0)
             self._worker.acknowledged = number
             return
         await anyio.sleep(COMMIT_PENDING_PAUSE_S)
 
-    def _reset_after_restart(self, report: runners.RunReport) -> None:
-        """Reset the counters of a worker that has restarted.
+    def _follow_restart(self) -> None:
+        """Forget what was learned of an instance that has ended since.
 
-        Runs that started on the new instance already are in its report. The
+        Runs that started on the next instance already are in its report. The
         others count as omitted.
         """
-        worker = self._worker
-        _LOG.log(
-            job_events.RUN_WORKER_RESTARTED,
-            worker=worker.id,
-            runs=len(worker.runs),
-            active=len(report.active),
-            ended=len(report.ended),
-        )
-        worker.last_processed_end = worker.acknowledged = 0
+        if self._restarts == self._worker.restarts:
+            return
+        self._restarts = self._worker.restarts
+        self._has_restarted = True
         self._held_since_s.clear()
         self._processed.clear()
-        self._is_fenced = False
-        worker.lease.reset()
         self._uncommitted.clear()
-        # The new process has seen no token yet. The higher one keeps it
-        # from accepting a start that was sent to the former process.
-        worker.token += 1
+        self._is_fenced = False
+        self._answered_acknowledgement = 0
 
     def _end_session(self) -> None:
         worker = self._worker
--- a/wisteriawood/cells/workers.py
+++ b/wisteriawood/cells/workers.py
@@ -57,6 +57,9 @@
         answered_at_s: Monotonic time of the last answer; 0 before the first.
         answer_due_at_s: Monotonic time from which the answer to the renewal
             under way is overdue; infinite while there is none.
+        restarts: Number of restarts of its process that were noticed.
+        renewal: Scope of the renewal of the lease that is under way; None for
+            none.
         is_answering: Whether the last renewal of the lease was answered.
         lost_from_s: Monotonic time from which it counts as lost rather than
             slow unless a retry is answered; set when a renewal fails.
@@ -103,6 +106,8 @@
         "lost_from_s",
         "no_fillers_until_s",
         "registration",
+        "renewal",
+        "restarts",
         "runs",
         "speed",
         "token",
@@ -124,6 +129,8 @@
         self.acknowledged = 0
         self.last_processed_end = 0
         self.started_unix_ms = 0
+        self.restarts = 0
+        self.renewal: anyio.CancelScope | None = None
         self.answered_at_s = 0.0
         self.answer_due_at_s = math.inf
         self.is_answering = False
@@ -376,6 +383,26 @@
         """
         return sum(1 for name in self.runs if name.startswith(step_name))
 
+    def end_instance(self, started_unix_ms: int) -> None:
+        """Forget an instance of the worker's process, as another one answers.
+
+        The numbers of ends and the end of the lease are of that instance. The
+        next one has seen no token; once it has answered the higher one, it
+        accepts nothing that was sent to the former one.
+
+        Args:
+            started_unix_ms: Start time of the instance that has ended.
+        """
+        if self.started_unix_ms != started_unix_ms:
+            return
+        self.started_unix_ms = 0
+        self.restarts += 1
+        self.token += 1
+        self.last_processed_end = self.acknowledged = 0
+        self.lease.reset()
+        if self.renewal is not None:
+            self.renewal.cancel()
+
     def lease_for_start(self, now_s: float) -> int:
         """Return the end of the lease to send with a start.
 
--- a/wisteriawood/tests/recut_builders.py
+++ b/wisteriawood/tests/recut_builders.py
@@ -3,6 +3,7 @@
 import anyio
 
 from wisteriawood.jobs import specs
+from wisteriawood.standins import runners as run_standins
 from wisteriawood.tests import builders
 
 CELL = "shop@a"
@@ -13,6 +14,26 @@
 UNANSWERED_CALLS = 3
 
 
+class RecordingLink(run_standins.MemoryRunLink):
+    """Link to a simulated worker that records the renewals it sends.
+
+    Args:
+        renewals: Gets each renewal, as (time in seconds, instance, fields).
+    """
+
+    __slots__ = ("_renewals",)
+
+    def __init__(self, *, renewals, **fields):
+        super().__init__(**fields)
+        self._renewals = renewals
+
+    async def renew(self, **fields):
+        self._renewals.append(
+            (anyio.current_time(), self._worker.started_unix_ms, fields)
+        )
+        return await super().renew(**fields)
+
+
 class RecutWorld:
     """A world whose workers of one rack restart and are cut off.
 
