Add a failing test of a late start of a task that is done

Callers saw TWICE. A start whose second try was answered runs, is done and its end is acknowledged; the worker restarts, and the next instance, which has seen no token yet, carries out the first try.

--- a/wisteriawood/tests/worker_lives_tests.py
+++ b/wisteriawood/tests/worker_lives_tests.py
@@ -173,6 +173,37 @@
             )
 
 
+class RepeatTests(unittest.TestCase):
+    """Tasks that are done before or soon after their worker restarts."""
+
+    def _find(self, **fields):
+        return recut_builders.play(
+            ownership_builders.find_repeats,
+            longest_lease_s=10.0,
+            has_standing=False,
+            settle_s=3.0,
+            **fields,
+        )
+
+    def test_a_start_that_runs_late_when_its_task_is_done(self):
+        """Guards against a start that outlives the run that it began (TWICE).
+
+        Issue 52: its second try was answered, the task was done, and the
+        next instance carries out the first try.
+        """
+        for dark_s, seen_s in ((0.1, 0.003), (0.4, 0.05)):
+            with self.subTest(dark_s=dark_s, seen_s=seen_s):
+                repeats = self._find(
+                    late_s=3.0,
+                    answered_s=1.6,
+                    work_s=0.4,
+                    dark_s=dark_s,
+                    seen_s=seen_s,
+                    cut_s=4.0,
+                )
+                self.assertEqual(repeats, [])
+
+
 class KnownLifeTests(unittest.TestCase):
     """What a holder counts with after the first answers of an instance."""
 
