Add a failing test of ends that a later instance forgets unseen

Callers saw TWICE: a task ran again after its end was acknowledged. Where connections outlive the process, a start meant for the former instance runs on the next one and is done. The hold that was under way at the restart names the number of the last end of the former instance, 32 in the traced play, and the next one forgets its end 1. The answer omits the run, which counts as lapsed, and its task starts elsewhere 1.2 s later.

The hold was sent before anybody could know of the restart.

--- a/wisteriawood/tests/worker_lives_tests.py
+++ b/wisteriawood/tests/worker_lives_tests.py
@@ -185,6 +185,23 @@
             **fields,
         )
 
+    def test_an_end_with_a_number_that_the_former_instance_used(self):
+        """Guards against ends that a later instance forgets unseen (TWICE).
+
+        Issue 52: where connections outlive the process, a hold that was sent
+        to the former instance acknowledges as many ends of the next one.
+        """
+        for dark_s in (0.0, 0.1, 0.4):
+            with self.subTest(dark_s=dark_s):
+                repeats = self._find(
+                    has_proxies=True,
+                    work_s=0.05,
+                    dark_s=dark_s,
+                    seen_s=2.0,
+                    cut_s=0.0,
+                )
+                self.assertEqual(repeats, [])
+
     def test_a_start_that_runs_late_when_its_task_is_done(self):
         """Guards against a start that outlives the run that it began (TWICE).
 
