Leave a zone without living workers alone in the soak

The fault samples at least one worker, also from none. It now returns when none is alive, after the choice of the zone and before any other.

--- a/wisteriawood/soak/lives.py
+++ b/wisteriawood/soak/lives.py
@@ -61,6 +61,8 @@
         for worker in world.workers.values()
         if worker.registration.zone == zone and not worker.is_dead
     ]
+    if not living:
+        return
     workers = rng.sample(living, rng.randint(1, 2) if len(living) > 2 else 1)
     links = _links_of(world, workers)
     for worker in workers:
