Reset links of the soak whose connections have just ended

A connection stays in the set of a proxy until its tasks have run. Until then its socket is not connected any more (ENOTCONN) or, a step of the event loop later, is closed (EBADF). Such a connection needs no reset; both errors are passed over, all others are raised as before.

--- a/wisteriawood/soak/proxies.py
+++ b/wisteriawood/soak/proxies.py
@@ -1,6 +1,7 @@
 """A TCP proxy on loopback that injects faults into a link."""
 
 import enum
+import errno
 import socket
 import struct
 
@@ -10,6 +11,8 @@
 HOST = "127.0.0.1"
 CHUNK_BYTES = 65536
 HOLD_TICK_S = 0.02
+# Errors of a connection that has ended, before and after its socket is closed.
+_ENDED_ERRNOS = (errno.ENOTCONN, errno.EBADF)
 
 
 class Direction(enum.StrEnum):
@@ -71,8 +74,12 @@
             raw = stream.extra(abc.SocketAttribute.raw_socket)
             # With a linger time of 0, closing the socket sends a reset.
             linger = struct.pack("ii", 1, 0)
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            raw.shutdown(socket.SHUT_RDWR)
+            try:
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                raw.shutdown(socket.SHUT_RDWR)
+            except OSError as exc:
+                if exc.errno not in _ENDED_ERRNOS:
+                    raise
 
     async def _relay(self, near: abc.SocketStream) -> None:
         async with near:
