Let connections and orders outlive the lives of workers in the soak

Half of the cuts and more come within 30 ms after the restart. Jobs are small and long, so that runs overlap if a lease is taken for lapsed too early, and the longest lease is 6 or 10 s by seed. Without the option, the shape, the load and each random choice of a seed are as before, and no check is changed.

The stand-in's application carried out a deferred order only on the instance that got it; with keep_orders of the worker it no longer asks.

--- a/wisteriawood/platform/standins.py
+++ b/wisteriawood/platform/standins.py
@@ -352,7 +352,8 @@
         return True
 
     def _carry_out(self, path: str, body: dict, instance: int) -> None:
-        if self._worker.started_unix_ms != instance:
+        worker = self._worker
+        if worker.started_unix_ms != instance and not worker.keep_orders:
             return
         with contextlib.suppress(StatusError, runners.FencedError):
             self._answer(path, body)
--- a/wisteriawood/soak/__main__.py
+++ b/wisteriawood/soak/__main__.py
@@ -30,6 +30,7 @@
         has_losses=options.losses,
         has_silences=options.silences,
         has_lives=options.lives,
+        outlives_process=options.kept,
         fault_names=options.faults.split(",") if options.faults else [],
     )
     await world.run()
@@ -151,10 +152,18 @@
         action="store_true",
         help="restart workers under their ids, and cut them off soon after",
     )
+    parser.add_argument(
+        "--kept",
+        action="store_true",
+        help="with --lives: keep connections to workers, and their orders "
+        "without an answer, over a restart",
+    )
     parser.add_argument(
         "--faults", default="", help="names of the only faults, with commas"
     )
     options = parser.parse_args()
+    if options.kept and not options.lives:
+        parser.error("--kept needs --lives")
     if options.load is None:
         options.load = DEFAULT_LOAD_S
         if options.losses:
@@ -169,6 +178,8 @@
         arguments.append("--losses")
     if options.lives:
         arguments.append("--lives")
+    if options.kept:
+        arguments.append("--kept")
     if options.silences:
         arguments.append("--silences")
     if options.cases:
--- a/wisteriawood/soak/lives.py
+++ b/wisteriawood/soak/lives.py
@@ -6,7 +6,10 @@
 
 import anyio
 
+from wisteriawood.jobs import specs
 from wisteriawood.links import runners
+from wisteriawood.policies import registry
+from wisteriawood.soak import callers
 from wisteriawood.soak import faults
 from wisteriawood.soak import proxies
 from wisteriawood.soak import shapes
@@ -18,6 +21,23 @@
 # Longer than the leases that hosts grant, so that an order on the clock of a
 # former instance may grant a longer one.
 HOLD_MAX_MS = 10_000
+# The same where connections and orders outlive the processes of workers; one
+# of them is no longer than the leases that hosts grant.
+KEPT_HOLD_MAX_MS = (6_000, 10_000)
+# Jobs there, small and long, so that many tasks start and some run on when a
+# lease that the holder knows of has ended; and the share of standing ones.
+KEPT_JOBS: registry.Registry[callers.JobMaker] = registry.Registry(kind="job")
+KEPT_WORK_S = (0.2, 12.0)
+STANDING_SHARE = 0.15
+# Share of the faults there in which workers leave orders without an answer
+# just before they crash, for how long, and how much later they carry them out.
+UNANSWERED_SHARE = 0.7
+MAX_UNANSWERED_S = 1.0
+MAX_LATE_S = 3.0
+# Share of the faults there in which workers are cut off this soon after their
+# restart, when hosts may not have heard of their new instances.
+EARLY_CUT_SHARE = 0.6
+MAX_EARLY_S = 0.03
 # Share of these faults in which the holder of the cell is killed as well.
 KILL_SHARE = 0.4
 # Longest time in which nothing is at a crashed worker's address, in which
@@ -27,9 +47,33 @@
 MAX_CUT_S = 12.0
 
 
-def make_shape() -> shapes.Shape:
-    """Return the shape of a soak of restarted workers."""
-    return shapes.Shape(hold_max_ms=HOLD_MAX_MS)
+@KEPT_JOBS.register("long")
+def _make_long_steps(rng: random.Random) -> list[specs.StepSpec]:
+    return [
+        specs.StepSpec(
+            task_count=rng.randint(1, 6),
+            cpu_millicores=500,
+            memory_mb=64,
+            expected_run_ms=6000,
+            is_standing=rng.random() < STANDING_SHARE,
+        )
+    ]
+
+
+def make_shape(seed: int, outlives_process: bool = False) -> shapes.Shape:
+    """Return the shape of a soak of restarted workers.
+
+    Args:
+        seed: Seed of the soak.
+        outlives_process: Whether connections to a worker, and the orders that
+            it leaves without an answer, outlive its process.
+    """
+    if not outlives_process:
+        return shapes.Shape(hold_max_ms=HOLD_MAX_MS)
+    return shapes.Shape(
+        hold_max_ms=random.Random(seed).choice(KEPT_HOLD_MAX_MS),
+        outlives_process=True,
+    )
 
 
 def make_entry(worker: "checks.WatchedWorker") -> runners.Registration:
@@ -53,6 +97,37 @@
     ]
 
 
+def _end_connections(
+    world: "worlds.SoakWorld", links: list[proxies.Proxy]
+) -> None:
+    """End the connections of links, unless they outlive a process."""
+    if world.shape.outlives_process:
+        return
+    for link in links:
+        link.reset()
+
+
+async def _leave_unanswered(
+    workers: list["checks.WatchedWorker"], rng: random.Random
+) -> None:
+    """Let workers leave orders without an answer, to carry them out late."""
+    if rng.random() >= UNANSWERED_SHARE:
+        return
+    for worker in workers:
+        worker.lost_answers = rng.randint(1, 12)
+        worker.lost_answer_delay_s = rng.uniform(0.1, MAX_LATE_S)
+    await anyio.sleep(rng.uniform(0.05, MAX_UNANSWERED_S))
+    for worker in workers:
+        worker.lost_answers = 0
+
+
+def _choose_seen_s(world: "worlds.SoakWorld", rng: random.Random) -> float:
+    """Return how long after their restart workers are cut off."""
+    if world.shape.outlives_process and rng.random() < EARLY_CUT_SHARE:
+        return rng.uniform(0.0, MAX_EARLY_S)
+    return rng.uniform(0.0, MAX_SEEN_S)
+
+
 @faults.LIFE_FAULTS.register("recut-workers")
 async def _recut(world: "worlds.SoakWorld", rng: random.Random) -> None:
     zone = rng.choice(world.zones())
@@ -64,19 +139,23 @@
     if not living:
         return
     workers = rng.sample(living, rng.randint(1, 2) if len(living) > 2 else 1)
+    if world.shape.outlives_process:
+        await _leave_unanswered(workers, rng)
+        # Another such fault may have crashed some meanwhile.
+        workers = [worker for worker in workers if not worker.is_dead]
     links = _links_of(world, workers)
     for worker in workers:
         worker.crash()
+    _end_connections(world, links)
     for link in links:
-        # Connections end with the process. What is sent on new ones waits.
-        link.reset()
+        # What is sent on new connections waits.
         link.held |= set(proxies.Direction)
     await anyio.sleep(rng.uniform(0.05, MAX_DARK_S))
     for worker in workers:
         worker.restart()
     for link in links:
         link.held.clear()
-    await anyio.sleep(rng.uniform(0.0, MAX_SEEN_S))
+    await anyio.sleep(_choose_seen_s(world, rng))
     for link in links:
         link.held |= set(proxies.Direction)
     if rng.random() < KILL_SHARE:
@@ -89,4 +168,4 @@
     world.checker.links_released_at_s = world.checker.now_s()
     for link in links:
         link.held.clear()
-        link.reset()
+    _end_connections(world, links)
--- a/wisteriawood/soak/shapes.py
+++ b/wisteriawood/soak/shapes.py
@@ -15,6 +15,8 @@
         workers_per_rack: Number of workers on each rack.
         hosts_per_zone: Number of hosts in each zone.
         hold_max_ms: Longest lease of a worker.
+        outlives_process: Whether connections to a worker, and the orders that
+            it leaves without an answer, outlive its process.
 
     Attributes:
         losses_left: Number of workers that may still be lost for good.
@@ -24,6 +26,7 @@
         "hold_max_ms",
         "hosts_per_zone",
         "losses_left",
+        "outlives_process",
         "racks_per_zone",
         "workers_per_rack",
         "zones",
@@ -37,12 +40,14 @@
         workers_per_rack: int = 3,
         hosts_per_zone: int = 2,
         hold_max_ms: int = 3000,
+        outlives_process: bool = False,
     ):
         self.zones = zones
         self.racks_per_zone = racks_per_zone
         self.workers_per_rack = workers_per_rack
         self.hosts_per_zone = hosts_per_zone
         self.hold_max_ms = hold_max_ms
+        self.outlives_process = outlives_process
         self.losses_left = 0
 
     def workers_per_zone(self) -> int:
--- a/wisteriawood/soak/worlds.py
+++ b/wisteriawood/soak/worlds.py
@@ -46,7 +46,8 @@
 STARTUP_S = 4.0
 # Time after the last fault within which all accepted jobs must complete.
 FINISH_TIMEOUT_S = 25.0
-# The same with wide jobs, of which a worker runs few tasks at a time.
+# The same with wide jobs, of which a worker runs few tasks at a time, and
+# with long tasks.
 FINISH_WIDE_TIMEOUT_S = 60.0
 # The same with full cells, whose queue is long when the load ends.
 FINISH_FULL_TIMEOUT_S = 90.0
@@ -113,6 +114,8 @@
             is watched.
         has_losses: Whether the cells are full and workers are lost for good.
         has_lives: Whether workers restart under their ids and are cut off.
+        outlives_process: Whether, in such a soak, connections to a worker and
+            orders without an answer outlive its process.
         fault_names: Names of the faults to inject; empty for all.
 
     Attributes:
@@ -176,6 +179,7 @@
         has_losses: bool = False,
         has_silences: bool = False,
         has_lives: bool = False,
+        outlives_process: bool = False,
         fault_names: typing.Collection[str] = (),
     ):
         self.faults = faults.choose(
@@ -197,7 +201,7 @@
         if has_losses:
             self.shape = losses.make_shape(seed)
         elif has_lives:
-            self.shape = lives.make_shape()
+            self.shape = lives.make_shape(seed, outlives_process)
         self.checker = checks.Checker()
         self.standing = standing.StandingWatch(checker=self.checker)
         self.queue = queues.Queue(
@@ -305,6 +309,7 @@
             work_s=lambda task: self._work_s.get(task.partition(".")[0], 1.0),
             longest_lease_s=self.shape.hold_max_ms / 1000,
         )
+        worker.keep_orders = self.shape.outlives_process
         self.workers[name] = worker
         wire = standins.WorkerApp(worker=worker, worker_id=name)
         self._serve(servers, wire, port)
@@ -433,6 +438,12 @@
                 "work_range_s": losses.FULL_WORK_S,
                 "max_open_jobs": losses.MAX_OPEN_JOBS,
             }
+        elif self.shape.outlives_process:
+            load = {
+                "wide_share": 1.0,
+                "wide_jobs": lives.KEPT_JOBS,
+                "work_range_s": lives.KEPT_WORK_S,
+            }
         else:
             load = {"wide_share": WIDE_SHARE if self._is_wide else 0.0}
         return callers.Caller(
@@ -497,7 +508,7 @@
     async def _wait_until_finished(self) -> None:
         """Wait until all accepted jobs are done and reported as completed."""
         timeout_s = FINISH_TIMEOUT_S
-        if self._is_wide:
+        if self._is_wide or self.shape.outlives_process:
             timeout_s = FINISH_WIDE_TIMEOUT_S
         if self._has_losses:
             timeout_s = FINISH_FULL_TIMEOUT_S
