Bound how late an order of the soak may be, and find more breaches

The latest order is one that a worker leaves without an answer, 3 s.

It also found little: few workers answered at any time, so that a task that counted as ended waited until its worker was back. There are five workers in a zone now.

--- a/wisteriawood/soak/lives.py
+++ b/wisteriawood/soak/lives.py
@@ -24,6 +24,8 @@
 # The same where connections and orders outlive the processes of workers; one
 # of them is no longer than the leases that hosts grant.
 KEPT_HOLD_MAX_MS = (6_000, 10_000)
+# Workers of each zone there, so that tasks find another one at once.
+KEPT_WORKERS = 5
 # Jobs there, small and long, so that many tasks start and some run on when a
 # lease that the holder knows of has ended; and the share of standing ones.
 KEPT_JOBS: registry.Registry[callers.JobMaker] = registry.Registry(kind="job")
@@ -71,6 +73,7 @@
     if not outlives_process:
         return shapes.Shape(hold_max_ms=HOLD_MAX_MS)
     return shapes.Shape(
+        workers_per_rack=KEPT_WORKERS,
         hold_max_ms=random.Random(seed).choice(KEPT_HOLD_MAX_MS),
         outlives_process=True,
     )
@@ -100,11 +103,14 @@
 def _end_connections(
     world: "worlds.SoakWorld", links: list[proxies.Proxy]
 ) -> None:
-    """End the connections of links, unless they outlive a process."""
-    if world.shape.outlives_process:
-        return
+    """End the connections of links with the process of their worker.
+
+    If they outlive it, what a cut holds up is lost all the same, so that no
+    order is later than those that a worker leaves without an answer.
+    """
     for link in links:
-        link.reset()
+        if link.held or not world.shape.outlives_process:
+            link.reset()
 
 
 async def _leave_unanswered(
@@ -168,4 +174,4 @@
     world.checker.links_released_at_s = world.checker.now_s()
     for link in links:
         link.held.clear()
-    _end_connections(world, links)
+        link.reset()
