--- a/wisteriawood/tests/faults/soak_tests.py
+++ b/wisteriawood/tests/faults/soak_tests.py
@@ -36,6 +36,8 @@
 SILENCES_LOAD_S = 14.0
 LIVES_SEED = 2
 LIVES_LOAD_S = 22.0
+KEPT_SEED = 6332
+KEPT_LOAD_S = 30.0
 JOB = "0123456789abcdef"
 
 
@@ -121,6 +123,18 @@
             any("recut-workers" in fault for fault in world.injected_faults)
         )
 
+    def test_no_task_runs_twice_where_orders_outlive_workers(self):
+        """Guards against starts that the next instance carries out (TWICE)."""
+        world = self._run(
+            seed=KEPT_SEED,
+            load_s=KEPT_LOAD_S,
+            has_lives=True,
+            outlives_process=True,
+            fault_names=["recut-workers"],
+        )
+        self.assertEqual(world.checker.breaches, [])
+        self.assertTrue(world.injected_faults)
+
 
 class FreshnessTests(unittest.TestCase):
     """The check of how soon a new queue is served."""
