Do not count a start for which there was no connection

Callers would wait longer than needed for a task whose start was never sent: a start that failed without a connection counted as one that may take effect late.

Cause: each error of the call counted as a start without an answer.

Both tests fail before.

The client tells a call that failed before anything was sent, as the transport tells by its errors.

--- a/wisteriawood/cells/command_senders.py
+++ b/wisteriawood/cells/command_senders.py
@@ -212,6 +212,9 @@
             answer = await worker.link.start(command)
         except runners.OtherInstanceError:
             return None
+        except runners.NotSentError:
+            run.late_start_ends_s = answered_before_s
+            return None
         except runners.RestartedError:
             run.late_start_ends_s = answered_before_s
             worker.end_instance(command.started_unix_ms)
--- a/wisteriawood/links/runners.py
+++ b/wisteriawood/links/runners.py
@@ -119,6 +119,10 @@
     """Another worker answers at the address."""
 
 
+class NotSentError(errors.LinkClosedError):
+    """There is no connection to the worker; the call was not sent."""
+
+
 class RestartedError(errors.LinkError):
     """The worker process has restarted; the call was not sent to it."""
 
@@ -160,6 +164,7 @@
         """Start a run.
 
         Raises:
+            NotSentError: There is no connection to the worker.
             RestartedError: The worker process has restarted.
             MisdirectedError: It has, and has carried out the command.
         """
--- a/wisteriawood/platform/worker_client.py
+++ b/wisteriawood/platform/worker_client.py
@@ -30,6 +30,8 @@
 MAX_REPORTED_ENDS = 500
 MAX_CONNECTIONS = 4
 
+# Errors of a call before anything of it was sent.
+_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 _REFUSALS = {
     "fence": runners.StartResult.FENCED,
     "old": runners.StartResult.OLD_RUN,
@@ -134,6 +136,10 @@
             raise errors.LinkEndedError(
                 f"the worker ended the connection: {exc!r}"
             ) from exc
+        except _NOT_SENT as exc:
+            raise runners.NotSentError(
+                f"no connection to the worker: {exc!r}"
+            ) from exc
         except (httpx.HTTPError, httpx.InvalidURL) as exc:
             raise errors.LinkClosedError(
                 f"the worker does not answer: {exc!r}"
--- a/wisteriawood/standins/runners.py
+++ b/wisteriawood/standins/runners.py
@@ -384,7 +384,7 @@
         worker = self._worker
         if worker.is_refusing and self._host not in worker.cut_from:
             await anyio.sleep(CALL_DELAY_S)
-            raise errors.LinkClosedError("no process listens")
+            raise runners.NotSentError("no process listens")
         await self._reach()
         await anyio.sleep(CALL_DELAY_S)
         if worker.is_dead:
--- a/wisteriawood/tests/late_starts_tests.py
+++ b/wisteriawood/tests/late_starts_tests.py
@@ -1,13 +1,19 @@
 """Tests of starts without an answer, and of what a restart makes void."""
 
 import unittest
+from unittest import mock
 
 import anyio
+from anyio import abc
 
+from wisteriawood.cells import command_senders
 from wisteriawood.cells import late_starts
 from wisteriawood.cells import leases
+from wisteriawood.cells import runs
+from wisteriawood import errors
 from wisteriawood.jobs import specs
 from wisteriawood.links import runners
+from wisteriawood.platform import worker_client
 from wisteriawood.tests import builders
 from wisteriawood.tests import recut_builders
 
@@ -81,6 +87,60 @@
 
         self._run(_check)
 
+    # Guards against a wait for a start that was never sent (LOST).
+    def test_only_a_start_that_may_have_been_sent_counts(self):
+        async def _main():
+            await anyio.sleep(10)
+            for error, is_counted in (
+                (runners.NotSentError("no connection"), False),
+                (runners.RestartedError("another instance"), False),
+                (errors.LinkClosedError("no answer"), True),
+            ):
+                worker = builders.make_run_worker("w", now_s=10.0)
+                worker.link = mock.Mock(
+                    start=mock.AsyncMock(side_effect=error)
+                )
+                job = builders.make_job()
+                run = runs.Run(
+                    job=job, task=job.occurrences[0][0][0], assigned_at_s=10.0
+                )
+                sender = command_senders.CommandSender(
+                    cell=builders.make_cell([worker]), worker=worker
+                )
+                self.assertIsNone(await sender._send_start(run))
+                self.assertEqual(run.late_start_ends_s > 0, is_counted)
+                worker.close()
+
+        builders.run_virtual(_main)
+
+    async def _start_at_closed_port(self):
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(abc.SocketAttribute.local_port)
+        await listener.aclose()
+        client = worker_client.WorkerClient(
+            registration=runners.Registration(
+                worker_id="w",
+                service="s",
+                address=f"127.0.0.1:{port}",
+                zone="a",
+            )
+        )
+        command = runners.StartRunCommand(
+            task_name="j.0.0.0",
+            run=1,
+            payload="",
+            lease_until_ms=1000,
+            token=1,
+            started_unix_ms=1,
+        )
+        with self.assertRaises(runners.NotSentError):
+            await client.start(command)
+        await client.aclose()
+
+    # Guards against the same where nothing listens at the worker's address.
+    def test_a_refused_connection_sends_nothing(self):
+        anyio.run(self._start_at_closed_port)
+
     # Guards against an acknowledgement that the next instance gets, so that it
     # forgets an end and its task runs again.
     def test_an_acknowledgement_is_not_repeated_once_it_was_answered(self):
