Return a change that falls on the end of a stand-in's poll

Cause of the same symptom: a poll of the store's stand-in that ended at the very time of a change, before the change woke it, counted it in the version that it returned, but left it out of the rows. The feed went on after that version, so that no later poll returned the change. The in-memory link already looked for changes once more; the stand-in of the HTTP API did not.

Evidence: the new test fails without the fix (no poll returns the first of 20 changes).

Why it works: rows and version are now taken together after the wait, so the version covers no change that the rows lack.

--- a/wisteriawood/platform/standins.py
+++ b/wisteriawood/platform/standins.py
@@ -283,6 +283,8 @@
                 while not rows:
                     await self._store.wait()
                     rows = self._store.changes(table, after)
+            # A change at the end of the wait belongs to the version returned.
+            rows = self._store.changes(table, after)
         except stores.HistoryLostError as exc:
             raise StatusError(status=410) from exc
         version = self._store.version
--- a/wisteriawood/tests/platform_tests.py
+++ b/wisteriawood/tests/platform_tests.py
@@ -106,6 +106,34 @@
 
         builders.run_virtual(_check)
 
+    def test_changes_at_the_end_of_polls(self):
+        """Guards against a poll whose version hides a change.
+
+        The stand-in left out a change made at the very end of the wait, but
+        counted it in the version, so that no later poll returned it.
+        """
+
+        async def _poll(client, after, pages):
+            page = await client.feed("t", after, 1.0)
+            pages.append(page)
+            pages.append(await client.feed("t", page.version, 0.0))
+
+        async def _check():
+            _wire, client = _make_store_and_client()
+            after = 0
+            for _number in range(20):
+                pages = []
+                async with anyio.create_task_group() as group:
+                    group.start_soon(_poll, client, after, pages)
+                    await anyio.sleep(1.0)
+                    change = stores.Change(writes={AT: b"v"})
+                    version = await client.commit(change)
+                found = [row.version for page in pages for row in page.rows]
+                self.assertEqual(found, [version])
+                after = version
+
+        builders.run_virtual(_check)
+
     def test_conflict_returns_the_current_rows(self):
         async def _check():
             _wire, client = _make_store_and_client()
