Do not take an odd answer of a worker for a restart

Callers could see a live worker's calls fenced: an unhealthy answer (503, 429) to the hold on a new connection counted as another instance, so that the token rose.

Cause: any status but 200 was returned as instance 0, which is no instance.

Such an answer now says that the call was not sent; one that fences or names another worker is raised as that.

--- a/wisteriawood/platform/worker_client.py
+++ b/wisteriawood/platform/worker_client.py
@@ -144,10 +144,7 @@
             raise errors.LinkClosedError(
                 f"the worker does not answer: {exc!r}"
             ) from exc
-        if response.status_code == 421:
-            raise runners.OtherInstanceError(
-                "another worker answers at the address"
-            )
+        _check_instance(response)
         return response
 
     def _make_instance(
@@ -170,8 +167,14 @@
                 msgspec.json.encode({"fencing_token": token, "last_seen": 0}),
                 httpx.Timeout(CALL_TIMEOUT_S),
             )
+            _check_instance(response)
+            if _refusal_reason(response) == "fence":
+                raise runners.FencedError("the worker has seen a higher token")
             if response.status_code != 200:
-                return 0
+                raise runners.NotSentError(
+                    f"the worker answered {response.status_code} when it was "
+                    "asked for its instance"
+                )
             return _decode_report(response.content).started_unix_ms
 
         return transports.Instance(number=started_unix_ms, identify=_identify)
@@ -288,6 +291,18 @@
         await self._client.aclose()
 
 
+def _check_instance(response: clients.Response) -> None:
+    """Check that the intended worker has answered.
+
+    Raises:
+        OtherInstanceError: Another one has.
+    """
+    if response.status_code == 421:
+        raise runners.OtherInstanceError(
+            "another worker answers at the address"
+        )
+
+
 def _refusal_reason(response: clients.Response) -> str:
     if response.status_code != 409:
         return ""
