--- a/wisteriawood/cells/command_senders.py
+++ b/wisteriawood/cells/command_senders.py
@@ -141,6 +141,8 @@
         obstacle = start_checks.find_obstacle(self._cell, self._worker)
         if not obstacle and not self._worker.started_unix_ms:
             obstacle = "the instance of the worker is not known yet"
+        if not obstacle and self._worker.lease.is_withheld:
+            obstacle = "its lease is not extended"
         if obstacle or not run.step.is_standing:
             return obstacle
         if not await self._is_answering():
@@ -153,17 +155,18 @@
         worker = self._worker
         if anyio.current_time() - worker.answered_at_s <= FRESH_ANSWER_S:
             return True
-        started_unix_ms = worker.started_unix_ms
+        started_unix_ms, token = worker.started_unix_ms, worker.token
         try:
             report = await worker.link.renew(
-                token=worker.token,
+                token=token,
                 acknowledged=0,
                 lease_until_ms=0,
                 wait_ms=0,
                 started_unix_ms=started_unix_ms,
             )
         except runners.FencedError:
-            raise
+            worker.check_fence(token)
+            return False
         except runners.RestartedError:
             worker.end_instance(started_unix_ms)
             return False
@@ -204,19 +207,19 @@
             checkpoint=run.task.checkpoint,
         )
         run.was_sent = True
-        answered_before_s = run.late_start_ends_s
-        run.late_start_ends_s = late_starts.ends_at_s(
-            anyio.current_time(), worker.lease.longest_s
+        late_before_s = run.late_start_until_s
+        run.late_start_until_s = (
+            anyio.current_time() + late_starts.LATE_ORDER_S
         )
         try:
             answer = await worker.link.start(command)
         except runners.OtherInstanceError:
             return None
         except runners.NotSentError:
-            run.late_start_ends_s = answered_before_s
+            run.late_start_until_s = late_before_s
             return None
         except runners.RestartedError:
-            run.late_start_ends_s = answered_before_s
+            run.late_start_until_s = late_before_s
             worker.end_instance(command.started_unix_ms)
             return None
         except runners.MisdirectedError as exc:
@@ -232,15 +235,14 @@
         except runners.FencedError:
             raise
         except errors.LinkError:
-            run.late_start_ends_s = late_starts.ends_at_s(
-                anyio.current_time(), worker.lease.longest_s
+            run.late_start_until_s = (
+                anyio.current_time() + late_starts.LATE_ORDER_S
             )
             return None
-        run.late_start_ends_s = answered_before_s
+        run.late_start_until_s = late_before_s
         if answer is runners.StartResult.FENCED:
-            if worker.token > command.token:
-                return None
-            raise runners.FencedError("a start was fenced")
+            worker.check_fence(command.token)
+            return None
         return answer
 
     def _handle_refusal(
@@ -274,12 +276,12 @@
 
     async def _stop(self, run: runs.Run) -> None:
         while self._may_be_on_worker(run):
+            token = self._worker.token
             try:
-                await self._worker.link.stop(
-                    run.name, run.number, self._worker.token
-                )
+                await self._worker.link.stop(run.name, run.number, token)
             except runners.FencedError:
-                raise
+                self._worker.check_fence(token)
+                continue
             except errors.LinkError:
                 await anyio.sleep(STOP_RETRY_DELAY_S)
                 continue
--- a/wisteriawood/cells/former_holders.py
+++ b/wisteriawood/cells/former_holders.py
@@ -94,8 +94,8 @@
             left_s = self._lapse_s - self._answer.ended_s
         return min(self._limit_s, self._answered_at_s + left_s)
 
-    def late_start_ends_s(self, task_name: str) -> float:
-        """Return until when a start without an answer may let a run go on.
+    def late_start_until_s(self, task_name: str) -> float:
+        """Return until when a start without an answer may take effect.
 
         Args:
             task_name: Name of the task.
@@ -156,7 +156,7 @@
 
     __slots__ = (
         "_lapse_s",
-        "_late_start_ends_s",
+        "_late_start_until_s",
         "_members",
         "_withheld_until_s",
         "holds",
@@ -177,9 +177,9 @@
         # Monotonic times from which the leases of workers have lapsed that
         # nobody extends.
         self._withheld_until_s: dict[str, float] = {}
-        # Monotonic times until which runs may go on whose starts were not
-        # answered, by task.
-        self._late_start_ends_s: dict[str, float] = {}
+        # Monotonic times until which starts that were not answered may take
+        # effect, by task.
+        self._late_start_until_s: dict[str, float] = {}
         if claim is not None:
             if stored is not None and _is_valid(stored, claim):
                 self._adopt(claim.cell, stored)
@@ -204,7 +204,7 @@
             worker_id: stored.taken_by_s + min(left_s, MAX_LEFT_S)
             for worker_id, left_s in stored.row.withheld_s.items()
         }
-        self._late_start_ends_s = {
+        self._late_start_until_s = {
             task_name: stored.taken_by_s + min(left_s, MAX_LEFT_S)
             for task_name, left_s in stored.row.unanswered_s.items()
         }
@@ -253,8 +253,8 @@
             lapsed_at_s, self._withheld_until_s.get(worker_id, math.inf)
         )
 
-    def late_start_ends_s(self, task_name: str) -> float:
-        """Return until when a former start may let a run go on.
+    def late_start_until_s(self, task_name: str) -> float:
+        """Return until when a start of a former holder may take effect.
 
         Args:
             task_name: Name of the task.
@@ -264,14 +264,14 @@
             known.
         """
         return max(
-            self._late_start_ends_s.get(task_name, -math.inf),
-            *(hold.late_start_ends_s(task_name) for hold in self.holds),
+            self._late_start_until_s.get(task_name, -math.inf),
+            *(hold.late_start_until_s(task_name) for hold in self.holds),
             -math.inf,
         )
 
     def stored_late_starts_s(self) -> dict[str, float]:
-        """Return until when stored starts may let runs go on, by task."""
-        return dict(self._late_start_ends_s)
+        """Return until when stored starts may take effect, by task."""
+        return dict(self._late_start_until_s)
 
     def withheld_until_s(self) -> dict[str, float]:
         """Return the workers whose leases nobody extends.
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -542,6 +542,11 @@
                     self.cell, worker, lapsed, "lease lapsed"
                 )
 
+    def _late_start_ends_s(self, task_name: str) -> float:
+        """Return until when a former start may let an orphan go on."""
+        until_s = self._former.late_start_until_s(task_name)
+        return until_s + leases.lapse_s(self._longest_lease_s)
+
     def _drop_orphans(self) -> None:
         """Drop the runs of workers that were never listed.
 
@@ -555,7 +560,7 @@
             waiting = [
                 run
                 for run in self.cell.orphans[worker_id]
-                if now_s < self._former.late_start_ends_s(run.name)
+                if now_s < self._late_start_ends_s(run.name)
             ]
             orphans = self.cell.orphans.pop(worker_id)
             if waiting:
--- a/wisteriawood/cells/lease_rows.py
+++ b/wisteriawood/cells/lease_rows.py
@@ -14,8 +14,8 @@
 
 # Most workers that a row names.
 MAX_WITHHELD = 500
-# Most runs without an answer to their start that a row names.
-MAX_UNANSWERED = 200
+# Most starts without an answer that a row names.
+MAX_UNANSWERED = 1000
 # Most former holds that a row names.
 MAX_FORMER = 8
 
@@ -52,8 +52,8 @@
         withheld_s: For how long the leases that are not extended may still
             run, by worker.
         former: Former holds whose leases may still run, the newest last.
-        unanswered_s: For how long runs whose starts were not answered may
-            still go on, by task.
+        unanswered_s: For how long starts that were not answered may still
+            take effect, by task.
     """
 
     number: bounds.Number = 0
@@ -94,8 +94,8 @@
     Attributes:
         by_worker_s: Longest time left, by worker; silent workers only.
         has_granted: Whether any lease may have been granted under the hold.
-        unanswered_s: For how long runs whose starts were not answered may
-            still go on, by task.
+        unanswered_s: For how long starts that were not answered may still
+            take effect, by task.
     """
 
     by_worker_s: dict[bounds.Name, bounds.Measure] = dataclasses.field(
--- a/wisteriawood/cells/leases.py
+++ b/wisteriawood/cells/leases.py
@@ -102,8 +102,8 @@
             self.lapsed_at_s, now_s + lapse_s(self.longest_s)
         )
 
-    def former_start_ends_s(self, task_name: str) -> float:
-        """Return until when a start of a former holder may let a run go on.
+    def former_start_until_s(self, task_name: str) -> float:
+        """Return until when a start of a former holder may take effect.
 
         Args:
             task_name: Name of the task.
@@ -113,7 +113,7 @@
         """
         if self._former is None:
             return -math.inf
-        return self._former.late_start_ends_s(task_name)
+        return self._former.late_start_until_s(task_name)
 
     def least_clock_ms(self, now_s: float) -> float:
         """Return the least time on the clock of the known instance.
--- a/wisteriawood/cells/runs.py
+++ b/wisteriawood/cells/runs.py
@@ -25,8 +25,8 @@
         is_pinned: Whether the run is not moved to another worker however
             much it is slowed, since its job fitted nowhere.
         was_sent: Whether a start may have been sent to the worker.
-        late_start_ends_s: Monotonic time until which the run may go on where
-            a start without an answer was carried out; 0 if all were answered.
+        late_start_until_s: Monotonic time until which a start without an
+            answer may take effect; 0 if all were answered.
         checkpoint: Newest checkpoint that the worker has reported.
         speed_percent: Reported speed, in percent of full speed.
         signal: Tail latency in milliseconds for a serving task, CPU use in
@@ -46,7 +46,7 @@
         "is_pinned",
         "is_stopping",
         "job",
-        "late_start_ends_s",
+        "late_start_until_s",
         "name",
         "number",
         "pace_percent",
@@ -74,7 +74,7 @@
         self.is_stopping = False
         self.is_pinned = False
         self.was_sent = False
-        self.late_start_ends_s = 0.0
+        self.late_start_until_s = 0.0
         self.checkpoint = ""
         self.speed_percent = 0.0
         self.signal = 0.0
--- a/wisteriawood/cells/single_commands.py
+++ b/wisteriawood/cells/single_commands.py
@@ -71,9 +71,15 @@
     call: typing.Callable[[], typing.Awaitable[None]],
     unanswered: events.Event,
 ) -> None:
+    token = worker.token
     try:
         await call()
     except runners.FencedError as exc:
+        if worker.token > token:
+            _LOG.log(
+                unanswered, worker=worker.id, task=task_name, cause=str(exc)
+            )
+            return
         raise tables.CellLostError("the worker has a newer holder") from exc
     except errors.LinkError as exc:
         _LOG.log(unanswered, worker=worker.id, task=task_name, cause=str(exc))
--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -125,6 +125,7 @@
                 raise
             except errors.LinkError as exc:
                 self._handle_no_answer(exc)
+                self._drop_runs_of_left()
                 await anyio.sleep(delay_s)
                 delay_s = min(2 * delay_s, RETRY_MAX_DELAY_S)
                 continue
@@ -149,7 +150,9 @@
         worker = self._worker
         if not worker.is_gone or worker.is_answering:
             return False
-        return self._has_left() or worker.has_lapsed(anyio.current_time())
+        if self._has_left() and not worker.runs:
+            return True
+        return worker.has_lapsed(anyio.current_time())
 
     def _has_left(self) -> bool:
         """Return whether the worker has drained and its process has ended.
@@ -164,11 +167,26 @@
             return self._has_ended_connection
         return self._cell.directory.has_left(worker.id, RETURN_S)
 
+    def _drop_runs_of_left(self) -> None:
+        """Drop the runs that have ended with a worker that has left.
+
+        A start without an answer may take effect if it comes back.
+        """
+        worker = self._worker
+        if not worker.is_gone or not self._has_left():
+            return
+        now_s = anyio.current_time()
+        ended = [
+            run
+            for run in worker.runs.values()
+            if now_s >= worker.late_start_ends_s(run)
+        ]
+        drop_runs(self._cell, worker, ended, "worker left")
+
     def _handle_no_answer(self, cause: Exception) -> None:
         worker = self._worker
         if worker.is_answering:
             worker.is_answering = False
-            worker.extend_late_starts(anyio.current_time())
             self._has_ended_connection = isinstance(
                 cause, errors.LinkEndedError
             )
@@ -207,6 +225,8 @@
         is_known = is_answering and worker.started_unix_ms > 0
         until_ms = worker.lease.grant(sent_at_s) if is_known else 0
         acknowledged = self._next_acknowledgement() if is_known else 0
+        if until_ms:
+            worker.renewed_at_s = sent_at_s
         is_waiting = (
             is_known
             and self._is_fenced
@@ -258,6 +278,11 @@
         try:
             with anyio.CancelScope() as worker.renewal:
                 report = await worker.link.renew(**fields)
+        except runners.FencedError:
+            worker.check_fence(fields["token"])
+        except runners.RestartedError:
+            worker.end_instance(fields["started_unix_ms"])
+            raise
         finally:
             worker.renewal = None
         return report if worker.restarts == self._restarts else None
@@ -291,10 +316,13 @@
             self._follow_restart()
         if self._has_restarted:
             self._log_restart(report, token)
-        worker.started_unix_ms = report.started_unix_ms
         if not self._is_fenced:
             self._include_misdirected(report, now_s)
         self._is_fenced = token == worker.token
+        # Nothing is sent to an instance that has not answered the token.
+        worker.started_unix_ms = (
+            report.started_unix_ms if self._is_fenced else 0
+        )
         batches = self._process_ended_runs(report, now_s)
         listed = self._process_active_runs(report, now_s)
         for run in list(worker.runs.values()):
@@ -307,7 +335,7 @@
                 and run.name not in listed
                 and run.is_answered
                 and run.answered_at_s < sent_at_s
-                and (self._is_fenced or now_s >= run.late_start_ends_s)
+                and (self._is_fenced or now_s > worker.late_start_until_s(run))
             ):
                 self._cell.end_run(worker, run, tasks.Outcome.LAPSED)
         worker.learn(self._cell.model, now_s)
@@ -528,7 +556,7 @@
             task=run.name,
             run=run.number,
             cause=cause,
-            has_unanswered_start=run.late_start_ends_s > 0,
+            has_unanswered_start=run.late_start_until_s > 0,
             silent_s=silent_s,
         )
         cell.end_run(worker, run, tasks.Outcome.LAPSED)
--- a/wisteriawood/cells/workers.py
+++ b/wisteriawood/cells/workers.py
@@ -58,6 +58,8 @@
         answered_at_s: Monotonic time of the last answer; 0 before the first.
         answer_due_at_s: Monotonic time from which the answer to the renewal
             under way is overdue; infinite while there is none.
+        renewed_at_s: Monotonic time at which the last renewal that extends
+            the lease was sent; 0 before the first.
         restarts: Number of restarts of its process that were noticed.
         renewal: Scope of the renewal of the lease that is under way; None for
             none.
@@ -108,6 +110,7 @@
         "no_fillers_until_s",
         "registration",
         "renewal",
+        "renewed_at_s",
         "restarts",
         "runs",
         "speed",
@@ -130,6 +133,7 @@
         self.acknowledged = 0
         self.last_processed_end = 0
         self.started_unix_ms = 0
+        self.renewed_at_s = 0.0
         self.restarts = 0
         self.renewal: anyio.CancelScope | None = None
         self.answered_at_s = 0.0
@@ -404,17 +408,36 @@
         if self.renewal is not None:
             self.renewal.cancel()
 
-    def extend_late_starts(self, now_s: float) -> None:
-        """Count with renewals up to now that may extend late starts.
+    def check_fence(self, token: int) -> None:
+        """Check that it was this holder's next token that fenced a call.
 
         Args:
-            now_s: Monotonic time.
+            token: Token of the call.
+
+        Raises:
+            FencedError: The worker has a newer holder.
         """
-        for run in self.runs.values():
-            if run.late_start_ends_s > now_s:
-                run.late_start_ends_s = late_starts.ends_at_s(
-                    now_s, self.lease.longest_s
-                )
+        if self.token <= token:
+            raise runners.FencedError("the worker has a newer holder")
+
+    def late_start_until_s(self, run: runs.Run) -> float:
+        """Return until when a start without an answer may affect a run.
+
+        It takes no effect after an answer that came later than it may. A
+        renewal of a former instance may prolong what it has started.
+
+        Args:
+            run: A run on this worker.
+
+        Returns:
+            Monotonic time; infinitely early if there is no such start.
+        """
+        until_s = max(
+            run.late_start_until_s, self.lease.former_start_until_s(run.name)
+        )
+        if until_s <= self.answered_at_s:
+            return -math.inf
+        return max(until_s, self.renewed_at_s + late_starts.LATE_ORDER_S)
 
     def late_start_ends_s(self, run: runs.Run) -> float:
         """Return until when a start without an answer may let a run go on.
@@ -423,10 +446,10 @@
             run: A run on this worker.
 
         Returns:
-            Monotonic time.
+            Monotonic time; infinitely early if there is no such start.
         """
-        return max(
-            run.late_start_ends_s, self.lease.former_start_ends_s(run.name)
+        return self.late_start_until_s(run) + leases.lapse_s(
+            self.lease.longest_s
         )
 
     def run_ended_at_s(self, run: runs.Run) -> float:
--- a/wisteriawood/links/messages.py
+++ b/wisteriawood/links/messages.py
@@ -191,8 +191,8 @@
         by_worker_s: For how long the leases of silent workers that were
             granted under that claim may still run.
         has_granted: Whether any lease may have been granted under it.
-        unanswered_s: For how long runs whose starts were not answered may
-            still go on, by task.
+        unanswered_s: For how long starts that were not answered may still
+            take effect, by task.
     """
 
     cell: bounds.Name
--- a/wisteriawood/tests/late_starts_tests.py
+++ b/wisteriawood/tests/late_starts_tests.py
@@ -73,7 +73,7 @@
             await anyio.sleep(2)
             for worker in cell.fleet.values():
                 for run in worker.runs.values():
-                    self.assertEqual(run.late_start_ends_s, 0.0)
+                    self.assertEqual(run.late_start_until_s, 0.0)
             world.workers["w-a-0"].cut_from |= HOSTS
             cut_at_s = anyio.current_time()
             await anyio.sleep(8)
@@ -108,7 +108,7 @@
                     cell=builders.make_cell([worker]), worker=worker
                 )
                 self.assertIsNone(await sender._send_start(run))
-                self.assertEqual(run.late_start_ends_s > 0, is_counted)
+                self.assertEqual(run.late_start_until_s > 0, is_counted)
                 worker.close()
 
         builders.run_virtual(_main)
@@ -231,11 +231,30 @@
 
 
 class BoundTests(unittest.TestCase):
+    """Until when a run on a silent worker counts."""
+
+    def _find_end_s(self, longest_lease_s, *, answered_s, renewed_s=0.0):
+        """Return the bound of a start without an answer at 100 s."""
+        worker = builders.make_run_worker("w", now_s=answered_s)
+        worker.lease.longest_s = longest_lease_s
+        worker.renewed_at_s = renewed_s
+        run = builders.put_run(worker, builders.make_job(), now_s=99.0)
+        run.late_start_until_s = 100.0 + late_starts.LATE_ORDER_S
+        worker.close()
+        return worker.run_ended_at_s(run)
+
     # Guards against a bound that is shorter than what it consists of: the
     # delay of an order, and the longest lease on a clock that is 2% slow.
     def test_a_late_start_counts_until_the_longest_lease_has_lapsed(self):
         for longest_lease_s, waited_s in ((6.0, 18.27), (10.0, 22.35)):
-            self.assertAlmostEqual(
-                late_starts.ends_at_s(100.0, longest_lease_s),
-                100.0 + waited_s,
-            )
+            found_s = self._find_end_s(longest_lease_s, answered_s=111.9)
+            self.assertAlmostEqual(found_s, 100.0 + waited_s)
+
+    # Guards against a renewal that prolongs what a late start has begun.
+    def test_a_late_renewal_prolongs_it(self):
+        found_s = self._find_end_s(6.0, answered_s=104.0, renewed_s=105.0)
+        self.assertAlmostEqual(found_s, 105.0 + 18.27)
+
+    # Guards against a wait for a start that has taken no effect in time.
+    def test_a_later_answer_ends_the_wait(self):
+        self.assertLess(self._find_end_s(10.0, answered_s=112.0), 112.0)
