--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -125,7 +125,6 @@
                 raise
             except errors.LinkError as exc:
                 self._handle_no_answer(exc)
-                self._drop_runs_of_left()
                 await anyio.sleep(delay_s)
                 delay_s = min(2 * delay_s, RETRY_MAX_DELAY_S)
                 continue
@@ -150,8 +149,9 @@
         worker = self._worker
         if not worker.is_gone or worker.is_answering:
             return False
-        if self._has_left() and not worker.runs:
-            return True
+        if self._has_left():
+            self._drop_ended_runs()
+            return not worker.runs
         return worker.has_lapsed(anyio.current_time())
 
     def _has_left(self) -> bool:
@@ -167,14 +167,12 @@
             return self._has_ended_connection
         return self._cell.directory.has_left(worker.id, RETURN_S)
 
-    def _drop_runs_of_left(self) -> None:
+    def _drop_ended_runs(self) -> None:
         """Drop the runs that have ended with a worker that has left.
 
         A start without an answer may take effect if it comes back.
         """
         worker = self._worker
-        if not worker.is_gone or not self._has_left():
-            return
         now_s = anyio.current_time()
         ended = [
             run
