Do not start a run that has ended while its worker was asked for an answer

Cause: since standing tasks ask their worker for an answer right before the start, there is a pause between the check of the run and its start. A run that ended in it was sent all the same, and its task had another one by then.

The new test fails before (the start is awaited once).

The run is checked again after the pause.

--- a/wisteriawood/cells/command_senders.py
+++ b/wisteriawood/cells/command_senders.py
@@ -97,6 +97,9 @@
             if run.is_stopping or not self._may_be_on_worker(run):
                 return
             obstacle = await self._find_obstacle(run)
+            if run.is_stopping or not self._may_be_on_worker(run):
+                # It has ended meanwhile, and its task may run elsewhere.
+                return
             if obstacle:
                 await self._withhold(run, obstacle)
                 return
--- a/wisteriawood/tests/late_starts_tests.py
+++ b/wisteriawood/tests/late_starts_tests.py
@@ -10,6 +10,7 @@
 from wisteriawood.cells import late_starts
 from wisteriawood.cells import leases
 from wisteriawood.cells import runs
+from wisteriawood.cells import start_checks
 from wisteriawood import errors
 from wisteriawood.jobs import specs
 from wisteriawood.links import runners
@@ -113,6 +114,38 @@
 
         builders.run_virtual(_main)
 
+    # Guards against a start of a run that ended while its worker was asked
+    # for an answer, so that its task runs twice.
+    def test_a_run_that_ends_meanwhile_is_not_started(self):
+        async def _main():
+            await anyio.sleep(10)
+            worker = builders.make_run_worker("w", now_s=9.0)
+            cell = builders.make_cell([worker])
+            builders.confirm_views(cell)
+            job = builders.make_job(is_standing=True)
+            run = runs.Run(
+                job=job, task=job.occurrences[0][0][0], assigned_at_s=10.0
+            )
+            worker.add_run(run)
+
+            async def _renew(**_fields):
+                worker.remove_run(run)
+                return mock.Mock(started_unix_ms=worker.started_unix_ms)
+
+            worker.link = mock.Mock(
+                renew=_renew,
+                start=mock.AsyncMock(return_value=runners.StartResult.STARTED),
+            )
+            sender = command_senders.CommandSender(cell=cell, worker=worker)
+            with mock.patch.object(
+                start_checks, "find_obstacle", return_value=""
+            ):
+                await sender._start(run)
+            worker.link.start.assert_not_awaited()
+            worker.close()
+
+        builders.run_virtual(_main)
+
     async def _start_at_closed_port(self):
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         port = listener.extra(abc.SocketAttribute.local_port)
