Review: a task that was done starts again in its worker's next life

The end of a run is acknowledged once it is stored, also while an earlier order to start the run got no answer and may still be carried out. review/13 holds up one start of 25 for 3.5 s; its second try is answered and done; the worker is then cut off, restarts behind the cut, and carries out the first try (rule TWICE).

--- a/review/standins-3/minions.py
+++ b/review/standins-3/minions.py
@@ -175,6 +175,12 @@
         self.late_share = 0.0
         self.late_s = (2.0, 12.0)
         self.fail_share = 0.0
+        # Whether no call reaches it, and no answer leaves it.
+        self.is_cut = False
+        # Delays of the next orders to start a task, which get no answer, and
+        # the task of the last of them.
+        self.late_starts = []
+        self.held_up = ""
         self.life = 1
         self._random = random.Random(minion_id)
         self.server = web.Server(self._handle)
@@ -235,27 +241,50 @@
         await asyncio.sleep(3 * HEARTBEAT_S)
         self._store.put("servers", self.id, None)
 
-    async def crash(self, down_s):
-        """Crash, and start again under the same id and address."""
+    async def cut(self, for_s, down_s):
+        """Be cut off from all hosts, and crash and start again meanwhile.
+
+        Its connections stay open until the cut ends.
+        """
+        self.work.log(f"minion {self.id} is cut off")
+        self.is_cut = True
+        await asyncio.sleep(0.2)
+        self._forget()
+        await asyncio.sleep(down_s)
+        self._live()
+        await asyncio.sleep(for_s - down_s - 0.2)
+        self.is_cut = False
+        self.server.drop()
+        self.work.log(f"minion {self.id} is no longer cut off")
+
+    def _forget(self):
         self.work.log(f"minion {self.id} crashes")
-        port = self.server.port
         self._end_all("gone")
         self.is_down = True
-        self.server.close()
-        await asyncio.sleep(down_s)
-        if down_s > 3 * HEARTBEAT_S:
-            self._store.put("servers", self.id, None)
+
+    def _live(self):
+        """Begin a new life, under the id of the former one."""
         self.life += 1
         self._token = self._lease_ms = self._end_count = self._sequence = 0
         self._ended_runs, self._ends, self._unnoted = {}, [], {}
         self._began_s, self.born = now_s(), int(time.time() * 1000)
         self.is_down = False
-        self.server = web.Server(self._handle)
-        await self.server.listen(port)
         self.work.log(f"minion {self.id} starts again")
         asyncio.create_task(self._beat())
         asyncio.create_task(self._run())
 
+    async def crash(self, down_s):
+        """Crash, and start again under the same id and address."""
+        port = self.server.port
+        self._forget()
+        self.server.close()
+        await asyncio.sleep(down_s)
+        if down_s > 3 * HEARTBEAT_S:
+            self._store.put("servers", self.id, None)
+        self.server = web.Server(self._handle)
+        await self.server.listen(port)
+        self._live()
+
     def _end_all(self, how):
         for run in list(self.active.values()):
             self._end(run, how)
@@ -313,7 +342,7 @@
                 member.minion._end(member, "done")
 
     async def _handle(self, method, path, query, headers, body):
-        if self.is_dark:
+        if self.is_dark or self.is_cut:
             await asyncio.sleep(3600)
         if self.is_down:
             raise web.NoAnswer
@@ -327,7 +356,18 @@
             self.work.log(f"{self.id} carries out late: {path} {body}")
             await self._carry_out(path, body | {"wait_ms": 0})
             raise web.NoAnswer
-        return await self._carry_out(path, body)
+        if path == "/v1/run-start" and self.late_starts:
+            # The next life takes it too: nothing tells it from a newer one.
+            self.held_up = body["task"]
+            self.work.log(f"{self.id} doesn't answer {path} {body}")
+            await asyncio.sleep(self.late_starts.pop())
+            answer = await self._carry_out(path, body)
+            self.work.log(f"{self.id} carries it out late: {answer}")
+            await asyncio.sleep(3600)
+        answer = await self._carry_out(path, body)
+        if self.is_cut:
+            await asyncio.sleep(3600)
+        return answer
 
     async def _carry_out(self, path, body):
         token = body.get("fencing_token", 0)
--- a/review/standins-3/web.py
+++ b/review/standins-3/web.py
@@ -41,6 +41,11 @@
         for writer in list(self._writers):
             writer.close()
 
+    def drop(self):
+        """End all connections."""
+        for writer in list(self._writers):
+            writer.close()
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
