Keep accepted jobs whose checkpoints do not fit into a row

Cause: the row of a job held the last checkpoint of each task, also of those that were done, and nothing bounded their size. When the store refused the row, the holder let the job fail, so that the row became small.

Now the largest row follows from what was accepted:

- a task that is done keeps no checkpoint; texts that tasks share are kept once; checkpoints for which the row has no room are left out, those of running tasks first, and the holder still has them;
- ids of workers of over 28 characters are shortened inside the hosts;
- the loans of a job in one transaction are bounded in bytes.

If the store refuses a job's rows all the same, they are written without checkpoints, moves and loans. If that is refused too, the job waits and is tried again, and all others go on. It never fails for it.

Rows of the format before are still read.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -9,6 +9,7 @@
 from anyio import abc
 
 from wisteriawood.cells import capacity_requests
+from wisteriawood.cells import checkpoints
 from wisteriawood.cells import claims
 from wisteriawood.cells import interference_models
 from wisteriawood.cells import job_writers
@@ -49,6 +50,8 @@
 # Time for which a pending job that moved away is reported here; the other
 # cell reports it with its next heartbeat.
 MOVED_REPORT_S = 2.0
+# Pause between two log lines about checkpoints that are too long to be kept.
+CHECKPOINT_LOG_PERIOD_S = 10.0
 # Runs that the log line of one placement pass lists at most.
 MAX_LOGGED_RUNS = 20
 
@@ -104,6 +107,7 @@
         "_group",
         "_guard",
         "_ids_by_submitted",
+        "_log_checkpoints_at_s",
         "_moved",
         "_opened_at_s",
         "_placement_requested",
@@ -183,7 +187,8 @@
             claim_key=tables.claim_row(claim.cell),
             claim_version=claim.version,
             on_cancel=self._handle_missed_cancel,
-            on_reject=self._give_up_job,
+            on_refusal=self._reduce_job,
+            on_left_out=self._record_left_out,
         )
         self.model = interference_models.InterferenceModel()
         self._guard = supervision.Guard(supervisor=supervisor, kind="job")
@@ -205,6 +210,7 @@
         self.filler_meter = meters.FillerMeter()
         self._group: abc.TaskGroup | None = None
         self._opened_at_s = math.inf
+        self._log_checkpoints_at_s = -math.inf
         self._placement_requested = anyio.Event()
         self.has_placed = anyio.Event()
 
@@ -368,13 +374,16 @@
             waiting=self.waiting_count() - len(assigned),
             directory_age_s=round(self.directory.age_s(), 3),
         )
-        batches = []
-        for job in {run.job.id: run.job for _worker, run in assigned}.values():
+        by_job: dict[str, list[tuple[workers.Worker, runs.Run]]] = {}
+        for worker, run in assigned:
+            by_job.setdefault(run.job.id, []).append((worker, run))
+        for found in by_job.values():
+            job = found[0][1].job
             if job.state is jobs.JobState.QUEUED:
                 job.state = jobs.JobState.RUNNING
             self.update_waiting(job)
-            batches.append(self.writer.schedule_write(job))
-        self.run_in_background(self._start_assigned, assigned, batches)
+            write = self.writer.schedule_write(job)
+            self.run_in_background(self._start_assigned, found, write)
 
     def _startable_workers(self) -> list[workers.Worker]:
         """Return the workers on which tasks may be started now."""
@@ -439,9 +448,9 @@
     async def _start_assigned(
         self,
         assigned: list[tuple[workers.Worker, runs.Run]],
-        batches: list[job_writers.Batch],
+        write: job_writers.JobWrite,
     ) -> None:
-        await self.writer.wait_until_stored(batches)
+        await self.writer.wait_until_stored([write])
         for worker, run in assigned:
             if run.is_current() and not run.is_stopping:
                 worker.queue_command(run)
@@ -452,7 +461,7 @@
         run: runs.Run,
         outcome: tasks.Outcome,
         checkpoint: str = "",
-    ) -> job_writers.Batch | None:
+    ) -> job_writers.JobWrite | None:
         """Record that a run has ended and is no longer on its worker.
 
         Args:
@@ -483,7 +492,10 @@
             return self.writer.find_pending(run.job)
         self.on_run_end(worker, run, outcome)
         return self.record_run_end(
-            run.job, run.task, outcome, checkpoint or run.checkpoint
+            run.job,
+            run.task,
+            outcome,
+            self.take_checkpoint(run.name, checkpoint, run.checkpoint),
         )
 
     def find_job_of(self, task_name: str) -> jobs.Job | None:
@@ -543,7 +555,7 @@
 
     def record_late_end(
         self, worker: workers.Worker, job: jobs.Job, end: runners.EndedRun
-    ) -> job_writers.Batch | None:
+    ) -> job_writers.JobWrite | None:
         """Record the end of a run that no longer counts as on its worker.
 
         Args:
@@ -571,7 +583,10 @@
             )
             if is_here or is_missed:
                 return self.record_run_end(
-                    job, task, end.outcome, end.checkpoint
+                    job,
+                    task,
+                    end.outcome,
+                    self.take_checkpoint(end.task_name, end.checkpoint, ""),
                 )
         return self.writer.find_pending(job)
 
@@ -581,7 +596,7 @@
         task: tasks.Task,
         outcome: tasks.Outcome,
         checkpoint: str,
-    ) -> job_writers.Batch:
+    ) -> job_writers.JobWrite:
         """Update a job after the end of the newest run of a task.
 
         Args:
@@ -591,7 +606,7 @@
             checkpoint: Its last checkpoint.
 
         Returns:
-            The batch that writes the change.
+            The write of the change.
         """
         was_ended = job.is_ended()
         if was_ended:
@@ -613,7 +628,7 @@
 
     def end_job(
         self, job: jobs.Job, state: jobs.JobState
-    ) -> job_writers.Batch:
+    ) -> job_writers.JobWrite:
         """End a job and stop its remaining runs.
 
         Args:
@@ -621,7 +636,7 @@
             state: Its final state.
 
         Returns:
-            The batch that writes the final state.
+            The write of the final state.
         """
         job.state = state
         job.ended_unix_ms = int(time.time() * 1000)
@@ -690,15 +705,62 @@
             job.revert_move()
         self.cancel_job(submitted_id)
 
-    def _give_up_job(self, job: jobs.Job) -> None:
-        """Let a job fail whose rows the store can never accept.
+    def _reduce_job(
+        self,
+        job: jobs.Job,
+        extra_rows: dict[stores.RowKey, bytes | None],
+        cause: str,
+    ) -> None:
+        """Make the rows of a job that the store refuses small.
 
-        Its tasks are forgotten, so that its row is small.
+        It stays in this cell with all of its tasks, and its row keeps no
+        checkpoint.
         """
+        _LOG.log(
+            job_events.JOB_REFUSED,
+            job=job.id,
+            cell=self.name,
+            extra_rows=len(extra_rows),
+            cause=cause,
+        )
+        self.counters.jobs_refused.inc()
+        job.is_refused = True
         job.revert_move()
-        if not job.is_ended():
-            self.end_job(job, jobs.JobState.FAILED)
-        job.occurrences.clear()
+        lending.take_back(job, extra_rows)
+        self.update_waiting(job)
+
+    def _record_left_out(self, job: jobs.Job, count: int) -> None:
+        """Record for how many checkpoints the row of a job has no room."""
+        _LOG.log(
+            job_events.CHECKPOINTS_LEFT_OUT,
+            job=job.id,
+            cell=self.name,
+            count=count,
+        )
+        self.counters.checkpoints_dropped.labels(reason="row_full").inc()
+
+    def take_checkpoint(
+        self, task_name: str, checkpoint: str, known: str
+    ) -> str:
+        """Return the checkpoint of a task that is kept from now on.
+
+        Args:
+            task_name: Name of the task.
+            checkpoint: The checkpoint that a worker reports; empty for none.
+            known: The one that is kept so far.
+        """
+        if not checkpoint or checkpoints.may_keep(checkpoint):
+            return checkpoint or known
+        now_s = anyio.current_time()
+        self.counters.checkpoints_dropped.labels(reason="too_long").inc()
+        if now_s >= self._log_checkpoints_at_s:
+            self._log_checkpoints_at_s = now_s + CHECKPOINT_LOG_PERIOD_S
+            _LOG.log(
+                job_events.CHECKPOINT_TOO_LONG,
+                task=task_name,
+                length=len(checkpoint),
+            )
+        return known
 
     def now_unix_ms(self) -> float:
         """Return the wall-clock time in milliseconds since the epoch."""
--- a/wisteriawood/cells/lending.py
+++ b/wisteriawood/cells/lending.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import typing
 
 from wisteriawood.cells import tables
 from wisteriawood.jobs import jobs
@@ -72,3 +73,17 @@
         ),
         tables.job_row(job.bucket, lent.id): codec.job_to_bytes(lent),
     }
+
+
+def take_back(job: jobs.Job, rows: typing.Collection[stores.RowKey]) -> None:
+    """Let tasks wait here again whose loan was not stored.
+
+    Args:
+        job: Their job.
+        rows: Keys of the rows that were to be written with the job's row.
+    """
+    for task in job.all_tasks():
+        place = (task.occurrence, task.step, task.index)
+        at = tables.job_row(job.bucket, lent_id(job.id, place))
+        if task.phase is tasks.Phase.LENT and at in rows:
+            task.release(tasks.Phase.WAITING)
--- a/wisteriawood/cells/moving.py
+++ b/wisteriawood/cells/moving.py
@@ -50,13 +50,13 @@
     job.moved_from = job.cell
     job.cell = to
     cell.update_waiting(job)
-    batch = cell.writer.schedule_write(job)
-    cell.run_in_background(_finish, cell, job, batch)
+    write = cell.writer.schedule_write(job)
+    cell.run_in_background(_finish, cell, job, write)
 
 
 async def _finish(
-    cell: "cells.Cell", job: jobs.Job, batch: job_writers.Batch
+    cell: "cells.Cell", job: jobs.Job, write: job_writers.JobWrite
 ) -> None:
-    await cell.writer.wait_until_stored([batch])
+    await cell.writer.wait_until_stored([write])
     if job.cell != cell.name:
         cell.remove_moved_job(job)
--- a/wisteriawood/cells/relocation.py
+++ b/wisteriawood/cells/relocation.py
@@ -208,6 +208,8 @@
         waits_s: list[float],
     ) -> None:
         writer = self._cell.writer
+        if job.is_refused:
+            return
         if writer.has_unwritten(job):
             # The number of changes that one transaction contains is bounded.
             is_urgent = any(
@@ -451,8 +453,11 @@
     ) -> None:
         """Lend the standing tasks of a step that other cells can run."""
         step = job.step_of(step_tasks[0])
+        writer = self._cell.writer
         others = []
         for task in step_tasks:
+            if not writer.has_room_for_loan(job):
+                return
             if not self._is_urgent(job, task) and wait_s < MIN_WAIT_S:
                 continue
             to = self._take_reserved(job, task)
@@ -461,6 +466,8 @@
             else:
                 others.append(task)
         for task in others:
+            if not writer.has_room_for_loan(job):
+                return
             to = ""
             if self._is_unplaceable(job, task) and self._reserved_left > 0:
                 to = choose_reserving_cell(self._cell.other_loads, step)
--- a/wisteriawood/cells/worker_sessions.py
+++ b/wisteriawood/cells/worker_sessions.py
@@ -91,7 +91,7 @@
         self._is_fenced = False
         # Number of the last end whose acknowledgement was answered.
         self._answered_acknowledgement = 0
-        self._uncommitted: list[tuple[list[job_writers.Batch], int]] = []
+        self._uncommitted: list[tuple[list[job_writers.JobWrite], int]] = []
         # Monotonic times since which ends are held back, as their jobs may be
         # in the store, by number; and the numbers of processed ends after
         # them.
@@ -321,7 +321,7 @@
         worker.started_unix_ms = (
             report.started_unix_ms if self._is_fenced else 0
         )
-        batches = self._process_ended_runs(report, now_s)
+        writes = self._process_ended_runs(report, now_s)
         listed = self._process_active_runs(report, now_s)
         for run in list(worker.runs.values()):
             # A report lists all runs on the worker. A run that it omits, and
@@ -338,8 +338,8 @@
                 self._cell.end_run(worker, run, tasks.Outcome.LAPSED)
         worker.learn(self._cell.model, now_s)
         self._cell.request_placement()
-        if batches or worker.last_processed_end > worker.acknowledged:
-            self._uncommitted.append((batches, worker.last_processed_end))
+        if writes or worker.last_processed_end > worker.acknowledged:
+            self._uncommitted.append((writes, worker.last_processed_end))
 
     def _log_restart(self, report: runners.RunReport, token: int) -> None:
         """Log the first report of the next instance of the worker."""
@@ -367,7 +367,7 @@
 
     def _process_ended_runs(
         self, report: runners.RunReport, now_s: float
-    ) -> list[job_writers.Batch]:
+    ) -> list[job_writers.JobWrite]:
         """Process the ends that are new, and those that were held back.
 
         An end may be acknowledged once it is stored, or once the store is
@@ -379,15 +379,15 @@
             The writes to wait for before the ends are acknowledged.
         """
         worker = self._worker
-        batches = []
+        writes = []
         held_since_s: dict[int, float] = {}
         for end in report.ended:
             if self._is_processed(end):
                 continue
             since_s = self._held_since_s.get(end.number, now_s)
-            is_settled, batch = self._process_end(end, since_s)
-            if batch is not None:
-                batches.append(batch)
+            is_settled, write = self._process_end(end, since_s)
+            if write is not None:
+                writes.append(write)
             if is_settled:
                 self._processed.add(end.number)
             else:
@@ -404,7 +404,7 @@
             if number > worker.last_processed_end
         }
         self._held_since_s = held_since_s
-        return batches
+        return writes
 
     def _is_processed(self, end: runners.EndedRun) -> bool:
         return (
@@ -414,7 +414,7 @@
 
     def _process_end(
         self, end: runners.EndedRun, since_s: float
-    ) -> tuple[bool, job_writers.Batch | None]:
+    ) -> tuple[bool, job_writers.JobWrite | None]:
         """Process an end.
 
         Args:
@@ -460,8 +460,9 @@
             if not run.is_confirmed:
                 run.confirm(now_s)
                 worker.record_shares(now_s)
-            if active.checkpoint:
-                run.checkpoint = active.checkpoint
+            run.checkpoint = self._cell.take_checkpoint(
+                run.name, active.checkpoint, run.checkpoint
+            )
             run.speed_percent = active.percent
             if not run.is_pace_known:
                 run.is_pace_known = True
@@ -494,9 +495,9 @@
         self._follow_restart()
         if not self._uncommitted:
             return
-        batches, number = self._uncommitted[0]
+        writes, number = self._uncommitted[0]
         with anyio.move_on_after(COMMIT_WAIT_S):
-            await self._cell.writer.wait_until_stored(batches)
+            await self._cell.writer.wait_until_stored(writes)
             if self._worker.restarts != self._restarts:
                 return
             self._uncommitted.pop(0)
--- a/wisteriawood/jobs/jobs.py
+++ b/wisteriawood/jobs/jobs.py
@@ -34,7 +34,8 @@
 HIDDEN_STATES = frozenset({JobState.REFUSED, JobState.WITHDRAWN})
 
 # Most occurrences, and most tasks, open at the same time. They bound the size
-# of a job's row, which must stay below the 64 KiB that a store may accept.
+# of a job's row without its checkpoints, which must stay below the 64 KiB that
+# a store may accept.
 MAX_OPEN_OCCURRENCES = 16
 MAX_OPEN_TASKS = 1000
 
@@ -59,14 +60,20 @@
         has_begun: Whether a worker is known to have started a task.
         moved_from: Cell that it is being moved from; empty once that is
             stored.
+        checkpoints_left_out: Number of checkpoints for which its row had no
+            room when it was last written.
+        is_refused: Whether the store has refused its rows. It stays in its
+            cell then, and its row keeps no checkpoint.
     """
 
     __slots__ = (
         "accepted_at_s",
         "bucket",
         "cell",
+        "checkpoints_left_out",
         "ended_unix_ms",
         "has_begun",
+        "is_refused",
         "moved_from",
         "next_occurrence",
         "objective_s",
@@ -91,6 +98,8 @@
         self.version = 0
         self.has_begun = is_lent
         self.moved_from = ""
+        self.checkpoints_left_out = 0
+        self.is_refused = False
         self.accepted_at_s = 0.0
         self.objective_s = specs.objective_s(spec)
 
--- a/wisteriawood/jobs/tasks.py
+++ b/wisteriawood/jobs/tasks.py
@@ -82,11 +82,15 @@
     def release(self, phase: Phase) -> None:
         """Remove the task from its worker.
 
+        A task that is done never resumes, so that it needs no checkpoint.
+
         Args:
             phase: New phase of the task.
         """
         self.phase = phase
         self.worker_id = ""
+        if phase is Phase.DONE:
+            self.checkpoint = ""
 
 
 def task_name(job_id: str, task: Task) -> str:
--- a/wisteriawood/links/codecs/jobs.py
+++ b/wisteriawood/links/codecs/jobs.py
@@ -1,10 +1,12 @@
 """Encoding of jobs as rows of the store.
 
 Tasks are encoded as short lists to keep rows small, since every change of a
-job writes its whole row again.
+job writes its whole row again. Workers and checkpoints are kept once each, in
+a list of texts at the end of the row, as many tasks may share one.
 """
 
 import dataclasses
+import typing
 
 import msgspec
 
@@ -15,19 +17,30 @@
 from wisteriawood.links.codecs import bounds
 from wisteriawood.links.codecs import rows
 
-FORMAT = 1
+FORMAT = 2
+# Rows in which each task has its texts itself; they are still read.
+FORMAT_WITHOUT_TEXTS = 1
 
 
+# Parts of a row with the progress of a job, in the format with the fewest.
+MIN_PARTS = 7
 # Most tasks of a row, with its steps or with its open occurrences.
 MAX_TASKS = 10_000
 
-# Phase, run, worker, failures and checkpoint.
-_TaskRow = tuple[tasks.Phase, bounds.Number, bounds.Name, bounds.Number, str]
+# Phase, run, worker, failures and checkpoint; worker and checkpoint by their
+# numbers in the list of texts.
+_TaskRow = tuple[
+    tasks.Phase, bounds.Number, bounds.Number, bounds.Number, bounds.Number
+]
+# The same with the texts.
+_FormerTaskRow = tuple[
+    tasks.Phase, bounds.Number, bounds.Name, bounds.Number, str
+]
 # Format, cell and specification.
 _SpecRow = tuple[int, bounds.Name, specs.JobSpec]
 # Format, cell, state, wall time of the end, next occurrence, number of
-# occurrences done, and the tasks of the open ones by occurrence and step; 0
-# stands for a task that has not run.
+# occurrences done, the tasks of the open ones by occurrence and step, and the
+# texts; 0 stands for a task that has not run. The first text is empty.
 _ProgressRow = tuple[
     int,
     bounds.Name,
@@ -36,19 +49,31 @@
     bounds.Number,
     bounds.Number,
     dict[str, list[list[_TaskRow | int]]],
+    list[str],
 ]
-# The same; what comes after the state is not decoded.
-_SummaryRow = tuple[
+_FormerProgressRow = tuple[
     int,
     bounds.Name,
     jobs.JobState,
-    msgspec.Raw,
-    msgspec.Raw,
-    msgspec.Raw,
-    msgspec.Raw,
+    bounds.UnixMs,
+    bounds.Number,
+    bounds.Number,
+    dict[str, list[list[_FormerTaskRow | int]]],
 ]
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Progress:
+    """Content of a row, whatever its format."""
+
+    cell: str
+    state: jobs.JobState
+    ended_unix_ms: int
+    next_occurrence: int
+    occurrences_done: int
+    occurrences: dict[str, list[list[_FormerTaskRow | int]]]
+
+
 def spec_to_bytes(spec: specs.JobSpec, cell: str) -> bytes:
     """Encode the specification of a job as the value of a row.
 
@@ -96,26 +121,53 @@
         raise errors.MessageError(f"a job has 1 to {MAX_TASKS} tasks")
 
 
-def _task_to_list(task: tasks.Task) -> list | int:
+class _Texts:
+    """Texts of a row, each of which is kept once."""
+
+    __slots__ = ("_numbers",)
+
+    def __init__(self) -> None:
+        self._numbers = {"": 0}
+
+    def number_of(self, text: str) -> int:
+        """Return the number of a text, which is added if it is new."""
+        return self._numbers.setdefault(text, len(self._numbers))
+
+    def to_list(self) -> list[str]:
+        """Return the texts by their numbers."""
+        return list(self._numbers)
+
+
+def _task_to_list(
+    task: tasks.Task, texts: _Texts, left_out: typing.Collection[str]
+) -> list | int:
     if task.run == 0 and task.phase is tasks.Phase.WAITING:
         return 0
+    checkpoint = "" if task.checkpoint in left_out else task.checkpoint
     return [
         int(task.phase),
         task.run,
-        task.worker_id,
+        texts.number_of(task.worker_id),
         task.failures,
-        task.checkpoint,
+        texts.number_of(checkpoint),
     ]
 
 
-def job_to_bytes(job: jobs.Job) -> bytes:
+def job_to_bytes(
+    job: jobs.Job, *, left_out: typing.Collection[str] = ()
+) -> bytes:
     """Encode the progress of a job as the value of a row.
 
     Args:
         job: The job.
+        left_out: Checkpoints that the row does not keep.
     """
+    texts = _Texts()
     occurrences = {
-        str(number): [[_task_to_list(task) for task in step] for step in steps]
+        str(number): [
+            [_task_to_list(task, texts, left_out) for task in step]
+            for step in steps
+        ]
         for number, steps in job.occurrences.items()
     }
     return msgspec.json.encode(
@@ -127,10 +179,20 @@
             job.next_occurrence,
             job.occurrences_done,
             occurrences,
+            texts.to_list(),
         ]
     )
 
 
+def text_bytes(text: str) -> int:
+    """Return the size of a text in the row of a job.
+
+    Args:
+        text: The text.
+    """
+    return len(msgspec.json.encode(text)) + 1
+
+
 def placeholder_to_bytes(cell: str, state: jobs.JobState) -> bytes:
     """Encode the row of a job that has no specification and never runs.
 
@@ -138,10 +200,59 @@
         cell: Cell that the job was meant for; empty if unknown.
         state: State that the row shows.
     """
-    return msgspec.json.encode([FORMAT, cell, state, 0, 0, 0, {}])
+    return msgspec.json.encode([FORMAT, cell, state, 0, 0, 0, {}, [""]])
 
 
-def _read_task(task: tasks.Task, value: _TaskRow | int) -> None:
+def _read_progress(data: bytes) -> _Progress:
+    """Return what a row contains.
+
+    Raises:
+        MessageError: The row can't be decoded.
+    """
+    if data.startswith(b"[%d," % FORMAT_WITHOUT_TEXTS):
+        _format, *fields = rows.from_json(data, _FormerProgressRow)
+        return _make_progress(*fields)
+    _format, *fields, occurrences, texts = rows.from_json(data, _ProgressRow)
+    try:
+        found = {
+            number: [
+                [_with_texts(value, texts) for value in step] for step in steps
+            ]
+            for number, steps in occurrences.items()
+        }
+    except IndexError as exc:
+        raise errors.MessageError("a task has an unknown text") from exc
+    return _make_progress(*fields, found)
+
+
+def _make_progress(
+    cell: str,
+    state: jobs.JobState,
+    ended_unix_ms: int,
+    next_occurrence: int,
+    occurrences_done: int,
+    occurrences: dict[str, list[list[_FormerTaskRow | int]]],
+) -> _Progress:
+    return _Progress(
+        cell=cell,
+        state=state,
+        ended_unix_ms=ended_unix_ms,
+        next_occurrence=next_occurrence,
+        occurrences_done=occurrences_done,
+        occurrences=occurrences,
+    )
+
+
+def _with_texts(
+    value: _TaskRow | int, texts: list[str]
+) -> _FormerTaskRow | int:
+    if isinstance(value, int):
+        return value
+    phase, run, worker, failures, checkpoint = value
+    return phase, run, texts[worker], failures, texts[checkpoint]
+
+
+def _read_task(task: tasks.Task, value: _FormerTaskRow | int) -> None:
     if isinstance(value, int):
         return
     task.phase, task.run, task.worker_id, task.failures, task.checkpoint = (
@@ -167,23 +278,21 @@
     Raises:
         MessageError: The row can't be decoded.
     """
-    _format, cell, state, ended_unix_ms, following, done, occurrences = (
-        rows.from_json(data, _ProgressRow)
-    )
-    if len(occurrences) > jobs.MAX_OPEN_OCCURRENCES:
+    found = _read_progress(data)
+    if len(found.occurrences) > jobs.MAX_OPEN_OCCURRENCES:
         raise errors.MessageError("a job has too many open occurrences")
-    job = jobs.Job(spec=spec, cell=cell, bucket=bucket)
-    job.state = state
-    job.ended_unix_ms = ended_unix_ms
-    job.next_occurrence = following
-    job.occurrences_done = done
+    job = jobs.Job(spec=spec, cell=found.cell, bucket=bucket)
+    job.state = found.state
+    job.ended_unix_ms = found.ended_unix_ms
+    job.next_occurrence = found.next_occurrence
+    job.occurrences_done = found.occurrences_done
     try:
-        for number, steps in occurrences.items():
+        for number, steps in found.occurrences.items():
             job.open_occurrence(int(number))
-            for found, values in zip(
+            for step, values in zip(
                 job.occurrences[int(number)], steps, strict=True
             ):
-                for task, value in zip(found, values, strict=True):
+                for task, value in zip(step, values, strict=True):
                     _read_task(task, value)
     except ValueError as exc:
         # The progress has other steps or tasks than the specification.
@@ -198,11 +307,9 @@
     Raises:
         MessageError: The row can't be decoded.
     """
-    _format, cell, _state, _ended, _following, _done, occurrences = (
-        rows.from_json(data, _ProgressRow)
-    )
+    progress = _read_progress(data)
     found = []
-    for number, steps in occurrences.items():
+    for number, steps in progress.occurrences.items():
         if not number.isdecimal():
             raise errors.MessageError("bad number of an occurrence")
         for step, values in enumerate(steps):
@@ -212,7 +319,7 @@
                 )
                 _read_task(task, value)
                 found.append(task)
-    return cell, found
+    return progress.cell, found
 
 
 def summary_from_bytes(data: bytes) -> tuple[str, jobs.JobState]:
@@ -221,5 +328,10 @@
     Raises:
         MessageError: The row can't be decoded.
     """
-    _format, cell, state, *_rest = rows.from_json(data, _SummaryRow)
-    return cell, state
+    parts = rows.from_json(data, list[msgspec.Raw])
+    if len(parts) < MIN_PARTS:
+        raise errors.MessageError("bad progress of a job: parts are missing")
+    _format, cell, state, *_rest = parts
+    return rows.from_json(cell, bounds.Name), rows.from_json(
+        state, jobs.JobState
+    )
--- a/wisteriawood/links/runners.py
+++ b/wisteriawood/links/runners.py
@@ -221,7 +221,9 @@
     """A worker in the directory, which may be out of date.
 
     Attributes:
-        worker_id: Id of the worker.
+        worker_id: Id of the worker, which hosts keep in rows and messages.
+        full_id: Id by which the worker knows itself, if that one is longer;
+            empty if it is the same.
         service: Service whose pool the worker belongs to.
         address: Address of the worker, as host:port.
         zone: Availability zone of the worker.
@@ -251,3 +253,4 @@
     remaining_ms: int = 0
     started_unix_ms: int = 0
     clock_ms: int = dataclasses.field(default=0, compare=False)
+    full_id: str = ""
--- a/wisteriawood/links/stores.py
+++ b/wisteriawood/links/stores.py
@@ -17,6 +17,8 @@
 MAX_RESEND_DELAY_S = 0.5
 # Conditions and writes of one transaction; the platform's limit is 100.
 MAX_TRANSACTION_ENTRIES = 90
+# Size of the largest value that a row may have.
+MAX_ROW_BYTES = 65_536
 # How long a change is retried for a caller with a deadline while no attempt
 # can have taken effect.
 UNSENT_RETRY_TIMEOUT_S = 0.3
--- a/wisteriawood/machines/intakes.py
+++ b/wisteriawood/machines/intakes.py
@@ -26,6 +26,9 @@
 from wisteriawood.telemetry import job_events
 
 _LOG = events.Logger(name=__name__)
+# Size of the largest specification that is accepted. Its row also has to hold
+# what a loan of one of its tasks adds: a checkpoint, names and numbers.
+MAX_SPEC_BYTES = 57_344
 # Retry delay for a caller that is refused because the store is unreachable.
 STORE_RETRY_S = 1.0
 # Retry delay for a caller whose queue may be in a newer configuration.
@@ -509,15 +512,22 @@
         cell: Its cell.
         bucket: Its bucket.
         version: Version of the row to replace; 0 if there must be none.
+
+    Raises:
+        ChangeRejectedError: The job is too large to be stored.
     """
     job = jobs.Job(spec=spec, cell=cell, bucket=bucket)
     at = tables.job_row(bucket, spec.id)
+    value = codec.spec_to_bytes(spec, cell)
+    if len(value) > MAX_SPEC_BYTES:
+        raise stores.ChangeRejectedError(
+            f"its specification has {len(value)} bytes, "
+            f"{MAX_SPEC_BYTES} are allowed"
+        )
     return stores.Change(
         expected={at: version},
         writes={
             at: codec.job_to_bytes(job),
-            tables.spec_row(cell, bucket, spec.id): codec.spec_to_bytes(
-                spec, cell
-            ),
+            tables.spec_row(cell, bucket, spec.id): value,
         },
     )
--- a/wisteriawood/platform/directory.py
+++ b/wisteriawood/platform/directory.py
@@ -1,6 +1,7 @@
 """Decoding of the rows that the operator and the workers write."""
 
 import dataclasses
+import hashlib
 import typing
 
 from wisteriawood.jobs import queues
@@ -14,6 +15,10 @@
 CONFIGURATION_KEY = "config"
 # Start of the keys of requests to send nothing more to the workers of a zone.
 EVACUATION_PREFIX = "evacuate/"
+# Longest id of a worker that rows and messages of the hosts contain. The row
+# of a job may name a thousand workers.
+MAX_WORKER_ID_LENGTH = 28
+_DIGEST_BYTES = 13
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -85,11 +90,27 @@
     limits: _Limits = dataclasses.field(default_factory=_Limits)
 
 
+def short_worker_id(full_id: str) -> str:
+    """Return the id by which the hosts know a worker.
+
+    Args:
+        full_id: Id of the worker in the directory.
+
+    Returns:
+        The same id; a digest of it if it is longer than
+        MAX_WORKER_ID_LENGTH.
+    """
+    if len(full_id) <= MAX_WORKER_ID_LENGTH:
+        return full_id
+    digest = hashlib.blake2b(full_id.encode(), digest_size=_DIGEST_BYTES)
+    return "~" + digest.hexdigest()
+
+
 def decode_worker(worker_id: str, data: bytes) -> runners.Registration:
     """Return the worker that an entry of the directory describes.
 
     Args:
-        worker_id: Id of the worker.
+        worker_id: Id of the worker in the directory.
         data: The entry, in JSON.
 
     Raises:
@@ -97,8 +118,10 @@
             out of bounds.
     """
     entry = rows.from_json(data, _Worker)
+    short_id = short_worker_id(bounds.check_id(worker_id))
     return runners.Registration(
-        worker_id=bounds.check_id(worker_id),
+        worker_id=short_id,
+        full_id="" if short_id == worker_id else worker_id,
         service=entry.service,
         address=bounds.check_address(entry.address),
         zone=entry.zone,
--- a/wisteriawood/platform/worker_client.py
+++ b/wisteriawood/platform/worker_client.py
@@ -111,7 +111,10 @@
         )
         self._headers = [
             ("content-type", "application/json"),
-            ("x-expect-instance", registration.worker_id),
+            (
+                "x-expect-instance",
+                registration.full_id or registration.worker_id,
+            ),
         ]
 
     async def _call(
--- a/wisteriawood/platform/worker_followers.py
+++ b/wisteriawood/platform/worker_followers.py
@@ -183,7 +183,8 @@
 
     def _confirm(self) -> None:
         self._host.directory.confirm(
-            self.feed.confirmed_at_s, [at.key for at in self.feed.unverified]
+            self.feed.confirmed_at_s,
+            [directory.short_worker_id(at.key) for at in self.feed.unverified],
         )
 
     def update(self) -> None:
@@ -198,7 +199,7 @@
             if worker is None:
                 continue
             if self._is_of_known_service(worker):
-                fleet[worker_id] = worker
+                fleet[worker.worker_id] = worker
             else:
                 misplaced.add(worker_id)
         for worker_id in misplaced - self._misplaced:
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -17,12 +17,35 @@
     "A write of a job showed that it was cancelled, which this host had not "
     "read yet; the job is cancelled now.",
 )
-JOB_REJECTED = events.define(
+JOB_REFUSED = events.define(
     2011,
-    "job-rejected",
-    "The store does not accept what a job's rows have become, at any attempt; "
-    "the job has failed.",
-    "Report it: the size of a job is limited when it is submitted.",
+    "job-refused",
+    "The store refuses what a job's rows have become. They are written again "
+    "without checkpoints, moves and loans; the job goes on.",
+    "See OPERATIONS.md, Rows that are full or refused.",
+)
+JOB_SET_ASIDE = events.define(
+    2013,
+    "job-set-aside",
+    "The store refuses the rows of a job however small they are. Nothing of "
+    "it is started or acknowledged until they are accepted; they are tried "
+    "again in `retry_s`. Other jobs go on.",
+    "See OPERATIONS.md, Rows that are full or refused.",
+)
+CHECKPOINTS_LEFT_OUT = events.define(
+    2014,
+    "checkpoints-left-out",
+    "The row of a job has no room for `count` of its checkpoints; 0 once it "
+    "has again. A holder that takes over starts these tasks from the "
+    "beginning.",
+    "See OPERATIONS.md, Rows that are full or refused.",
+)
+CHECKPOINT_TOO_LONG = events.define(
+    2015,
+    "checkpoint-too-long",
+    "A checkpoint of a task is too long to be kept, so that it resumes from "
+    "an earlier one or from the beginning.",
+    "See OPERATIONS.md, Rows that are full or refused.",
 )
 JOB_ENDED = events.define(
     2004, "job-ended", "A job completed, failed or was cancelled."
@@ -95,6 +118,13 @@
     "A heartbeat could not be written.",
     "Check the platform's store.",
 )
+HEARTBEAT_TRIMMED = events.define(
+    2128,
+    "beat-trimmed",
+    "Heartbeats of this host leave out queues with few pending jobs, and "
+    "racks, as a row has no room for all; or this has ended (`is_over`).",
+    "See OPERATIONS.md, Rows that are full or refused.",
+)
 CELL_LOAD_FAILED = events.define(
     2110,
     "cell-load-failed",
--- a/wisteriawood/telemetry/job_metrics.py
+++ b/wisteriawood/telemetry/job_metrics.py
@@ -48,6 +48,11 @@
         jobs_idle: Jobs of which nothing runs although a step is ready, by
             cell and reason: passed_over, no_worker, assigned, pending_write
             or not_queued.
+        jobs_refused: Jobs whose rows the store has refused.
+        checkpoints_dropped: Checkpoints that are too long to be kept, and
+            rows of jobs that had no room for all, by reason: too_long or
+            row_full.
+        heartbeats_trimmed: Heartbeats that left out figures for lack of room.
         jobs_deferred: Filler jobs that start after those that can still be
             completed in time, by cell; see cells.contention.
         standing_tasks_away: Standing tasks that have run before and don't
@@ -92,14 +97,17 @@
         "body_bytes",
         "calls",
         "cells_held",
+        "checkpoints_dropped",
         "client_refusals",
         "connections",
         "ends",
+        "heartbeats_trimmed",
         "submissions",
         "jobs_deferred",
         "jobs_ended",
         "jobs_unknown",
         "jobs_idle",
+        "jobs_refused",
         "lines_left_out",
         "paces",
         "jobs_opened",
@@ -126,6 +134,17 @@
             "jobs_opened", "Jobs and occurrences."
         )
         self.ends = self._counter("run_ends", "Ends of runs.", "outcome")
+        self.heartbeats_trimmed = self._counter(
+            "heartbeats_trimmed", "Heartbeats that left out figures."
+        )
+        self.jobs_refused = self._counter(
+            "jobs_refused", "Jobs whose rows the store has refused."
+        )
+        self.checkpoints_dropped = self._counter(
+            "checkpoints_dropped",
+            "Checkpoints too long, and full rows.",
+            "reason",
+        )
         self.jobs_ended = self._counter("jobs_ended", "Ends of jobs.", "state")
         self.paces = self._counter("paces", "Orders to fillers.", "cause")
         self.calls = self._counter(
