Bound the sizes of lease rows, of answers about holds and of heartbeats

Each of these grows with what fails or waits after jobs were accepted. The row of leases names up to 500 workers and 1,000 starts; with long names it outgrows the limit of 64 KiB, and then nobody can claim the cell. The answer about a hold has the same lists and outgrows the 64 KiB of a message between hosts, so that the asking host waits for 18 s. A heartbeat lists all queues with pending jobs and all racks; if its row is refused, a live host counts as lost.

The lists are now bounded in bytes as well, and a heartbeat leaves out the queues with fewest pending jobs, with an event and a counter.

--- a/wisteriawood/cells/claims.py
+++ b/wisteriawood/cells/claims.py
@@ -14,6 +14,9 @@
 
 # Time after which a claim whose commit has no known outcome is given up.
 CLAIM_TIMEOUT_S = 3.0
+# Most queues, and racks, of a cell in a heartbeat that would be too large; if
+# it still is, half of them, and so on.
+MAX_TRIMMED = 256
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -235,3 +238,32 @@
         heartbeat: The heartbeat.
     """
     return rows.to_json(heartbeat)
+
+
+def trim_heartbeat(heartbeat: HostHeartbeat) -> HostHeartbeat:
+    """Return a heartbeat that fits into a row.
+
+    If there are too many queues or racks, those with the most pending jobs
+    and the first racks are kept.
+
+    Args:
+        heartbeat: The heartbeat.
+    """
+    found, kept = heartbeat, MAX_TRIMMED
+    while len(heartbeat_to_bytes(found)) > stores.MAX_ROW_BYTES and kept:
+        found = dataclasses.replace(
+            heartbeat,
+            cells={
+                cell: _trim_load(load, kept)
+                for cell, load in heartbeat.cells.items()
+            },
+        )
+        kept //= 2
+    return found
+
+
+def _trim_load(load: CellLoad, kept: int) -> CellLoad:
+    most = sorted(load.pending.items(), key=lambda item: -item[1])
+    return dataclasses.replace(
+        load, pending=dict(most[:kept]), racks=load.racks[:kept]
+    )
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -202,11 +202,10 @@
             for worker in self.cell.fleet.values()
             if now_s - worker.answered_at_s > SILENT_S
         }
-        named = list(ends_s.items())[: lease_rows.MAX_WITHHELD]
         return lease_rows.LeasesLeft(
             by_worker_s={
-                worker_id: former_holders.ceil_tenth(ended_at_s - now_s)
-                for worker_id, ended_at_s in named
+                worker_id: former_holders.ceil_tenth(ends_s[worker_id] - now_s)
+                for worker_id in lease_rows.bound_withheld(ends_s)
             },
             has_granted=self._has_opened,
             unanswered_s=late_starts.left_in_cell_s(self.cell, self._former),
--- a/wisteriawood/cells/late_starts.py
+++ b/wisteriawood/cells/late_starts.py
@@ -32,12 +32,12 @@
     """
     now_s = anyio.current_time()
     named = sorted(
-        (item for item in until_s.items() if item[1] > now_s),
-        key=lambda item: -item[1],
+        (name for name, at_s in until_s.items() if at_s > now_s),
+        key=lambda name: -until_s[name],
     )
     return {
-        task_name: former_holders.ceil_tenth(at_s - now_s)
-        for task_name, at_s in named[: lease_rows.MAX_UNANSWERED]
+        name: former_holders.ceil_tenth(until_s[name] - now_s)
+        for name in lease_rows.bound_unanswered(named)
     }
 
 
--- a/wisteriawood/cells/lease_ledgers.py
+++ b/wisteriawood/cells/lease_ledgers.py
@@ -155,7 +155,7 @@
                 found[worker.id] = worker.lease.ended_at_s()
         known = [name for name in found if name in self._withheld_until_s]
         new = [name for name in found if name not in self._withheld_until_s]
-        named = [*known, *new][: lease_rows.MAX_WITHHELD]
+        named = lease_rows.bound_withheld([*known, *new])
         return {worker_id: found[worker_id] for worker_id in named}
 
     def _is_awaited(self, worker: workers.Worker, now_s: float) -> bool:
@@ -251,9 +251,9 @@
         ends_s = self._find_awaited()
         for worker in self._cell.fleet.values():
             if worker.runs and now_s - worker.answered_at_s > silent_after_s:
-                if len(ends_s) < lease_rows.MAX_WITHHELD:
-                    ends_s[worker.id] = worker.lease.ended_at_s()
-        row = self._make_row(ends_s)
+                ends_s[worker.id] = worker.lease.ended_at_s()
+        named = lease_rows.bound_withheld(ends_s)
+        row = self._make_row({name: ends_s[name] for name in named})
         claim = self._cell.claim
         own = lease_rows.FormerHoldRow(
             holder=claim.row.holder,
--- a/wisteriawood/cells/lease_rows.py
+++ b/wisteriawood/cells/lease_rows.py
@@ -8,16 +8,24 @@
 """
 
 import dataclasses
+import typing
 
 from wisteriawood.links.codecs import bounds
 from wisteriawood.links.codecs import rows
 
-# Most workers that a row names.
+# Most workers that a row or an answer to another host names, and the size of
+# their part.
 MAX_WITHHELD = 500
-# Most starts without an answer that a row names.
+MAX_WITHHELD_BYTES = 18_000
+# Most starts without an answer that it names, and the size of their part. With
+# both and the former holds it fits into a row, and into a message.
 MAX_UNANSWERED = 1000
+MAX_UNANSWERED_BYTES = 40_000
 # Most former holds that a row names.
 MAX_FORMER = 8
+# Most bytes of one duration with what separates it from the next, in a row and
+# in a message.
+_DURATION_BYTES = 12
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -107,6 +115,37 @@
     )
 
 
+def bound_withheld(names: typing.Iterable[str]) -> list[str]:
+    """Return the first of many workers, as many as there is room for.
+
+    Args:
+        names: Their ids, the most important first.
+    """
+    return _take_first(names, MAX_WITHHELD, MAX_WITHHELD_BYTES)
+
+
+def bound_unanswered(names: typing.Iterable[str]) -> list[str]:
+    """Return the first of many tasks, as many as there is room for.
+
+    Args:
+        names: Their names, the most important first.
+    """
+    return _take_first(names, MAX_UNANSWERED, MAX_UNANSWERED_BYTES)
+
+
+def _take_first(
+    names: typing.Iterable[str], max_count: int, max_bytes: int
+) -> list[str]:
+    found: list[str] = []
+    left_bytes = max_bytes
+    for name in names:
+        left_bytes -= len(rows.to_json(name)) + _DURATION_BYTES
+        if left_bytes < 0 or len(found) >= max_count:
+            break
+        found.append(name)
+    return found
+
+
 def bound_former(former: list[FormerHoldRow]) -> list[FormerHoldRow]:
     """Return former holds, of which the oldest are merged if they are many.
 
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -115,6 +115,8 @@
         claim_feed: Feed of the claims.
         heartbeat_feed: Feed of the heartbeats.
         on_ended: Called when a former process of this host becomes known.
+        on_trimmed: Called when a heartbeat leaves out figures for lack of
+            room.
     """
 
     __slots__ = (
@@ -123,6 +125,7 @@
         "_first_written_at_s",
         "_given_up",
         "_heartbeat_count",
+        "_is_trimming",
         "_loads",
         "_started_at_s",
         "_store",
@@ -141,6 +144,7 @@
         "leases",
         "name",
         "on_ended",
+        "on_trimmed",
         "zone",
     )
 
@@ -159,6 +163,7 @@
         self._store = store
         self._times = times or version_times.VersionTimes()
         self._heartbeat_count = 0
+        self._is_trimming = False
         self._first_written_at_s = 0.0
         self.heartbeat_period_s = STANDBY_HEARTBEAT_PERIOD_S
         self._loads: dict[str, claims.CellLoad] = {}
@@ -167,6 +172,7 @@
         # Incarnations of former processes of this host, the newest last.
         self._ended: list[str] = []
         self.on_ended: typing.Callable[[], None] = lambda: None
+        self.on_trimmed: typing.Callable[[], None] = lambda: None
         # Monotonic times and versions of the claims given up, by cell.
         self._given_up: dict[str, tuple[float, int]] = {}
         self.address = ""
@@ -572,9 +578,12 @@
             },
             address=self.address,
         )
-        change = stores.Change(
-            writes={tables.host_row(self.name): claims.heartbeat_to_bytes(row)}
-        )
+        trimmed = claims.trim_heartbeat(row)
+        if trimmed is not row:
+            self.on_trimmed()
+        self._log_trimmed(is_trimmed=trimmed is not row)
+        value = claims.heartbeat_to_bytes(trimmed)
+        change = stores.Change(writes={tables.host_row(self.name): value})
         try:
             await self._store.commit(change)
         except errors.PlatformError as exc:
@@ -590,6 +599,16 @@
         )
         return True
 
+    def _log_trimmed(self, *, is_trimmed: bool) -> None:
+        """Log when heartbeats begin to leave out figures, and no longer do."""
+        if is_trimmed != self._is_trimming:
+            self._is_trimming = is_trimmed
+            _LOG.log(
+                job_events.HEARTBEAT_TRIMMED,
+                host=self.name,
+                is_over=not is_trimmed,
+            )
+
 
 def _floor_tenth(value: float) -> float:
     """Return a number rounded down to tenths, which keeps rows short."""
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -198,6 +198,7 @@
             is_holding=self.is_holding,
         )
         self.members.on_ended = self._heartbeats.send_soon
+        self.members.on_trimmed = self.counters.heartbeats_trimmed.inc
         self._takeovers = takeovers.Takeovers(
             known_members=self.members, dial=dial, workers_of=self._workers_of
         )
