Bound the leases of a hold by its holder's last sign of life

Cause: nothing ended the leases of a holder that lost the store, so its successor had to allow 12 s and a lease for a holder that may live, unless a row, a heartbeat or an answer told it more. A holder that is lost just before or after a worker leaves none of these.

No lease ends later than 6 s after the last heartbeat that the store answered; while it does not answer, after the last confirmation by all witnesses of the host. The next holder sees that heartbeat, and asks one of the witnesses. A holder that was out of touch checks its claim before its heartbeats count again, and grants nothing once it has not read the claims for 12 s, which nothing ensured before.

--- a/wisteriawood/cells/claims.py
+++ b/wisteriawood/cells/claims.py
@@ -197,6 +197,9 @@
         given_up_s: For how long it has no longer held them, by cell.
         address: Address at which other hosts reach it, as host:port; empty
             if there is none.
+        witnesses: Processes of the hosts that have to confirm its holds while
+            the store does not answer it, by host; None if its leases are not
+            bounded by its signs of life, as in earlier releases.
     """
 
     zone: bounds.Name
@@ -217,6 +220,7 @@
         default_factory=dict
     )
     address: bounds.Name = ""
+    witnesses: dict[bounds.Name, bounds.Name] | None = None
 
 
 def read_heartbeat(row: stores.StoredRow) -> HostHeartbeat:
--- a/wisteriawood/cells/former_holders.py
+++ b/wisteriawood/cells/former_holders.py
@@ -6,20 +6,52 @@
 import anyio
 
 from wisteriawood.cells import claims
+from wisteriawood.cells import hold_terms
 from wisteriawood.cells import lease_rows
 from wisteriawood.cells import leases
+from wisteriawood.telemetry import events
+from wisteriawood.telemetry import job_events
+
+_LOG = events.Logger(name=__name__)
+RENEW_WITHOUT_STORE_S = hold_terms.RENEW_WITHOUT_STORE_S
 
 if typing.TYPE_CHECKING:
     from wisteriawood.cells import members
     from wisteriawood.links import messages
 
-# Time for which a former holder that can't reach the store may continue to
-# renew leases.
-RENEW_WITHOUT_STORE_S = 12.0
 # Longest time left of a lease that a row can tell of.
 MAX_LEFT_S = 60.0
 
 
+class WitnessTerm:
+    """When a witness last confirmed a former hold.
+
+    Args:
+        answer: Its answer, which has just arrived.
+
+    Attributes:
+        incarnation: Its process.
+        answered_at_s: Monotonic time at which it answered.
+        confirmed_by_s: Monotonic time after which that process has not
+            confirmed the hold.
+        began_by_s: Monotonic time by which that process had begun.
+    """
+
+    __slots__ = (
+        "answered_at_s",
+        "began_by_s",
+        "confirmed_by_s",
+        "incarnation",
+    )
+
+    def __init__(self, *, answer: "messages.TermAnswer"):
+        now_s = anyio.current_time()
+        self.incarnation = answer.incarnation
+        self.answered_at_s = now_s
+        self.confirmed_by_s = now_s - answer.unconfirmed_s
+        self.began_by_s = now_s - answer.age_s
+
+
 class FormerHold:
     """A hold of a cell whose leases may still run.
 
@@ -28,10 +60,13 @@
         latest_s: Monotonic time until which its holder may renew at the
             latest.
         lapse_s: Time after which a lease has lapsed.
+        claimed_by_s: Monotonic time by which its claim was certainly written.
 
     Attributes:
         claim: Its claim.
+        claimed_by_s: The same as given.
         latest_s: The same as given, or earlier if its end is known.
+        witness_terms: What witnesses have told of it, by host.
     """
 
     __slots__ = (
@@ -40,14 +75,23 @@
         "_lapse_s",
         "_limit_s",
         "claim",
+        "claimed_by_s",
         "latest_s",
+        "witness_terms",
     )
 
     def __init__(
-        self, *, claim: claims.Claim, latest_s: float, lapse_s: float
+        self,
+        *,
+        claim: claims.Claim,
+        latest_s: float,
+        lapse_s: float,
+        claimed_by_s: float = math.inf,
     ):
         self.claim = claim
+        self.claimed_by_s = claimed_by_s
         self.latest_s = latest_s
+        self.witness_terms: dict[str, WitnessTerm] = {}
         self._lapse_s = lapse_s
         self._limit_s = latest_s + lapse_s
         self._answer: "messages.HoldAnswer | None" = None
@@ -62,6 +106,18 @@
             return f"{host} has certainly ended its hold"
         return f"{host} may still renew leases"
 
+    def is_over(self) -> bool:
+        """Return whether no lease that was granted under it may run now."""
+        return self.lapsed_at_s() <= anyio.current_time()
+
+    def record_witness(self, answer: "messages.TermAnswer") -> None:
+        """Record what a witness has just answered.
+
+        Args:
+            answer: The answer.
+        """
+        self.witness_terms[answer.host] = WitnessTerm(answer=answer)
+
     @property
     def is_told(self) -> bool:
         """Whether the host of the holder has told how it ended."""
@@ -147,6 +203,8 @@
             is none.
         known_members: The host's view of the other hosts.
         lease_s: Duration of the workers' leases.
+        claimed_by_s: Monotonic time by which the claim was certainly written;
+            infinite if that is not known.
 
     Attributes:
         holds: Holds whose leases may still run, the newest last.
@@ -170,6 +228,7 @@
         stored: lease_rows.StoredLeases | None,
         known_members: "members.Members",
         lease_s: float,
+        claimed_by_s: float = math.inf,
     ):
         self._members = known_members
         self._lapse_s = leases.lapse_s(lease_s)
@@ -187,7 +246,9 @@
                 self._add_unknown(claim)
             if claim.row.holder:
                 self._add_hold(
-                    claim, anyio.current_time() + RENEW_WITHOUT_STORE_S
+                    claim,
+                    anyio.current_time() + RENEW_WITHOUT_STORE_S,
+                    claimed_by_s,
                 )
         self.lapsed_at_s = -math.inf
         self.update()
@@ -198,7 +259,9 @@
                 hold.lapses_in_s, MAX_LEFT_S
             )
             self._add_hold(
-                _make_claim(cell, hold), lapsed_at_s - self._lapse_s
+                _make_claim(cell, hold),
+                lapsed_at_s - self._lapse_s,
+                stored.written_by_s,
             )
         self._withheld_until_s = {
             worker_id: stored.taken_by_s + min(left_s, MAX_LEFT_S)
@@ -220,22 +283,50 @@
             seen_at_s + RENEW_WITHOUT_STORE_S,
         )
 
-    def _add_hold(self, claim: claims.Claim, latest_s: float) -> None:
+    def _add_hold(
+        self,
+        claim: claims.Claim,
+        latest_s: float,
+        claimed_by_s: float = math.inf,
+    ) -> None:
         if self._members.is_own_unheld(claim):
             return
         self.holds.append(
-            FormerHold(claim=claim, latest_s=latest_s, lapse_s=self._lapse_s)
+            FormerHold(
+                claim=claim,
+                latest_s=latest_s,
+                lapse_s=self._lapse_s,
+                claimed_by_s=claimed_by_s,
+            )
         )
 
     def update(self) -> None:
         """Apply what has become known since the last call."""
         for hold in self.holds:
             ended_at_s = self._members.hold_ended_at_s(hold.claim)
-            hold.latest_s = min(hold.latest_s, ended_at_s)
+            if hold.latest_s > ended_at_s:
+                hold.latest_s = ended_at_s
+            self._apply_term(hold)
         self.lapsed_at_s = max(
             (hold.lapsed_at_s() for hold in self.holds), default=-math.inf
         )
 
+    def _apply_term(self, hold: FormerHold) -> None:
+        """Apply the last time at which a holder certainly was the holder."""
+        if hold.is_told or not hold.claim.row.holder:
+            return
+        basis_s = self._members.term_basis_s(hold)
+        if basis_s >= hold.latest_s:
+            return
+        hold.latest_s = basis_s
+        _LOG.log(
+            job_events.HOLD_TERM_KNOWN,
+            cell=hold.claim.cell,
+            former=hold.claim.row.holder,
+            basis_age_s=round(anyio.current_time() - basis_s, 3),
+            left_s=round(hold.lapsed_at_s() - anyio.current_time(), 3),
+        )
+
     def lapsed_at_s_of(self, worker_id: str) -> float:
         """Return from when the former holders' leases of a worker are over.
 
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -11,6 +11,7 @@
 from wisteriawood.cells import contention_monitors
 from wisteriawood.cells import evacuations
 from wisteriawood.cells import former_holders
+from wisteriawood.cells import hold_terms
 from wisteriawood.cells import idle_jobs
 from wisteriawood.cells import job_writers
 from wisteriawood.cells import late_starts
@@ -73,11 +74,13 @@
         former: The former holders, which may still renew leases.
         leases_row: The row of leases that was stored with the claim.
         times: Measures the takeover; None if it is not measured.
+        term: Until when leases may run; None for no bound.
 
     Attributes:
         cell: The cell.
         listed_workers: The cell's workers in the directory, by id.
         is_open: Whether the jobs are loaded and the workers are managed.
+        term: The same as given.
     """
 
     __slots__ = (
@@ -104,6 +107,7 @@
         "cell",
         "is_open",
         "listed_workers",
+        "term",
     )
 
     def __init__(
@@ -118,6 +122,7 @@
         former: former_holders.FormerHolder,
         leases_row: lease_rows.LeasesRow,
         times: takeover_times.TakeoverTimes | None = None,
+        term: hold_terms.HoldTerm | None = None,
     ):
         self.cell = cell
         self._zones = zones
@@ -127,9 +132,10 @@
         self._retention_s = retention_s
         self._former = former
         self._ledger = lease_ledgers.LeaseLedger(
-            cell=cell, former=former, row=leases_row
+            cell=cell, former=former, row=leases_row, term=term
         )
         self._times = times
+        self.term = term
         self._group: abc.TaskGroup | None = None
         self._held_since_s = anyio.current_time()
         self._filler_pacer = pacers.FillerPacer(cell=cell)
@@ -477,6 +483,7 @@
                 former=self._former,
                 worker_id=registration.worker_id,
                 longest_s=self._longest_lease_s,
+                term=self.term,
             ),
         )
         worker.lease.is_withheld = self._ledger.is_withheld(worker.id)
--- a/wisteriawood/cells/lease_ledgers.py
+++ b/wisteriawood/cells/lease_ledgers.py
@@ -6,12 +6,14 @@
 
 from wisteriawood.cells import cells
 from wisteriawood.cells import former_holders
+from wisteriawood.cells import hold_terms
 from wisteriawood.cells import late_starts
 from wisteriawood.cells import lease_rows
 from wisteriawood.cells import tables
 from wisteriawood.cells import worker_sessions
 from wisteriawood.cells import workers
 from wisteriawood import errors
+from wisteriawood.links import clocks
 from wisteriawood.links import stores
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
@@ -38,6 +40,7 @@
         cell: The cell.
         former: The former holders, whose leases may still run.
         row: The row that was stored with the claim.
+        term: Until when leases may run; None for no bound.
     """
 
     __slots__ = (
@@ -47,6 +50,7 @@
         "_opened_at_s",
         "_pending",
         "_row",
+        "_term",
         "_version",
         "_wakeup",
         "_withheld_until_s",
@@ -58,8 +62,10 @@
         cell: cells.Cell,
         former: former_holders.FormerHolder,
         row: lease_rows.LeasesRow,
+        term: hold_terms.HoldTerm | None = None,
     ):
         self._cell = cell
+        self._term = term
         self._former = former
         self._row = row
         self._version = cell.claim.version
@@ -125,9 +131,46 @@
                 if not self._has_returned():
                     await anyio.sleep(worker_sessions.RETRY_ANSWER_S)
             self._wakeup = anyio.Event()
+            if self._term is not None and self._term.needs_check():
+                await self._check_claim(self._term)
             if not self._is_withholding_all and self._is_due():
                 await self._store()
 
+    async def _check_claim(self, term: hold_terms.HoldTerm) -> None:
+        """Check that nobody else has claimed the cell.
+
+        The host has not heard from the store for some time. Its signs of life
+        count again after it.
+
+        Raises:
+            CellLostError: Another host has claimed the cell.
+        """
+        cell = self._cell
+        claim_at = tables.claim_row(cell.name)
+        sent_s = clocks.elapsed_s()
+        outcome = "held"
+        try:
+            await cell.store.commit(
+                stores.Change(expected={claim_at: cell.claim.version})
+            )
+        except stores.ChangeConflictError as exc:
+            outcome = "lost"
+            raise tables.CellLostError("the cell has another claim") from exc
+        except errors.PlatformError as exc:
+            outcome = f"unknown: {exc}"
+            return
+        finally:
+            cell.counters.hold_checks.labels(
+                outcome=outcome.partition(":")[0]
+            ).inc()
+            _LOG.log(
+                job_events.HOLD_CHECKED,
+                cell=cell.name,
+                outcome=outcome,
+                basis_age_s=round(sent_s - term.basis_s(), 3),
+            )
+        term.record_check(sent_s)
+
     def _has_returned(self) -> bool:
         """Return whether a worker answers whose lease is not extended."""
         return any(
--- a/wisteriawood/cells/leases.py
+++ b/wisteriawood/cells/leases.py
@@ -5,6 +5,7 @@
 
 if typing.TYPE_CHECKING:
     from wisteriawood.cells import former_holders
+    from wisteriawood.cells import hold_terms
 
 # Highest ratio of the time here to the time on a worker's monotonic clock;
 # the platform limits the drift to 2%.
@@ -32,6 +33,7 @@
             None if there was none.
         worker_id: Id of the worker, by which the former holder is asked.
         longest_s: Duration of the longest lease that the worker accepts.
+        term: Bounds the ends of the leases; None for no bound.
 
     Attributes:
         is_withheld: Whether the lease is not extended, since the next holder
@@ -47,6 +49,7 @@
         "_clock_at_s",
         "_clock_ms",
         "_former",
+        "_term",
         "_worker_id",
         "granted_until_ms",
         "is_withheld",
@@ -62,6 +65,7 @@
         former: "former_holders.FormerHolder | None" = None,
         worker_id: str = "",
         longest_s: float = 0.0,
+        term: "hold_terms.HoldTerm | None" = None,
     ):
         self.length_s = length_s
         self.longest_s = max(length_s, longest_s)
@@ -69,6 +73,7 @@
         self._clock_at_s = 0.0
         self.granted_until_ms = 0
         self._former = former
+        self._term = term
         self._worker_id = worker_id
         self.is_withheld = False
         self.lapsed_at_s = 0.0
@@ -148,6 +153,8 @@
     def grant(self, now_s: float) -> int:
         """Extend the lease from now, unless it is withheld.
 
+        It does not run beyond the term of the hold.
+
         Args:
             now_s: Monotonic time.
 
@@ -159,8 +166,15 @@
             return 0
         if self.is_withheld:
             return self.granted_until_ms
-        until_ms = int(self.clock_ms(now_s) + self.length_s * 1000)
-        self.granted_until_ms = max(self.granted_until_ms, until_ms)
+        length_s = self.length_s
+        if self._term is not None:
+            length_s = self._term.left_s(length_s)
+            if length_s <= 0:
+                return self.granted_until_ms
+        until_ms = int(self.clock_ms(now_s) + length_s * 1000)
+        if until_ms <= self.granted_until_ms:
+            return self.granted_until_ms
+        self.granted_until_ms = until_ms
         left_s = (self.granted_until_ms - self._clock_ms) / 1000
         self.lapsed_at_s = max(
             self.lapsed_at_s,
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -6,9 +6,11 @@
 import anyio
 
 from wisteriawood.cells import claims
+from wisteriawood.cells import hold_terms
 from wisteriawood.cells import lease_rows
 from wisteriawood.cells import tables
 from wisteriawood import errors
+from wisteriawood.links import clocks
 from wisteriawood.links import feeds
 from wisteriawood.links import stores
 from wisteriawood.links import version_times
@@ -16,6 +18,9 @@
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
 
+if typing.TYPE_CHECKING:
+    from wisteriawood.cells import former_holders
+
 _LOG = events.Logger(name=__name__)
 # Period of the heartbeats of a host that holds a cell, of one that is ready to
 # take a cell over, and of other hosts.
@@ -30,6 +35,8 @@
 # Time without a new heartbeat after which a host counts as failed: three
 # heartbeat periods and a margin for the pause of the feed.
 HOST_SILENCE_S = 2.6
+# Most hosts that have to confirm the holds of a host without store.
+MAX_WITNESSES = 2
 # Time after a claim by which a heartbeat of its holder must show the same
 # incarnation.
 INCARNATION_MISMATCH_S = 1.8
@@ -115,6 +122,10 @@
         claim_feed: Feed of the claims.
         heartbeat_feed: Feed of the heartbeats.
         on_ended: Called when a former process of this host becomes known.
+        signs: Signs of life of this process.
+        own_unconfirmed_s: Returns for how long this process has not confirmed
+            a hold of another host, by cell and version of the claim.
+        witness_sets: Hosts that have to confirm the holds of this one.
         on_trimmed: Called when a heartbeat leaves out figures for lack of
             room.
     """
@@ -145,6 +156,9 @@
         "name",
         "on_ended",
         "on_trimmed",
+        "own_unconfirmed_s",
+        "signs",
+        "witness_sets",
         "zone",
     )
 
@@ -172,6 +186,11 @@
         # Incarnations of former processes of this host, the newest last.
         self._ended: list[str] = []
         self.on_ended: typing.Callable[[], None] = lambda: None
+        self.signs = hold_terms.Signs()
+        self.own_unconfirmed_s: typing.Callable[[str, int], float] = (
+            lambda _cell, _version: self.age_s()
+        )
+        self.witness_sets = hold_terms.WitnessSets()
         self.on_trimmed: typing.Callable[[], None] = lambda: None
         # Monotonic times and versions of the claims given up, by cell.
         self._given_up: dict[str, tuple[float, int]] = {}
@@ -542,6 +561,136 @@
             and self.silence_s(name) < _liveness_timeout_s(member)
         )
 
+    def _choose_witnesses(self) -> dict[str, str]:
+        """Return the processes that confirm the holds of this host, by host.
+
+        They are the strongest ones of its zone, which would claim its cells;
+        of other zones if there is none.
+        """
+        now_s = anyio.current_time()
+        found = [n for n in self.live_hosts(self.zone) if n != self.name]
+        if not found:
+            found = [
+                name
+                for name, member in self.by_name.items()
+                if name != self.name
+                and not member.heartbeat.is_leaving
+                and now_s - member.heartbeat_seen_at_s
+                <= _liveness_timeout_s(member)
+            ]
+        ranked = sorted(
+            (name for name in found if self.by_name[name].heartbeat.address),
+            key=lambda name: (-self.by_name[name].heartbeat.cores, name),
+        )
+        return {
+            name: self.by_name[name].heartbeat.incarnation
+            for name in ranked[:MAX_WITNESSES]
+        }
+
+    def last_sign_s(self, claim: claims.Claim, since_s: float) -> float:
+        """Return by when a former holder certainly sent its last sign.
+
+        Args:
+            claim: Its claim.
+            since_s: Monotonic time by which the claim was certainly written.
+
+        Returns:
+            Monotonic time; infinite while a later one is possible, or if its
+            leases are not bounded by its signs.
+        """
+        host = claim.row.holder
+        member = self.by_name.get(host)
+        if member is None or member.heartbeat.witnesses is None:
+            return math.inf
+        if member.heartbeat.incarnation != claim.row.incarnation:
+            return math.inf
+        feed = self.heartbeat_feed
+        if tables.host_row(host) in feed.unverified:
+            # It was read with the whole table, which may have been stale.
+            return math.inf
+        last_s = max(member.written_by_s, since_s)
+        age_s = anyio.current_time() - last_s
+        read_s_ago = clocks.elapsed_s() - feed.confirmed_at_s
+        if age_s - read_s_ago < hold_terms.LAST_SIGN_S:
+            return math.inf
+        return last_s
+
+    def term_basis_s(self, hold: "former_holders.FormerHold") -> float:
+        """Return when a former holder was certainly the holder last.
+
+        Args:
+            hold: Its hold.
+
+        Returns:
+            Monotonic time; infinite if that is not known.
+        """
+        last_s = self.last_sign_s(hold.claim, hold.claimed_by_s)
+        if last_s == math.inf:
+            return math.inf
+        member = self.by_name[hold.claim.row.holder]
+        witnesses = member.heartbeat.witnesses
+        if not witnesses:
+            return last_s
+        # One that does not confirm is enough, since all of them have to.
+        confirmed_by_s = min(
+            self._confirmed_by_s(hold, member, name, process)
+            for name, process in witnesses.items()
+        )
+        return max(last_s, confirmed_by_s)
+
+    def _confirmed_by_s(
+        self,
+        hold: "former_holders.FormerHold",
+        holder: Member,
+        name: str,
+        process: str,
+    ) -> float:
+        """Return by when a witness had confirmed a former hold last.
+
+        Args:
+            hold: The hold.
+            holder: Its host.
+            name: Name of the witness.
+            process: The process of it that the holder's heartbeat names.
+        """
+        if name == self.name:
+            return anyio.current_time() - self.own_unconfirmed_s(
+                hold.claim.cell, hold.claim.version
+            )
+        term = hold.witness_terms.get(name)
+        if term is None:
+            return math.inf
+        if term.incarnation == process:
+            return term.confirmed_by_s
+        if term.answered_at_s >= holder.heartbeat_seen_at_s:
+            # The named process had ended when the one that answered began.
+            return term.began_by_s
+        return math.inf
+
+    def unasked_witnesses(
+        self, hold: "former_holders.FormerHold"
+    ) -> list[str]:
+        """Return the witnesses to ask about a former hold.
+
+        Args:
+            hold: The hold.
+
+        Returns:
+            Their names; none if what they would tell is known already.
+        """
+        member = self.by_name.get(hold.claim.row.holder)
+        if member is None or not member.heartbeat.witnesses:
+            return []
+        if member.heartbeat.incarnation != hold.claim.row.incarnation:
+            return []
+        confirmed_by_s = {
+            name: self._confirmed_by_s(hold, member, name, process)
+            for name, process in member.heartbeat.witnesses.items()
+        }
+        if min(confirmed_by_s.values()) < math.inf:
+            return []
+        return [name for name in confirmed_by_s if name != self.name]
+
     async def write_heartbeat(self, cells: dict[str, claims.CellLoad]) -> bool:
         """Write a heartbeat of this host.
 
@@ -577,6 +726,7 @@
                 for cell, (ended_at_s, _version) in given_up.items()
             },
             address=self.address,
+            witnesses=self._choose_witnesses() if cells else {},
         )
         trimmed = claims.trim_heartbeat(row)
         if trimmed is not row:
@@ -584,6 +734,8 @@
         self._log_trimmed(is_trimmed=trimmed is not row)
         value = claims.heartbeat_to_bytes(trimmed)
         change = stores.Change(writes={tables.host_row(self.name): value})
+        self.witness_sets.record_sent(row.witnesses)
+        sent_s = clocks.elapsed_s()
         try:
             await self._store.commit(change)
         except errors.PlatformError as exc:
@@ -593,6 +745,8 @@
             # Writes of workers may get lost or take effect late as well.
             self._times.clear()
             return False
+        self.signs.record(sent_s=sent_s, answered_s=clocks.elapsed_s())
+        self.witness_sets.record_answered(row.witnesses)
         self.heartbeat_written_at_s = anyio.current_time()
         self._first_written_at_s = (
             self._first_written_at_s or self.heartbeat_written_at_s
--- a/wisteriawood/links/messages.py
+++ b/wisteriawood/links/messages.py
@@ -208,3 +208,74 @@
     unanswered_s: dict[bounds.Name, bounds.Measure] = dataclasses.field(
         default_factory=dict
     )
+
+
+@message("witness-request")
+@dataclasses.dataclass(slots=True, kw_only=True)
+class WitnessRequest:
+    """Asks a host whether it knows no newer claims of held cells.
+
+    Attributes:
+        host: Host that holds the cells.
+        claims: Versions of its claims, by cell.
+    """
+
+    host: bounds.Name
+    claims: dict[bounds.Name, bounds.Number]
+
+
+@message("witness-answer")
+@dataclasses.dataclass(slots=True, kw_only=True)
+class WitnessAnswer:
+    """Confirms holds of cells.
+
+    Attributes:
+        host: Host that answers.
+        incarnation: Identifier of its process.
+        confirmed: Cells of the request of which it knows no newer claim.
+    """
+
+    host: bounds.Name
+    incarnation: bounds.Name
+    confirmed: list[bounds.Name] = dataclasses.field(default_factory=list)
+
+
+@message("term-question")
+@dataclasses.dataclass(slots=True, kw_only=True)
+class TermQuestion:
+    """Asks a witness when it last confirmed a former hold, and for no more.
+
+    Attributes:
+        cell: Name of the cell.
+        host: Host that has claimed it.
+        version: Version of its claim.
+        former_version: Version of the claim of the former holder.
+    """
+
+    cell: bounds.Name
+    host: bounds.Name
+    version: bounds.Number
+    former_version: bounds.Number
+
+
+@message("term-answer")
+@dataclasses.dataclass(slots=True, kw_only=True)
+class TermAnswer:
+    """Tells when a witness last confirmed a former hold.
+
+    Attributes:
+        cell: Name of the cell.
+        host: Host that answers.
+        incarnation: Identifier of its process.
+        former_version: Version of the claim that the question is about.
+        unconfirmed_s: For how long this process has not confirmed that hold;
+            the age of the process if it never did.
+        age_s: Age of the process.
+    """
+
+    cell: bounds.Name
+    host: bounds.Name
+    incarnation: bounds.Name
+    former_version: bounds.Number
+    unconfirmed_s: bounds.Measure = 0.0
+    age_s: bounds.Measure = 0.0
--- a/wisteriawood/machines/hold_answers.py
+++ b/wisteriawood/machines/hold_answers.py
@@ -61,9 +61,18 @@
         known_members: The host's view of the other hosts.
         end_hold: Ends a hold if the claim in a question supersedes it, and
             returns whether this host does not hold the cell any more.
+
+    Attributes:
+        handlers: Functions that return the answer to a message, by its type.
     """
 
-    __slots__ = ("_end_hold", "_ended", "_members", "_superseded")
+    __slots__ = (
+        "_end_hold",
+        "_ended",
+        "_members",
+        "_superseded",
+        "handlers",
+    )
 
     def __init__(
         self,
@@ -73,6 +82,9 @@
     ):
         self._members = known_members
         self._end_hold = end_hold
+        self.handlers: dict[
+            type, typing.Callable[[typing.Any], typing.Any]
+        ] = {messages.HoldQuestion: self.answer}
         # The newest ended holds of each cell, the newest last.
         self._ended: dict[str, list[EndedHold]] = {}
         # Versions of the newest claims that were told to supersede those of
@@ -112,11 +124,12 @@
         with anyio.move_on_after(LINK_TIMEOUT_S):
             while True:
                 question = await channel.receive()
-                if not isinstance(question, messages.HoldQuestion):
+                handler = self.handlers.get(type(question))
+                if handler is None:
                     raise errors.MessageError(
                         f"unexpected {type(question).__name__}"
                     )
-                await channel.send(self.answer(question))
+                await channel.send(handler(question))
 
     def answer(self, question: messages.HoldQuestion) -> messages.HoldAnswer:
         """Return the answer to a question; the hold has ended if it says so.
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -1,6 +1,7 @@
 """A host that accepts jobs and holds cells."""
 
 import functools
+import math
 import time
 import typing
 import uuid
@@ -11,6 +12,7 @@
 from wisteriawood.cells import cells
 from wisteriawood.cells import claims
 from wisteriawood.cells import former_holders
+from wisteriawood.cells import hold_terms
 from wisteriawood.cells import holders
 from wisteriawood.cells import lease_ledgers
 from wisteriawood.cells import lease_rows
@@ -22,6 +24,7 @@
 from wisteriawood.cells import zone_drains
 from wisteriawood import errors
 from wisteriawood.jobs import queues
+from wisteriawood.links import clocks
 from wisteriawood.links import feeds
 from wisteriawood.links import messages
 from wisteriawood.links import runners
@@ -36,6 +39,8 @@
 from wisteriawood.machines import suspensions
 from wisteriawood.machines import table_ages
 from wisteriawood.machines import takeovers
+from wisteriawood.machines import witness_questions
+from wisteriawood.machines import witnesses
 from wisteriawood.policies.backfill import base as backfill_base
 from wisteriawood.policies import ordering as ordering_policies
 from wisteriawood.policies.ordering import base as ordering_base
@@ -92,6 +97,7 @@
         version_times: When changes of the store were made.
         supervisor: Contains unexpected errors.
         hold_answers: Answers other hosts that have claimed cells of this one.
+        witness: Confirms holds of other hosts.
         drain_requests: Records the operator's requests to drain zones.
         zone_drains: The zones that an operator drains.
     """
@@ -111,6 +117,7 @@
         "_suspensions",
         "_table_ages",
         "_takeovers",
+        "_witness_questions",
         "configuration_feed",
         "counters",
         "directory",
@@ -125,6 +132,7 @@
         "store",
         "supervisor",
         "version_times",
+        "witness",
         "zone",
         "zone_drains",
         "zones",
@@ -205,13 +213,31 @@
         self.hold_answers = hold_answers.HoldAnswers(
             known_members=self.members, end_hold=self._end_superseded_hold
         )
+        self.witness = witnesses.Witness(
+            known_members=self.members, counters=self.counters
+        )
+        self.members.own_unconfirmed_s = self.witness.unconfirmed_s
+        self.hold_answers.handlers |= {
+            messages.WitnessRequest: self.witness.confirm,
+            messages.TermQuestion: self.witness.answer,
+        }
         self._hold_questions: hold_questions.HoldQuestions | None = None
+        self._witness_questions: witness_questions.WitnessQuestions | None = (
+            None
+        )
         if dial_host is not None:
             self._hold_questions = hold_questions.HoldQuestions(
                 known_members=self.members,
                 dial_host=dial_host,
                 supervisor=self.supervisor,
             )
+            self._witness_questions = witness_questions.WitnessQuestions(
+                known_members=self.members,
+                dial_host=dial_host,
+                find_holders=lambda: dict(self._holders),
+                counters=self.counters,
+                supervisor=self.supervisor,
+            )
 
     def _make_members(
         self, cores: float, process_age_s: float
@@ -339,6 +365,13 @@
                 group.start_soon(
                     self.supervisor.run, kind, self.name, function
                 )
+            if self._witness_questions is not None:
+                group.start_soon(
+                    self.supervisor.run,
+                    "witness questions",
+                    self.name,
+                    self._witness_questions.run,
+                )
 
     def _report_loads(self) -> dict[str, claims.CellLoad]:
         """Return the loads of the cells that this host has opened."""
@@ -481,6 +514,8 @@
             stored=stored,
             taken_ms=self.store.clock.latest_ms(),
         )
+        claimed_by_s = self._claimed_by_s(previous)
+        claimed_s = clocks.elapsed_s()
         claim = await self._commit_claim(
             cell, previous, stored, leases_row, host=self.name
         )
@@ -498,8 +533,18 @@
             silent_s=round(silent_s, 3),
         )
         # Whoever was replaced counts from now, after the commit.
-        former_holder = self._find_former(previous, stored)
-        holder = self._make_holder(claim, former_holder, leases_row, times)
+        former_holder = self._find_former(previous, stored, claimed_by_s)
+        term = hold_terms.HoldTerm(
+            claimed_s=claimed_s,
+            signs=self.members.signs,
+            witness_sets=self.members.witness_sets,
+            claims_read_s=lambda: max(
+                claimed_s, self.members.claim_feed.confirmed_at_s
+            ),
+        )
+        holder = self._make_holder(
+            claim, former_holder, leases_row, times, term
+        )
         holder.update_fleet(self._workers_of(cell))
         self._holders[cell] = holder
         self._scopes[cell] = anyio.CancelScope()
@@ -556,6 +601,7 @@
         former: former_holders.FormerHolder,
         leases_row: lease_rows.LeasesRow,
         times: takeover_times.TakeoverTimes,
+        term: hold_terms.HoldTerm,
     ) -> holders.Holder:
         return holders.Holder(
             cell=cells.Cell(
@@ -578,18 +624,29 @@
             former=former,
             leases_row=leases_row,
             times=times,
+            term=term,
         )
 
+    def _claimed_by_s(self, claim: claims.Claim | None) -> float:
+        """Return the monotonic time by which a claim was certainly written."""
+        if claim is None:
+            return math.inf
+        return self.members.claim_seen_at_s(claim)
+
     def _find_former(
         self,
         previous: claims.Claim | None,
         stored: lease_rows.StoredLeases | None,
+        claimed_by_s: float | None = None,
     ) -> former_holders.FormerHolder:
+        if claimed_by_s is None:
+            claimed_by_s = self._claimed_by_s(previous)
         return former_holders.FormerHolder(
             claim=previous,
             stored=stored,
             known_members=self.members,
             lease_s=self.limits.lease_s,
+            claimed_by_s=claimed_by_s,
         )
 
     def _ask_former_holders(
@@ -611,6 +668,13 @@
                 hold,
                 lambda: self._holders.get(claim.cell) is holder,
             )
+            if self._witness_questions is not None:
+                self._group.start_soon(
+                    self._witness_questions.ask_about,
+                    claim,
+                    hold,
+                    lambda: self._holders.get(claim.cell) is holder,
+                )
 
     def _end_superseded_hold(self, question: messages.HoldQuestion) -> bool:
         """End a hold at once if a newer claim supersedes it.
--- a/wisteriawood/telemetry/job_events.py
+++ b/wisteriawood/telemetry/job_events.py
@@ -125,6 +125,33 @@
     "racks, as a row has no room for all; or this has ended (`is_over`).",
     "See OPERATIONS.md, Rows that are full or refused.",
 )
+HOLD_CHECKED = events.define(
+    2129,
+    "hold-checked",
+    "The store answers again after some time; whether a cell is still held "
+    "was checked with the `outcome`.",
+    "See OPERATIONS.md, Terms of holds.",
+)
+HOLDS_UNCONFIRMED = events.define(
+    2130,
+    "holds-unconfirmed",
+    "The store has not answered the heartbeats of this host for some time; "
+    "its leases go on while all `witnesses` confirm its holds. Or this has "
+    "ended (`is_over`).",
+    "See OPERATIONS.md, Terms of holds.",
+)
+HOLD_TERM_TOLD = events.define(
+    2131,
+    "hold-term-told",
+    "A witness of a former holder has told for how long it has not confirmed "
+    "that hold.",
+)
+HOLD_TERM_KNOWN = events.define(
+    2132,
+    "hold-term-known",
+    "The last sign of a former holder is known; all of its leases have "
+    "lapsed in `left_s`.",
+)
 CELL_LOAD_FAILED = events.define(
     2110,
     "cell-load-failed",
--- a/wisteriawood/telemetry/job_metrics.py
+++ b/wisteriawood/telemetry/job_metrics.py
@@ -48,6 +48,12 @@
         jobs_idle: Jobs of which nothing runs although a step is ready, by
             cell and reason: passed_over, no_worker, assigned, pending_write
             or not_queued.
+        hold_checks: Checks of the claims of held cells after the store was
+            silent, by outcome: held, lost or unknown.
+        witness_requests: Holds of other hosts that were to be confirmed, by
+            outcome: confirmed or superseded.
+        witness_answers: Answers of witnesses to this host, by outcome:
+            confirmed, superseded or unanswered.
         jobs_refused: Jobs whose rows the store has refused.
         checkpoints_dropped: Checkpoints that are too long to be kept, and
             rows of jobs that had no room for all, by reason: too_long or
@@ -102,6 +108,7 @@
         "connections",
         "ends",
         "heartbeats_trimmed",
+        "hold_checks",
         "submissions",
         "jobs_deferred",
         "jobs_ended",
@@ -120,6 +127,8 @@
         "takeover_s",
         "part_failures",
         "unreadable",
+        "witness_answers",
+        "witness_requests",
         "zone_drained",
         "zone_runs_left",
         "zone_runs_moved",
@@ -137,6 +146,15 @@
         self.heartbeats_trimmed = self._counter(
             "heartbeats_trimmed", "Heartbeats that left out figures."
         )
+        self.hold_checks = self._counter(
+            "hold_checks", "Checks of claims of held cells.", "outcome"
+        )
+        self.witness_requests = self._counter(
+            "witness_requests", "Holds to be confirmed.", "outcome"
+        )
+        self.witness_answers = self._counter(
+            "witness_answers", "Answers of witnesses.", "outcome"
+        )
         self.jobs_refused = self._counter(
             "jobs_refused", "Jobs whose rows the store has refused."
         )
