Start filler jobs that have to run beyond four of them a worker

Cause: a filler that fits nowhere below the load limits is started all the same, but on each worker at most four such tasks at a time.

A job that has been idle for 2 s may now be the fifth to eighth. The pacer slows all of them.

--- a/wisteriawood/cells/placers.py
+++ b/wisteriawood/cells/placers.py
@@ -32,6 +32,10 @@
 # Most tasks started this way (pinned) on one worker; at their initial pace,
 # together they use less CPU than one at full speed.
 MAX_PINNED_PER_WORKER = 4
+# The same for a job that has been idle for so long that it has to run next.
+# The pacer slows all of them.
+MAX_URGENT_PINNED_PER_WORKER = 8
+URGENT_IDLE_S = 2.0
 # Workers of a cell for each standing task that has never run and for which
 # room is kept. A task that has run gets room on any worker.
 MIN_WORKERS_PER_NEW_TASK = 4
@@ -423,11 +427,18 @@
         if job.id in self._active_ids:
             self._idle_since_s.pop(job.id, None)
             return False
+        since_s = self._idle_since_s.setdefault(job.id, now_s)
         if job.id in self._pinned_ids:
             return True
-        since_s = self._idle_since_s.setdefault(job.id, now_s)
         return now_s - since_s >= IDLE_JOB_TIMEOUT_S
 
+    def _most_pinned(self, job: jobs.Job, now_s: float) -> int:
+        """Return the most pinned tasks of a worker that gets one of a job."""
+        idle_s = self.idle_s(job, now_s)
+        if idle_s is not None and idle_s >= URGENT_IDLE_S:
+            return MAX_URGENT_PINNED_PER_WORKER
+        return MAX_PINNED_PER_WORKER
+
     def _place_least_disruptive(
         self,
         job: jobs.Job,
@@ -442,7 +453,7 @@
         candidates = [
             worker
             for worker in self._candidates(job, task, step, usable, math.inf)
-            if _may_pin_another(worker)
+            if _may_pin_another(worker, self._most_pinned(job, now_s))
         ]
         if not candidates:
             return 0
@@ -525,7 +536,8 @@
         obstacle = worker.find_fault(now_s) or worker.find_conflict(
             step, job.task_name(task), math.inf
         )
-        if obstacle or _may_pin_another(worker):
+        most = self._most_pinned(job, now_s)
+        if obstacle or _may_pin_another(worker, most):
             return obstacle
         return "pinned limit"
 
@@ -690,9 +702,9 @@
     return [group for group in (near, others) if group]
 
 
-def _may_pin_another(worker: workers.Worker) -> bool:
+def _may_pin_another(worker: workers.Worker, most: int) -> bool:
     pinned = sum(run.is_pinned for run in worker.runs.values())
-    return pinned < MAX_PINNED_PER_WORKER
+    return pinned < most
 
 
 def _jobs_with_active_runs(
--- a/wisteriawood/tests/placing_tests.py
+++ b/wisteriawood/tests/placing_tests.py
@@ -3,6 +3,7 @@
 import math
 import random
 import unittest
+from unittest import mock
 
 import anyio
 
@@ -177,6 +178,50 @@
         self._run(_check)
 
 
+class PinnedLimitTests(unittest.TestCase):
+    """Filler jobs for which no worker has room below the load limits."""
+
+    def test_a_job_that_has_to_run_exceeds_the_limit(self):
+        """Regression: LOST, jobs waited as each worker had four such tasks.
+
+        After three losses of workers, on the day of review case 15, most of
+        the room was free at the end and six jobs had nothing running.
+        """
+
+        async def _check():
+            (worker,) = fleet = [builders.make_run_worker("w", cores=64)]
+            placer = placers.Placer(
+                policy=least_pressed.LeastPressed(),
+                model=interference_models.InterferenceModel(),
+            )
+            placer.is_intake_idle = True
+            most = placers.MAX_URGENT_PINNED_PER_WORKER
+            found = [
+                _job(f"f{n}", is_filler=True, image="fills", memory_mb=10)
+                for n in range(most + 2)
+            ]
+            waiting = _waiting(*found)
+            counts = []
+            with mock.patch.object(
+                placers.Placer, "_choose", return_value=None
+            ):
+                for _pass in range(40):
+                    now_s = anyio.current_time()
+                    worker.answered_at_s = now_s
+                    for run in worker.runs.values():
+                        run.confirm(now_s)
+                        waiting.pop(run.job.id, None)
+                    placer.place(waiting, fleet, now_s)
+                    counts.append(len(worker.runs))
+                    await anyio.sleep(0.1)
+            usual = counts[int(placers.URGENT_IDLE_S * 10) - 2]
+            self.assertEqual(usual, placers.MAX_PINNED_PER_WORKER)
+            self.assertEqual(counts[-1], most)
+            worker.close()
+
+        builders.run_virtual(_check)
+
+
 class FullCellTests(unittest.TestCase):
     """Batch tasks fill all workers, and more of them wait."""
 
