Wait longer for starts that a lost holder could not tell of

Cause: a start that got no answer may be carried out up to 12 s later by the next instance of a worker, under the longest lease. A holder tells of such starts when it releases the cell, answers, or stores the row of leases.

A run that was assigned less than 4 s before the last sign of a lost holder now counts until 12 s after that sign and the longest lease. Earlier ones were answered, or their worker was silent and is on the row.

idle_jobs_tests fills workers up to the larger limit of started fillers, and a test of zone drains with a store that is away links its hosts, since leases then go on only with the confirmation of other hosts.

--- a/wisteriawood/cells/former_holders.py
+++ b/wisteriawood/cells/former_holders.py
@@ -19,6 +19,14 @@
     from wisteriawood.cells import members
     from wisteriawood.links import messages
 
+# Time after which an order without an answer takes effect no more, in any
+# instance of a worker's process.
+LATE_ORDER_S = 12.0
+# Time before its last sign in which a holder may have sent starts of which it
+# can't have told that they were not answered. It tries a start for less, and
+# then counts the worker as silent, of which the row of leases tells, or has an
+# answer to the stop.
+UNTOLD_START_S = 4.0
 # Longest time left of a lease that a row can tell of.
 MAX_LEFT_S = 60.0
 
@@ -66,6 +74,9 @@
         claim: Its claim.
         claimed_by_s: The same as given.
         latest_s: The same as given, or earlier if its end is known.
+        basis_s: Monotonic time at which its holder certainly was the holder
+            last, if nothing else tells how it ended; None if that is not
+            known.
         witness_terms: What witnesses have told of it, by host.
     """
 
@@ -74,6 +85,7 @@
         "_answered_at_s",
         "_lapse_s",
         "_limit_s",
+        "basis_s",
         "claim",
         "claimed_by_s",
         "latest_s",
@@ -91,6 +103,7 @@
         self.claim = claim
         self.claimed_by_s = claimed_by_s
         self.latest_s = latest_s
+        self.basis_s: float | None = None
         self.witness_terms: dict[str, WitnessTerm] = {}
         self._lapse_s = lapse_s
         self._limit_s = latest_s + lapse_s
@@ -166,6 +179,23 @@
             return -math.inf
         return self._answered_at_s + min(left_s, MAX_LEFT_S)
 
+    def untold_start_until_s(self, assigned_by_s: float) -> float:
+        """Return until when a start that nobody has told of may take effect.
+
+        Args:
+            assigned_by_s: Monotonic time by which the run was certainly
+                assigned.
+
+        Returns:
+            Monotonic time; infinitely early if its start was answered, or
+            would have been told.
+        """
+        if self.is_told or self.basis_s is None:
+            return -math.inf
+        if assigned_by_s < self.basis_s - UNTOLD_START_S:
+            return -math.inf
+        return self.basis_s + LATE_ORDER_S
+
     def lapsed_at_s(self) -> float:
         """Return from when the leases granted to all workers have lapsed.
 
@@ -214,6 +244,7 @@
 
     __slots__ = (
         "_lapse_s",
+        "_assigned_by_s",
         "_late_start_until_s",
         "_members",
         "_withheld_until_s",
@@ -239,6 +270,8 @@
         # Monotonic times until which starts that were not answered may take
         # effect, by task.
         self._late_start_until_s: dict[str, float] = {}
+        # Monotonic times by which the runs were assigned that were taken over.
+        self._assigned_by_s: dict[str, float] = {}
         if claim is not None:
             if stored is not None and _is_valid(stored, claim):
                 self._adopt(claim.cell, stored)
@@ -306,6 +339,7 @@
             ended_at_s = self._members.hold_ended_at_s(hold.claim)
             if hold.latest_s > ended_at_s:
                 hold.latest_s = ended_at_s
+                hold.basis_s = None
             self._apply_term(hold)
         self.lapsed_at_s = max(
             (hold.lapsed_at_s() for hold in self.holds), default=-math.inf
@@ -318,7 +352,7 @@
         basis_s = self._members.term_basis_s(hold)
         if basis_s >= hold.latest_s:
             return
-        hold.latest_s = basis_s
+        hold.latest_s = hold.basis_s = basis_s
         _LOG.log(
             job_events.HOLD_TERM_KNOWN,
             cell=hold.claim.cell,
@@ -354,12 +388,23 @@
             Monotonic time; infinitely early if no start without an answer is
             known.
         """
+        assigned_by_s = self._assigned_by_s.get(task_name, -math.inf)
         return max(
             self._late_start_until_s.get(task_name, -math.inf),
             *(hold.late_start_until_s(task_name) for hold in self.holds),
+            *(hold.untold_start_until_s(assigned_by_s) for hold in self.holds),
             -math.inf,
         )
 
+    def record_assigned(self, task_name: str, version: int) -> None:
+        """Record a run that was taken over.
+
+        Args:
+            task_name: Name of its task.
+            version: Version of the row that shows its assignment.
+        """
+        self._assigned_by_s[task_name] = self._members.written_by_s(version)
+
     def stored_late_starts_s(self) -> dict[str, float]:
         """Return until when stored starts may take effect, by task."""
         return dict(self._late_start_until_s)
--- a/wisteriawood/cells/holders.py
+++ b/wisteriawood/cells/holders.py
@@ -147,7 +147,9 @@
         cell.placer.should_move = self._relocator.is_better_elsewhere
         cell.placer.is_leaving = self._relocator.is_leaving
         self._regrouper = regrouping.Regrouper(cell=cell)
-        self._stored = stored_jobs.StoredJobs(cell=cell, zones=zones)
+        self._stored = stored_jobs.StoredJobs(
+            cell=cell, zones=zones, on_adopt=former.record_assigned
+        )
         self._guard = supervision.Guard(
             supervisor=cell.supervisor,
             kind="cell part",
--- a/wisteriawood/cells/late_starts.py
+++ b/wisteriawood/cells/late_starts.py
@@ -16,9 +16,7 @@
 if typing.TYPE_CHECKING:
     from wisteriawood.cells import cells
 
-# Time after which an order without an answer takes effect no more, in any
-# instance of a worker's process.
-LATE_ORDER_S = 12.0
+LATE_ORDER_S = former_holders.LATE_ORDER_S
 
 
 def left_s(until_s: dict[str, float]) -> dict[str, float]:
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -306,6 +306,14 @@
         self.claims[claim.cell] = claim
         self._claim_seen_at_s[claim.cell] = anyio.current_time()
 
+    def written_by_s(self, version: int) -> float:
+        """Return the monotonic time by which a row was certainly written.
+
+        Args:
+            version: Version of the row.
+        """
+        return anyio.current_time() - self._times.known_for_s(version)
+
     def claim_seen_at_s(self, claim: claims.Claim) -> float:
         """Return by when a claim was certainly written.
 
--- a/wisteriawood/cells/stored_jobs.py
+++ b/wisteriawood/cells/stored_jobs.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import math
+import typing
 
 import anyio
 
@@ -74,12 +75,23 @@
     Args:
         cell: The cell.
         zones: All availability zones, sorted.
+        on_adopt: Called with the name of a task whose run is taken over, and
+            the version of the row that shows it.
     """
 
-    __slots__ = ("_cell", "_rows", "_unknown")
+    __slots__ = ("_cell", "_on_adopt", "_rows", "_unknown")
 
-    def __init__(self, *, cell: cells.Cell, zones: list[str]):
+    def __init__(
+        self,
+        *,
+        cell: cells.Cell,
+        zones: list[str],
+        on_adopt: typing.Callable[[str, int], None] = (
+            lambda _task_name, _version: None
+        ),
+    ):
         self._cell = cell
+        self._on_adopt = on_adopt
         # Specifications that name this cell, without their values, by job id.
         self._rows: dict[str, stores.StoredRow] = {}
         self._unknown: dict[str, UnknownJob] = {}
@@ -261,6 +273,7 @@
         """
         cell = self._cell
         now_s = anyio.current_time()
+        self._on_adopt(job.task_name(task), job.version)
         run = runs.Run(job=job, task=task, assigned_at_s=now_s)
         worker = cell.fleet.get(task.worker_id)
         if worker is None:
--- a/wisteriawood/tests/hold_terms_tests.py
+++ b/wisteriawood/tests/hold_terms_tests.py
@@ -21,6 +21,8 @@
 from wisteriawood.tests import builders
 from wisteriawood.tests import handover_tests
 from wisteriawood.tests import hold_terms_builders as term_builders
+from wisteriawood.tests import ownership_builders
+from wisteriawood.tests import recut_builders
 
 CELL = term_builders.CELL
 LEASE_S = term_builders.LEASE_S
@@ -630,3 +632,74 @@
                 )
 
         self.run_world(_check)
+
+
+class UntoldStartTests(unittest.TestCase):
+    """Starts without an answer of a holder that could not tell of them."""
+
+    def _until_s(self, assigned_s_ago):
+        async def _main():
+            await anyio.sleep(100)
+            hold = term_builders.make_hold()
+            hold.basis_s = anyio.current_time() - 5.0
+            return hold.basis_s, hold.untold_start_until_s(
+                hold.basis_s - assigned_s_ago
+            )
+
+        return builders.run_virtual(_main)
+
+    def test_a_run_that_was_assigned_just_before_counts_longer(self):
+        """Guards against a late start beside the next run (TWICE).
+
+        recut_grid with a holder that is killed for good showed it.
+        """
+        bound_s = former_holders.UNTOLD_START_S
+        basis_s, until_s = self._until_s(bound_s - EDGE_S)
+        self.assertEqual(until_s, basis_s + former_holders.LATE_ORDER_S)
+        _basis_s, until_s = self._until_s(bound_s + EDGE_S)
+        self.assertEqual(until_s, -math.inf)
+
+    def test_holder_and_worker_are_lost_after_a_start(self):
+        """Its order outlives the worker's process; see recut_grid."""
+        for killed_s, seen_s in ((0.0, 0.05), (0.1, 0.5), (0.4, 2.0)):
+            with self.subTest(killed_s=killed_s, seen_s=seen_s):
+                overlaps = []
+
+                async def _main(world):
+                    recut = recut_builders.RecutWorld(world=world)
+                    await self._play(world, recut, killed_s, seen_s)
+                    overlaps.extend(ownership_builders.find_overlaps(world))
+
+                builders.run_job_world(
+                    _main,
+                    zones=["a"],
+                    hosts_per_zone=3,
+                    workers_per_zone=4,
+                    longest_lease_s=LEASE_S,
+                )
+                self.assertEqual(overlaps, [])
+
+    async def _play(self, world, recut, killed_s, seen_s):
+        hosts = set(world.hosts)
+        async with anyio.create_task_group() as group:
+            await anyio.sleep(3)
+            group.start_soon(recut.submit)
+            await anyio.sleep(0.3)
+            for worker in recut.victims:
+                worker.keep_orders = True
+                worker.lost_answers, worker.lost_answer_delay_s = 3, 2.0
+            await anyio.sleep(0.3)
+            for worker in recut.victims:
+                worker.crash()
+            await anyio.sleep(killed_s)
+            world.kill_host(world.holder_of(CELL))
+            for worker in recut.victims:
+                worker.restart()
+                worker.lost_answers = 0
+            await anyio.sleep(seen_s)
+            for worker in recut.victims:
+                worker.cut_from |= hosts
+            await anyio.sleep(14)
+            for worker in recut.victims:
+                worker.cut_from.clear()
+            await anyio.sleep(2)
--- a/wisteriawood/tests/idle_jobs_tests.py
+++ b/wisteriawood/tests/idle_jobs_tests.py
@@ -7,6 +7,7 @@
 
 from wisteriawood.cells import idle_jobs
 from wisteriawood.cells import moving
+from wisteriawood.cells import placers
 from wisteriawood.cells import relocation
 from wisteriawood.cells import runs
 from wisteriawood import errors
@@ -104,7 +105,7 @@
         async def _check(cell, monitor, lines):
             for worker in cell.fleet.values():
                 worker.free_millicores = 0
-                for number in range(4):
+                for number in range(placers.MAX_URGENT_PINNED_PER_WORKER):
                     pinned = builders.make_job(f"p-{worker.id}-{number}")
                     builders.put_run(worker, pinned).is_pinned = True
             cell.add_job(builders.make_job(JOB, is_filler=True))
--- a/wisteriawood/tests/zone_evacuations_tests.py
+++ b/wisteriawood/tests/zone_evacuations_tests.py
@@ -289,7 +289,8 @@
             await self.wait_until_moved(world, 6, 80.0)
             self.assertEqual(world.most_away(JOB), 2)
 
-        self.run_drain(_check)
+        # Leases go on meanwhile as the other hosts confirm the hold.
+        self.run_drain(_check, has_host_links=True)
 
     def test_drain_that_ends_meanwhile(self):
         async def _check(world):
