Let heartbeats tell which starts have no answer

A heartbeat now names the tasks of each cell whose starts have no answer, and the version of the store as of which that is complete. The next holder waits longer only for these, and for jobs whose rows are newer. Once a standing task has started, the next heartbeat follows within 0.1 s. Witnesses of heartbeats without an answer are needed for 12 s, as such a write may take effect late.

--- a/wisteriawood/cells/cells.py
+++ b/wisteriawood/cells/cells.py
@@ -83,6 +83,8 @@
         last_job_at_s: Monotonic time at which the newest job was accepted.
         on_answering_change: Called when a worker stops answering, or answers
             again.
+        on_standing_start: Called when the start of a standing task is
+            answered.
         on_job_removed: Called with a job that the cell no longer manages.
         on_run_end: Called when the newest run of a task ends, with its
             worker, the run and the outcome.
@@ -129,6 +131,7 @@
         "on_answering_change",
         "on_job_removed",
         "on_run_end",
+        "on_standing_start",
         "orphans",
         "other_loads",
         "steady_cells",
@@ -167,6 +170,7 @@
             lambda _task_name, _since_s: True
         )
         self.on_answering_change: typing.Callable[[], None] = lambda: None
+        self.on_standing_start: typing.Callable[[], None] = lambda: None
         self.on_job_removed: typing.Callable[[jobs.Job], None] = (
             lambda _job: None
         )
--- a/wisteriawood/cells/claims.py
+++ b/wisteriawood/cells/claims.py
@@ -149,6 +149,9 @@
             worker for each task.
         silent_workers: Number of workers with runs that do not answer, so
             that nobody knows whether these runs go on.
+        as_of: Version of the store up to which `unanswered` is complete.
+        unanswered: Tasks whose runs were assigned and whose starts have not
+            been answered, or were not for a time; None if they are too many.
     """
 
     epoch: bounds.Number = 0
@@ -176,6 +179,8 @@
         default_factory=list
     )
     silent_workers: bounds.Number = 0
+    as_of: bounds.Number = 0
+    unanswered: list[bounds.Name] | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/wisteriawood/cells/command_senders.py
+++ b/wisteriawood/cells/command_senders.py
@@ -110,6 +110,8 @@
             if answer is runners.StartResult.STARTED:
                 run.mark_answered(anyio.current_time())
                 run.confirm(run.answered_at_s)
+                if run.step.is_standing:
+                    self._cell.on_standing_start()
                 if run.is_pinned:
                     run.pace_percent = PINNED_PACE_PERCENT
                     single_commands.send_pace(self._cell, self._worker, run)
--- a/wisteriawood/cells/former_holders.py
+++ b/wisteriawood/cells/former_holders.py
@@ -22,10 +22,10 @@
 # Time after which an order without an answer takes effect no more, in any
 # instance of a worker's process.
 LATE_ORDER_S = 12.0
-# Time before its last sign in which a holder may have sent starts of which it
-# can't have told that they were not answered. It tries a start for less, and
-# then counts the worker as silent, of which the row of leases tells, or has an
-# answer to the stop.
+# Time before its last sign in which a holder may have sent starts without an
+# answer of which nothing tells, if its heartbeat does not. It tries a start for
+# less, and then counts the worker as silent, of which the row of leases tells,
+# or has an answer to the stop.
 UNTOLD_START_S = 4.0
 # Longest time left of a lease that a row can tell of.
 MAX_LEFT_S = 60.0
@@ -60,6 +60,25 @@
         self.began_by_s = now_s - answer.age_s
 
 
+class AdoptedRun:
+    """A run that a new holder has taken over from the store.
+
+    Args:
+        version: Version of the row of its job.
+        written_by_s: Monotonic time by which the row was certainly written.
+
+    Attributes:
+        version: The same as given.
+        written_by_s: The same as given.
+    """
+
+    __slots__ = ("version", "written_by_s")
+
+    def __init__(self, *, version: int, written_by_s: float):
+        self.version = version
+        self.written_by_s = written_by_s
+
+
 class FormerHold:
     """A hold of a cell whose leases may still run.
 
@@ -77,6 +96,8 @@
         basis_s: Monotonic time at which its holder certainly was the holder
             last, if nothing else tells how it ended; None if that is not
             known.
+        last_load: The load of the cell in its holder's last heartbeat; None
+            if that is not known.
         witness_terms: What witnesses have told of it, by host.
     """
 
@@ -88,6 +109,7 @@
         "basis_s",
         "claim",
         "claimed_by_s",
+        "last_load",
         "latest_s",
         "witness_terms",
     )
@@ -104,6 +126,7 @@
         self.claimed_by_s = claimed_by_s
         self.latest_s = latest_s
         self.basis_s: float | None = None
+        self.last_load: claims.CellLoad | None = None
         self.witness_terms: dict[str, WitnessTerm] = {}
         self._lapse_s = lapse_s
         self._limit_s = latest_s + lapse_s
@@ -179,22 +202,31 @@
             return -math.inf
         return self._answered_at_s + min(left_s, MAX_LEFT_S)
 
-    def untold_start_until_s(self, assigned_by_s: float) -> float:
-        """Return until when a start that nobody has told of may take effect.
+    def untold_start_until_s(
+        self, task_name: str, adopted: "AdoptedRun"
+    ) -> float:
+        """Return until when a start that was not answered may take effect.
 
         Args:
-            assigned_by_s: Monotonic time by which the run was certainly
-                assigned.
+            task_name: Name of the task.
+            adopted: Its run.
 
         Returns:
-            Monotonic time; infinitely early if its start was answered, or
-            would have been told.
+            Monotonic time; infinitely early if the start was answered, or if
+            the end of the hold has been told.
         """
         if self.is_told or self.basis_s is None:
             return -math.inf
-        if assigned_by_s < self.basis_s - UNTOLD_START_S:
-            return -math.inf
-        return self.basis_s + LATE_ORDER_S
+        load = self.last_load
+        if load is not None and load.unanswered is not None:
+            is_answered = (
+                adopted.version <= load.as_of
+                and task_name not in load.unanswered
+            )
+        else:
+            latest_s = self.basis_s - UNTOLD_START_S
+            is_answered = adopted.written_by_s < latest_s
+        return -math.inf if is_answered else self.basis_s + LATE_ORDER_S
 
     def lapsed_at_s(self) -> float:
         """Return from when the leases granted to all workers have lapsed.
@@ -244,7 +276,7 @@
 
     __slots__ = (
         "_lapse_s",
-        "_assigned_by_s",
+        "_adopted",
         "_late_start_until_s",
         "_members",
         "_withheld_until_s",
@@ -270,8 +302,8 @@
         # Monotonic times until which starts that were not answered may take
         # effect, by task.
         self._late_start_until_s: dict[str, float] = {}
-        # Monotonic times by which the runs were assigned that were taken over.
-        self._assigned_by_s: dict[str, float] = {}
+        # The runs that were taken over, by task.
+        self._adopted: dict[str, AdoptedRun] = {}
         if claim is not None:
             if stored is not None and _is_valid(stored, claim):
                 self._adopt(claim.cell, stored)
@@ -337,10 +369,11 @@
         """Apply what has become known since the last call."""
         for hold in self.holds:
             ended_at_s = self._members.hold_ended_at_s(hold.claim)
-            if hold.latest_s > ended_at_s:
-                hold.latest_s = ended_at_s
+            hold.latest_s = min(hold.latest_s, ended_at_s)
+            if ended_at_s < math.inf:
                 hold.basis_s = None
-            self._apply_term(hold)
+            else:
+                self._apply_term(hold)
         self.lapsed_at_s = max(
             (hold.lapsed_at_s() for hold in self.holds), default=-math.inf
         )
@@ -353,6 +386,7 @@
         if basis_s >= hold.latest_s:
             return
         hold.latest_s = hold.basis_s = basis_s
+        hold.last_load = self._members.last_load(hold.claim)
         _LOG.log(
             job_events.HOLD_TERM_KNOWN,
             cell=hold.claim.cell,
@@ -388,11 +422,20 @@
             Monotonic time; infinitely early if no start without an answer is
             known.
         """
-        assigned_by_s = self._assigned_by_s.get(task_name, -math.inf)
-        return max(
+        until_s = max(
             self._late_start_until_s.get(task_name, -math.inf),
             *(hold.late_start_until_s(task_name) for hold in self.holds),
-            *(hold.untold_start_until_s(assigned_by_s) for hold in self.holds),
+            -math.inf,
+        )
+        adopted = self._adopted.get(task_name)
+        if adopted is None:
+            return until_s
+        return max(
+            until_s,
+            *(
+                hold.untold_start_until_s(task_name, adopted)
+                for hold in self.holds
+            ),
             -math.inf,
         )
 
@@ -403,7 +446,9 @@
             task_name: Name of its task.
             version: Version of the row that shows its assignment.
         """
-        self._assigned_by_s[task_name] = self._members.written_by_s(version)
+        self._adopted[task_name] = AdoptedRun(
+            version=version, written_by_s=self._members.written_by_s(version)
+        )
 
     def stored_late_starts_s(self) -> dict[str, float]:
         """Return until when stored starts may take effect, by task."""
--- a/wisteriawood/cells/hold_terms.py
+++ b/wisteriawood/cells/hold_terms.py
@@ -22,6 +22,8 @@
 LAST_SIGN_S = SIGN_GAP_S + SIGN_ANSWER_S + CLOCK_MARGIN_S
 # Age of the last sign from which the witnesses are asked.
 ASK_WITNESSES_S = 1.5
+# Time after which a heartbeat without an answer takes effect no more.
+LATE_WRITE_S = 12.0
 # Time for which a holder may go on without a read of the claims.
 RENEW_WITHOUT_STORE_S = 12.0
 
@@ -61,15 +63,16 @@
 class WitnessSets:
     """The witnesses that a host's heartbeats name.
 
-    As long as it is not known which heartbeat the store has last, those of
-    all of them are needed.
+    As long as it is not known which heartbeat the store shows, those of all
+    of them are needed. One without an answer may take effect late.
     """
 
-    __slots__ = ("_acknowledged", "_sent")
+    __slots__ = ("_acknowledged", "_unanswered")
 
     def __init__(self) -> None:
         self._acknowledged: dict[str, str] = {}
-        self._sent: list[dict[str, str]] = []
+        # With the times at which they were sent.
+        self._unanswered: list[tuple[float, dict[str, str]]] = []
 
     def record_sent(self, witnesses: dict[str, str]) -> None:
         """Record the witnesses of a heartbeat that is about to be sent.
@@ -77,17 +80,17 @@
         Args:
             witnesses: Their processes, by host.
         """
-        if witnesses not in self._sent:
-            self._sent.append(witnesses)
-
-    def record_answered(self, witnesses: dict[str, str]) -> None:
-        """Record that the store has a heartbeat, and no later one.
-
-        Args:
-            witnesses: Their processes, by host.
-        """
-        self._acknowledged = witnesses
-        self._sent = []
+        now_s = clocks.elapsed_s()
+        self._unanswered = [
+            (sent_s, found)
+            for sent_s, found in self._unanswered
+            if now_s - sent_s < LATE_WRITE_S
+        ]
+        self._unanswered.append((now_s, witnesses))
+
+    def record_answered(self) -> None:
+        """Record that the store has the heartbeat that was sent last."""
+        _sent_s, self._acknowledged = self._unanswered.pop()
 
     def needed(self) -> dict[str, list[str]]:
         """Return the processes that have to confirm a hold, by host.
@@ -95,8 +98,14 @@
         It is empty if no confirmation counts, since a heartbeat that may be
         in the store names no witness.
         """
+        now_s = clocks.elapsed_s()
+        unanswered = [
+            witnesses
+            for sent_s, witnesses in self._unanswered
+            if now_s - sent_s < LATE_WRITE_S
+        ]
         found: dict[str, list[str]] = {}
-        for witnesses in (self._acknowledged, *self._sent):
+        for witnesses in (self._acknowledged, *unanswered):
             if not witnesses:
                 return {}
             for host, process in witnesses.items():
--- a/wisteriawood/cells/job_writers.py
+++ b/wisteriawood/cells/job_writers.py
@@ -146,6 +146,7 @@
 
     Attributes:
         commits: Number of committed transactions.
+        newest_version: Version of the last one.
     """
 
     __slots__ = (
@@ -163,6 +164,7 @@
         "_wake",
         "_writing_since_s",
         "commits",
+        "newest_version",
     )
 
     def __init__(
@@ -194,6 +196,7 @@
         self._is_closed = False
         self._writing_since_s: dict[str, float] = {}
         self.commits = 0
+        self.newest_version = claim_version
 
     def schedule_write(
         self,
@@ -395,6 +398,7 @@
                 waiting.remove(job)
                 continue
             self.commits += 1
+            self.newest_version = max(self.newest_version, version)
             self._refused_since_s = math.inf
             for job in included:
                 job.version = version
--- a/wisteriawood/cells/loads.py
+++ b/wisteriawood/cells/loads.py
@@ -11,6 +11,9 @@
 from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
 
+# Most starts without an answer that a heartbeat names.
+MAX_UNANSWERED = 64
+
 
 def _pending_by_queue(cell: cells.Cell) -> dict[str, int]:
     """Return the number of jobs of which no task has started, by queue.
@@ -74,6 +77,18 @@
     )
 
 
+def _find_unanswered(cell: cells.Cell) -> list[str] | None:
+    """Return the tasks whose starts may take effect late, if they are few."""
+    now_s = anyio.current_time()
+    found = [
+        run.name
+        for worker in cell.fleet.values()
+        for run in worker.runs.values()
+        if not run.is_answered or worker.late_start_until_s(run) > now_s
+    ]
+    return found if len(found) <= MAX_UNANSWERED else None
+
+
 def zone_of_racks(
     known: dict[str, claims.CellLoad], service: str, racks: set[str]
 ) -> str:
@@ -133,4 +148,6 @@
         ),
         reserved=reservations.reserved_for_others(),
         silent_workers=_count_silent_workers(cell),
+        as_of=cell.writer.newest_version,
+        unanswered=_find_unanswered(cell),
     )
--- a/wisteriawood/cells/members.py
+++ b/wisteriawood/cells/members.py
@@ -623,6 +623,22 @@
             return math.inf
         return last_s
 
+    def last_load(self, claim: claims.Claim) -> claims.CellLoad | None:
+        """Return the load of a cell in the last heartbeat of its holder.
+
+        Args:
+            claim: The claim of the holder.
+
+        Returns:
+            The load; None if that heartbeat does not have it.
+        """
+        member = self.by_name.get(claim.row.holder)
+        if member is None:
+            return None
+        if member.heartbeat.incarnation != claim.row.incarnation:
+            return None
+        return member.heartbeat.cells.get(claim.cell)
+
     def term_basis_s(self, hold: "former_holders.FormerHold") -> float:
         """Return when a former holder was certainly the holder last.
 
@@ -754,7 +770,7 @@
             self._times.clear()
             return False
         self.signs.record(sent_s=sent_s, answered_s=clocks.elapsed_s())
-        self.witness_sets.record_answered(row.witnesses)
+        self.witness_sets.record_answered()
         self.heartbeat_written_at_s = anyio.current_time()
         self._first_written_at_s = (
             self._first_written_at_s or self.heartbeat_written_at_s
--- a/wisteriawood/machines/heartbeats.py
+++ b/wisteriawood/machines/heartbeats.py
@@ -8,6 +8,9 @@
 from wisteriawood.cells import members
 from wisteriawood.machines import directory_needs
 
+# Least time between two heartbeats, so that changes at once share one.
+MIN_PERIOD_S = 0.1
+
 
 class HeartbeatSender:
     """Writes the heartbeats of one host.
@@ -42,7 +45,7 @@
         self._wakeup = anyio.Event()
 
     def send_soon(self) -> None:
-        """Write the next heartbeat at once, to show a new claim."""
+        """Write the next heartbeat soon, to show a change."""
         self._wakeup.set()
 
     def _period_s(self) -> float:
@@ -64,6 +67,7 @@
             self._members.heartbeat_period_s = period_s
             if not await self._members.write_heartbeat(self._report()):
                 period_s = members.HEARTBEAT_PERIOD_S
-            with anyio.move_on_after(period_s):
+            await anyio.sleep(MIN_PERIOD_S)
+            with anyio.move_on_after(period_s - MIN_PERIOD_S):
                 await self._wakeup.wait()
-                self._wakeup = anyio.Event()
+            self._wakeup = anyio.Event()
--- a/wisteriawood/machines/job_hosts.py
+++ b/wisteriawood/machines/job_hosts.py
@@ -546,6 +546,7 @@
             claim, former_holder, leases_row, times, term
         )
         holder.update_fleet(self._workers_of(cell))
+        holder.cell.on_standing_start = self._heartbeats.send_soon
         self._holders[cell] = holder
         self._scopes[cell] = anyio.CancelScope()
         self.counters.cells_held.set(len(self._holders))
--- a/wisteriawood/tests/hold_terms_builders.py
+++ b/wisteriawood/tests/hold_terms_builders.py
@@ -20,7 +20,7 @@
     signs, sets = hold_terms.Signs(), hold_terms.WitnessSets()
     if witnesses is not None:
         sets.record_sent(witnesses)
-        sets.record_answered(witnesses)
+        sets.record_answered()
     term = hold_terms.HoldTerm(
         claimed_s=claimed_s,
         signs=signs,
--- a/wisteriawood/tests/hold_terms_tests.py
+++ b/wisteriawood/tests/hold_terms_tests.py
@@ -143,19 +143,30 @@
 class WitnessSetTests(unittest.TestCase):
     """Whose confirmations are needed."""
 
-    def _needed(self, acknowledged, *sent):
-        sets = hold_terms.WitnessSets()
-        sets.record_sent(acknowledged)
-        sets.record_answered(acknowledged)
-        for found in sent:
-            sets.record_sent(found)
-        return sets.needed()
+    def _needed(self, acknowledged, *unanswered, age_s=0.0):
+        async def _main():
+            sets = hold_terms.WitnessSets()
+            for found in unanswered:
+                sets.record_sent(found)
+            await anyio.sleep(age_s)
+            sets.record_sent(acknowledged)
+            sets.record_answered()
+            return sets.needed()
+
+        return builders.run_virtual(_main)
 
     def test_those_of_unanswered_heartbeats_are_needed_too(self):
         """Guards against a successor that asks others than the holder."""
         found = self._needed({"p": "1"}, {"q": "1"})
         self.assertEqual(found, {"p": ["1"], "q": ["1"]})
 
+    def test_those_that_come_late_are_needed_for_a_time(self):
+        bound_s = hold_terms.LATE_WRITE_S
+        found = self._needed({"p": "1"}, {"q": "1"}, age_s=bound_s - EDGE_S)
+        self.assertEqual(found, {"p": ["1"], "q": ["1"]})
+        found = self._needed({"p": "1"}, {"q": "1"}, age_s=bound_s + EDGE_S)
+        self.assertEqual(found, {"p": ["1"]})
+
     def test_none_count_if_the_store_may_show_none(self):
         self.assertEqual(self._needed({}, {"p": "1"}), {})
         self.assertEqual(self._needed({"p": "1"}, {}), {})
@@ -637,27 +648,45 @@
 class UntoldStartTests(unittest.TestCase):
     """Starts without an answer of a holder that could not tell of them."""
 
-    def _until_s(self, assigned_s_ago):
+    def _is_untold(self, *, assigned_s_ago=1.0, version=5, **load):
         async def _main():
             await anyio.sleep(100)
             hold = term_builders.make_hold()
             hold.basis_s = anyio.current_time() - 5.0
-            return hold.basis_s, hold.untold_start_until_s(
-                hold.basis_s - assigned_s_ago
+            if load:
+                hold.last_load = claims.CellLoad(**load)
+            adopted = former_holders.AdoptedRun(
+                version=version, written_by_s=hold.basis_s - assigned_s_ago
+            )
+            until_s = hold.untold_start_until_s("t", adopted)
+            self.assertIn(
+                until_s,
+                (-math.inf, hold.basis_s + former_holders.LATE_ORDER_S),
             )
+            return until_s > -math.inf
 
         return builders.run_virtual(_main)
 
-    def test_a_run_that_was_assigned_just_before_counts_longer(self):
+    def test_heartbeat_tells(self):
         """Guards against a late start beside the next run (TWICE).
 
         recut_grid with a holder that is killed for good showed it.
         """
+        self.assertFalse(self._is_untold(as_of=5, unanswered=[]))
+        self.assertFalse(self._is_untold(as_of=5, unanswered=["u"]))
+        self.assertTrue(self._is_untold(as_of=5, unanswered=["t"]))
+        self.assertTrue(self._is_untold(as_of=4, unanswered=[]))
+
+    def test_heartbeat_does_not_tell(self):
+        """The time of the assignment decides."""
         bound_s = former_holders.UNTOLD_START_S
-        basis_s, until_s = self._until_s(bound_s - EDGE_S)
-        self.assertEqual(until_s, basis_s + former_holders.LATE_ORDER_S)
-        _basis_s, until_s = self._until_s(bound_s + EDGE_S)
-        self.assertEqual(until_s, -math.inf)
+        for load in ({}, {"as_of": 9, "unanswered": None}):
+            for assigned_s_ago, expected in (
+                (bound_s - EDGE_S, True),
+                (bound_s + EDGE_S, False),
+            ):
+                found = self._is_untold(assigned_s_ago=assigned_s_ago, **load)
+                self.assertEqual(found, expected)
 
     def test_holder_and_worker_are_lost_after_a_start(self):
         """Its order outlives the worker's process; see recut_grid."""
