Let heartbeats name the leases that may outlast the term of a hold

Cause: where connections outlive the process of a worker, its next instance takes the end of a renewal for one on its own clock, so that its lease has the longest length.

A heartbeat now names such workers and the time left of their leases, and the next holder counts with it.

--- a/wisteriawood/cells/claims.py
+++ b/wisteriawood/cells/claims.py
@@ -152,6 +152,9 @@
         as_of: Version of the store up to which `unanswered` is complete.
         unanswered: Tasks whose runs were assigned and whose starts have not
             been answered, or were not for a time; None if they are too many.
+        long_leases_s: For how long leases may still run that may outlast the
+            term of the hold, by worker, as a next instance of its process may
+            have taken an order; None if they are too many.
     """
 
     epoch: bounds.Number = 0
@@ -181,6 +184,7 @@
     silent_workers: bounds.Number = 0
     as_of: bounds.Number = 0
     unanswered: list[bounds.Name] | None = None
+    long_leases_s: dict[bounds.Name, bounds.Measure] | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/wisteriawood/cells/former_holders.py
+++ b/wisteriawood/cells/former_holders.py
@@ -23,8 +23,8 @@
 # instance of a worker's process.
 LATE_ORDER_S = 12.0
 # Time before its last sign in which a holder may have sent starts without an
-# answer of which nothing tells, if its heartbeat does not. It tries a start for
-# less, and then counts the worker as silent, of which the row of leases tells,
+# answer of which nothing tells, if its heartbeat does not. It tries a start
+# for less, and then counts the worker as silent, of which the row tells,
 # or has an answer to the stop.
 UNTOLD_START_S = 4.0
 # Longest time left of a lease that a row can tell of.
@@ -98,6 +98,8 @@
             known.
         last_load: The load of the cell in its holder's last heartbeat; None
             if that is not known.
+        long_until_s: Monotonic times until which leases may run that may
+            outlast the term, by worker, if its last sign is known.
         witness_terms: What witnesses have told of it, by host.
     """
 
@@ -111,6 +113,7 @@
         "claimed_by_s",
         "last_load",
         "latest_s",
+        "long_until_s",
         "witness_terms",
     )
 
@@ -127,6 +130,7 @@
         self.latest_s = latest_s
         self.basis_s: float | None = None
         self.last_load: claims.CellLoad | None = None
+        self.long_until_s: dict[str, float] = {}
         self.witness_terms: dict[str, WitnessTerm] = {}
         self._lapse_s = lapse_s
         self._limit_s = latest_s + lapse_s
@@ -178,7 +182,10 @@
             Monotonic time.
         """
         if self._answer is None:
-            return self.latest_s + self._lapse_s
+            return max(
+                self.latest_s + self._lapse_s,
+                self.long_until_s.get(worker_id, -math.inf),
+            )
         if not self._answer.has_granted:
             return -math.inf
         left_s = self._answer.by_worker_s.get(worker_id)
@@ -235,7 +242,9 @@
             Monotonic time.
         """
         if self._answer is None:
-            return self.latest_s + self._lapse_s
+            return max(
+                [self.latest_s + self._lapse_s, *self.long_until_s.values()]
+            )
         if not self._answer.has_granted:
             return -math.inf
         left_s = max(
@@ -372,6 +381,7 @@
             hold.latest_s = min(hold.latest_s, ended_at_s)
             if ended_at_s < math.inf:
                 hold.basis_s = None
+                hold.long_until_s = {}
             else:
                 self._apply_term(hold)
         self.lapsed_at_s = max(
@@ -385,8 +395,17 @@
         basis_s = self._members.term_basis_s(hold)
         if basis_s >= hold.latest_s:
             return
+        load = self._members.last_load(hold.claim)
+        if load is not None and load.long_leases_s is None:
+            return
         hold.latest_s = hold.basis_s = basis_s
-        hold.last_load = self._members.last_load(hold.claim)
+        hold.last_load = load
+        if load is not None:
+            # They count from the last sign, which is not earlier.
+            hold.long_until_s = {
+                worker_id: basis_s + left_s
+                for worker_id, left_s in (load.long_leases_s or {}).items()
+            }
         _LOG.log(
             job_events.HOLD_TERM_KNOWN,
             cell=hold.claim.cell,
--- a/wisteriawood/cells/leases.py
+++ b/wisteriawood/cells/leases.py
@@ -13,6 +13,8 @@
 # Added to the end of a lease before it counts as lapsed, as timers may fire
 # late.
 LAPSE_MARGIN_S = 0.15
+# Difference up to which the end of a lease counts as that of its term.
+TERM_MARGIN_S = 0.05
 
 
 def lapse_s(length_s: float) -> float:
@@ -182,6 +184,23 @@
         )
         return until_ms
 
+    def beyond_term_s(self, now_s: float) -> float:
+        """Return for how long the lease may run if it may outlast the term.
+
+        Args:
+            now_s: Monotonic time.
+
+        Returns:
+            The time in seconds; 0 if it ends within the term.
+        """
+        left_s = self.lapsed_at_s - now_s
+        if self._term is None or left_s <= 0:
+            return 0.0
+        age_s = self.length_s - self._term.left_s(self.length_s)
+        if left_s <= lapse_s(self.length_s) - age_s + TERM_MARGIN_S:
+            return 0.0
+        return left_s
+
     def is_granted(self, now_s: float) -> bool:
         """Return whether a lease is granted that has not ended yet.
 
--- a/wisteriawood/cells/loads.py
+++ b/wisteriawood/cells/loads.py
@@ -5,13 +5,14 @@
 from wisteriawood.cells import capacity_requests
 from wisteriawood.cells import cells
 from wisteriawood.cells import claims
+from wisteriawood.cells import former_holders
 from wisteriawood.cells import placers
 from wisteriawood.cells import tables
 from wisteriawood.cells import worker_groups
 from wisteriawood.jobs import specs
 from wisteriawood.jobs import tasks
 
-# Most starts without an answer that a heartbeat names.
+# Most starts without an answer, and most leases, that a heartbeat names.
 MAX_UNANSWERED = 64
 
 
@@ -89,6 +90,17 @@
     return found if len(found) <= MAX_UNANSWERED else None
 
 
+def _find_long_leases(cell: cells.Cell) -> dict[str, float] | None:
+    """Return the leases that may outlast the term, if they are few."""
+    now_s = anyio.current_time()
+    found = {
+        worker.id: former_holders.ceil_tenth(left_s)
+        for worker in cell.fleet.values()
+        if worker.runs and (left_s := worker.lease.beyond_term_s(now_s))
+    }
+    return found if len(found) <= MAX_UNANSWERED else None
+
+
 def zone_of_racks(
     known: dict[str, claims.CellLoad], service: str, racks: set[str]
 ) -> str:
@@ -150,4 +162,5 @@
         silent_workers=_count_silent_workers(cell),
         as_of=cell.writer.newest_version,
         unanswered=_find_unanswered(cell),
+        long_leases_s=_find_long_leases(cell),
     )
--- a/wisteriawood/tests/hold_terms_tests.py
+++ b/wisteriawood/tests/hold_terms_tests.py
@@ -677,6 +677,63 @@
         self.assertTrue(self._is_untold(as_of=5, unanswered=["t"]))
         self.assertTrue(self._is_untold(as_of=4, unanswered=[]))
 
+    def test_leases_that_outlast_the_term(self):
+        """Guards against runs under a lease of the worker's longest length.
+
+        The next instance of a worker takes the end of a renewal for one on
+        its own clock, which starts anew.
+        """
+
+        async def _check():
+            view = term_builders.make_view(witnesses={}, written_by_s=1.0)
+            heartbeat = view.by_name["former"].heartbeat
+            heartbeat.cells[CELL] = claims.CellLoad(long_leases_s={"w": 10.0})
+            former = former_holders.FormerHolder(
+                claim=term_builders.make_claim(),
+                stored=None,
+                known_members=view,
+                lease_s=LEASE_S,
+                claimed_by_s=0.0,
+            )
+            await anyio.sleep(8)
+            view.heartbeat_feed.confirmed_at_s = anyio.current_time()
+            former.update()
+            self.assertAlmostEqual(
+                former.holds[-1].lapsed_at_s_of("w"), 11.0, 2
+            )
+            self.assertAlmostEqual(
+                former.holds[-1].lapsed_at_s_of("v"), 1.0 + LAPSE_S, 2
+            )
+            heartbeat.cells[CELL].long_leases_s = None
+            former = former_holders.FormerHolder(
+                claim=term_builders.make_claim(),
+                stored=None,
+                known_members=view,
+                lease_s=LEASE_S,
+                claimed_by_s=0.0,
+            )
+            self.assertGreater(former.lapsed_at_s_of("v"), 20.0)
+
+        builders.run_virtual(_check)
+
+    def test_lease_beyond_the_term_is_named(self):
+        async def _check():
+            now_s = anyio.current_time()
+            term, signs, _sets = term_builders.make_term(
+                claimed_s=now_s, read_s=now_s
+            )
+            signs.record(sent_s=now_s, answered_s=now_s)
+            lease = leases.Lease(length_s=LEASE_S, longest_s=10.0, term=term)
+            lease.record_clock(1000, now_s)
+            lease.grant(now_s)
+            await anyio.sleep(0.5)
+            self.assertEqual(lease.beyond_term_s(anyio.current_time()), 0.0)
+            lease.include_longest(anyio.current_time())
+            left_s = lease.beyond_term_s(anyio.current_time())
+            self.assertAlmostEqual(left_s, leases.lapse_s(10.0), 2)
+
+        builders.run_virtual(_check)
+
     def test_heartbeat_does_not_tell(self):
         """The time of the assignment decides."""
         bound_s = former_holders.UNTOLD_START_S
