--- a/wisteriawood/cells/former_holders.py
+++ b/wisteriawood/cells/former_holders.py
@@ -12,20 +12,19 @@
 from wisteriawood.telemetry import events
 from wisteriawood.telemetry import job_events
 
-_LOG = events.Logger(name=__name__)
-RENEW_WITHOUT_STORE_S = hold_terms.RENEW_WITHOUT_STORE_S
-
 if typing.TYPE_CHECKING:
     from wisteriawood.cells import members
     from wisteriawood.links import messages
 
+_LOG = events.Logger(name=__name__)
+RENEW_WITHOUT_STORE_S = hold_terms.RENEW_WITHOUT_STORE_S
 # Time after which an order without an answer takes effect no more, in any
 # instance of a worker's process.
 LATE_ORDER_S = 12.0
 # Time before its last sign in which a holder may have sent starts without an
 # answer of which nothing tells, if its heartbeat does not. It tries a start
-# for less, and then counts the worker as silent, of which the row tells,
-# or has an answer to the stop.
+# for less, and then counts the worker as silent, of which the row of leases
+# tells, or has an answer to the stop.
 UNTOLD_START_S = 4.0
 # Longest time left of a lease that a row can tell of.
 MAX_LEFT_S = 60.0
@@ -210,7 +209,7 @@
         return self._answered_at_s + min(left_s, MAX_LEFT_S)
 
     def untold_start_until_s(
-        self, task_name: str, adopted: "AdoptedRun"
+        self, task_name: str, adopted: AdoptedRun
     ) -> float:
         """Return until when a start that was not answered may take effect.
 
