Ask the other host in a test that restarts the holder of a cell

test_another_host_takes_their_cell_over asked the first host by name. The test now asks the host that was not restarted; what it requires is the same.

--- a/wisteriawood/tests/unrouted_jobs_tests.py
+++ b/wisteriawood/tests/unrouted_jobs_tests.py
@@ -104,7 +104,11 @@
             holder = world.holder_of(CELL)
             directory_of_world.restart_host(holder, "a")
             _adopt(world, directory_of_world, found, [holder])
-            await world.wait_for(JOB, jobs.JobState.COMPLETED, timeout_s=9)
+            # The host that has just started has not read the store yet.
+            other = min(world.hosts.keys() - {holder})
+            await world.wait_for(
+                JOB, jobs.JobState.COMPLETED, timeout_s=9, host=other
+            )
             self.assertEqual(len(world.running()), 2)
 
         self._run_each_way(_check)
